--- a/src/clementinegw/commands/_daemon.py
+++ b/src/clementinegw/commands/_daemon.py
@@ -1,29 +1,13 @@
-"""Runs a daemon until it is told to stop, and lets it finish what it has."""
-
-import asyncio
-import signal
-from typing import Protocol
+"""What the commands of both daemons share: flags and the instance file."""
 
 from absl import flags
 
 from clementinegw import exceptions
+from clementinegw import lifetime
 from clementinegw import types
 from clementinegw.settings import model as model_lib
 
-_SIGNALS = (signal.SIGTERM, signal.SIGINT)
-
-
-class Daemon(Protocol):
-    """What `run_until_signal` needs of a daemon."""
-
-    async def start(self) -> None:
-        """Starts it."""
-
-    async def drain(self) -> None:
-        """Takes nothing new and finishes what is there."""
-
-    async def stop(self) -> None:
-        """Ends it."""
+run_until_signal = lifetime.run_until_signal
 
 
 def define(flag_values) -> None:
@@ -54,45 +38,3 @@
             f'found "{file.role.value}"'
         )
     return file
-
-
-async def run_until_signal(daemon: Daemon) -> int:
-    """Runs a daemon until SIGTERM or SIGINT, then drains and stops it.
-
-    A second signal ends it at once.
-
-    Returns:
-      The exit code.
-    """
-    stopping = asyncio.Event()
-    urgent = asyncio.Event()
-
-    def on_signal() -> None:
-        if stopping.is_set():
-            urgent.set()
-        stopping.set()
-
-    loop = asyncio.get_running_loop()
-    for number in _SIGNALS:
-        loop.add_signal_handler(number, on_signal)
-    try:
-        await daemon.start()
-        await stopping.wait()
-        await _first(daemon.drain(), urgent.wait())
-        await daemon.stop()
-    finally:
-        for number in _SIGNALS:
-            loop.remove_signal_handler(number)
-    return 0
-
-
-async def _first(*coroutines) -> None:
-    tasks = [asyncio.ensure_future(c) for c in coroutines]
-    done, pending = await asyncio.wait(
-        tasks, return_when=asyncio.FIRST_COMPLETED
-    )
-    for task in pending:
-        task.cancel()
-    await asyncio.gather(*pending, return_exceptions=True)
-    for task in done:
-        task.result()
--- /dev/null
+++ b/src/clementinegw/direct/__init__.py
@@ -0,0 +1,1 @@
+"""Requests straight from the entry to backend servers, without agents."""
--- /dev/null
+++ b/src/clementinegw/direct/attempt.py
@@ -0,0 +1,280 @@
+"""One attempt at one backend server: send, await the answer, pass it on."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+
+from clementinegw.direct import catalog
+from clementinegw.direct import client
+from clementinegw.direct import dialect as dialects
+from clementinegw.direct import events
+from clementinegw.direct import fleet
+from clementinegw.direct import outcomes
+from clementinegw.direct import server as servers
+from clementinegw.direct import types
+
+# The most bytes of an answer that is kept until it is whole, so that a broken
+# one never looks like an answer. Streams are passed on event by event.
+_MAX_BODY_BYTES = 16 << 20
+# A server that has sent nothing on any connection for so long, while it owes
+# an answer, is taken for dark where the request may run again. In seconds; at
+# least this, and a multiple of what is on time.
+_LEAST_SILENCE_S = 0.6
+_SILENT_OBJECTIVES = 2.0
+_SILENT_GAPS = 3.0
+_MISDIRECTED = 421
+# What promises a caller that a request was not run.
+_PROMISES = frozenset({408, 421, 429, 503})
+
+
+class _Silent(Exception):  # noqa: N818
+    """The server is taken for dark."""
+
+
+@dataclasses.dataclass(slots=True)
+class Job:
+    """One request on its way.
+
+    Attributes:
+      request: As it came.
+      facts: What its head says.
+      match: Its route and customer.
+      service: The service that serves it.
+      responder: Answers it.
+      deadline: When its final answer is due, in monotonic seconds.
+      sends: Times that it was handed to a server.
+      runs: Times that it may have begun to run.
+      last_event: The last event that the caller has got in this answer.
+    """
+
+    request: servers.Request
+    facts: types.RequestFacts
+    match: catalog.Match
+    service: str
+    responder: servers.Responder
+    deadline: float
+    sends: int = 0
+    runs: int = 0
+    last_event: str | None = None
+    first_answer_at: float | None = None
+    tried: set[str] = dataclasses.field(default_factory=set)
+
+    @property
+    def streaming(self) -> bool:
+        """Whether its answer is a stream."""
+        return self.match.route.repeat is types.Repeat.STREAM
+
+
+class Attempts:
+    """Makes attempts; knows nothing of when and where to."""
+
+    def __init__(self, dialect: dialects.Dialect, clock: Callable[[], float]):
+        self._dialect = dialect
+        self._clock = clock
+
+    async def run(
+        self, job: Job, backend: fleet.Backend, sending: types.Sending
+    ) -> outcomes.Attempt:
+        """Makes one attempt.
+
+        Raises:
+          channel.ChannelClosed: The caller has left.
+        """
+        backend.in_flight += 1
+        backend.unread_tokens += job.facts.prompt_tokens
+        unread = _Unread(backend, job.facts.prompt_tokens)
+        try:
+            return await self._run(job, backend, sending, unread)
+        finally:
+            unread.done()
+            backend.in_flight -= 1
+
+    async def _run(
+        self,
+        job: Job,
+        backend: fleet.Backend,
+        sending: types.Sending,
+        unread: "_Unread",
+    ) -> outcomes.Attempt:
+        try:
+            connection, _ = await backend.pool.take()
+        except client.ConnectFailed:
+            backend.unreachable(self._clock())
+            return outcomes.NotRun(outcomes.NotRunReason.UNREACHABLE)
+        whole = False
+        try:
+            outcome = await self._call(
+                job, backend, sending, connection, unread
+            )
+            whole = not isinstance(outcome, outcomes.Lost)
+            return outcome
+        except client.AnswerBroken:
+            backend.failed(self._clock())
+            return outcomes.Lost(outcomes.LostReason.BROKEN)
+        except _Silent:
+            backend.unreachable(self._clock())
+            return outcomes.Lost(outcomes.LostReason.SILENT)
+        finally:
+            # Closing is also how a server learns that its caller has left.
+            if whole:
+                backend.pool.give_back(connection)
+            else:
+                backend.pool.discard(connection)
+
+    async def _call(
+        self,
+        job: Job,
+        backend: fleet.Backend,
+        sending: types.Sending,
+        connection: client.Connection,
+        unread: "_Unread",
+    ) -> outcomes.Attempt:
+        request = job.request
+        headers = self._dialect.sent_on(request.headers, sending)
+        job.sends += 1
+        await connection.send(
+            request.method, request.target, headers, request.body
+        )
+        route = job.match.route
+        silence_s = max(
+            _LEAST_SILENCE_S, _SILENT_OBJECTIVES * route.objective_s
+        )
+        patience = silence_s if route.idempotent else None
+        head = await self._hear(connection.head, backend, patience)
+        facts = self._dialect.answer_facts(head)
+        connection.keep_s = facts.keep_s
+        now = self._clock()
+        if facts.load is not None:
+            backend.take_load(facts.load, now)
+        if facts.attempt_id and facts.attempt_id != job.facts.attempt_id:
+            return outcomes.Lost(outcomes.LostReason.CROSSED)
+        if facts.not_run or head.status == _MISDIRECTED:
+            return await self._not_run(connection, backend, head)
+        job.runs += 1
+        if facts.version is not None:
+            backend.take_version(facts.version, now)
+        if 200 <= head.status < 300:
+            if not facts.sealed:
+                return outcomes.Lost(outcomes.LostReason.UNSEALED)
+            if job.streaming:
+                await self._stream(job, backend, connection, head, unread)
+            else:
+                await self._whole(job, backend, connection, head)
+            backend.answered(self._clock())
+            return outcomes.Delivered(head.status)
+        if head.status in _PROMISES:
+            # Passed on, it would promise what this server did not.
+            return outcomes.Lost(outcomes.LostReason.FALSE_PROMISE)
+        body = await connection.body(_MAX_BODY_BYTES)
+        if head.status >= 500:
+            backend.failed(self._clock())
+        return outcomes.Failed(head, body)
+
+    async def _not_run(
+        self,
+        connection: client.Connection,
+        backend: fleet.Backend,
+        head: client.Head,
+    ) -> outcomes.NotRun:
+        await connection.body(_MAX_BODY_BYTES)
+        backend.heard_at = self._clock()
+        if head.status == _MISDIRECTED:
+            return outcomes.NotRun(outcomes.NotRunReason.WRONG_SERVER)
+        return outcomes.NotRun(outcomes.NotRunReason.SHED)
+
+    async def _whole(
+        self,
+        job: Job,
+        backend: fleet.Backend,
+        connection: client.Connection,
+        head: client.Head,
+    ) -> None:
+        async def read() -> bytes:
+            return await connection.body(_MAX_BODY_BYTES)
+
+        body = await self._hear(read, backend, None)
+        await job.responder.answer(
+            head.status, self._dialect.handed_back(head), body
+        )
+
+    async def _stream(
+        self,
+        job: Job,
+        backend: fleet.Backend,
+        connection: client.Connection,
+        head: client.Head,
+        unread: "_Unread",
+    ) -> None:
+        """Passes events on as they come, whole ones only.
+
+        A server may break off inside an event. Only whole ones are passed on,
+        so that another server can go on behind the last of them.
+        """
+        splitter = events.Splitter()
+        route = job.match.route
+        silence_s = max(_LEAST_SILENCE_S, _SILENT_GAPS * route.max_gap_s)
+        patience = silence_s if route.idempotent else None
+        while True:
+            data = await self._hear(connection.data, backend, patience)
+            if data is None:
+                break
+            whole = [e for e in splitter.feed(data) if _new(e, job.last_event)]
+            if not whole:
+                continue
+            unread.done()
+            if job.first_answer_at is None:
+                job.first_answer_at = self._clock()
+            await self._begin(job, head)
+            await job.responder.send(b"".join(e.data for e in whole))
+            if whole[-1].event_id is not None:
+                job.last_event = whole[-1].event_id
+        if splitter.rest.strip():
+            raise client.AnswerBroken("ends inside an event")
+        await self._begin(job, head)
+        await job.responder.end()
+
+    async def _begin(self, job: Job, head: client.Head) -> None:
+        # A stream that goes on at another server keeps the head of its first.
+        if not job.responder.begun:
+            await job.responder.begin(
+                head.status, self._dialect.handed_back(head)
+            )
+
+    async def _hear(self, receive, backend: fleet.Backend, silence_s):
+        """Awaits bytes of a server, for as long as it seems alive.
+
+        Raises:
+          _Silent: It sent nothing on any connection for `silence_s`.
+        """
+        while True:
+            since = self._clock()
+            try:
+                async with asyncio.timeout(silence_s):
+                    result = await receive()
+                backend.heard_at = self._clock()
+                return result
+            except TimeoutError as error:
+                if backend.heard_at <= since:
+                    raise _Silent from error
+
+
+class _Unread:
+    """The tokens that a server still has to read, until its first event."""
+
+    def __init__(self, backend: fleet.Backend, tokens: int):
+        self._backend = backend
+        self._tokens = tokens
+
+    def done(self) -> None:
+        self._backend.unread_tokens -= self._tokens
+        self._tokens = 0
+
+
+def _new(event: events.Event, last_event: str | None) -> bool:
+    """Returns whether the caller has not got an event yet."""
+    if event.event_id is None or last_event is None:
+        return True
+    try:
+        return int(event.event_id) > int(last_event)
+    except ValueError:
+        return event.event_id != last_event
--- /dev/null
+++ b/src/clementinegw/direct/balance.py
@@ -0,0 +1,126 @@
+"""Chooses the backend server for a request."""
+
+from collections.abc import Callable, Collection
+import dataclasses
+import random
+
+from clementinegw import types as places
+from clementinegw.direct import fleet
+from clementinegw.direct import types
+
+# What a server's load, as a part of its slots, counts for in another failure
+# domain and in another region. Bytes between places are paid for, but a full
+# server costs more.
+_DISTANCE = (0.0, 0.05, 0.08)
+# How much a doubted server's load seems larger: one that fails half of its
+# requests gets a few only, and still enough to show that it is well again.
+_DOUBT_WEIGHT = 12.0
+# Prompt tokens that are not read yet count as one more running request each:
+# about what an engine reads in the time that a request holds a slot for.
+_TOKENS_A_REQUEST = 4_000.0
+# Two servers whose loads differ by less are equal; the draw decides, so that
+# all entries do not choose the same one.
+_SPREAD = 0.03
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wanted:
+    """What a request needs of a server.
+
+    Attributes:
+      service: The service.
+      engine: Whether it needs whole weights.
+      least_version: Of at least this version.
+      most_busy: Servers with this part of their slots taken are passed over.
+    """
+
+    service: str
+    engine: bool
+    least_version: int = 0
+    most_busy: float = 3.0
+
+
+class Balancer:
+    """Ranks the servers of a service by what this entry knows."""
+
+    def __init__(
+        self,
+        servers: fleet.Fleet,
+        place: places.Place,
+        regions: dict[str, str],
+        rng: random.Random,
+        clock: Callable[[], float],
+    ):
+        self._servers = servers
+        self._place = place
+        self._regions = regions
+        self._rng = rng
+        self._clock = clock
+
+    def candidates(self, wanted: Wanted) -> list[fleet.Backend]:
+        """Returns the servers that could run the request, busy or not."""
+        return [
+            backend
+            for backend in self._servers.of(wanted.service)
+            if not backend.server.leaving
+            and (
+                not wanted.engine
+                or backend.serves(max(1, wanted.least_version))
+            )
+        ]
+
+    def choose(
+        self, wanted: Wanted, tried: Collection[str] = ()
+    ) -> fleet.Backend | None:
+        """Returns the server to send to; None when none has room.
+
+        Args:
+          wanted: What the request needs.
+          tried: Ids of servers that have had it.
+        """
+        now = self._clock()
+        best: fleet.Backend | None = None
+        best_score = float("inf")
+        open_ = [
+            backend
+            for backend in self.candidates(wanted)
+            if backend.server.server_id not in tried
+            and not backend.loading
+            and backend.full_until <= now
+            and not backend.pool.full
+        ]
+        # Where every server rests after a failure, one of them is tried all
+        # the same: nobody else would ever find out that it is back.
+        rested = [b for b in open_ if b.rest_until <= now] or open_
+        for backend in rested:
+            score = self._score(backend, now)
+            if (
+                score < best_score
+                and self.busy(backend, now) < wanted.most_busy
+            ):
+                best, best_score = backend, score
+        return best
+
+    def busy(self, backend: fleet.Backend, now: float) -> float:
+        """Returns a server's requests as a part of its slots."""
+        return backend.busy(now) / max(1, backend.server.slots)
+
+    def _score(self, backend: fleet.Backend, now: float) -> float:
+        requests = backend.busy(now) + 1.0
+        requests += backend.unread_tokens / _TOKENS_A_REQUEST
+        load = requests / max(1, backend.server.slots) * backend.pace
+        load *= 1.0 + _DOUBT_WEIGHT * backend.doubt
+        distance = fleet.region_of(
+            self._regions, self._place, backend.server.failure_domain
+        )
+        return load + _DISTANCE[distance] + self._rng.random() * _SPREAD
+
+
+def draw_service(route: types.Route, rng: random.Random) -> str:
+    """Returns the service for one request of a route, by weight."""
+    if len(route.targets) == 1:
+        return route.targets[0].service
+    weights = [target.weight for target in route.targets]
+    if sum(weights) <= 0:
+        return route.targets[0].service
+    return rng.choices(route.targets, weights)[0].service
--- /dev/null
+++ b/src/clementinegw/direct/bring.py
@@ -0,0 +1,234 @@
+"""Brings a version's pieces to an agent and to the server beside it."""
+
+import asyncio
+import hashlib
+import random
+
+from clementinegw import clock as clocks
+from clementinegw import exceptions
+from clementinegw import types
+from clementinegw.direct import _events
+from clementinegw.direct import backing
+from clementinegw.telemetry import counters as counters_lib
+from clementinegw.telemetry import logs
+from clementinegw.weights import manifest as manifests
+from clementinegw.weights import pacing as pacing_lib
+from clementinegw.weights import store as stores
+from clementinegw.weights import swarm
+from clementinegw.weights import transfer
+from clementinegw.wire import auth
+from clementinegw.wire import connection as connections
+
+# Versions of which pieces are kept in memory: the one served, the one on its
+# way, and one more that was named meanwhile.
+_VERSIONS_KEPT = 3
+_LEAST_STORE_BYTES = 8 << 20
+# The part of the machine's link that pieces may take; the rest is for the
+# live answers of the server beside.
+_LINK_SHARE = 0.9
+# What is asked for at once: at a small machine's link a live event waits for
+# about two of them, well under what makes a stream late. Bytes.
+_PART_BYTES = 16 << 10
+# All agents of a deployment stand in the platform's own network; the key only
+# keeps a stray connection of something else out.
+_KEY = b"clementinegw agents of one platform"
+_TIMING = connections.Timing(connect_s=1.0, ping_s=0.7, silent_s=2.1)
+
+
+def digest_of(data: bytes) -> bytes:
+    """Returns the SHA-256 digest that pieces are named by."""
+    return hashlib.sha256(data).digest()
+
+
+def manifest_of(digests: backing.Digests) -> manifests.Manifest:
+    """Returns the product's manifest of a version."""
+    size = digests.chunk_bytes * len(digests.digests)
+    return manifests.Manifest(
+        model=digests.model,
+        version=str(digests.version),
+        chunk_bytes=digests.chunk_bytes,
+        total_bytes=size,
+        files=(manifests.File("weights", size),),
+        chunks=tuple(
+            manifests.Chunk(digest, digests.chunk_bytes)
+            for digest in digests.digests
+        ),
+    )
+
+
+class _OriginBlobs:
+    """The origin as the exchange asks it: a piece by its digest."""
+
+    def __init__(self, counters: counters_lib.Counters):
+        self._counters = counters
+        self._origin: backing.Origin | None = None
+        self._digests: backing.Digests | None = None
+        self._numbers: dict[str, int] = {}
+        self._parts: dict[str, bytes] = {}
+
+    def set(self, origin: backing.Origin, digests: backing.Digests) -> None:
+        self._origin = origin
+        self._digests = digests
+        self._numbers = {
+            manifests.chunk_blob(digest): number
+            for number, digest in enumerate(digests.digests)
+        }
+
+    async def get(
+        self, name: str, offset: int = 0, length: int | None = None
+    ) -> bytes:
+        """See `platform.store.BlobStore`."""
+        del offset, length
+        number = self._numbers.get(name)
+        if self._origin is None or self._digests is None or number is None:
+            raise exceptions.BlobMissing(f"origin: no {name}")
+        self._counters.add("weights.origin.calls")
+        return await self._origin.piece(
+            self._digests.model, self._digests.version, number
+        )
+
+    async def put(self, name: str, data: bytes) -> None:
+        """See `platform.store.BlobStore`; nothing is published here."""
+        raise exceptions.PlatformRefused("the origin takes nothing")
+
+    async def size(self, name: str) -> int:
+        """See `platform.store.BlobStore`."""
+        return len(await self.get(name))
+
+
+class Bringer:
+    """The pieces of the wanted version, by exchange with other agents."""
+
+    def __init__(
+        self,
+        me: types.Instance,
+        link_bytes_per_s: float,
+        rng: random.Random,
+        log: logs.Log,
+        counters: counters_lib.Counters,
+    ):
+        """Does nothing before `start`.
+
+        Args:
+          me: This agent.
+          link_bytes_per_s: The machine's link.
+          rng: Breaks ties.
+          log: Where events go.
+          counters: Counts bytes, refusals and retries.
+        """
+        identity = connections.Identity(me.instance_id, me.role, me.place)
+        self._me = me
+        self._log = log
+        self._endpoint = connections.Endpoint(
+            identity, auth.single(_KEY), log, counters, _TIMING
+        )
+        self._origin = _OriginBlobs(counters)
+        self._store = stores.MemoryStore(_LEAST_STORE_BYTES, digest_of)
+        clock = clocks.SystemClock()
+        self.transfer = transfer.Transfer(
+            me,
+            self._endpoint,
+            self._store,
+            self._origin,
+            _limits(link_bytes_per_s),
+            rng,
+            pacing_lib.Pacing(link_bytes_per_s * _LINK_SHARE, clock),
+            clock=clock,
+            log=log,
+            counters=counters,
+            part_bytes=_PART_BYTES,
+        )
+        self._digests: backing.Digests | None = None
+        self.whole = asyncio.Event()
+        self.transfer.on_complete(lambda digest: self.whole.set())
+
+    @property
+    def digests(self) -> backing.Digests | None:
+        """The version that is being brought, or is here."""
+        return self._digests
+
+    async def listen(self) -> None:
+        """Takes connections of other agents."""
+        await self._endpoint.listen(self._me.address)
+
+    async def close(self) -> None:
+        """Ends all connections."""
+        await self._endpoint.close()
+
+    def set_fleet(self, others: list[types.Instance]) -> None:
+        """Says which other agents there are."""
+        self.transfer.set_fleet(others)
+
+    def want(self, origin: backing.Origin, digests: backing.Digests) -> None:
+        """Brings a version; one that was wanted before is abandoned."""
+        if digests == self._digests:
+            return
+        self._digests = digests
+        self._origin.set(origin, digests)
+        self.whole.clear()
+        self.transfer.set_target(manifest_of(digests))
+        if self.transfer.complete:
+            self.whole.set()
+
+    async def take_staged(
+        self, beside: backing.Beside, digests: backing.Digests
+    ) -> int:
+        """Keeps the staged pieces that are of a version; returns how many."""
+        found = 0
+        for number in sorted(await beside.staged()):
+            if number >= len(digests.digests):
+                continue
+            data = await beside.read_staged(number)
+            if data is not None and await self._store.put(
+                digests.digests[number], data
+            ):
+                found += 1
+        return found
+
+    async def stage(self, beside: backing.Beside) -> bool:
+        """Puts every piece beside and reads it back; False when one is gone.
+
+        What lies staged may rot, or be of an older version, and the server
+        does not check it: a load would then make tokens with spoilt layers.
+        So every piece is compared with its digest right before the order.
+        """
+        digests = self._digests
+        if digests is None:
+            return False
+        for number, digest in enumerate(digests.digests):
+            lying = await beside.read_staged(number)
+            if lying is not None and digest_of(lying) == digest:
+                continue
+            data = await self._store.get(digest)
+            if data is None:
+                self.transfer.recheck()
+                self.whole.clear()
+                return False
+            await beside.stage(number, data)
+            lying = await beside.read_staged(number)
+            if lying is None or digest_of(lying) != digest:
+                self._log.write(_events.STAGED_SPOILT, number=number)
+                return False
+        return digests == self._digests
+
+
+def _limits(link_bytes_per_s: float) -> swarm.Limits:
+    """Returns the exchange's limits for a few agents and a short deadline.
+
+    A version must serve within seconds of its declaration, so stalls are
+    given up after one and the next drawer steps in as soon.
+    """
+    return swarm.Limits(
+        outstanding=4,
+        upload_slots=4,
+        local_neighbours=8,
+        remote_neighbours=4,
+        draws=2,
+        draw_deadline_s=0.8,
+        cut_off_s=3.0,
+        settle_s=0.15,
+        link_bytes_per_s=link_bytes_per_s,
+        stall_floor_s=0.8,
+        aside_s=3.0,
+        advert_s=0.05,
+    )
--- /dev/null
+++ b/src/clementinegw/direct/budget.py
@@ -0,0 +1,62 @@
+"""Bounds repeated sends of one entry, so that all entries keep the limit.
+
+The limit holds for the sum over all entries, and no entry knows how many
+there are. Each keeps to its own requests' part of the ratio and to a fixed
+part of the slack; so the sum holds without a word between them.
+"""
+
+import collections
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Terms:
+    """What the operators allow.
+
+    Attributes:
+      ratio: Repeated sends for each request.
+      slack: Repeated sends in a window besides those.
+      window_s: The window's length, in seconds.
+    """
+
+    ratio: float = 0.2
+    slack: float = 100.0
+    window_s: float = 10.0
+
+
+# The part of the slack that one entry takes: a fiftieth suffices up to fifty
+# entries that use it up in the same window.
+_SLACK_SHARE = 0.02
+# Requests stay in the window that they are counted in a little shorter than
+# the sends that they pay for, so that a late count never allows too much.
+_RATIO_SHARE = 0.9
+
+
+class RetryBudget:
+    """The repeated sends of one service."""
+
+    def __init__(self, terms: Terms):
+        self._terms = terms
+        self._requests: collections.deque[float] = collections.deque()
+        self._repeats: collections.deque[float] = collections.deque()
+
+    def request(self, now: float) -> None:
+        """Counts a caller's request."""
+        self._requests.append(now)
+        self._forget(now)
+
+    def allow(self, now: float) -> bool:
+        """Counts one repeated send; False when it is over the limit."""
+        self._forget(now)
+        earned = len(self._requests) * self._terms.ratio * _RATIO_SHARE
+        limit = earned + self._terms.slack * _SLACK_SHARE
+        if len(self._repeats) + 1 > limit:
+            return False
+        self._repeats.append(now)
+        return True
+
+    def _forget(self, now: float) -> None:
+        start = now - self._terms.window_s
+        for times in (self._requests, self._repeats):
+            while times and times[0] < start:
+                times.popleft()
--- /dev/null
+++ b/src/clementinegw/direct/channel.py
@@ -0,0 +1,162 @@
+"""One TCP connection as bytes that can be awaited, with bounded buffers."""
+
+import asyncio
+import socket
+
+from clementinegw import exceptions
+
+# Reading pauses beyond this, so that a peer that sends faster than its bytes
+# are used cannot fill the memory. Bytes.
+_HIGH_WATER = 256 << 10
+# Unacknowledged bytes end the connection after this. A machine without power
+# does not answer, and the kernel's own patience is a quarter of an hour.
+# Milliseconds.
+_USER_TIMEOUT_MS = 4_000
+
+
+class ChannelClosed(exceptions.ClementineError):
+    """The connection ended.
+
+    Attributes:
+      clean: The peer closed in order, after all that it sent.
+    """
+
+    def __init__(self, clean: bool):
+        super().__init__("the connection ended")
+        self.clean = clean
+
+
+class Channel(asyncio.Protocol):
+    """The bytes of one connection."""
+
+    def __init__(self) -> None:
+        self._transport: asyncio.Transport | None = None
+        self._buffer = bytearray()
+        self._waiter: asyncio.Future | None = None
+        self._writable: asyncio.Future | None = None
+        self._paused_writing = False
+        self._ended = False
+        self._clean = False
+        self._gone: asyncio.Future | None = None
+
+    @property
+    def closed(self) -> bool:
+        """Whether no more bytes come or go."""
+        return self._ended or self._transport is None
+
+    @property
+    def pending(self) -> bool:
+        """Whether bytes came that nobody has read."""
+        return bool(self._buffer)
+
+    @property
+    def unsent(self) -> int:
+        """Bytes that have not left yet."""
+        if self._transport is None or self._transport.is_closing():
+            return 0
+        return self._transport.get_write_buffer_size()
+
+    @property
+    def gone(self) -> asyncio.Future:
+        """Done once the peer has closed or the connection broke."""
+        if self._gone is None:
+            self._gone = asyncio.get_running_loop().create_future()
+            if self._ended:
+                self._gone.set_result(None)
+        return self._gone
+
+    async def read(self) -> bytes:
+        """Returns the next bytes.
+
+        Raises:
+          ChannelClosed: None come any more.
+        """
+        while not self._buffer:
+            if self._ended:
+                raise ChannelClosed(self._clean)
+            self._waiter = asyncio.get_running_loop().create_future()
+            try:
+                await self._waiter
+            finally:
+                self._waiter = None
+        data = bytes(self._buffer)
+        self._buffer.clear()
+        if self._transport is not None and not self._ended:
+            self._transport.resume_reading()
+        return data
+
+    async def write(self, data: bytes) -> None:
+        """Sends bytes; returns once the peer keeps up.
+
+        Raises:
+          ChannelClosed: The connection ended.
+        """
+        if self.closed or self._transport is None:
+            raise ChannelClosed(self._clean)
+        self._transport.write(data)
+        while self._paused_writing and not self._ended:
+            self._writable = asyncio.get_running_loop().create_future()
+            try:
+                await self._writable
+            finally:
+                self._writable = None
+
+    def close(self) -> None:
+        """Closes after what was written."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Closes at once; the peer sees a broken connection."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    # asyncio.Protocol.
+
+    def connection_made(self, transport) -> None:
+        """Sets the socket up."""
+        self._transport = transport
+        sock = transport.get_extra_info("socket")
+        if sock is not None and sock.family == socket.AF_INET:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            option = getattr(socket, "TCP_USER_TIMEOUT", None)
+            if option is not None:
+                sock.setsockopt(socket.IPPROTO_TCP, option, _USER_TIMEOUT_MS)
+
+    def data_received(self, data: bytes) -> None:
+        """Keeps bytes until they are read."""
+        self._buffer += data
+        if len(self._buffer) > _HIGH_WATER and self._transport is not None:
+            self._transport.pause_reading()
+        _wake(self._waiter)
+
+    def eof_received(self) -> bool:
+        """Ends the reading side; the transport closes by itself."""
+        self._end(clean=True)
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Ends both sides."""
+        self._end(clean=exc is None)
+        _wake(self._writable)
+
+    def pause_writing(self) -> None:
+        """Makes writers wait."""
+        self._paused_writing = True
+
+    def resume_writing(self) -> None:
+        """Lets writers go on."""
+        self._paused_writing = False
+        _wake(self._writable)
+
+    def _end(self, clean: bool) -> None:
+        if not self._ended:
+            self._ended = True
+            self._clean = clean
+        _wake(self._waiter)
+        _wake(self._gone)
+
+
+def _wake(future: asyncio.Future | None) -> None:
+    if future is not None and not future.done():
+        future.set_result(None)
--- /dev/null
+++ b/src/clementinegw/direct/dialect.py
@@ -0,0 +1,31 @@
+"""What the direct path asks of whoever knows the platform's headers."""
+
+from collections.abc import Iterable
+from typing import Protocol
+
+from clementinegw.direct import client
+from clementinegw.direct import types
+
+RawHeaders = Iterable[tuple[bytes, bytes]]
+
+
+class Dialect(Protocol):
+    """Translates between headers and facts; decides nothing."""
+
+    def request_facts(self, headers: RawHeaders) -> types.RequestFacts:
+        """Returns what a caller's headers say.
+
+        Raises:
+          ValueError: A header cannot be read.
+        """
+
+    def answer_facts(self, head: client.Head) -> types.AnswerFacts:
+        """Returns what a server's headers say; unreadable ones say nothing."""
+
+    def sent_on(
+        self, headers: RawHeaders, sending: types.Sending
+    ) -> client.Headers:
+        """Returns a caller's headers as a server is sent them."""
+
+    def handed_back(self, head: client.Head) -> client.Headers:
+        """Returns a server's headers as the caller gets them."""
--- /dev/null
+++ b/src/clementinegw/direct/entry.py
@@ -0,0 +1,276 @@
+"""The entry daemon of the direct path: wiring only."""
+
+import asyncio
+import random
+from typing import Protocol
+
+import mode
+
+from clementinegw import types as places
+from clementinegw.direct import _events
+from clementinegw.direct import balance
+from clementinegw.direct import budget
+from clementinegw.direct import catalog as catalogs
+from clementinegw.direct import dialect as dialects
+from clementinegw.direct import fleet as fleets
+from clementinegw.direct import follow
+from clementinegw.direct import forward
+from clementinegw.direct import instance as instances
+from clementinegw.direct import reports
+from clementinegw.direct import server as servers
+from clementinegw.direct import types
+from clementinegw.direct import versions as versions_lib
+from clementinegw.telemetry import counters as counters_lib
+from clementinegw.telemetry import events
+from clementinegw.telemetry import logs
+
+# How topics are read: declarations at once, for they must be in force within
+# two seconds; the list of servers as often as its entries change.
+_OPERATOR_PACE = follow.Pace(wait_s=1.5, pause_s=0.0)
+_SERVER_PACE = follow.Pace(wait_s=0.0, pause_s=0.7)
+# The part of the time in which a key that was taken away must stop that its
+# last proof may be old, and the part after which the process takes no new
+# callers: others may have heard from the platform since.
+_KEYS_SHARE = 0.9
+_READY_SHARE = 0.55
+# Unknown routes are refused for good while the last answer is younger, in
+# seconds.
+_ROUTES_S = 1.9
+_HOUSEKEEPING_S = 0.2
+# How often agents are asked for reports, in seconds.
+_SUBSCRIBE_S = 1.0
+# After SIGTERM the process still takes connections until the balancer has
+# asked twice, in seconds; and the rest before it must end.
+_TAKE_ON_S = 2.4
+_LEAVE_EARLY_S = 0.4
+
+
+class Platform(Protocol):
+    """What the daemon needs of the platform."""
+
+    def operators(self) -> follow.Source:
+        """Returns the operators' declarations."""
+
+    def servers(self) -> follow.Source:
+        """Returns the list of backend servers."""
+
+    def dialect(self) -> dialects.Dialect:
+        """Returns what knows the platform's headers."""
+
+
+class Entry(mode.Service):
+    """One entry."""
+
+    def __init__(
+        self,
+        instance: instances.Instance,
+        platform: Platform,
+        log: logs.Log,
+        counters: counters_lib.Counters,
+        rng: random.Random | None = None,
+    ):
+        """Prepares the daemon.
+
+        Args:
+          instance: What it knows of itself.
+          platform: Speaks to the platform.
+          log: Where events go.
+          counters: Counts refusals and retries.
+          rng: Breaks ties.
+        """
+        super().__init__()
+        assert instance.callers is not None
+        rng = rng or random.Random()
+        clock = asyncio.get_running_loop().time
+        self._instance = instance
+        self._callers = instance.callers
+        self._log = log
+        self._counters = counters
+        self._clock = clock
+        bounds = instance.bounds
+        self._operators = follow.Follower(
+            "operators",
+            platform.operators(),
+            _OPERATOR_PACE,
+            self._on_operators,
+            log,
+            counters,
+        )
+        self._listing = follow.Follower(
+            "servers",
+            platform.servers(),
+            _SERVER_PACE,
+            self._on_servers,
+            log,
+            counters,
+        )
+        self._knowledge = forward.Knowledge(
+            None,
+            lambda: self._operators.age_s,
+            bounds.keys_ms / 1e3 * _KEYS_SHARE,
+            _ROUTES_S,
+        )
+        self._fleet = fleets.Fleet(log, self._max_connections)
+        self._versions = versions_lib.Versions(bounds.weights_ms / 1e3, clock)
+        self._balancer = balance.Balancer(
+            self._fleet, instance.place, instance.regions, rng, clock
+        )
+        self._forwarder = forward.Forwarder(
+            platform.dialect(),
+            self._knowledge,
+            self._balancer,
+            self._versions,
+            budget.Terms(
+                bounds.repeat_ratio,
+                bounds.repeat_slack,
+                bounds.repeat_window_s,
+            ),
+            rng,
+            clock,
+            log,
+            counters,
+        )
+        self._server = servers.Server(self._forwarder.handle)
+        self._health = servers.Server(self._answer_ready)
+        self._reports = reports.Listener(instance.name, self._on_report)
+        self._leaving = False
+        self._ready = False
+
+    @property
+    def ready(self) -> bool:
+        """Whether it takes new callers."""
+        keys_s = self._instance.bounds.keys_ms / 1e3
+        return (
+            not self._leaving
+            and self._knowledge.catalog is not None
+            and self._listing.known
+            and self._operators.age_s < keys_s * _READY_SHARE
+        )
+
+    async def on_start(self) -> None:
+        """Listens at once: a caller hears "not yet" rather than nothing."""
+        await self._server.listen(self._callers)
+        if self._instance.ready is not None:
+            await self._health.listen(self._instance.ready)
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(
+            lambda: self._reports,
+            local_addr=(self._instance.host, self._instance.peer_ports[1]),
+        )
+        await self.add_runtime_dependency(self._operators)
+        await self.add_runtime_dependency(self._listing)
+        self._log.write(events.PROCESS_STARTED)
+
+    async def drain(self) -> None:
+        """Takes no new callers and finishes what it has."""
+        self._log.write(events.PROCESS_STOPPING, busy=self._server.busy)
+        self._leaving = True
+        started = self._clock()
+        end = started + self._instance.bounds.grace_s - _LEAVE_EARLY_S
+        self._server.refuse_new()
+        # The balancer goes on sending callers until it has asked twice.
+        await asyncio.sleep(_TAKE_ON_S)
+        self._server.close_idle()
+        while self._server.busy and self._clock() < end:
+            await asyncio.sleep(0.02)
+        self._server.close_idle()
+
+    async def on_shutdown(self) -> None:
+        """Ends what is left."""
+        self._reports.close()
+        await self._server.stop()
+        await self._health.stop()
+        self._log.write(events.PROCESS_STOPPED)
+
+    @mode.Service.task
+    async def _keep_house(self) -> None:
+        while not self.should_stop:
+            await asyncio.sleep(_HOUSEKEEPING_S)
+            self._fleet.settle(self._listing.settled_s)
+            self._fleet.prune()
+            self._tell_ready()
+
+    @mode.Service.task
+    async def _subscribe(self) -> None:
+        while not self.should_stop:
+            await asyncio.sleep(_SUBSCRIBE_S)
+            port = self._instance.peer_ports[0]
+            hosts = {
+                backend.server.address.host
+                for backend in self._fleet.all()
+                if self._is_engine(backend.server.service)
+            }
+            agents = [places.Address(host, port) for host in hosts]
+            self._reports.subscribe(agents, self._versions.all())
+
+    def _on_report(self, host: str, report: reports.Report) -> None:
+        backend = self._fleet.find(report.server_id)
+        # An address may belong to another server by now: the id decides.
+        if backend is None or backend.server.address.host != host:
+            return
+        backend.take_report(report, self._clock())
+
+    def _is_engine(self, service: str) -> bool:
+        catalog = self._knowledge.catalog
+        known = catalog.services.get(service) if catalog else None
+        return known is not None and known.engine is not None
+
+    def _tell_ready(self) -> None:
+        if self.ready == self._ready:
+            return
+        self._ready = self.ready
+        self._log.write(
+            _events.READY_CHANGED,
+            ready=self._ready,
+            leaving=self._leaving,
+            age_s=round(min(self._operators.age_s, 9_999.0), 3),
+        )
+
+    async def _answer_ready(
+        self, request: servers.Request, responder: servers.Responder
+    ) -> None:
+        del request
+        await responder.answer(200 if self.ready else 503, [], b"")
+
+    def _on_operators(self, batch: follow.Batch, whole: bool) -> None:
+        del whole
+        for record in batch.records:
+            if isinstance(record.value, types.Configuration):
+                self._take_configuration(record.value)
+            elif isinstance(record.value, types.Declared):
+                if self._versions.declare(record.value):
+                    self._log.write(
+                        _events.WEIGHTS_DECLARED,
+                        model=record.value.model,
+                        version=record.value.version,
+                    )
+
+    def _take_configuration(self, configuration: types.Configuration) -> None:
+        catalog = self._knowledge.catalog
+        if catalog is not None and configuration.version <= catalog.version:
+            if configuration.version < catalog.version:
+                # Records may be read twice after the platform lost its
+                # history; going back would serve routes that are gone.
+                self._log.write(
+                    _events.CONFIGURATION_OLD,
+                    found=configuration.version,
+                    in_force=catalog.version,
+                )
+            return
+        self._knowledge.catalog = catalogs.Catalog(configuration)
+        self._server.limits = configuration.limits
+        self._log.write(
+            _events.CONFIGURATION_TAKEN,
+            version=configuration.version,
+            routes=len(configuration.routes),
+            keys=len(configuration.customers),
+            was=catalog.version if catalog else None,
+        )
+
+    def _on_servers(self, batch: follow.Batch, whole: bool) -> None:
+        self._fleet.apply(batch, whole, self._listing.settled_s)
+
+    def _max_connections(self, service: str) -> int:
+        catalog = self._knowledge.catalog
+        known = catalog.services.get(service) if catalog else None
+        return known.max_connections if known else 32
--- /dev/null
+++ b/src/clementinegw/direct/fleet.py
@@ -0,0 +1,237 @@
+"""The backend servers as this entry knows them, and what it saw of each."""
+
+from collections.abc import Callable, Iterable
+import math
+
+from clementinegw import types as places
+from clementinegw.direct import _events
+from clementinegw.direct import client
+from clementinegw.direct import follow
+from clementinegw.direct import reports
+from clementinegw.direct import types
+from clementinegw.telemetry import logs
+
+# What a server that vanished during an outage of the platform is believed to
+# be gone after, counted from the platform's return: listings that ran out
+# meanwhile are back by then. Seconds.
+BACK_AFTER_S = 2.2
+# How long a connection may take to come up, in seconds: some round trips
+# between regions, and less than the objective of the quickest requests.
+_CONNECT_S = 0.25
+# The longest that a connection stays idle, in seconds.
+_IDLE_S = 8.0
+# The part of a server's connections that one entry takes.
+_CONNECTION_SHARE = 1 / 12
+_FEWEST_CONNECTIONS = 4
+# What a failure adds to the doubt about a server, what a good answer leaves
+# of it, and the pause that a server gets after each of two failed connects.
+_DOUBT_GAIN = 0.2
+_FIRST_REST_S = 0.25
+_LONGEST_REST_S = 4.0
+# Time in which what others had under way at a server has changed by 1/e.
+_REPORT_MEMORY_S = 0.7
+
+
+class Backend:
+    """One start of one backend server."""
+
+    def __init__(self, server: types.Server, pool: client.Pool):
+        self.server = server
+        self.pool = pool
+        self.in_flight = 0
+        self.unread_tokens = 0
+        self.missing = False
+        self.heard_at = -math.inf
+        self.doubt = 0.0
+        self.rest_until = -math.inf
+        self.full_until = -math.inf
+        self.version = 0
+        self.version_at = -math.inf
+        self.pace = 1.0
+        self.loading = False
+        self.empty = False
+        self._rest_s = _FIRST_REST_S
+        self._others = 0.0
+        self._reported_at = -math.inf
+
+    def take_load(self, load: types.Load, now: float) -> None:
+        """Takes in what the server says of its load."""
+        total = load.running + load.waiting
+        self._others = max(0.0, total - self.in_flight)
+        self._reported_at = now
+
+    def take_report(self, report: reports.Report, now: float) -> None:
+        """Takes in what the agent beside the server tells of it."""
+        self.take_load(
+            types.Load(report.running, report.waiting, report.slots), now
+        )
+        self.loading = report.loading
+        self.pace = max(1.0, report.pace)
+        self.take_version(report.version if report.whole else 0, now)
+        self.empty = not report.whole
+
+    def busy(self, now: float) -> float:
+        """Returns about how many requests are at the server."""
+        age = now - self._reported_at
+        return self.in_flight + self._others * math.exp(-age / _REPORT_MEMORY_S)
+
+    def answered(self, now: float) -> None:
+        """Counts a whole answer."""
+        self.heard_at = now
+        self._rest_s = _FIRST_REST_S
+        self.doubt *= 1.0 - _DOUBT_GAIN
+
+    def failed(self, now: float) -> None:
+        """Counts a failed or broken answer."""
+        del now
+        self.doubt += _DOUBT_GAIN * (1.0 - self.doubt)
+
+    def unreachable(self, now: float) -> None:
+        """Counts a connection that did not come up, or was reset."""
+        self.failed(now)
+        self.rest_until = now + self._rest_s
+        self._rest_s = min(2 * self._rest_s, _LONGEST_REST_S)
+
+    def take_version(self, version: int, now: float) -> None:
+        """Takes in which version's weights it answers with."""
+        self.version = version
+        self.version_at = now
+
+    def serves(self, least_version: int) -> bool:
+        """Returns whether it has whole weights of at least a version."""
+        if self.empty:
+            return False
+        if self.version:
+            return self.version >= least_version
+        return self.server.serves(least_version)
+
+
+class Fleet:
+    """All backend servers by service."""
+
+    def __init__(self, log: logs.Log, max_connections: Callable[[str], int]):
+        """Starts empty.
+
+        Args:
+          log: Where events go.
+          max_connections: Connections that a server of a service takes.
+        """
+        self._log = log
+        self._max_connections = max_connections
+        self._backends: dict[str, Backend] = {}
+        self._of_service: dict[str, list[Backend]] = {}
+
+    def all(self) -> Iterable[Backend]:
+        """Returns every backend server."""
+        return self._backends.values()
+
+    def of(self, service: str) -> list[Backend]:
+        """Returns the backend servers of a service."""
+        return self._of_service.get(service, [])
+
+    def find(self, server_id: str) -> Backend | None:
+        """Returns a backend server by its id."""
+        return self._backends.get(server_id)
+
+    def at(self, host: str) -> Iterable[Backend]:
+        """Returns the backend servers at an IP address."""
+        return [
+            b for b in self._backends.values() if b.server.address.host == host
+        ]
+
+    def apply(self, batch: follow.Batch, whole: bool, settled_s: float) -> None:
+        """Takes records in.
+
+        Args:
+          batch: The records; a value of None says that a server is gone.
+          whole: Whether servers that it leaves out are gone.
+          settled_s: How long the platform has answered without failure.
+        """
+        listed = {record.key for record in batch.records}
+        for record in batch.records:
+            if record.value is None:
+                self._vanished(record.key, settled_s)
+            else:
+                self._seen(record.key, record.value)
+        if whole:
+            for key in set(self._backends) - listed:
+                self._vanished(key, settled_s)
+        self._index()
+
+    def settle(self, settled_s: float) -> None:
+        """Drops what is still missing once the platform is back for good."""
+        if settled_s < BACK_AFTER_S:
+            return
+        for key, backend in list(self._backends.items()):
+            if backend.missing:
+                self._drop(key)
+        self._index()
+
+    def prune(self) -> None:
+        """Closes connections that are over their time."""
+        for backend in self._backends.values():
+            backend.pool.prune()
+
+    def _seen(self, key: str, server: types.Server) -> None:
+        backend = self._backends.get(key)
+        if backend is None:
+            pool = self._pool(server)
+            self._backends[key] = backend = Backend(server, pool)
+            self._tell(server)
+        elif backend.server.address != server.address:
+            backend.pool.close()
+            backend.pool = self._pool(server)
+        changed = backend.server != server
+        if changed:
+            self._tell(server)
+            backend.empty = False
+            backend.version = max((h.version for h in server.held), default=0)
+            if not any(h.whole for h in server.held):
+                backend.version = 0
+        backend.server = server
+        backend.missing = False
+
+    def _pool(self, server: types.Server) -> client.Pool:
+        share = self._max_connections(server.service) * _CONNECTION_SHARE
+        most = max(_FEWEST_CONNECTIONS, int(share))
+        return client.Pool(server.address, most, _CONNECT_S, _IDLE_S)
+
+    def _vanished(self, key: str, settled_s: float) -> None:
+        if key not in self._backends:
+            return
+        # A listing that ran out while the platform was away says nothing of
+        # the server; without it all servers would be given up at once.
+        if settled_s < BACK_AFTER_S:
+            self._backends[key].missing = True
+        else:
+            self._drop(key)
+
+    def _drop(self, key: str) -> None:
+        backend = self._backends.pop(key)
+        backend.pool.close()
+        server = backend.server
+        self._log.write(_events.SERVER_GONE, server=key, service=server.service)
+
+    def _index(self) -> None:
+        self._of_service = {}
+        for backend in self._backends.values():
+            service = backend.server.service
+            self._of_service.setdefault(service, []).append(backend)
+
+    def _tell(self, server: types.Server) -> None:
+        self._log.write(
+            _events.SERVER_LISTED,
+            server=server.server_id,
+            service=server.service,
+            address=str(server.address),
+            domain=server.failure_domain,
+            leaving=server.leaving,
+            versions=[h.version for h in server.held if h.whole],
+        )
+
+
+def region_of(regions: dict[str, str], place: places.Place, domain: str) -> int:
+    """Returns 0 for the same failure domain, 1 the same region, 2 another."""
+    if domain == place.failure_domain:
+        return 0
+    return 1 if regions.get(domain) == place.region else 2
--- /dev/null
+++ b/src/clementinegw/direct/follow.py
@@ -0,0 +1,224 @@
+"""Follows the platform's records and knows how old that knowledge is.
+
+One follower a topic: it reads the newest record of each key once, then only
+what is added. What it knows has an age: the time since the question was asked
+whose answer last proved it right.
+"""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+import time
+from typing import Any, Protocol
+
+import mode
+
+from clementinegw import exceptions
+from clementinegw.direct import _events
+from clementinegw.telemetry import counters as counters_lib
+from clementinegw.telemetry import logs
+
+# The first pause after a failed call and the longest one, in seconds. Short
+# beside the two seconds in which a change must be in force.
+_FIRST_PAUSE_S = 0.1
+_LONGEST_PAUSE_S = 0.8
+
+
+class HistoryLost(exceptions.PlatformError):
+    """The records that were asked for are deleted; read the newest anew."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Record:
+    """The newest value of a key.
+
+    Attributes:
+      key: The key, such as a server's id.
+      value: A decoded record of `direct.types`; None when the key is gone.
+    """
+
+    key: str
+    value: Any
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Batch:
+    """What one call returned.
+
+    Attributes:
+      records: In the order of the log.
+      end: The offset to go on from.
+    """
+
+    records: tuple[Record, ...]
+    end: int
+
+
+class Source(Protocol):
+    """One topic of the platform's store."""
+
+    async def newest(self) -> Batch:
+        """Returns the newest record of each key.
+
+        Raises:
+          exceptions.PlatformError: No whole answer came.
+        """
+
+    async def changes(self, offset: int, wait_s: float) -> Batch:
+        """Returns what was added from an offset on.
+
+        Args:
+          offset: Where to begin.
+          wait_s: How long the platform may wait for a first record.
+
+        Raises:
+          HistoryLost: Those records are deleted.
+          exceptions.PlatformError: No whole answer came.
+        """
+
+
+def boot_time() -> float:
+    """Returns seconds that also count while the machine is suspended.
+
+    The steady clock stands still then; keys that were taken away meanwhile
+    would look fresh to a process that wakes.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pace:
+    """How a topic is read.
+
+    Attributes:
+      wait_s: How long the platform may hold an answer, in seconds.
+      pause_s: The pause between two calls, in seconds.
+    """
+
+    wait_s: float
+    pause_s: float
+
+
+class Follower(mode.Service):
+    """Keeps up with one topic."""
+
+    def __init__(
+        self,
+        name: str,
+        source: Source,
+        pace: Pace,
+        on_batch: Callable[[Batch, bool], None],
+        log: logs.Log,
+        counters: counters_lib.Counters,
+        clock: Callable[[], float] = boot_time,
+    ):
+        """Does nothing before `start`.
+
+        Args:
+          name: The topic's name in logs and counters.
+          source: Reads it.
+          pace: How often.
+          on_batch: Takes each batch, and whether it is a whole reading: keys
+            that a whole reading leaves out are gone.
+          log: Where events go.
+          counters: Counts calls and failures.
+          clock: Seconds that also count while the machine is suspended.
+        """
+        super().__init__()
+        self._name = name
+        self._source = source
+        self._pace = pace
+        self._on_batch = on_batch
+        self._log = log
+        self._counters = counters
+        self._clock = clock
+        self._offset: int | None = None
+        self._proved_at: float | None = None
+        self._failing_since: float | None = None
+        self._returned_at = clock()
+        self._nudged = asyncio.Event()
+
+    @property
+    def known(self) -> bool:
+        """Whether a whole reading has come."""
+        return self._proved_at is not None
+
+    @property
+    def age_s(self) -> float:
+        """How old the knowledge may be, in seconds; infinite before any."""
+        if self._proved_at is None:
+            return float("inf")
+        return self._clock() - self._proved_at
+
+    @property
+    def settled_s(self) -> float:
+        """How long the platform has answered without failure, in seconds."""
+        if self._failing_since is not None:
+            return 0.0
+        return self._clock() - self._returned_at
+
+    def nudge(self) -> None:
+        """Reads at once in place of waiting for the pause to end."""
+        self._nudged.set()
+
+    @mode.Service.task
+    async def _run(self) -> None:
+        pause_s = _FIRST_PAUSE_S
+        while not self.should_stop:
+            try:
+                await self._read()
+            except HistoryLost:
+                self._counters.add(f"platform.{self._name}.history_lost")
+                self._log.write(_events.HISTORY_LOST, topic=self._name)
+                self._offset = None
+                continue
+            except exceptions.ClementineError as error:
+                self._failed(error)
+                await asyncio.sleep(pause_s)
+                pause_s = min(2 * pause_s, _LONGEST_PAUSE_S)
+                continue
+            pause_s = _FIRST_PAUSE_S
+            await self._wait()
+
+    async def _wait(self) -> None:
+        if not self._pace.pause_s:
+            return
+        try:
+            async with asyncio.timeout(self._pace.pause_s):
+                await self._nudged.wait()
+        except TimeoutError:
+            pass
+        self._nudged.clear()
+
+    async def _read(self) -> None:
+        asked_at = self._clock()
+        whole = self._offset is None
+        self._counters.add(f"platform.{self._name}.calls")
+        if self._offset is None:
+            batch = await self._source.newest()
+        else:
+            batch = await self._source.changes(self._offset, self._pace.wait_s)
+        self._offset = batch.end
+        self._succeeded(asked_at)
+        if whole or batch.records:
+            self._on_batch(batch, whole)
+
+    def _succeeded(self, asked_at: float) -> None:
+        self._proved_at = max(asked_at, self._proved_at or asked_at)
+        if self._failing_since is not None:
+            lasted = self._clock() - self._failing_since
+            self._failing_since = None
+            self._returned_at = self._clock()
+            self._log.write(
+                _events.TOPIC_REGAINED,
+                topic=self._name,
+                lasted_s=round(lasted, 3),
+            )
+
+    def _failed(self, error: exceptions.ClementineError) -> None:
+        self._counters.add(f"platform.{self._name}.failed")
+        if self._failing_since is None:
+            self._failing_since = self._clock()
+            self._log.write(
+                _events.TOPIC_LOST, topic=self._name, reason=error.message
+            )
--- /dev/null
+++ b/src/clementinegw/direct/forward.py
@@ -0,0 +1,399 @@
+"""A request from its head to its final answer: admit, send, repeat, answer."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+import json
+import random
+
+from clementinegw.direct import _events
+from clementinegw.direct import attempt as attempts
+from clementinegw.direct import balance
+from clementinegw.direct import budget as budgets
+from clementinegw.direct import catalog as catalogs
+from clementinegw.direct import channel
+from clementinegw.direct import client
+from clementinegw.direct import dialect as dialects
+from clementinegw.direct import fleet
+from clementinegw.direct import outcomes
+from clementinegw.direct import server as servers
+from clementinegw.direct import suspects as suspects_lib
+from clementinegw.direct import types
+from clementinegw.direct import versions as versions_lib
+from clementinegw.telemetry import counters as counters_lib
+from clementinegw.telemetry import logs
+
+Reason = outcomes.RefusalReason
+
+# Refusals before a server has run a request are repeated this often at most:
+# each is an arrival that the retry budget pays for.
+_MOST_SENDS = 4
+# How long a request waits for room, as a part of its objective: a refusal that
+# comes later costs the caller the time in which it could go elsewhere.
+_WAIT_OBJECTIVES = 0.12
+_WAIT_STEP_S = 0.02
+# Servers with this part of their slots taken, in queue and in work, get no
+# more: what waits longer than that is late whoever runs it.
+_MOST_BUSY_ENGINE = 2.0
+_MOST_BUSY_PLAIN = 4.0
+# A server that said it is full is passed over for this long, in seconds.
+_FULL_S = 0.15
+# When to come back, in seconds: with nothing known, and for each reason that
+# lasts longer.
+_RETRY_SOON_S = 0.3
+_RETRY_LATER_S = 1.0
+# A server stops at the time that it is given; the answer needs the way back.
+_WAY_BACK_S = 0.02
+_BAD_GATEWAY = 502
+_UNAVAILABLE = 503
+_GATEWAY_TIMEOUT = 504
+
+
+@dataclasses.dataclass(slots=True)
+class Knowledge:
+    """What the entry knows of its surroundings.
+
+    Attributes:
+      catalog: The configuration in force; None before the first.
+      age_s: How old that knowledge may be, in seconds.
+      revoke_s: Keys are served while it is younger than this.
+      routes_s: Unknown routes and keys are refused for good while younger.
+    """
+
+    catalog: catalogs.Catalog | None
+    age_s: Callable[[], float]
+    revoke_s: float
+    routes_s: float
+
+
+class Forwarder:
+    """Serves requests."""
+
+    def __init__(
+        self,
+        dialect: dialects.Dialect,
+        knowledge: Knowledge,
+        balancer: balance.Balancer,
+        versions: versions_lib.Versions,
+        terms: budgets.Terms,
+        rng: random.Random,
+        clock: Callable[[], float],
+        log: logs.Log,
+        counters: counters_lib.Counters,
+    ):
+        self._dialect = dialect
+        self._knowledge = knowledge
+        self._balancer = balancer
+        self._versions = versions
+        self._terms = terms
+        self._rng = rng
+        self._clock = clock
+        self._log = log
+        self._counters = counters
+        self._attempts = attempts.Attempts(dialect, clock)
+        self._budgets: dict[str, budgets.RetryBudget] = {}
+        self._suspects = suspects_lib.Suspects()
+
+    async def handle(
+        self, request: servers.Request, responder: servers.Responder
+    ) -> None:
+        """Answers one request."""
+        admitted = self._admit(request, responder)
+        if isinstance(admitted, outcomes.Refusal):
+            await self._refuse(request, responder, admitted, None)
+            return
+        serving = asyncio.ensure_future(self._serve(admitted))
+        await asyncio.wait(
+            {serving, responder.gone}, return_when=asyncio.FIRST_COMPLETED
+        )
+        if not serving.done():
+            serving.cancel()
+        try:
+            outcome = await serving
+        except (asyncio.CancelledError, channel.ChannelClosed):
+            responder.abort()
+            self._done(admitted, "caller_left", 0)
+            if responder.gone.done():
+                return
+            raise
+        if isinstance(outcome, outcomes.Refusal):
+            await self._refuse(request, responder, outcome, admitted)
+        elif isinstance(outcome, outcomes.Failed):
+            await responder.answer(
+                outcome.head.status,
+                self._dialect.handed_back(outcome.head),
+                outcome.body,
+            )
+            self._done(admitted, "failed_at_server", outcome.head.status)
+        else:
+            self._done(admitted, "answered", outcome.status)
+
+    # Admission.
+
+    def _admit(
+        self, request: servers.Request, responder: servers.Responder
+    ) -> attempts.Job | outcomes.Refusal:
+        catalog = self._knowledge.catalog
+        if catalog is None:
+            return _later(Reason.NO_CONFIGURATION, _RETRY_SOON_S)
+        try:
+            facts = self._dialect.request_facts(request.headers)
+        except ValueError:
+            return outcomes.Refusal(400, Reason.MALFORMED)
+        if not facts.attempt_id:
+            return outcomes.Refusal(400, Reason.MALFORMED)
+        matched = self._match(catalog, request, facts)
+        if isinstance(matched, outcomes.Refusal):
+            return matched
+        route = matched.route
+        timeout_s = route.timeout_s
+        if facts.timeout_s is not None:
+            timeout_s = min(timeout_s, facts.timeout_s)
+        service = balance.draw_service(route, self._rng)
+        self._budget(service).request(self._clock())
+        return attempts.Job(
+            request,
+            facts,
+            matched,
+            service,
+            responder,
+            request.arrived_at + timeout_s,
+        )
+
+    def _match(
+        self,
+        catalog: catalogs.Catalog,
+        request: servers.Request,
+        facts: types.RequestFacts,
+    ) -> catalogs.Match | outcomes.Refusal:
+        # What is unknown here may be new: only a process that has heard from
+        # the platform just now may say that it does not exist.
+        fresh = self._knowledge.age_s() < self._knowledge.routes_s
+        route = catalog.route(request.host, request.path)
+        if route is None:
+            if fresh:
+                return outcomes.Refusal(404, Reason.NO_ROUTE)
+            return _later(Reason.STALE_ROUTES, _RETRY_SOON_S)
+        if not catalog.keyed or (route.anonymous and not facts.key):
+            return catalogs.Match(route, None)
+        customer = catalog.customer(facts.key)
+        if customer is None and route.anonymous:
+            return catalogs.Match(route, None)
+        if customer is None:
+            if fresh:
+                return outcomes.Refusal(401, Reason.NO_KEY)
+            return _later(Reason.STALE_KEYS, _RETRY_SOON_S)
+        # The key may have been taken away since the platform last answered.
+        # Whoever is cut off shows nothing else, so the age alone decides.
+        if self._knowledge.age_s() >= self._knowledge.revoke_s:
+            return _later(Reason.STALE_KEYS, _RETRY_SOON_S)
+        return catalogs.Match(route, customer)
+
+    # Serving.
+
+    async def _serve(
+        self, job: attempts.Job
+    ) -> outcomes.Delivered | outcomes.Failed | outcomes.Refusal:
+        failed: outcomes.Failed | None = None
+        try:
+            async with asyncio.timeout_at(job.deadline):
+                while True:
+                    outcome = await self._once(job)
+                    if isinstance(outcome, outcomes.Failed):
+                        failed = outcome
+                    if isinstance(
+                        outcome, (outcomes.Refusal, outcomes.Delivered)
+                    ):
+                        break
+                    if not self._again(job, outcome):
+                        outcome = self._give_up(job, outcome)
+                        break
+        except TimeoutError:
+            outcome = self._timed_out(job)
+        if isinstance(outcome, outcomes.Refusal) and failed is not None:
+            # The server's own failure says more than ours would.
+            return failed
+        return outcome
+
+    async def _once(
+        self, job: attempts.Job
+    ) -> outcomes.Attempt | outcomes.Refusal:
+        if self._suspects.refused(job.request, self._clock()):
+            return self._unserved(job, Reason.CRASHES_SERVERS, 5.0)
+        backend = await self._choose(job)
+        if isinstance(backend, outcomes.Refusal):
+            return backend
+        if job.sends and not self._budget(job.service).allow(self._clock()):
+            return self._unserved(job, Reason.NO_BUDGET, _RETRY_SOON_S)
+        now = self._clock()
+        sending = types.Sending(
+            backend.server.server_id,
+            max(0.001, job.deadline - now - _WAY_BACK_S),
+            job.match.customer.name if job.match.customer else "",
+            self._versions.expected(job.facts.model, backend.version, now),
+            None,
+            job.last_event,
+        )
+        outcome = await self._attempts.run(job, backend, sending)
+        if not isinstance(outcome, outcomes.Delivered):
+            self._note(job, backend, outcome)
+        return outcome
+
+    async def _choose(
+        self, job: attempts.Job
+    ) -> fleet.Backend | outcomes.Refusal:
+        engine = self._is_engine(job.service)
+        wanted = balance.Wanted(
+            job.service,
+            engine,
+            self._versions.demanded(job.facts.model, self._clock()) or 0,
+            _MOST_BUSY_ENGINE if engine else _MOST_BUSY_PLAIN,
+        )
+        until = self._clock() + _WAIT_OBJECTIVES * job.match.route.objective_s
+        while True:
+            backend = self._balancer.choose(wanted, job.tried)
+            if backend is None and job.tried:
+                backend = self._balancer.choose(wanted)
+            if backend is not None:
+                return backend
+            if self._clock() >= until:
+                break
+            await asyncio.sleep(_WAIT_STEP_S)
+        if self._balancer.candidates(wanted):
+            return self._unserved(job, Reason.BUSY, _RETRY_SOON_S)
+        return self._unserved(job, Reason.NO_SERVER, _RETRY_LATER_S)
+
+    def _note(
+        self,
+        job: attempts.Job,
+        backend: fleet.Backend,
+        outcome: outcomes.Attempt,
+    ) -> None:
+        now = self._clock()
+        reason = getattr(outcome, "reason", "failed")
+        self._counters.add(f"direct.attempt.{reason}")
+        if isinstance(outcome, outcomes.NotRun):
+            if outcome.reason is outcomes.NotRunReason.SHED:
+                backend.full_until = now + _FULL_S
+            if outcome.reason is outcomes.NotRunReason.WRONG_SERVER:
+                # Another start of a server, or of its weights: the list is
+                # behind, and catches up within a heartbeat.
+                backend.rest_until = now + _RETRY_SOON_S
+        else:
+            job.tried.add(backend.server.server_id)
+        if isinstance(outcome, outcomes.Lost):
+            job.runs += 1
+            if outcome.reason is outcomes.LostReason.BROKEN:
+                self._suspects.crashed(job.request, now)
+        self._log.write(
+            _events.ATTEMPT_ENDED,
+            request=job.facts.attempt_id,
+            server=backend.server.server_id,
+            outcome=type(outcome).__name__,
+            reason=str(reason),
+            sends=job.sends,
+            doubt=round(backend.doubt, 2),
+        )
+
+    def _again(self, job: attempts.Job, outcome: outcomes.Attempt) -> bool:
+        """Returns whether another attempt may be made."""
+        if job.responder.begun and job.last_event is None:
+            return False
+        if job.sends >= _MOST_SENDS:
+            return False
+        if isinstance(outcome, outcomes.NotRun):
+            return True
+        if isinstance(outcome, outcomes.Failed) and outcome.head.status < 500:
+            return False
+        route = job.match.route
+        return route.idempotent and job.runs < route.max_attempts
+
+    def _give_up(
+        self, job: attempts.Job, outcome: outcomes.Attempt
+    ) -> outcomes.Failed | outcomes.Refusal:
+        if isinstance(outcome, outcomes.Failed):
+            return outcome
+        return self._unserved(job, Reason.ATTEMPTS_USED, _RETRY_SOON_S)
+
+    def _timed_out(self, job: attempts.Job) -> outcomes.Refusal:
+        return outcomes.Refusal(_GATEWAY_TIMEOUT, Reason.TIMEOUT)
+
+    def _unserved(
+        self, job: attempts.Job, reason: Reason, retry_after_s: float
+    ) -> outcomes.Refusal:
+        """Returns the answer to a request without one.
+
+        Only a request that no server may have begun is told "not run".
+        """
+        if job.runs:
+            return outcomes.Refusal(_BAD_GATEWAY, Reason.MAY_HAVE_RUN)
+        return _later(reason, retry_after_s)
+
+    def _budget(self, service: str) -> budgets.RetryBudget:
+        found = self._budgets.get(service)
+        if found is None:
+            found = self._budgets[service] = budgets.RetryBudget(self._terms)
+        return found
+
+    def _is_engine(self, service: str) -> bool:
+        catalog = self._knowledge.catalog
+        if catalog is None:
+            return False
+        known = catalog.services.get(service)
+        return known is not None and known.engine is not None
+
+    # Answers of our own.
+
+    async def _refuse(
+        self,
+        request: servers.Request,
+        responder: servers.Responder,
+        refusal: outcomes.Refusal,
+        job: attempts.Job | None,
+    ) -> None:
+        self._counters.add(f"direct.refused.{refusal.reason}")
+        self._log.write(
+            _events.REQUEST_REFUSED,
+            request=job.facts.attempt_id if job else "",
+            target=request.target[:120],
+            status=refusal.status,
+            reason=refusal.reason.value,
+            sends=job.sends if job else 0,
+            runs=job.runs if job else 0,
+            age_s=round(min(self._knowledge.age_s(), 9_999.0), 3),
+            after_ms=round((self._clock() - request.arrived_at) * 1000, 1),
+        )
+        if responder.begun:
+            responder.abort()
+            return
+        headers: client.Headers = [(b"content-type", b"application/json")]
+        if refusal.retry_after_s is not None:
+            text = f"{refusal.retry_after_s:.2f}"
+            headers.append((b"retry-after", text.encode()))
+        body = json.dumps({"reason": refusal.reason.value}).encode()
+        try:
+            await responder.answer(refusal.status, headers, body)
+        except channel.ChannelClosed:
+            responder.abort()
+
+    def _done(self, job: attempts.Job, outcome: str, status: int) -> None:
+        now = self._clock()
+        first = job.first_answer_at
+        arrived = job.request.arrived_at
+        self._counters.add(f"direct.done.{outcome}")
+        self._counters.timing("direct.answer", now - arrived)
+        self._log.write(
+            _events.REQUEST_DONE,
+            request=job.facts.attempt_id,
+            route=job.match.route.name,
+            outcome=outcome,
+            status=status,
+            sends=job.sends,
+            first_ms=None if first is None else round((first - arrived) * 1e3),
+            total_ms=round((now - arrived) * 1e3),
+            age_s=round(min(self._knowledge.age_s(), 9_999.0), 3),
+        )
+
+
+def _later(reason: Reason, retry_after_s: float) -> outcomes.Refusal:
+    return outcomes.Refusal(_UNAVAILABLE, reason, retry_after_s)
--- /dev/null
+++ b/src/clementinegw/direct/reports.py
@@ -0,0 +1,154 @@
+"""What backend servers are doing, in datagrams from agents to entries.
+
+The platform's list is a heartbeat behind and a server's own report costs a
+call. The agent beside a server asks for nothing, so it tells every entry that
+has subscribed; a lost datagram is made good by the next one.
+"""
+
+import asyncio
+from collections.abc import Callable, Iterable, Mapping
+import dataclasses
+
+from clementinegw import exceptions
+from clementinegw import types
+from clementinegw.wire import codec
+from clementinegw.wire.gen.reports import ttypes
+
+# A subscription that is not renewed ends after this, in seconds; entries
+# renew it more often by some times.
+KEEP_S = 4.0
+_MOST_SUBSCRIBERS = 512
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """What an agent tells of the server beside it.
+
+    Attributes:
+      server_id: The server's present start; empty when it is not known.
+      running: Requests that it works on.
+      waiting: Requests in its queue.
+      slots: Requests that it runs at once.
+      model: The model it holds; empty for none.
+      version: The version of the weights it holds; 0 for none.
+      whole: Whether every layer is there.
+      loading: Whether it takes no requests because it loads weights.
+      pace: How many times slower than usual it works.
+    """
+
+    server_id: str
+    running: int
+    waiting: int
+    slots: int
+    model: str = ""
+    version: int = 0
+    whole: bool = False
+    loading: bool = False
+    pace: float = 1.0
+
+
+class Reporter(asyncio.DatagramProtocol):
+    """The agent's side."""
+
+    def __init__(self, on_declared: Callable[[Mapping[str, int]], None]):
+        """Does nothing before it is bound.
+
+        Args:
+          on_declared: Takes the versions that an entry knows to be declared.
+        """
+        self._on_declared = on_declared
+        self._transport: asyncio.DatagramTransport | None = None
+        self._subscribers: dict[tuple, float] = {}
+
+    def connection_made(self, transport) -> None:
+        """Called by asyncio."""
+        self._transport = transport
+
+    def datagram_received(self, data: bytes, addr: tuple) -> None:
+        """Takes a subscription."""
+        try:
+            message = codec.decode(ttypes.Subscribe, data)
+        except exceptions.DecodeError:
+            return
+        now = asyncio.get_running_loop().time()
+        if addr in self._subscribers or (
+            len(self._subscribers) < _MOST_SUBSCRIBERS
+        ):
+            self._subscribers[addr] = now + KEEP_S
+        self._on_declared(message.declared)
+
+    def tell(self, report: Report) -> int:
+        """Sends a report to whoever has subscribed; returns to how many."""
+        if self._transport is None:
+            return 0
+        now = asyncio.get_running_loop().time()
+        data = codec.encode(ttypes.BackendReport(**dataclasses.asdict(report)))
+        for addr, until in list(self._subscribers.items()):
+            if until < now:
+                del self._subscribers[addr]
+                continue
+            self._transport.sendto(data, addr)
+        return len(self._subscribers)
+
+    def close(self) -> None:
+        """Ends it."""
+        if self._transport is not None:
+            self._transport.close()
+
+
+class Listener(asyncio.DatagramProtocol):
+    """The entry's side."""
+
+    def __init__(self, name: str, on_report: Callable[[str, Report], None]):
+        """Does nothing before it is bound.
+
+        Args:
+          name: This entry.
+          on_report: Takes the IP address a report came from, and the report.
+        """
+        self._name = name
+        self._on_report = on_report
+        self._transport: asyncio.DatagramTransport | None = None
+
+    def connection_made(self, transport) -> None:
+        """Called by asyncio."""
+        self._transport = transport
+
+    def datagram_received(self, data: bytes, addr: tuple) -> None:
+        """Takes a report."""
+        try:
+            message = codec.decode(ttypes.BackendReport, data)
+        except exceptions.DecodeError:
+            return
+        self._on_report(
+            addr[0],
+            Report(
+                message.server_id,
+                message.running,
+                message.waiting,
+                message.slots,
+                message.model,
+                message.version,
+                message.whole,
+                message.loading,
+                message.pace,
+            ),
+        )
+
+    def subscribe(
+        self, agents: Iterable[types.Address], declared: Mapping[str, int]
+    ) -> None:
+        """Asks agents for reports."""
+        if self._transport is None:
+            return
+        message = ttypes.Subscribe(
+            instance_id=self._name, declared=dict(declared)
+        )
+        data = codec.encode(message)
+        for agent in agents:
+            self._transport.sendto(data, (agent.host, agent.port))
+
+    def close(self) -> None:
+        """Ends it."""
+        if self._transport is not None:
+            self._transport.close()
--- /dev/null
+++ b/src/clementinegw/direct/run.py
@@ -0,0 +1,61 @@
+"""Runs one daemon of the direct path until it is told to stop."""
+
+from collections.abc import Callable
+import pathlib
+from typing import Any
+
+from clementinegw import exceptions
+from clementinegw import lifetime
+from clementinegw.direct import instance as instances
+from clementinegw.telemetry import counters as counters_lib
+from clementinegw.telemetry import logs
+from clementinegw.telemetry import output
+
+MakePlatform = Callable[[instances.Instance, logs.Log], Any]
+
+
+async def run(
+    args: list[str], path: pathlib.Path, make_platform: MakePlatform
+) -> int:
+    """Runs a role.
+
+    Args:
+      args: The role's name.
+      path: The instance file.
+      make_platform: Makes what speaks to the platform.
+
+    Returns:
+      The exit code.
+
+    Raises:
+      exceptions.ClementineError: The role or the file does not fit.
+    """
+    if len(args) != 1 or args[0] not in _ROLES:
+        names = " or ".join(_ROLES)
+        raise exceptions.UsageError(f"name the role: {names}")
+    instance = instances.read(path)
+    out = output.configure()
+    log = logs.Log(instance=instance.name)
+    counters = counters_lib.Counters()
+    platform = make_platform(instance, log)
+    daemon = _ROLES[args[0]](instance, platform, log, counters)
+    try:
+        return await lifetime.run_until_signal(daemon)
+    finally:
+        out.flush()
+
+
+def _entry(instance, platform, log, counters):
+    from clementinegw.direct import entry
+
+    return entry.Entry(instance, platform, log, counters)
+
+
+def _agent(instance, platform, log, counters):
+    from clementinegw.direct import agent
+
+    return agent.Agent(instance, platform, log, counters)
+
+
+# Imported by role: what the other one needs would only take memory.
+_ROLES: dict[str, Callable[..., Any]] = {"entry": _entry, "agent": _agent}
--- /dev/null
+++ b/src/clementinegw/direct/types.py
@@ -0,0 +1,325 @@
+"""What the direct path knows of its surroundings: routes, servers, weights.
+
+Whatever speaks to a platform decodes its records into these types; nothing
+here knows how a platform spells them.
+"""
+
+from collections.abc import Mapping
+import dataclasses
+import enum
+
+from clementinegw import types
+
+
+class Repeat(enum.StrEnum):
+    """How often a request of a route may run."""
+
+    SAFE = "safe"
+    ONCE = "once"
+    STREAM = "stream"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """A service that serves a part of a route's requests.
+
+    Attributes:
+      service: The service's name.
+      weight: Its part, relative to the other targets' weights.
+    """
+
+    service: str
+    weight: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """What the operators say about the requests under a host and prefix.
+
+    Attributes:
+      name: The route's name.
+      host: The host that requests name, in lower case.
+      prefix: The beginning of their path; ends with a slash.
+      repeat: How often a request may run.
+      targets: The services that serve it.
+      timeout_s: The longest time an answer may take, in seconds.
+      objective_s: Within this an answer (a stream: its first event) is on
+        time, in seconds.
+      rank: The urgency; 0 goes first.
+      max_attempts: The most backend servers that one request is sent to.
+      anonymous: Whether it is served without an API key.
+      resumable: Whether a broken stream may go on at another server.
+      max_gap_s: The longest pause between events that is on time, in seconds;
+        0 where none is set.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    repeat: Repeat
+    targets: tuple[Target, ...]
+    timeout_s: float
+    objective_s: float
+    rank: int
+    max_attempts: int
+    anonymous: bool = False
+    resumable: bool = False
+    max_gap_s: float = 0.0
+
+    @property
+    def idempotent(self) -> bool:
+        """Whether a request may run again after it may have run."""
+        if self.repeat is Repeat.STREAM:
+            return self.resumable
+        return self.repeat is Repeat.SAFE
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Engine:
+    """How the model engines of a service work.
+
+    Attributes:
+      models: The names of the models they can hold.
+      slots: Requests that one engine runs at once.
+      step_s: The least time of a token step, in seconds.
+      step_per_request_s: What each running request adds to it, in seconds.
+      prefill_tokens_per_s: How fast prompts are read.
+      steps_per_pass: Token steps in one pass.
+      layers: Layers of a model.
+      chunks: Pieces that a version's weights come in.
+      chunk_bytes: The size of a piece.
+      usual_prompt: Tokens in a usual prompt.
+      usual_answer: Tokens in a usual answer.
+      warm_s: How long all layers take to load, in seconds.
+    """
+
+    models: tuple[str, ...]
+    slots: int
+    step_s: float
+    step_per_request_s: float
+    prefill_tokens_per_s: float
+    steps_per_pass: int
+    layers: int
+    chunks: int
+    chunk_bytes: int
+    usual_prompt: float = 0.0
+    usual_answer: float = 0.0
+    warm_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Origin:
+    """Where the weights come from first.
+
+    Attributes:
+      address: Where it takes calls.
+      max_connections: The most connections of all callers together.
+      link_bytes_per_s: The rate of its link.
+    """
+
+    address: types.Address
+    max_connections: int
+    link_bytes_per_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Service:
+    """One service of the configuration.
+
+    Attributes:
+      name: The service's name.
+      max_connections: Connections that one server takes from all callers.
+      engine: How its model engines work; None for a plain service.
+      origin: Set where the service is an origin of weights.
+    """
+
+    name: str
+    max_connections: int
+    engine: Engine | None = None
+    origin: Origin | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """What bounds callers.
+
+    Attributes:
+      header_bytes: The most bytes of a request's head.
+      body_bytes: The most bytes of a request's body.
+      header_timeout_s: How long a head may take to arrive, in seconds.
+      idle_timeout_s: How long a connection may stay idle, in seconds.
+    """
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Customer:
+    """Whose requests an API key stands for.
+
+    Attributes:
+      name: The customer's name.
+      rank: The urgency of its requests; None leaves it to the route.
+    """
+
+    name: str
+    rank: int | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Configuration:
+    """All that the operators declared, as one version.
+
+    Attributes:
+      version: Grows with each change.
+      routes: Every route.
+      services: Every service by name.
+      customers: Every customer by API key; empty where keys are not used.
+      limits: What bounds callers.
+    """
+
+    version: int
+    routes: tuple[Route, ...]
+    services: Mapping[str, Service]
+    customers: Mapping[str, Customer]
+    limits: Limits = Limits()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Declared:
+    """The version of a model's weights that operators want served.
+
+    Attributes:
+      model: The model's name.
+      version: The version's number; grows.
+    """
+
+    model: str
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Held:
+    """The weights that a server has loaded.
+
+    Attributes:
+      model: The model's name.
+      version: The version of its layers.
+      whole: Whether every layer is there.
+    """
+
+    model: str
+    version: int
+    whole: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Server:
+    """A backend server as the platform lists it.
+
+    Attributes:
+      server_id: Names one start of one server.
+      service: The service it belongs to.
+      address: Where it takes requests.
+      failure_domain: Where it stands.
+      slots: Requests that it runs at once.
+      leaving: Whether it takes no new requests.
+      held: The weights it has loaded; empty for a plain service.
+    """
+
+    server_id: str
+    service: str
+    address: types.Address
+    failure_domain: str
+    slots: int
+    leaving: bool = False
+    held: tuple[Held, ...] = ()
+
+    def serves(self, version: int) -> bool:
+        """Returns whether it has all layers of at least this version."""
+        return any(h.whole and h.version >= version for h in self.held)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Load:
+    """What a server says of its own work.
+
+    Attributes:
+      running: Requests that it works on.
+      waiting: Requests in its queue.
+      slots: Requests that it runs at once.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestFacts:
+    """What a caller's head says beyond method, path and body.
+
+    Attributes:
+      attempt_id: Names this attempt of the caller; empty when missing.
+      timeout_s: How long the caller waits, in seconds; None when unsaid.
+      key: The API key; empty when none was sent.
+      model: The model it is for; empty for a plain service.
+      prompt_tokens: Tokens to read.
+      output_tokens: The most tokens to produce.
+      session: The last shared part of the prompt; empty when there is none.
+      last_event: The last event that the caller has; None for a new stream.
+    """
+
+    attempt_id: str = ""
+    timeout_s: float | None = None
+    key: str = ""
+    model: str = ""
+    prompt_tokens: int = 0
+    output_tokens: int = 0
+    session: str = ""
+    last_event: str | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerFacts:
+    """What a server's head says beyond status and body.
+
+    Attributes:
+      attempt_id: The attempt that it answers; empty when it names none.
+      sealed: Whether the server signed the answer.
+      not_run: Whether the server says that it did not run the request.
+      load: What it says of its load; None when it says nothing.
+      version: The version of the weights that answer; None when unsaid.
+      keep_s: How long it keeps the connection when idle; None when unsaid.
+    """
+
+    attempt_id: str
+    sealed: bool
+    not_run: bool
+    load: Load | None = None
+    version: int | None = None
+    keep_s: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sending:
+    """What the entry adds to a request that it sends on.
+
+    Attributes:
+      server_id: The server that must run it and no other.
+      timeout_s: The time that is left, in seconds.
+      customer: Whose request it is; empty when it came without a key.
+      version: The version that the weights must have, exactly; None for any.
+      urgency: 0 to 9 where 0 goes first; None leaves it to the server.
+      last_event: Where a stream goes on; None as the caller asked.
+    """
+
+    server_id: str
+    timeout_s: float
+    customer: str = ""
+    version: int | None = None
+    urgency: int | None = None
+    last_event: str | None = None
--- /dev/null
+++ b/src/clementinegw/direct/versions.py
@@ -0,0 +1,79 @@
+"""Which version of the weights a request must be served with, and from when."""
+
+from collections.abc import Callable
+import dataclasses
+
+from clementinegw.direct import types
+
+# A version is demanded this much before it is due: a request that is sent now
+# may begin a little later. Seconds.
+_MARGIN_S = 1.2
+
+
+@dataclasses.dataclass(slots=True)
+class _Model:
+    declared: int
+    demanded: int
+    pending: list[tuple[float, int]]
+
+
+class Versions:
+    """The declared versions of every model."""
+
+    def __init__(self, due_s: float, clock: Callable[[], float]):
+        """Starts without any.
+
+        Args:
+          due_s: How long after its declaration a version must serve.
+          clock: Monotonic seconds.
+        """
+        self._due_s = due_s
+        self._clock = clock
+        self._models: dict[str, _Model] = {}
+
+    def declare(self, declared: types.Declared) -> bool:
+        """Takes a declaration in; returns whether it is new."""
+        now = self._clock()
+        model = self._models.setdefault(declared.model, _Model(0, 0, []))
+        if declared.version <= model.declared:
+            return False
+        model.declared = declared.version
+        due_at = now + self._due_s - _MARGIN_S
+        model.pending.append((due_at, declared.version))
+        return True
+
+    def declared(self, model: str) -> int:
+        """Returns the newest declared version; 0 when there is none."""
+        found = self._models.get(model)
+        return found.declared if found else 0
+
+    def all(self) -> dict[str, int]:
+        """Returns the newest declared version of every model."""
+        return {name: found.declared for name, found in self._models.items()}
+
+    def demanded(self, model: str, now: float) -> int | None:
+        """Returns the least version that may begin a request now."""
+        found = self._models.get(model)
+        if found is None:
+            return None
+        while found.pending and found.pending[0][0] <= now:
+            found.demanded = max(found.demanded, found.pending.pop(0)[1])
+        return found.demanded or None
+
+    def expected(self, model: str, held: int, now: float) -> int | None:
+        """Returns the exact version to ask a server for; None for any.
+
+        Args:
+          model: The model's name.
+          held: The version that the server is known to have; 0 when unknown.
+          now: Monotonic seconds.
+        """
+        demanded = self.demanded(model, now)
+        if demanded is None:
+            return None
+        newest = self._models[model].declared
+        if demanded == newest:
+            return newest
+        # A newer one is on its way: naming the demanded one would turn away
+        # from the servers that have the newer one already.
+        return held if held >= demanded else demanded
--- /dev/null
+++ b/src/clementinegw/telemetry/output.py
@@ -0,0 +1,87 @@
+"""Log lines to standard output: bounded, and never in the way of requests."""
+
+import asyncio
+import collections
+import fcntl
+import os
+
+import structlog
+
+from clementinegw.telemetry import events
+
+# Lines that wait while standard output takes none, and the bytes of one write.
+_MOST_LINES = 2_000
+_WRITE_BYTES = 32 << 10
+# Lines are written together after this pause: a write costs more than a line.
+# Seconds.
+_PAUSE_S = 0.1
+_LEVELS = {"debug": 10, "info": 20, "warning": 30, "error": 40}
+
+
+class Output:
+    """Keeps lines until standard output takes them; the oldest go first."""
+
+    def __init__(self, fd: int = 1):
+        self._fd = fd
+        self._lines: collections.deque[bytes] = collections.deque()
+        self._rest = b""
+        self._timer: asyncio.TimerHandle | None = None
+        self.dropped = 0
+        flags = fcntl.fcntl(fd, fcntl.F_GETFL)
+        fcntl.fcntl(fd, fcntl.F_SETFL, flags | os.O_NONBLOCK)
+
+    def msg(self, line: str) -> None:
+        """Takes one line."""
+        if len(self._lines) >= _MOST_LINES:
+            # A reader that stands still must not hold requests up, nor may
+            # the lines fill the memory; the count tells of the gap.
+            self._lines.popleft()
+            self.dropped += 1
+        self._lines.append(line.encode() + b"\n")
+        if self._timer is None:
+            try:
+                loop = asyncio.get_running_loop()
+            except RuntimeError:
+                self.flush()
+                return
+            self._timer = loop.call_later(_PAUSE_S, self.flush)
+
+    debug = info = warning = error = log = msg
+
+    def flush(self) -> None:
+        """Writes what standard output takes now."""
+        self._timer = None
+        while self._lines or self._rest:
+            data = self._rest
+            while self._lines and len(data) < _WRITE_BYTES:
+                data += self._lines.popleft()
+            try:
+                written = os.write(self._fd, data)
+            except BlockingIOError:
+                written = 0
+            except OSError:
+                # Nobody reads any more; there is no other place to say so.
+                self._lines.clear()
+                self._rest = b""
+                return
+            self._rest = data[written:]
+            if self._rest:
+                return
+
+
+def configure(level: events.Level = events.Level.INFO) -> Output:
+    """Sends log lines to standard output from `level` upwards."""
+    output = Output()
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.JSONRenderer(),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(
+            _LEVELS[level.value]
+        ),
+        logger_factory=lambda *args: output,
+        cache_logger_on_first_use=True,
+    )
+    return output
--- a/src/clementinegw/weights/store.py
+++ b/src/clementinegw/weights/store.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import collections
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
 from clementinegw import exceptions
@@ -36,13 +36,19 @@
 class MemoryStore:
     """Keeps chunks in memory; the chunk used longest ago goes first."""
 
-    def __init__(self, limit_bytes: int):
+    def __init__(
+        self,
+        limit_bytes: int,
+        digest_of: Callable[[bytes], bytes] = manifests.digest_of,
+    ):
         """Starts empty.
 
         Args:
           limit_bytes: The most that is kept, in bytes of chunks.
+          digest_of: How chunks are named; whoever publishes them decides.
         """
         self._limit_bytes = limit_bytes
+        self._digest_of = digest_of
         self._chunks: collections.OrderedDict[bytes, bytes]
         self._chunks = collections.OrderedDict()
         self._used_bytes = 0
@@ -80,7 +86,7 @@
 
     async def put(self, chunk_digest: bytes, data: bytes) -> bool:
         """Keeps a chunk; False when its digest is wrong or it is too large."""
-        if manifests.digest_of(data) != chunk_digest:
+        if self._digest_of(data) != chunk_digest:
             return False
         if len(data) > self._limit_bytes:
             return False
--- /dev/null
+++ b/src/clementinegw/wire/reports.thrift
@@ -0,0 +1,21 @@
+// Between entries and agents, in datagrams: what a backend server is doing.
+
+// An entry asks an agent for reports for a while, and says which versions of
+// weights it knows to be declared.
+struct Subscribe {
+  1: required string instance_id,
+  2: required map<string, i64> declared,
+}
+
+// An agent tells what it has just read from the server beside it.
+struct BackendReport {
+  1: required string server_id,
+  2: required i32 running,
+  3: required i32 waiting,
+  4: required i32 slots,
+  5: required string model,
+  6: required i64 version,
+  7: required bool whole,
+  8: required bool loading,
+  9: required double pace,
+}
