Bring consecutive versions in an order that serves each in time

Cause: a version named four seconds after another dropped the first one, so no version could serve between the two due times. All entries chose the server that the last reports showed emptiest. Idle agents fetched a piece from afar that another agent of their failure domain was fetching already.

--- a/src/clementinegw/direct/agent.py
+++ b/src/clementinegw/direct/agent.py
@@ -1,7 +1,8 @@
 """The agent of the direct path: weights onto the server beside it."""
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Awaitable, Callable, Mapping
+import math
 import random
 from typing import Protocol
 
@@ -14,6 +15,7 @@
 from clementinegw.direct import bring
 from clementinegw.direct import follow
 from clementinegw.direct import instance as instances
+from clementinegw.direct import plan
 from clementinegw.direct import reports
 from clementinegw.direct import turns
 from clementinegw.direct import types
@@ -28,11 +30,22 @@
 # How often the server beside is asked, in seconds. It costs nothing there and
 # bounds the age of what entries balance by.
 _STATE_S = 0.2
-_RETRY_S = 0.25
-# When the first group of servers swaps, in seconds after the declaration: the
-# links need about this long to bring a version everywhere. Later groups follow
-# in steps; the last one must have ended its requests when the version is due.
-_TURNS = turns.Terms(groups=3, first_s=0.0, step_s=0.8)
+# Between two steps towards the wanted version, and after an order until the
+# server's state shows it, in seconds.
+_STEP_S = 0.1
+_ORDER_S = 0.3
+# Servers swap in groups, so that most serve at any time; the last group must
+# have ended its requests when the version is due.
+_TURNS = turns.Terms(groups=3, first_s=0.0, step_s=0.9)
+# From the order to service: the requests under way end, and the layers load.
+_SWAP_S = 1.6
+_DRAIN_S = 1.4
+_LOAD_S = 0.4
+# How much longer than at the links' limit a version takes to come.
+_BRING_FACTOR = 1.22
+# How long an agent that has every piece goes on sending that version.
+_LINGER_S = 0.25
+_VERSIONS_KEPT = 3
 
 
 class Platform(Protocol):
@@ -99,12 +112,15 @@
         self._engine: types.Engine | None = None
         self._origin: backing.Origin | None = None
         self._origin_address: places.Address | None = None
-        self._declared: dict[str, int] = {}
-        self._declared_at = 0.0
+        self._declared: list[plan.Declaration] = []
+        self._digests: dict[int, backing.Digests] = {}
+        self._here_at: dict[int, float] = {}
+        self._whole_at = math.inf
+        self._yielding = False
         self._servers: dict[str, types.Server] = {}
         self._state: backing.State | None = None
         self._beside: backing.Beside | None = None
-        self._changed = asyncio.Event()
+        self._known = asyncio.Event()
 
     @property
     def model(self) -> str:
@@ -143,7 +159,9 @@
         for record in batch.records:
             if isinstance(record.value, types.Configuration):
                 self._take_configuration(record.value)
-            elif isinstance(record.value, types.Declared):
+        # Only now: the configuration says which model this server is for.
+        for record in batch.records:
+            if isinstance(record.value, types.Declared):
                 declared = record.value
                 self._on_declared({declared.model: declared.version})
 
@@ -157,18 +175,19 @@
                 if address != self._origin_address:
                     self._origin_address = address
                     self._origin = self._platform.origin(address)
-        self._changed.set()
+        self._tell_known()
 
     def _on_declared(self, declared: Mapping[str, int]) -> None:
-        for model, version in declared.items():
-            if version <= self._declared.get(model, 0):
-                continue
-            self._declared[model] = version
-            self._declared_at = self._clock()
-            self._log.write(
-                _events.WEIGHTS_DECLARED, model=model, version=version
-            )
-            self._changed.set()
+        version = declared.get(self.model, 0)
+        if self._declared and version <= self._declared[-1].version:
+            return
+        if version <= 0:
+            return
+        self._declared.append(plan.Declaration(version, self._clock()))
+        del self._declared[:-_VERSIONS_KEPT]
+        self._log.write(
+            _events.WEIGHTS_DECLARED, model=self.model, version=version
+        )
 
     def _on_servers(self, batch: follow.Batch, whole: bool) -> None:
         if whole:
@@ -190,6 +209,11 @@
         }
         others.pop(self._instance.host, None)
         self._bringer.set_fleet(list(others.values()))
+        self._tell_known()
+
+    def _tell_known(self) -> None:
+        if self.model and self._origin is not None and self._listing.known:
+            self._known.set()
 
     def _agent_at(self, host: str, place: places.Place) -> places.Instance:
         return places.Instance(
@@ -226,7 +250,6 @@
                 busy=self._state.busy,
                 sequence=self._state.sequence,
             )
-            self._changed.set()
         self._tell(self._state)
 
     def _tell(self, state: backing.State) -> None:
@@ -243,6 +266,7 @@
                 whole=best.whole if best else False,
                 loading=state.busy,
                 pace=state.pace,
+                yielding=self._yielding,
             )
         )
 
@@ -254,19 +278,21 @@
 
     # Weights.
 
-    def _wanted(self) -> int:
-        """Returns the version to serve: the declared one or what others have.
+    def _versions(self) -> list[plan.Declaration]:
+        """Returns what is to be served: declared, or what others have.
 
         Before the first declaration the servers that were there from the
         start hold the first version, and an empty one must get it.
         """
+        if self._declared:
+            return self._declared
         held = [
             h.version
             for server in self._servers.values()
             for h in server.held
             if h.model == self.model and h.whole
         ]
-        return max([self._declared.get(self.model, 0), *held], default=0) or 1
+        return [plan.Declaration(max(held, default=1), -math.inf)]
 
     def _serves(self, version: int) -> bool:
         return self._state is not None and any(
@@ -275,100 +301,145 @@
         )
 
     @mode.Service.task
-    async def _keep_weights(self) -> None:
-        await self._know()
+    async def _keep_bringing(self) -> None:
+        await self._known.wait()
         while not self.should_stop:
-            self._changed.clear()
-            try:
-                await self._bring()
-            except exceptions.ClementineError as error:
-                self._log.write(_events.WEIGHTS_WAIT, reason=error.message)
-                await asyncio.sleep(_RETRY_S)
-                continue
-            try:
-                async with asyncio.timeout(_RETRY_S):
-                    await self._changed.wait()
-            except TimeoutError:
-                pass
+            await self._step(self._bring)
 
-    async def _know(self) -> None:
-        while not (self.model and self._origin and self._listing.known):
-            await asyncio.sleep(0.05)
+    @mode.Service.task
+    async def _keep_loading(self) -> None:
+        await self._known.wait()
+        while not self.should_stop:
+            await self._step(self._load_newest)
+
+    async def _step(self, step: Callable[[], Awaitable[None]]) -> None:
+        """Takes a step, then waits for a change or a while."""
+        try:
+            await step()
+        except exceptions.ClementineError as error:
+            self._log.write(_events.WEIGHTS_WAIT, reason=error.message)
+        await asyncio.sleep(_STEP_S)
 
     async def _bring(self) -> None:
-        """Takes the next step towards the wanted version."""
-        version = self._wanted()
+        """Begins to bring the version that the plan names."""
         digests = self._bringer.digests
-        assert self._origin is not None
-        if digests is None or digests.version < version:
-            found = await self._origin.digests(self.model, version)
-            if found.version != version or not found.digests:
-                raise exceptions.PlatformUnavailable("another manifest")
-            if self._beside is not None:
-                kept = await self._bringer.take_staged(self._beside, found)
-                self._log.write(
-                    _events.WEIGHTS_WANTED,
-                    version=version,
-                    pieces=len(found.digests),
-                    staged=kept,
-                )
-            self._bringer.want(self._origin, found)
-        if self._state is None or self._beside is None:
-            return
-        if not self._bringer.whole.is_set() or self._serves(version):
-            return
-        if self._state.busy:
+        current = None
+        if digests is not None:
+            current = plan.Progress(digests.version, self._left())
+        version = plan.choose(
+            self._versions(), current, self._terms(), self._clock()
+        )
+        if digests is not None and digests.version >= version:
             return
-        await self._load(version)
+        assert self._origin is not None
+        found = await self._origin.digests(self.model, version)
+        if found.version != version or not found.digests:
+            raise exceptions.PlatformUnavailable("another manifest")
+        self._digests[version] = found
+        for old in sorted(self._digests)[:-_VERSIONS_KEPT]:
+            del self._digests[old]
+        staged = 0
+        if self._beside is not None:
+            staged = await self._bringer.take_staged(self._beside, found)
+        self._log.write(
+            _events.WEIGHTS_WANTED,
+            version=version,
+            pieces=len(found.digests),
+            staged=staged,
+        )
+        self._bringer.want(self._origin, found)
 
-    async def _load(self, version: int) -> None:
-        assert self._beside is not None
-        if not await self._bringer.stage(self._beside):
+    def _left(self) -> float:
+        """Returns the part of the pieces that is missing here or at peers.
+
+        An agent that has all goes on sending for a while: whoever lacks the
+        last piece would have to draw it from the origin again.
+        """
+        left = self._bringer.left
+        now = self._clock()
+        if left > 0:
+            self._whole_at = math.inf
+        elif self._whole_at > now:
+            self._whole_at = now
+        return left if now - self._whole_at >= _LINGER_S else max(left, 0.01)
+
+    def _terms(self) -> plan.Terms:
+        due_s = self._instance.bounds.weights_ms / 1e3
+        return plan.Terms(self._bring_s(), _SWAP_S, due_s)
+
+    def _bring_s(self) -> float:
+        """Returns how long the links take to bring a version everywhere."""
+        if self._engine is None:
+            return 0.0
+        size = self._engine.chunks * self._engine.chunk_bytes
+        return size / self._instance.link_bytes_per_s * _BRING_FACTOR
+
+    async def _load_newest(self) -> None:
+        """Orders the newest version that is here, if it is not served."""
+        if self._state is None or self._beside is None or self._state.busy:
             return
-        if any(h.whole for h in self._state.held) if self._state else False:
-            if await self._wait_turn(version):
+        self._yielding = False
+        for version in sorted(self._digests, reverse=True):
+            if self._serves(version):
                 return
-            if not await self._bringer.stage(self._beside):
+            empty = not any(h.whole for h in self._state.held)
+            if not empty and self._clock() < self._turn_at(version):
+                continue
+            self._yielding = not empty
+            if self._bringer.holds(self._digests[version]):
+                await self._load(self._digests[version])
                 return
+
+    async def _load(self, digests: backing.Digests) -> None:
+        assert self._beside is not None
+        if not await self._bringer.stage(self._beside, digests):
+            return
         state = await self._beside.state()
         if state.busy:
             return
-        begun = await self._beside.load(self.model, version, state.sequence)
+        begun = await self._beside.load(
+            self.model, digests.version, state.sequence
+        )
         self._counters.add("weights.orders")
         self._log.write(
             _events.WEIGHTS_ORDERED,
-            version=version,
+            version=digests.version,
             sequence=state.sequence,
             begun=begun,
-            after_s=round(self._clock() - self._declared_at, 3),
+            running=state.running,
+            after_s=round(self._clock() - self._at(digests.version), 3),
+            received_bytes=self._counters.value("weights.received_bytes"),
+            from_afar_bytes=self._counters.value("weights.cross_domain_bytes"),
+            drawn_bytes=self._counters.value("weights.drawn_bytes"),
         )
-        await asyncio.sleep(_RETRY_S)
+        await asyncio.sleep(_ORDER_S)
+
+    def _at(self, version: int) -> float:
+        """Returns when a version was declared; now when it never was."""
+        for declared in self._declared:
+            if declared.version == version:
+                return declared.at
+        return self._clock()
+
+    def _turn_at(self, version: int) -> float:
+        """Returns when this server may begin to yield for a version.
 
-    async def _wait_turn(self, version: int) -> bool:
-        """Waits for the turn to swap; True when something changed."""
-        me = self._server_id()
+        The first group yields while the last pieces come, so that its requests
+        have ended when they are there. The others follow in steps, but none so
+        late that it would not serve when the version is due.
+        """
         same = [
             server.server_id
             for server in self._servers.values()
             if not server.leaving
         ]
-        delay = turns.delay_s(me, same, version, _TURNS)
-        swarm_s = self._swarm_s()
-        at = self._declared_at + swarm_s + delay
-        left = at - self._clock()
-        if left <= 0:
-            return False
-        try:
-            async with asyncio.timeout(left):
-                await self._changed.wait()
-        except TimeoutError:
-            return False
-        return self._wanted() != version
-
-    def _swarm_s(self) -> float:
-        """Returns how long the links need to bring a version everywhere."""
-        digests = self._bringer.digests
-        if digests is None:
-            return 0.0
-        size = digests.chunk_bytes * len(digests.digests)
-        return size / self._instance.link_bytes_per_s
+        now = self._clock()
+        due_at = self._at(version) + self._instance.bounds.weights_ms / 1e3
+        if self._bringer.holds(self._digests[version]):
+            here_at = self._here_at.setdefault(version, now)
+        else:
+            here_at = now + self._bringer.left * self._bring_s()
+        delay_s = turns.delay_s(self._server_id(), same, version, _TURNS)
+        return min(here_at - _DRAIN_S, due_at - _SWAP_S - _LOAD_S) + min(
+            delay_s, max(0.0, due_at - _SWAP_S - here_at)
+        )
--- a/src/clementinegw/direct/balance.py
+++ b/src/clementinegw/direct/balance.py
@@ -11,16 +11,17 @@
 # What a server's load, as a part of its slots, counts for in another failure
 # domain and in another region. Bytes between places are paid for, but a full
 # server costs more.
-_DISTANCE = (0.0, 0.05, 0.08)
+_DISTANCE = (0.0, 0.1, 0.2)
 # How much a doubted server's load seems larger: one that fails half of its
 # requests gets a few only, and still enough to show that it is well again.
 _DOUBT_WEIGHT = 12.0
 # Prompt tokens that are not read yet count as one more running request each:
 # about what an engine reads in the time that a request holds a slot for.
 _TOKENS_A_REQUEST = 4_000.0
-# Two servers whose loads differ by less are equal; the draw decides, so that
-# all entries do not choose the same one.
-_SPREAD = 0.03
+# A draw is added to each load, as a part of the slots. Without it all entries
+# send to the server that the last reports showed emptiest, until the next ones
+# come; with 0.03 in its place 6 in 100 answers were late, with 0.4 under 1.
+_SPREAD = 0.4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -79,27 +80,21 @@
           tried: Ids of servers that have had it.
         """
         now = self._clock()
-        best: fleet.Backend | None = None
-        best_score = float("inf")
-        open_ = [
+        able = [
             backend
             for backend in self.candidates(wanted)
             if backend.server.server_id not in tried
             and not backend.loading
             and backend.full_until <= now
             and not backend.pool.full
+            and self.busy(backend, now) < wanted.most_busy
         ]
         # Where every server rests after a failure, one of them is tried all
-        # the same: nobody else would ever find out that it is back.
-        rested = [b for b in open_ if b.rest_until <= now] or open_
-        for backend in rested:
-            score = self._score(backend, now)
-            if (
-                score < best_score
-                and self.busy(backend, now) < wanted.most_busy
-            ):
-                best, best_score = backend, score
-        return best
+        # the same: nobody else would ever find out that it is back. One that
+        # is about to load still serves where no other has room.
+        rested = [b for b in able if b.rest_until <= now] or able
+        staying = [b for b in rested if not b.yielding] or rested
+        return min(staying, key=lambda b: self._score(b, now), default=None)
 
     def busy(self, backend: fleet.Backend, now: float) -> float:
         """Returns a server's requests as a part of its slots."""
--- a/src/clementinegw/direct/bring.py
+++ b/src/clementinegw/direct/bring.py
@@ -1,6 +1,5 @@
 """Brings a version's pieces to an agent and to the server beside it."""
 
-import asyncio
 import hashlib
 import random
 
@@ -28,7 +27,7 @@
 _LINK_SHARE = 0.9
 # What is asked for at once: at a small machine's link a live event waits for
 # about two of them, well under what makes a stream late. Bytes.
-_PART_BYTES = 16 << 10
+_PART_BYTES = 8 << 10
 # All agents of a deployment stand in the platform's own network; the key only
 # keeps a stray connection of something else out.
 _KEY = b"clementinegw agents of one platform"
@@ -139,14 +138,24 @@
             part_bytes=_PART_BYTES,
         )
         self._digests: backing.Digests | None = None
-        self.whole = asyncio.Event()
-        self.transfer.on_complete(lambda digest: self.whole.set())
 
     @property
     def digests(self) -> backing.Digests | None:
         """The version that is being brought, or is here."""
         return self._digests
 
+    @property
+    def left(self) -> float:
+        """The part of that version's pieces that is missing."""
+        progress = self.transfer.progress
+        if not progress.total:
+            return 1.0
+        return 1.0 - progress.held / progress.total
+
+    def holds(self, digests: backing.Digests) -> bool:
+        """Returns whether every piece of a version is here."""
+        return all(self._store.holds(digest) for digest in digests.digests)
+
     async def listen(self) -> None:
         """Takes connections of other agents."""
         await self._endpoint.listen(self._me.address)
@@ -165,10 +174,7 @@
             return
         self._digests = digests
         self._origin.set(origin, digests)
-        self.whole.clear()
         self.transfer.set_target(manifest_of(digests))
-        if self.transfer.complete:
-            self.whole.set()
 
     async def take_staged(
         self, beside: backing.Beside, digests: backing.Digests
@@ -185,16 +191,15 @@
                 found += 1
         return found
 
-    async def stage(self, beside: backing.Beside) -> bool:
+    async def stage(
+        self, beside: backing.Beside, digests: backing.Digests
+    ) -> bool:
         """Puts every piece beside and reads it back; False when one is gone.
 
         What lies staged may rot, or be of an older version, and the server
         does not check it: a load would then make tokens with spoilt layers.
         So every piece is compared with its digest right before the order.
         """
-        digests = self._digests
-        if digests is None:
-            return False
         for number, digest in enumerate(digests.digests):
             lying = await beside.read_staged(number)
             if lying is not None and digest_of(lying) == digest:
@@ -202,14 +207,13 @@
             data = await self._store.get(digest)
             if data is None:
                 self.transfer.recheck()
-                self.whole.clear()
                 return False
             await beside.stage(number, data)
             lying = await beside.read_staged(number)
             if lying is None or digest_of(lying) != digest:
                 self._log.write(_events.STAGED_SPOILT, number=number)
                 return False
-        return digests == self._digests
+        return True
 
 
 def _limits(link_bytes_per_s: float) -> swarm.Limits:
@@ -223,7 +227,7 @@
         upload_slots=4,
         local_neighbours=8,
         remote_neighbours=4,
-        draws=2,
+        draws=1,
         draw_deadline_s=0.8,
         cut_off_s=3.0,
         settle_s=0.15,
--- a/src/clementinegw/direct/fleet.py
+++ b/src/clementinegw/direct/fleet.py
@@ -49,6 +49,7 @@
         self.version_at = -math.inf
         self.pace = 1.0
         self.loading = False
+        self.yielding = False
         self.empty = False
         self._rest_s = _FIRST_REST_S
         self._others = 0.0
@@ -66,6 +67,7 @@
             types.Load(report.running, report.waiting, report.slots), now
         )
         self.loading = report.loading
+        self.yielding = report.yielding
         self.pace = max(1.0, report.pace)
         self.take_version(report.version if report.whole else 0, now)
         self.empty = not report.whole
--- a/src/clementinegw/direct/reports.py
+++ b/src/clementinegw/direct/reports.py
@@ -34,6 +34,7 @@
       whole: Whether every layer is there.
       loading: Whether it takes no requests because it loads weights.
       pace: How many times slower than usual it works.
+      yielding: Whether it is about to load, so that others are preferred.
     """
 
     server_id: str
@@ -45,6 +46,7 @@
     whole: bool = False
     loading: bool = False
     pace: float = 1.0
+    yielding: bool = False
 
 
 class Reporter(asyncio.DatagramProtocol):
@@ -132,6 +134,7 @@
                 message.whole,
                 message.loading,
                 message.pace,
+                message.yielding,
             ),
         )
 
--- a/src/clementinegw/weights/_swarm_imports.py
+++ b/src/clementinegw/weights/_swarm_imports.py
@@ -43,22 +43,21 @@
         index: int,
         digests: tuple[bytes, ...],
         fleet: drawers.Fleet,
-        busy: bool,
         mean_s: float,
         arrived_at: float,
         now: float,
     ) -> bool:
         """Whether to take a chunk from another domain that nobody near has.
 
-        The first in the domain's list always may. The others may help out
-        while they have nothing else to do, or when the first does not seem to
-        bring the chunk, but all together only within the budget.
+        The first in the domain's list always may. The others may help out when
+        the first does not seem to bring the chunk, but all together only
+        within the budget. Helping out whenever they had nothing else to do
+        took 3.2 copies over three domains in place of 2.0, and no less time.
 
         Args:
           index: The chunk.
           digests: Of all chunks.
           fleet: All agents.
-          busy: Whether this agent waits for other chunks.
           mean_s: How long a request takes on average, in seconds.
           arrived_at: When a chunk last arrived here.
           now: Monotonic seconds.
@@ -69,12 +68,10 @@
         if self._imported >= self._budget(len(digests), fleet):
             # The budget must not keep a chunk out that is nowhere near.
             return now >= arrived_at + self._limits.draw_deadline_s
-        if not busy:
-            return True
         if self._peers.held_near(index):
             return False
         seen_at = self._peers.seen_far_at(index, now)
-        return now >= seen_at + rank * mean_s
+        return now >= seen_at + (2 + 2 * rank) * mean_s
 
     def _budget(self, chunks: int, fleet: drawers.Fleet) -> int:
         near = len(fleet.group(_DOMAIN, self._me.failure_domain))
--- a/src/clementinegw/weights/_swarm_machine.py
+++ b/src/clementinegw/weights/_swarm_machine.py
@@ -340,7 +340,6 @@
             index,
             self._target.digests,
             self._view.fleet,
-            bool(len(self._requests)),
             self._requests.mean_s,
             self._arrived_at,
             now,
--- a/src/clementinegw/weights/store.py
+++ b/src/clementinegw/weights/store.py
@@ -77,6 +77,10 @@
             (index for index, chunk in chunks if chunk.digest in self._chunks),
         )
 
+    def holds(self, chunk_digest: bytes) -> bool:
+        """Returns whether a chunk is held."""
+        return chunk_digest in self._chunks
+
     async def get(self, chunk_digest: bytes) -> bytes | None:
         """Returns a chunk, or None when it is not held (any more)."""
         data = self._chunks.get(chunk_digest)
--- a/src/clementinegw/wire/gen/reports/ttypes.py
+++ b/src/clementinegw/wire/gen/reports/ttypes.py
@@ -123,6 +123,7 @@
      - whole
      - loading
      - pace
+     - yielding
 
     """
 
@@ -136,10 +137,11 @@
         'whole',
         'loading',
         'pace',
+        'yielding',
     )
 
 
-    def __init__(self, server_id=None, running=None, waiting=None, slots=None, model=None, version=None, whole=None, loading=None, pace=None,):
+    def __init__(self, server_id=None, running=None, waiting=None, slots=None, model=None, version=None, whole=None, loading=None, pace=None, yielding=None,):
         self.server_id = server_id
         self.running = running
         self.waiting = waiting
@@ -149,6 +151,7 @@
         self.whole = whole
         self.loading = loading
         self.pace = pace
+        self.yielding = yielding
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -204,6 +207,11 @@
                     self.pace = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.BOOL:
+                    self.yielding = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -250,6 +258,10 @@
             oprot.writeFieldBegin('pace', TType.DOUBLE, 9)
             oprot.writeDouble(self.pace)
             oprot.writeFieldEnd()
+        if self.yielding is not None:
+            oprot.writeFieldBegin('yielding', TType.BOOL, 10)
+            oprot.writeBool(self.yielding)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -272,6 +284,8 @@
             raise TProtocolException(message='Required field loading is unset!')
         if self.pace is None:
             raise TProtocolException(message='Required field pace is unset!')
+        if self.yielding is None:
+            raise TProtocolException(message='Required field yielding is unset!')
         return
 
     def __repr__(self):
@@ -309,6 +323,7 @@
     (7, TType.BOOL, 'whole', None, None, ),  # 7
     (8, TType.BOOL, 'loading', None, None, ),  # 8
     (9, TType.DOUBLE, 'pace', None, None, ),  # 9
+    (10, TType.BOOL, 'yielding', None, None, ),  # 10
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/clementinegw/wire/reports.thrift
+++ b/src/clementinegw/wire/reports.thrift
@@ -18,4 +18,6 @@
   7: required bool whole,
   8: required bool loading,
   9: required double pace,
+  // It is about to load: others are to be preferred until it has.
+  10: required bool yielding,
 }
