Let servers yield before they load and go on with cut streams elsewhere

Cause: a load waits for all running streams, up to three seconds, and a version must serve eight seconds after its declaration, of which links take five. Change: groups of servers get no new requests for a second, then load with what runs broken off; its streams go on at another server.

--- a/src/clementinegw/direct/agent.py
+++ b/src/clementinegw/direct/agent.py
@@ -36,11 +36,12 @@
 _ORDER_S = 0.3
 # Servers swap in groups, so that most serve at any time; the last group must
 # have ended its requests when the version is due.
-_TURNS = turns.Terms(groups=3, first_s=0.0, step_s=0.9)
-# From the order to service: the requests under way end, and the layers load.
-_SWAP_S = 1.6
-_DRAIN_S = 1.4
-_LOAD_S = 0.4
+_TURNS = turns.Terms(groups=3, first_s=0.0, step_s=0.8)
+# How long a server gets no new requests before it is ordered to load, and how
+# long it takes to load and to be known to serve again, in seconds.
+_DRAIN_S = 1.0
+_LOAD_S = 0.6
+_SWAP_S = _DRAIN_S + _LOAD_S
 # How much longer than at the links' limit a version takes to come.
 _BRING_FACTOR = 1.22
 # How long an agent that has every piece goes on sending that version.
@@ -117,6 +118,7 @@
         self._here_at: dict[int, float] = {}
         self._whole_at = math.inf
         self._yielding = False
+        self._yields_since = 0.0
         self._servers: dict[str, types.Server] = {}
         self._state: backing.State | None = None
         self._beside: backing.Beside | None = None
@@ -267,6 +269,7 @@
                 loading=state.busy,
                 pace=state.pace,
                 yielding=self._yielding,
+                entries=self._reporter.entries,
             )
         )
 
@@ -378,7 +381,7 @@
         """Orders the newest version that is here, if it is not served."""
         if self._state is None or self._beside is None or self._state.busy:
             return
-        self._yielding = False
+        yielded, self._yielding = self._yielding, False
         for version in sorted(self._digests, reverse=True):
             if self._serves(version):
                 return
@@ -386,6 +389,8 @@
             if not empty and self._clock() < self._turn_at(version):
                 continue
             self._yielding = not empty
+            if not yielded:
+                self._yields_since = self._clock()
             if self._bringer.holds(self._digests[version]):
                 await self._load(self._digests[version])
                 return
@@ -397,8 +402,17 @@
         state = await self._beside.state()
         if state.busy:
             return
+        yielded_s = self._clock() - self._yields_since
+        if (
+            state.running
+            and yielded_s < _DRAIN_S
+            and self._spare_s(digests.version) > 0
+        ):
+            return
+        # Streams last for seconds; what is left of them goes on at another
+        # server, which takes a quarter of a second.
         begun = await self._beside.load(
-            self.model, digests.version, state.sequence
+            self.model, digests.version, state.sequence, cut=True
         )
         self._counters.add("weights.orders")
         self._log.write(
@@ -407,6 +421,7 @@
             sequence=state.sequence,
             begun=begun,
             running=state.running,
+            yielded_s=round(yielded_s, 3),
             after_s=round(self._clock() - self._at(digests.version), 3),
             received_bytes=self._counters.value("weights.received_bytes"),
             from_afar_bytes=self._counters.value("weights.cross_domain_bytes"),
@@ -434,12 +449,21 @@
             if not server.leaving
         ]
         now = self._clock()
-        due_at = self._at(version) + self._instance.bounds.weights_ms / 1e3
         if self._bringer.holds(self._digests[version]):
             here_at = self._here_at.setdefault(version, now)
         else:
             here_at = now + self._bringer.left * self._bring_s()
         delay_s = turns.delay_s(self._server_id(), same, version, _TURNS)
-        return min(here_at - _DRAIN_S, due_at - _SWAP_S - _LOAD_S) + min(
-            delay_s, max(0.0, due_at - _SWAP_S - here_at)
-        )
+        # The last group's turn, if it is to serve in time, and the part of
+        # the steps that fits before.
+        latest = self._due_at(version) - _SWAP_S
+        first = min(here_at - _DRAIN_S, latest)
+        span_s = (_TURNS.groups - 1) * _TURNS.step_s
+        return first + delay_s * min(1.0, (latest - first) / span_s)
+
+    def _due_at(self, version: int) -> float:
+        return self._at(version) + self._instance.bounds.weights_ms / 1e3
+
+    def _spare_s(self, version: int) -> float:
+        """Returns how long an order may wait so that it serves in time."""
+        return self._due_at(version) - _LOAD_S - self._clock()
--- a/src/clementinegw/direct/attempt.py
+++ b/src/clementinegw/direct/attempt.py
@@ -109,7 +109,8 @@
             whole = not isinstance(outcome, outcomes.Lost)
             return outcome
         except client.AnswerBroken:
-            backend.failed(self._clock())
+            if not backend.yielding:
+                backend.failed(self._clock())
             return outcomes.Lost(outcomes.LostReason.BROKEN)
         except _Silent:
             backend.unreachable(self._clock())
@@ -150,7 +151,6 @@
             return outcomes.Lost(outcomes.LostReason.CROSSED)
         if facts.not_run or head.status == _MISDIRECTED:
             return await self._not_run(connection, backend, head)
-        job.runs += 1
         if facts.version is not None:
             backend.take_version(facts.version, now)
         if 200 <= head.status < 300:
--- a/src/clementinegw/direct/backing.py
+++ b/src/clementinegw/direct/backing.py
@@ -63,13 +63,16 @@
     async def stage(self, number: int, data: bytes) -> None:
         """Puts a piece there, over the one that lay there."""
 
-    async def load(self, model: str, version: int, sequence: int) -> bool:
+    async def load(
+        self, model: str, version: int, sequence: int, cut: bool
+    ) -> bool:
         """Orders it to load what is staged.
 
         Args:
           model: The model.
           version: The version that is staged.
           sequence: Orders it must have accepted so far, else it refuses.
+          cut: Whether what runs is broken off; else it ends first.
 
         Returns:
           Whether the order has begun or is in effect already.
--- a/src/clementinegw/direct/balance.py
+++ b/src/clementinegw/direct/balance.py
@@ -58,6 +58,11 @@
         self._rng = rng
         self._clock = clock
 
+    @property
+    def entries(self) -> int:
+        """How many entries there are, as agents tell; 0 when none does."""
+        return max((b.entries for b in self._servers.all()), default=0)
+
     def candidates(self, wanted: Wanted) -> list[fleet.Backend]:
         """Returns the servers that could run the request, busy or not."""
         return [
--- a/src/clementinegw/direct/budget.py
+++ b/src/clementinegw/direct/budget.py
@@ -1,8 +1,8 @@
 """Bounds repeated sends of one entry, so that all entries keep the limit.
 
-The limit holds for the sum over all entries, and no entry knows how many
-there are. Each keeps to its own requests' part of the ratio and to a fixed
-part of the slack; so the sum holds without a word between them.
+The limit holds for the sum over all entries. Each keeps to its own requests'
+part of the ratio and to its part of the slack, by the number of entries that
+agents tell; so the sum holds without a word between entries.
 """
 
 import collections
@@ -24,9 +24,10 @@
     window_s: float = 10.0
 
 
-# The part of the slack that one entry takes: a fiftieth suffices up to fifty
-# entries that use it up in the same window.
-_SLACK_SHARE = 0.02
+# The part of the slack that all entries take together, and for how many
+# entries it is shared while nobody has told their number.
+_SLACK_SHARE = 0.7
+_MOST_ENTRIES = 50
 # Requests stay in the window that they are counted in a little shorter than
 # the sends that they pay for, so that a late count never allows too much.
 _RATIO_SHARE = 0.9
@@ -39,6 +40,7 @@
         self._terms = terms
         self._requests: collections.deque[float] = collections.deque()
         self._repeats: collections.deque[float] = collections.deque()
+        self.entries = 0
 
     def request(self, now: float) -> None:
         """Counts a caller's request."""
@@ -49,7 +51,8 @@
         """Counts one repeated send; False when it is over the limit."""
         self._forget(now)
         earned = len(self._requests) * self._terms.ratio * _RATIO_SHARE
-        limit = earned + self._terms.slack * _SLACK_SHARE
+        slack = self._terms.slack * _SLACK_SHARE
+        limit = earned + slack / (self.entries or _MOST_ENTRIES)
         if len(self._repeats) + 1 > limit:
             return False
         self._repeats.append(now)
--- a/src/clementinegw/direct/fleet.py
+++ b/src/clementinegw/direct/fleet.py
@@ -50,6 +50,7 @@
         self.pace = 1.0
         self.loading = False
         self.yielding = False
+        self.entries = 0
         self.empty = False
         self._rest_s = _FIRST_REST_S
         self._others = 0.0
@@ -68,6 +69,7 @@
         )
         self.loading = report.loading
         self.yielding = report.yielding
+        self.entries = report.entries
         self.pace = max(1.0, report.pace)
         self.take_version(report.version if report.whole else 0, now)
         self.empty = not report.whole
--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -281,9 +281,12 @@
                 backend.rest_until = now + _RETRY_SOON_S
         else:
             job.tried.add(backend.server.server_id)
-        if isinstance(outcome, outcomes.Lost):
+        if not isinstance(outcome, outcomes.NotRun):
             job.runs += 1
-            if outcome.reason is outcomes.LostReason.BROKEN:
+        if isinstance(outcome, outcomes.Lost):
+            # A server that loads breaks off what it runs, by our own order.
+            broken = outcome.reason is outcomes.LostReason.BROKEN
+            if broken and not (backend.yielding or backend.loading):
                 self._suspects.crashed(job.request, now)
         self._log.write(
             _events.ATTEMPT_ENDED,
@@ -333,6 +336,7 @@
         found = self._budgets.get(service)
         if found is None:
             found = self._budgets[service] = budgets.RetryBudget(self._terms)
+        found.entries = self._balancer.entries
         return found
 
     def _is_engine(self, service: str) -> bool:
--- a/src/clementinegw/direct/reports.py
+++ b/src/clementinegw/direct/reports.py
@@ -35,6 +35,7 @@
       loading: Whether it takes no requests because it loads weights.
       pace: How many times slower than usual it works.
       yielding: Whether it is about to load, so that others are preferred.
+      entries: Entries that ask its agent for reports.
     """
 
     server_id: str
@@ -47,6 +48,7 @@
     loading: bool = False
     pace: float = 1.0
     yielding: bool = False
+    entries: int = 0
 
 
 class Reporter(asyncio.DatagramProtocol):
@@ -79,10 +81,15 @@
             self._subscribers[addr] = now + KEEP_S
         self._on_declared(message.declared)
 
-    def tell(self, report: Report) -> int:
-        """Sends a report to whoever has subscribed; returns to how many."""
+    @property
+    def entries(self) -> int:
+        """How many have subscribed."""
+        return len(self._subscribers)
+
+    def tell(self, report: Report) -> None:
+        """Sends a report to whoever has subscribed."""
         if self._transport is None:
-            return 0
+            return
         now = asyncio.get_running_loop().time()
         data = codec.encode(ttypes.BackendReport(**dataclasses.asdict(report)))
         for addr, until in list(self._subscribers.items()):
@@ -90,7 +97,6 @@
                 del self._subscribers[addr]
                 continue
             self._transport.sendto(data, addr)
-        return len(self._subscribers)
 
     def close(self) -> None:
         """Ends it."""
@@ -135,6 +141,7 @@
                 message.loading,
                 message.pace,
                 message.yielding,
+                message.entries,
             ),
         )
 
--- a/src/clementinegw/telemetry/output.py
+++ b/src/clementinegw/telemetry/output.py
@@ -3,7 +3,9 @@
 import asyncio
 import collections
 import fcntl
+import logging
 import os
+import sys
 
 import structlog
 
@@ -72,6 +74,10 @@
 def configure(level: events.Level = events.Level.INFO) -> Output:
     """Sends log lines to standard output from `level` upwards."""
     output = Output()
+    # What libraries say of a task that failed would else be lost.
+    logging.basicConfig(
+        level=logging.ERROR, stream=sys.stdout, format="%(message)s"
+    )
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
--- a/src/clementinegw/wire/gen/reports/ttypes.py
+++ b/src/clementinegw/wire/gen/reports/ttypes.py
@@ -124,6 +124,7 @@
      - loading
      - pace
      - yielding
+     - entries
 
     """
 
@@ -138,10 +139,11 @@
         'loading',
         'pace',
         'yielding',
+        'entries',
     )
 
 
-    def __init__(self, server_id=None, running=None, waiting=None, slots=None, model=None, version=None, whole=None, loading=None, pace=None, yielding=None,):
+    def __init__(self, server_id=None, running=None, waiting=None, slots=None, model=None, version=None, whole=None, loading=None, pace=None, yielding=None, entries=None,):
         self.server_id = server_id
         self.running = running
         self.waiting = waiting
@@ -152,6 +154,7 @@
         self.loading = loading
         self.pace = pace
         self.yielding = yielding
+        self.entries = entries
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -212,6 +215,11 @@
                     self.yielding = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I32:
+                    self.entries = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -262,6 +270,10 @@
             oprot.writeFieldBegin('yielding', TType.BOOL, 10)
             oprot.writeBool(self.yielding)
             oprot.writeFieldEnd()
+        if self.entries is not None:
+            oprot.writeFieldBegin('entries', TType.I32, 11)
+            oprot.writeI32(self.entries)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -286,6 +298,8 @@
             raise TProtocolException(message='Required field pace is unset!')
         if self.yielding is None:
             raise TProtocolException(message='Required field yielding is unset!')
+        if self.entries is None:
+            raise TProtocolException(message='Required field entries is unset!')
         return
 
     def __repr__(self):
@@ -324,6 +338,7 @@
     (8, TType.BOOL, 'loading', None, None, ),  # 8
     (9, TType.DOUBLE, 'pace', None, None, ),  # 9
     (10, TType.BOOL, 'yielding', None, None, ),  # 10
+    (11, TType.I32, 'entries', None, None, ),  # 11
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/clementinegw/wire/reports.thrift
+++ b/src/clementinegw/wire/reports.thrift
@@ -20,4 +20,6 @@
   9: required double pace,
   // It is about to load: others are to be preferred until it has.
   10: required bool yielding,
+  // Entries that ask this agent for reports.
+  11: required i32 entries,
 }
