Let requests wait in the entry, those that can be on time first

Cause: with more requests than slots all waited in one line at the servers, and nearly all were late; the platform's long polls were answered once a record. Change: direct.queue; a topic is read again half a second after news.

--- a/src/clementinegw/direct/agent.py
+++ b/src/clementinegw/direct/agent.py
@@ -23,10 +23,10 @@
 from clementinegw.telemetry import events
 from clementinegw.telemetry import logs
 
-# Entries pass a new declaration on within a second, so the platform is asked
-# seldom; the list of servers names the peers and changes seldom as well.
-_OPERATOR_PACE = follow.Pace(wait_s=3.0, pause_s=0.0)
-_SERVER_PACE = follow.Pace(wait_s=0.0, pause_s=2.0)
+# Entries pass a new declaration on within a second, so a connection to the
+# platform that went silent may go unnoticed for a while.
+_OPERATOR_PACE = follow.Pace(wait_s=6.0, pause_s=0.0)
+_SERVER_PACE = follow.Pace(wait_s=10.0, pause_s=2.0)
 # How often the server beside is asked, in seconds. It costs nothing there and
 # bounds the age of what entries balance by.
 _STATE_S = 0.2
--- a/src/clementinegw/direct/attempt.py
+++ b/src/clementinegw/direct/attempt.py
@@ -80,14 +80,12 @@
         Raises:
           channel.ChannelClosed: The caller has left.
         """
-        backend.in_flight += 1
         backend.unread_tokens += job.facts.prompt_tokens
         unread = _Unread(backend, job.facts.prompt_tokens)
         try:
             return await self._run(job, backend, sending, unread)
         finally:
             unread.done()
-            backend.in_flight -= 1
 
     async def _run(
         self,
--- a/src/clementinegw/direct/entry.py
+++ b/src/clementinegw/direct/entry.py
@@ -24,10 +24,11 @@
 from clementinegw.telemetry import events
 from clementinegw.telemetry import logs
 
-# How topics are read: declarations at once, for they must be in force within
-# two seconds; the list of servers as often as its entries change.
-_OPERATOR_PACE = follow.Pace(wait_s=1.5, pause_s=0.0)
-_SERVER_PACE = follow.Pace(wait_s=0.0, pause_s=0.7)
+# How topics are read. The platform answers as soon as something changes, so
+# the wait only bounds how long a connection that went silent goes unnoticed,
+# and how old a key's proof grows; each call is paid for.
+_OPERATOR_PACE = follow.Pace(wait_s=2.0, pause_s=0.0)
+_SERVER_PACE = follow.Pace(wait_s=2.0, pause_s=0.5)
 # The part of the time in which a key that was taken away must stop that its
 # last proof may be old, and the part after which the process takes no new
 # callers: others may have heard from the platform since.
@@ -209,6 +210,7 @@
         if backend is None or backend.server.address.host != host:
             return
         backend.take_report(report, self._clock())
+        self._forwarder.look()
 
     def _is_engine(self, service: str) -> bool:
         catalog = self._knowledge.catalog
--- a/src/clementinegw/direct/follow.py
+++ b/src/clementinegw/direct/follow.py
@@ -21,6 +21,9 @@
 # The first pause after a failed call and the longest one, in seconds. Short
 # beside the two seconds in which a change must be in force.
 _FIRST_PAUSE_S = 0.1
+# The part of a wait that counts as served by the platform's clock; the two
+# clocks need not agree to the last percent.
+_WAIT_SHARE = 0.95
 _LONGEST_PAUSE_S = 0.8
 
 
@@ -92,7 +95,8 @@
 
     Attributes:
       wait_s: How long the platform may hold an answer, in seconds.
-      pause_s: The pause between two calls, in seconds.
+      pause_s: The pause after an answer with records, in seconds. Changes
+        come in bursts, and each answer is paid for.
     """
 
     wait_s: float
@@ -136,7 +140,6 @@
         self._proved_at: float | None = None
         self._failing_since: float | None = None
         self._returned_at = clock()
-        self._nudged = asyncio.Event()
 
     @property
     def known(self) -> bool:
@@ -157,16 +160,12 @@
             return 0.0
         return self._clock() - self._returned_at
 
-    def nudge(self) -> None:
-        """Reads at once in place of waiting for the pause to end."""
-        self._nudged.set()
-
     @mode.Service.task
     async def _run(self) -> None:
         pause_s = _FIRST_PAUSE_S
         while not self.should_stop:
             try:
-                await self._read()
+                news = await self._read()
             except HistoryLost:
                 self._counters.add(f"platform.{self._name}.history_lost")
                 self._log.write(_events.HISTORY_LOST, topic=self._name)
@@ -178,19 +177,11 @@
                 pause_s = min(2 * pause_s, _LONGEST_PAUSE_S)
                 continue
             pause_s = _FIRST_PAUSE_S
-            await self._wait()
-
-    async def _wait(self) -> None:
-        if not self._pace.pause_s:
-            return
-        try:
-            async with asyncio.timeout(self._pace.pause_s):
-                await self._nudged.wait()
-        except TimeoutError:
-            pass
-        self._nudged.clear()
-
-    async def _read(self) -> None:
+            if news or not self._pace.wait_s:
+                await asyncio.sleep(self._pace.pause_s)
+
+    async def _read(self) -> bool:
+        """Makes one call; returns whether there was anything new."""
         asked_at = self._clock()
         whole = self._offset is None
         self._counters.add(f"platform.{self._name}.calls")
@@ -199,12 +190,24 @@
         else:
             batch = await self._source.changes(self._offset, self._pace.wait_s)
         self._offset = batch.end
-        self._succeeded(asked_at)
+        self._succeeded(self._proved(batch, whole, asked_at))
         if whole or batch.records:
             self._on_batch(batch, whole)
+        return bool(batch.records)
+
+    def _proved(self, batch: Batch, whole: bool, asked_at: float) -> float:
+        """Returns up to when an answer proves that nothing else is new.
+
+        An answer without records was kept back for the whole wait, so it
+        speaks of the end of that wait and not of its beginning.
+        """
+        if whole or batch.records:
+            return asked_at
+        waited = self._clock() - asked_at
+        return asked_at + min(waited, self._pace.wait_s) * _WAIT_SHARE
 
-    def _succeeded(self, asked_at: float) -> None:
-        self._proved_at = max(asked_at, self._proved_at or asked_at)
+    def _succeeded(self, proved_at: float) -> None:
+        self._proved_at = max(proved_at, self._proved_at or proved_at)
         if self._failing_since is not None:
             lasted = self._clock() - self._failing_since
             self._failing_since = None
--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -16,6 +16,7 @@
 from clementinegw.direct import dialect as dialects
 from clementinegw.direct import fleet
 from clementinegw.direct import outcomes
+from clementinegw.direct import queue
 from clementinegw.direct import server as servers
 from clementinegw.direct import suspects as suspects_lib
 from clementinegw.direct import types
@@ -28,20 +29,25 @@
 # Refusals before a server has run a request are repeated this often at most:
 # each is an arrival that the retry budget pays for.
 _MOST_SENDS = 4
-# How long a request waits for room, as a part of its objective: a refusal that
-# comes later costs the caller the time in which it could go elsewhere.
-_WAIT_OBJECTIVES = 0.12
-_WAIT_STEP_S = 0.02
-# Servers with this part of their slots taken, in queue and in work, get no
-# more: what waits longer than that is late whoever runs it.
-_MOST_BUSY_ENGINE = 2.0
-_MOST_BUSY_PLAIN = 4.0
+# What room a server must have, as a part of its slots. An engine runs as many
+# as it has slots, and what waits behind them is late soon; plain servers take
+# turns so quickly that a few may wait there. Late ones take what is left over.
+_ENGINE_TERMS = queue.Terms(most_busy=1.1, most_busy_late=0.95)
+_PLAIN_TERMS = queue.Terms(most_busy=3.0, most_busy_late=2.0)
+# How long an engine takes from a request's arrival to the first event beside
+# reading its prompt, in seconds: the pass under way and the first of its own.
+_FIRST_EVENT_S = 0.12
+# How long a request that is late waits for room, as a part of its time. Those
+# that are given up later have less time to go elsewhere.
+_LATE_SHARE = 0.2
 # A server that said it is full is passed over for this long, in seconds.
 _FULL_S = 0.15
-# When to come back, in seconds: with nothing known, and for each reason that
-# lasts longer.
+# When to come back, in seconds: while the process learns what it needs, and,
+# as a part of the caller's time, when servers have no room or none serves.
+# Callers wait for a third of their time at most; what is refused twice is lost.
 _RETRY_SOON_S = 0.3
-_RETRY_LATER_S = 1.0
+_RETRY_FULL = (0.15, 0.3)
+_RETRY_NONE = (0.27, 0.33)
 # A server stops at the time that it is given; the answer needs the way back.
 _WAY_BACK_S = 0.02
 _BAD_GATEWAY = 502
@@ -92,6 +98,7 @@
         self._counters = counters
         self._attempts = attempts.Attempts(dialect, clock)
         self._budgets: dict[str, budgets.RetryBudget] = {}
+        self._queues: dict[str, queue.Queue] = {}
         self._suspects = suspects_lib.Suspects()
 
     async def handle(
@@ -219,12 +226,22 @@
         self, job: attempts.Job
     ) -> outcomes.Attempt | outcomes.Refusal:
         if self._suspects.refused(job.request, self._clock()):
-            return self._unserved(job, Reason.CRASHES_SERVERS, 5.0)
-        backend = await self._choose(job)
-        if isinstance(backend, outcomes.Refusal):
-            return backend
+            return self._unserved(job, Reason.CRASHES_SERVERS, 1.0)
+        place = await self._choose(job)
+        if isinstance(place, outcomes.Refusal):
+            return place
+        try:
+            return await self._send(job, place.backend)
+        finally:
+            place.free()
+
+    async def _send(
+        self, job: attempts.Job, backend: fleet.Backend
+    ) -> outcomes.Attempt | outcomes.Refusal:
         if job.sends and not self._budget(job.service).allow(self._clock()):
-            return self._unserved(job, Reason.NO_BUDGET, _RETRY_SOON_S)
+            return self._unserved(
+                job, Reason.NO_BUDGET, self._share(_RETRY_FULL)
+            )
         now = self._clock()
         sending = types.Sending(
             backend.server.server_id,
@@ -241,27 +258,45 @@
 
     async def _choose(
         self, job: attempts.Job
-    ) -> fleet.Backend | outcomes.Refusal:
-        engine = self._is_engine(job.service)
-        wanted = balance.Wanted(
-            job.service,
-            engine,
-            self._versions.demanded(job.facts.model, self._clock()) or 0,
-            _MOST_BUSY_ENGINE if engine else _MOST_BUSY_PLAIN,
+    ) -> queue.Place | outcomes.Refusal:
+        engine = self._engine(job.service)
+        least = self._versions.demanded(job.facts.model, self._clock())
+        wanted = balance.Wanted(job.service, engine is not None, least or 0)
+        if not self._balancer.candidates(wanted):
+            return self._unserved(
+                job, Reason.NO_SERVER, self._share(_RETRY_NONE)
+            )
+        arrived = job.request.arrived_at
+        on_time_until = arrived + job.match.route.objective_s
+        if engine is not None:
+            reading_s = job.facts.prompt_tokens / engine.prefill_tokens_per_s
+            on_time_until -= _FIRST_EVENT_S + reading_s
+        place = await self._queue(job.service).place(
+            wanted,
+            frozenset(job.tried),
+            on_time_until,
+            arrived + _LATE_SHARE * (job.deadline - arrived),
         )
-        until = self._clock() + _WAIT_OBJECTIVES * job.match.route.objective_s
-        while True:
-            backend = self._balancer.choose(wanted, job.tried)
-            if backend is None and job.tried:
-                backend = self._balancer.choose(wanted)
-            if backend is not None:
-                return backend
-            if self._clock() >= until:
-                break
-            await asyncio.sleep(_WAIT_STEP_S)
-        if self._balancer.candidates(wanted):
-            return self._unserved(job, Reason.BUSY, _RETRY_SOON_S)
-        return self._unserved(job, Reason.NO_SERVER, _RETRY_LATER_S)
+        if place is None:
+            return self._unserved(job, Reason.BUSY, self._share(_RETRY_FULL))
+        return place
+
+    def _queue(self, service: str) -> queue.Queue:
+        found = self._queues.get(service)
+        if found is None:
+            terms = _ENGINE_TERMS if self._engine(service) else _PLAIN_TERMS
+            found = queue.Queue(self._balancer, terms, self._clock)
+            self._queues[service] = found
+        return found
+
+    def look(self) -> None:
+        """Looks for room for those who wait; servers told of their load."""
+        for waiting in self._queues.values():
+            waiting.look()
+
+    def _share(self, span: tuple[float, float]) -> float:
+        """Returns a part of the caller's time, spread over a span."""
+        return self._rng.uniform(*span)
 
     def _note(
         self,
@@ -316,21 +351,29 @@
     ) -> outcomes.Failed | outcomes.Refusal:
         if isinstance(outcome, outcomes.Failed):
             return outcome
-        return self._unserved(job, Reason.ATTEMPTS_USED, _RETRY_SOON_S)
+        return self._unserved(
+            job, Reason.ATTEMPTS_USED, self._share(_RETRY_FULL)
+        )
 
     def _timed_out(self, job: attempts.Job) -> outcomes.Refusal:
         return outcomes.Refusal(_GATEWAY_TIMEOUT, Reason.TIMEOUT)
 
     def _unserved(
-        self, job: attempts.Job, reason: Reason, retry_after_s: float
+        self, job: attempts.Job, reason: Reason, share: float
     ) -> outcomes.Refusal:
         """Returns the answer to a request without one.
 
         Only a request that no server may have begun is told "not run".
+
+        Args:
+          job: The request.
+          reason: Why.
+          share: When to come back, as a part of the time that is left.
         """
         if job.runs:
             return outcomes.Refusal(_BAD_GATEWAY, Reason.MAY_HAVE_RUN)
-        return _later(reason, retry_after_s)
+        left_s = max(0.0, job.deadline - self._clock())
+        return _later(reason, share * left_s)
 
     def _budget(self, service: str) -> budgets.RetryBudget:
         found = self._budgets.get(service)
@@ -339,12 +382,10 @@
         found.entries = self._balancer.entries
         return found
 
-    def _is_engine(self, service: str) -> bool:
+    def _engine(self, service: str) -> types.Engine | None:
         catalog = self._knowledge.catalog
-        if catalog is None:
-            return False
-        known = catalog.services.get(service)
-        return known is not None and known.engine is not None
+        known = catalog.services.get(service) if catalog else None
+        return known.engine if known else None
 
     # Answers of our own.
 
--- /dev/null
+++ b/src/clementinegw/direct/queue.py
@@ -0,0 +1,157 @@
+"""Requests that wait in the entry for room at a server.
+
+Who can still be on time goes first, the nearest time first; who is late takes
+what is left over. Waiting at the servers instead, everyone would be late as
+soon as more comes than they can take: with all in one line, each waits for all
+that came before.
+"""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+
+from clementinegw.direct import balance
+from clementinegw.direct import fleet
+
+# How often waiting requests are looked through besides when a request ends
+# or a report comes, in seconds.
+_LOOK_S = 0.02
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Terms:
+    """How long requests of a service wait, and for what room.
+
+    Attributes:
+      most_busy: The part of its slots that a server may have taken for one
+        more that can be on time.
+      most_busy_late: The same for one that is late.
+    """
+
+    most_busy: float
+    most_busy_late: float
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Waiting:
+    """One request that waits.
+
+    Attributes:
+      wanted: What it needs of a server.
+      tried: Ids of servers that have had it.
+      on_time_until: When it must begin to be on time, in monotonic seconds.
+      until: When it is given up, in monotonic seconds.
+      place: Its place at a server; None when it is given up.
+    """
+
+    wanted: balance.Wanted
+    tried: frozenset[str]
+    on_time_until: float
+    until: float
+    place: asyncio.Future["Place | None"]
+
+
+class Place:
+    """A request's place at a server, from the choice to the end."""
+
+    def __init__(self, backend: fleet.Backend, freed: Callable[[], None]):
+        self.backend = backend
+        self._freed = freed
+        self._held = True
+        backend.in_flight += 1
+
+    def free(self) -> None:
+        """Gives the place back."""
+        if self._held:
+            self._held = False
+            self.backend.in_flight -= 1
+            self._freed()
+
+
+class Queue:
+    """The waiting requests of one service."""
+
+    def __init__(
+        self,
+        balancer: balance.Balancer,
+        terms: Terms,
+        clock: Callable[[], float],
+    ):
+        self._balancer = balancer
+        self._terms = terms
+        self._clock = clock
+        self._waiting: list[Waiting] = []
+        self._timer: asyncio.TimerHandle | None = None
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    async def place(
+        self,
+        wanted: balance.Wanted,
+        tried: frozenset[str],
+        on_time_until: float,
+        until: float,
+    ) -> Place | None:
+        """Returns a place at a server; None when there is none in time.
+
+        Args:
+          wanted: What the request needs of a server.
+          tried: Ids of servers that have had it.
+          on_time_until: When it must begin to be on time.
+          until: When it is given up.
+        """
+        future = asyncio.get_running_loop().create_future()
+        waiting = Waiting(wanted, tried, on_time_until, until, future)
+        self._waiting.append(waiting)
+        self.look()
+        try:
+            return await future
+        except asyncio.CancelledError:
+            if future.done() and not future.cancelled():
+                place = future.result()
+                if place is not None:
+                    place.free()
+            raise
+        finally:
+            if waiting in self._waiting:
+                self._waiting.remove(waiting)
+
+    def look(self) -> None:
+        """Gives places to those that can have one now."""
+        if not self._waiting:
+            return
+        now = self._clock()
+        for waiting in self._in_order(now):
+            if waiting.place.done():
+                self._waiting.remove(waiting)
+                continue
+            late = waiting.on_time_until < now
+            backend = self._choose(waiting, late)
+            if backend is not None:
+                self._waiting.remove(waiting)
+                waiting.place.set_result(Place(backend, self.look))
+            elif now >= waiting.until:
+                self._waiting.remove(waiting)
+                waiting.place.set_result(None)
+        if self._waiting and self._timer is None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(_LOOK_S, self._again)
+
+    def _again(self) -> None:
+        self._timer = None
+        self.look()
+
+    def _in_order(self, now: float) -> list[Waiting]:
+        return sorted(
+            self._waiting,
+            key=lambda w: (w.on_time_until < now, w.on_time_until),
+        )
+
+    def _choose(self, waiting: Waiting, late: bool) -> fleet.Backend | None:
+        most = self._terms.most_busy_late if late else self._terms.most_busy
+        wanted = dataclasses.replace(waiting.wanted, most_busy=most)
+        backend = self._balancer.choose(wanted, waiting.tried)
+        if backend is None and waiting.tried:
+            backend = self._balancer.choose(wanted)
+        return backend
--- a/src/clementinegw/direct/versions.py
+++ b/src/clementinegw/direct/versions.py
@@ -7,7 +7,7 @@
 
 # A version is demanded this much before it is due: a request that is sent now
 # may begin a little later. Seconds.
-_MARGIN_S = 1.2
+_MARGIN_S = 0.6
 
 
 @dataclasses.dataclass(slots=True)
