Share the free slots of a server out between the entries

Cause: every entry sent to the slots that the last report showed free; a server with one free slot got a request from each, and waited-for answers were late. Change: an entry takes its part of the free slots of each report; reports come ten times a second.

--- a/src/clementinegw/direct/agent.py
+++ b/src/clementinegw/direct/agent.py
@@ -29,7 +29,7 @@
 _SERVER_PACE = follow.Pace(wait_s=10.0, pause_s=2.0)
 # How often the server beside is asked, in seconds. It costs nothing there and
 # bounds the age of what entries balance by.
-_STATE_S = 0.2
+_STATE_S = 0.1
 # Between two steps towards the wanted version, and after an order until the
 # server's state shows it, in seconds.
 _STEP_S = 0.1
--- a/src/clementinegw/direct/attempt.py
+++ b/src/clementinegw/direct/attempt.py
@@ -45,6 +45,10 @@
       sends: Times that it was handed to a server.
       runs: Times that it may have begun to run.
       last_event: The last event that the caller has got in this answer.
+      first_answer_at: When the caller got the first part of its answer.
+      waited_s: How long it waited for room in the entry, in seconds.
+      busy: The part of the last server's slots that seemed taken.
+      server_id: The last server that it was handed to.
     """
 
     request: servers.Request
@@ -57,6 +61,9 @@
     runs: int = 0
     last_event: str | None = None
     first_answer_at: float | None = None
+    waited_s: float = 0.0
+    busy: float = 0.0
+    server_id: str = ""
     tried: set[str] = dataclasses.field(default_factory=set)
 
     @property
--- a/src/clementinegw/direct/balance.py
+++ b/src/clementinegw/direct/balance.py
@@ -92,6 +92,7 @@
             and not backend.loading
             and backend.full_until <= now
             and not backend.pool.full
+            and backend.has_share(now)
             and self.busy(backend, now) < wanted.most_busy
         ]
         # Where every server rests after a failure, one of them is tried all
--- a/src/clementinegw/direct/entry.py
+++ b/src/clementinegw/direct/entry.py
@@ -111,7 +111,7 @@
             bounds.keys_ms / 1e3 * _KEYS_SHARE,
             _ROUTES_S,
         )
-        self._fleet = fleets.Fleet(log, self._max_connections)
+        self._fleet = fleets.Fleet(log, self._max_connections, rng)
         self._versions = versions_lib.Versions(bounds.weights_ms / 1e3, clock)
         self._balancer = balance.Balancer(
             self._fleet, instance.place, instance.regions, rng, clock
--- a/src/clementinegw/direct/fleet.py
+++ b/src/clementinegw/direct/fleet.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable
 import math
+import random
 
 from clementinegw import types as places
 from clementinegw.direct import _events
@@ -30,12 +31,19 @@
 _LONGEST_REST_S = 4.0
 # Time in which what others had under way at a server has changed by 1/e.
 _REPORT_MEMORY_S = 0.7
+# A report older than this says nothing of free slots, in seconds.
+_REPORT_FRESH_S = 0.5
+# Free slots are given out this often: not every entry has a request for its
+# part, and the next report corrects what was too much.
+_OVERBOOKING = 2.0
 
 
 class Backend:
     """One start of one backend server."""
 
-    def __init__(self, server: types.Server, pool: client.Pool):
+    def __init__(
+        self, server: types.Server, pool: client.Pool, rng: random.Random
+    ):
         self.server = server
         self.pool = pool
         self.in_flight = 0
@@ -51,6 +59,8 @@
         self.loading = False
         self.yielding = False
         self.entries = 0
+        self._share = 1.0
+        self._rng = rng
         self.empty = False
         self._rest_s = _FIRST_REST_S
         self._others = 0.0
@@ -70,10 +80,40 @@
         self.loading = report.loading
         self.yielding = report.yielding
         self.entries = report.entries
+        self._share_room(report)
         self.pace = max(1.0, report.pace)
         self.take_version(report.version if report.whole else 0, now)
         self.empty = not report.whole
 
+    def has_share(self, now: float) -> bool:
+        """Returns whether this entry may take one more of the free slots."""
+        if now - self._reported_at > _REPORT_FRESH_S or not self.entries:
+            return True
+        return self._share >= 1.0
+
+    def take(self) -> None:
+        """Counts a request that is sent to the server."""
+        self.in_flight += 1
+        self._share -= 1.0
+
+    def free(self) -> None:
+        """Counts a request that has left the server; its slot is ours again."""
+        self.in_flight -= 1
+        self._share += 1.0
+
+    def _share_room(self, report: reports.Report) -> None:
+        """Takes this entry's part of the slots that a report shows free.
+
+        All entries see the same free slots at the same moment. With each
+        taking what it wants, a server that has one slot free gets a request
+        from every entry, and all but one of them are late.
+        """
+        free = report.slots - report.running - report.waiting
+        part = max(0.0, free * _OVERBOOKING / max(1, report.entries))
+        whole = int(part)
+        more = self._rng.random() < part - whole
+        self._share = float(whole + more)
+
     def busy(self, now: float) -> float:
         """Returns about how many requests are at the server."""
         age = now - self._reported_at
@@ -113,14 +153,21 @@
 class Fleet:
     """All backend servers by service."""
 
-    def __init__(self, log: logs.Log, max_connections: Callable[[str], int]):
+    def __init__(
+        self,
+        log: logs.Log,
+        max_connections: Callable[[str], int],
+        rng: random.Random,
+    ):
         """Starts empty.
 
         Args:
           log: Where events go.
           max_connections: Connections that a server of a service takes.
+          rng: Shares free slots out.
         """
         self._log = log
+        self._rng = rng
         self._max_connections = max_connections
         self._backends: dict[str, Backend] = {}
         self._of_service: dict[str, list[Backend]] = {}
@@ -180,7 +227,7 @@
         backend = self._backends.get(key)
         if backend is None:
             pool = self._pool(server)
-            self._backends[key] = backend = Backend(server, pool)
+            self._backends[key] = backend = Backend(server, pool, self._rng)
             self._tell(server)
         elif backend.server.address != server.address:
             backend.pool.close()
--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -32,11 +32,11 @@
 # What room a server must have, as a part of its slots. An engine runs as many
 # as it has slots, and what waits behind them is late soon; plain servers take
 # turns so quickly that a few may wait there. Late ones take what is left over.
-_ENGINE_TERMS = queue.Terms(most_busy=1.1, most_busy_late=0.95)
+_ENGINE_TERMS = queue.Terms(most_busy=1.0, most_busy_late=0.9)
 _PLAIN_TERMS = queue.Terms(most_busy=3.0, most_busy_late=2.0)
 # How long an engine takes from a request's arrival to the first event beside
 # reading its prompt, in seconds: the pass under way and the first of its own.
-_FIRST_EVENT_S = 0.12
+_FIRST_EVENT_S = 0.2
 # How long a request that is late waits for room, as a part of its time. Those
 # that are given up later have less time to go elsewhere.
 _LATE_SHARE = 0.2
@@ -271,12 +271,18 @@
         if engine is not None:
             reading_s = job.facts.prompt_tokens / engine.prefill_tokens_per_s
             on_time_until -= _FIRST_EVENT_S + reading_s
+        began = self._clock()
         place = await self._queue(job.service).place(
             wanted,
             frozenset(job.tried),
             on_time_until,
             arrived + _LATE_SHARE * (job.deadline - arrived),
         )
+        now = self._clock()
+        job.waited_s += now - began
+        if place is not None:
+            job.busy = self._balancer.busy(place.backend, now)
+            job.server_id = place.backend.server.server_id
         if place is None:
             return self._unserved(job, Reason.BUSY, self._share(_RETRY_FULL))
         return place
@@ -434,6 +440,9 @@
             outcome=outcome,
             status=status,
             sends=job.sends,
+            server=job.server_id,
+            busy=round(job.busy, 2),
+            waited_ms=round(job.waited_s * 1e3),
             first_ms=None if first is None else round((first - arrived) * 1e3),
             total_ms=round((now - arrived) * 1e3),
             age_s=round(min(self._knowledge.age_s(), 9_999.0), 3),
--- a/src/clementinegw/direct/queue.py
+++ b/src/clementinegw/direct/queue.py
@@ -58,13 +58,13 @@
         self.backend = backend
         self._freed = freed
         self._held = True
-        backend.in_flight += 1
+        backend.take()
 
     def free(self) -> None:
         """Gives the place back."""
         if self._held:
             self._held = False
-            self.backend.in_flight -= 1
+            self.backend.free()
             self._freed()
 
 
