Read the instance file again, and hold requests for a server that is nearly there

Change: SIGHUP and a look every three seconds read the file; servers with a version that is nearly due go first; agents tell when their server serves.

--- a/src/clementinegw/direct/agent.py
+++ b/src/clementinegw/direct/agent.py
@@ -144,6 +144,10 @@
         await self.add_runtime_dependency(self._listing)
         self._log.write(events.PROCESS_STARTED)
 
+    def reload(self, instance: instances.Instance) -> None:
+        """Takes over a changed instance file; addresses stay as they are."""
+        self._instance = instance
+
     async def drain(self) -> None:
         """Has nothing to finish: what it brought lies with the server."""
         self._log.write(events.PROCESS_STOPPING)
@@ -270,9 +274,20 @@
                 pace=state.pace,
                 yielding=self._yielding,
                 entries=self._reporter.entries,
+                ready_in_s=self._ready_in_s(best is not None and best.whole),
             )
         )
 
+    def _ready_in_s(self, serves: bool) -> float:
+        """Returns about when the server serves; negative when unknown."""
+        if serves:
+            return 0.0
+        if self._state is not None and self._state.busy:
+            return _LOAD_S
+        if self._bringer.digests is None:
+            return -1.0
+        return self._bringer.left * self._bring_s() + _LOAD_S
+
     def _server_id(self) -> str:
         for server in self._servers.values():
             if server.address == self._backend:
--- a/src/clementinegw/direct/balance.py
+++ b/src/clementinegw/direct/balance.py
@@ -32,12 +32,14 @@
       service: The service.
       engine: Whether it needs whole weights.
       least_version: Of at least this version.
+      preferred_version: Servers with at least this version go first.
       most_busy: Servers with this part of their slots taken are passed over.
     """
 
     service: str
     engine: bool
     least_version: int = 0
+    preferred_version: int = 0
     most_busy: float = 3.0
 
 
@@ -63,6 +65,22 @@
         """How many entries there are, as agents tell; 0 when none does."""
         return max((b.entries for b in self._servers.all()), default=0)
 
+    def ready_in_s(self, service: str) -> float:
+        """Returns about when a server of a service serves, in seconds.
+
+        Infinite where no agent tells.
+        """
+        now = self._clock()
+        at = min(
+            (
+                backend.ready_at
+                for backend in self._servers.of(service)
+                if not backend.server.leaving
+            ),
+            default=float("inf"),
+        )
+        return max(0.0, at - now)
+
     def candidates(self, wanted: Wanted) -> list[fleet.Backend]:
         """Returns the servers that could run the request, busy or not."""
         return [
@@ -100,6 +118,8 @@
         # is about to load still serves where no other has room.
         rested = [b for b in able if b.rest_until <= now] or able
         staying = [b for b in rested if not b.yielding] or rested
+        newer = [b for b in staying if b.serves(wanted.preferred_version)]
+        staying = newer or staying
         return min(staying, key=lambda b: self._score(b, now), default=None)
 
     def busy(self, backend: fleet.Backend, now: float) -> float:
--- a/src/clementinegw/direct/budget.py
+++ b/src/clementinegw/direct/budget.py
@@ -37,7 +37,7 @@
     """The repeated sends of one service."""
 
     def __init__(self, terms: Terms):
-        self._terms = terms
+        self.terms = terms
         self._requests: collections.deque[float] = collections.deque()
         self._repeats: collections.deque[float] = collections.deque()
         self.entries = 0
@@ -50,8 +50,8 @@
     def allow(self, now: float) -> bool:
         """Counts one repeated send; False when it is over the limit."""
         self._forget(now)
-        earned = len(self._requests) * self._terms.ratio * _RATIO_SHARE
-        slack = self._terms.slack * _SLACK_SHARE
+        earned = len(self._requests) * self.terms.ratio * _RATIO_SHARE
+        slack = self.terms.slack * _SLACK_SHARE
         limit = earned + slack / (self.entries or _MOST_ENTRIES)
         if len(self._repeats) + 1 > limit:
             return False
@@ -59,7 +59,7 @@
         return True
 
     def _forget(self, now: float) -> None:
-        start = now - self._terms.window_s
+        start = now - self.terms.window_s
         for times in (self._requests, self._repeats):
             while times and times[0] < start:
                 times.popleft()
--- a/src/clementinegw/direct/entry.py
+++ b/src/clementinegw/direct/entry.py
@@ -121,11 +121,7 @@
             self._knowledge,
             self._balancer,
             self._versions,
-            budget.Terms(
-                bounds.repeat_ratio,
-                bounds.repeat_slack,
-                bounds.repeat_window_s,
-            ),
+            _terms(bounds),
             rng,
             clock,
             log,
@@ -162,6 +158,14 @@
         await self.add_runtime_dependency(self._listing)
         self._log.write(events.PROCESS_STARTED)
 
+    def reload(self, instance: instances.Instance) -> None:
+        """Takes over a changed instance file; addresses stay as they are."""
+        self._instance = instance
+        bounds = instance.bounds
+        self._knowledge.revoke_s = bounds.keys_ms / 1e3 * _KEYS_SHARE
+        self._versions.due_s = bounds.weights_ms / 1e3
+        self._forwarder.set_terms(_terms(bounds))
+
     async def drain(self) -> None:
         """Takes no new callers and finishes what it has."""
         self._log.write(events.PROCESS_STOPPING, busy=self._server.busy)
@@ -276,3 +280,9 @@
         catalog = self._knowledge.catalog
         known = catalog.services.get(service) if catalog else None
         return known.max_connections if known else 32
+
+
+def _terms(bounds: instances.Bounds) -> budget.Terms:
+    return budget.Terms(
+        bounds.repeat_ratio, bounds.repeat_slack, bounds.repeat_window_s
+    )
--- a/src/clementinegw/direct/fleet.py
+++ b/src/clementinegw/direct/fleet.py
@@ -59,6 +59,7 @@
         self.loading = False
         self.yielding = False
         self.entries = 0
+        self.ready_at = math.inf
         self._share = 1.0
         self._rng = rng
         self.empty = False
@@ -80,6 +81,8 @@
         self.loading = report.loading
         self.yielding = report.yielding
         self.entries = report.entries
+        if report.ready_in_s >= 0.0:
+            self.ready_at = now + report.ready_in_s
         self._share_room(report)
         self.pace = max(1.0, report.pace)
         self.take_version(report.version if report.whole else 0, now)
--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -40,6 +40,8 @@
 # How long a request that is late waits for room, as a part of its time. Those
 # that are given up later have less time to go elsewhere.
 _LATE_SHARE = 0.2
+# A request whose server will serve within this part of its time waits for it.
+_SOON_SHARE = 0.27
 # A server that said it is full is passed over for this long, in seconds.
 _FULL_S = 0.15
 # When to come back, in seconds: while the process learns what it needs, and,
@@ -261,12 +263,24 @@
     ) -> queue.Place | outcomes.Refusal:
         engine = self._engine(job.service)
         least = self._versions.demanded(job.facts.model, self._clock())
-        wanted = balance.Wanted(job.service, engine is not None, least or 0)
-        if not self._balancer.candidates(wanted):
-            return self._unserved(
-                job, Reason.NO_SERVER, self._share(_RETRY_NONE)
-            )
+        wanted = balance.Wanted(
+            job.service,
+            engine is not None,
+            least or 0,
+            self._versions.preferred(job.facts.model, self._clock()),
+        )
         arrived = job.request.arrived_at
+        time_s = job.deadline - arrived
+        until = arrived + _LATE_SHARE * time_s
+        if not self._balancer.candidates(wanted):
+            ready_in_s = self._balancer.ready_in_s(job.service)
+            if ready_in_s > _SOON_SHARE * time_s:
+                return self._unserved(
+                    job, Reason.NO_SERVER, self._back_share(job, ready_in_s)
+                )
+            # Turned away, it would come back before the server does, and be
+            # lost; a server that is nearly there still serves it, if late.
+            until = self._clock() + ready_in_s + _LATE_SHARE * time_s
         on_time_until = arrived + job.match.route.objective_s
         if engine is not None:
             reading_s = job.facts.prompt_tokens / engine.prefill_tokens_per_s
@@ -276,7 +290,7 @@
             wanted,
             frozenset(job.tried),
             on_time_until,
-            arrived + _LATE_SHARE * (job.deadline - arrived),
+            until,
         )
         now = self._clock()
         job.waited_s += now - began
@@ -287,6 +301,12 @@
             return self._unserved(job, Reason.BUSY, self._share(_RETRY_FULL))
         return place
 
+    def _back_share(self, job: attempts.Job, ready_in_s: float) -> float:
+        """Returns when to come back, as a part of the time that is left."""
+        left_s = max(0.001, job.deadline - self._clock())
+        most = self._share(_RETRY_NONE)
+        return min(most, max(_RETRY_FULL[0], ready_in_s / left_s))
+
     def _queue(self, service: str) -> queue.Queue:
         found = self._queues.get(service)
         if found is None:
@@ -295,6 +315,12 @@
             self._queues[service] = found
         return found
 
+    def set_terms(self, terms: budgets.Terms) -> None:
+        """Takes over what the operators allow of repeated sends."""
+        self._terms = terms
+        for found in self._budgets.values():
+            found.terms = terms
+
     def look(self) -> None:
         """Looks for room for those who wait; servers told of their load."""
         for waiting in self._queues.values():
--- a/src/clementinegw/direct/reports.py
+++ b/src/clementinegw/direct/reports.py
@@ -36,6 +36,8 @@
       pace: How many times slower than usual it works.
       yielding: Whether it is about to load, so that others are preferred.
       entries: Entries that ask its agent for reports.
+      ready_in_s: About when it serves again, in seconds; negative when that is
+        not known.
     """
 
     server_id: str
@@ -49,6 +51,7 @@
     pace: float = 1.0
     yielding: bool = False
     entries: int = 0
+    ready_in_s: float = -1.0
 
 
 class Reporter(asyncio.DatagramProtocol):
@@ -142,6 +145,7 @@
                 message.pace,
                 message.yielding,
                 message.entries,
+                message.ready_in_s,
             ),
         )
 
--- a/src/clementinegw/direct/run.py
+++ b/src/clementinegw/direct/run.py
@@ -1,16 +1,21 @@
 """Runs one daemon of the direct path until it is told to stop."""
 
+import asyncio
 from collections.abc import Callable
 import pathlib
 from typing import Any
 
 from clementinegw import exceptions
 from clementinegw import lifetime
+from clementinegw.direct import _events
 from clementinegw.direct import instance as instances
 from clementinegw.telemetry import counters as counters_lib
 from clementinegw.telemetry import logs
 from clementinegw.telemetry import output
 
+# How often the instance file is read again, in seconds.
+_LOOK_S = 3.0
+
 MakePlatform = Callable[[instances.Instance, logs.Log], Any]
 
 
@@ -39,12 +44,54 @@
     counters = counters_lib.Counters()
     platform = make_platform(instance, log)
     daemon = _ROLES[args[0]](instance, platform, log, counters)
+    watcher = _Watcher(path, instance, daemon, log)
+    watching = asyncio.ensure_future(watcher.watch())
     try:
-        return await lifetime.run_until_signal(daemon)
+        return await lifetime.run_until_signal(daemon, watcher.look)
     finally:
+        watching.cancel()
         out.flush()
 
 
+class _Watcher:
+    """Reads the instance file again, at SIGHUP and every few seconds.
+
+    The platform may change the file without a signal. A malformed one leaves
+    the former in force.
+    """
+
+    def __init__(
+        self,
+        path: pathlib.Path,
+        instance: instances.Instance,
+        daemon: Any,
+        log: logs.Log,
+    ):
+        self._path = path
+        self._instance = instance
+        self._daemon = daemon
+        self._log = log
+        self._refused = ""
+
+    async def watch(self) -> None:
+        while True:
+            await asyncio.sleep(_LOOK_S)
+            self.look()
+
+    def look(self) -> None:
+        try:
+            found = instances.read(self._path)
+        except exceptions.SettingsError as error:
+            if error.message != self._refused:
+                self._refused = error.message
+                self._log.write(_events.SETTINGS_REFUSED, reason=error.message)
+            return
+        if found != self._instance:
+            self._instance = found
+            self._daemon.reload(found)
+            self._log.write(_events.SETTINGS_RELOADED)
+
+
 def _entry(instance, platform, log, counters):
     from clementinegw.direct import entry
 
--- a/src/clementinegw/direct/versions.py
+++ b/src/clementinegw/direct/versions.py
@@ -7,7 +7,9 @@
 
 # A version is demanded this much before it is due: a request that is sent now
 # may begin a little later. Seconds.
-_MARGIN_S = 0.6
+_MARGIN_S = 0.9
+# Servers that have it already are preferred from this much earlier, in seconds.
+_PREFER_S = 1.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -27,7 +29,7 @@
           due_s: How long after its declaration a version must serve.
           clock: Monotonic seconds.
         """
-        self._due_s = due_s
+        self.due_s = due_s
         self._clock = clock
         self._models: dict[str, _Model] = {}
 
@@ -38,7 +40,7 @@
         if declared.version <= model.declared:
             return False
         model.declared = declared.version
-        due_at = now + self._due_s - _MARGIN_S
+        due_at = now + self.due_s - _MARGIN_S
         model.pending.append((due_at, declared.version))
         return True
 
@@ -60,6 +62,18 @@
             found.demanded = max(found.demanded, found.pending.pop(0)[1])
         return found.demanded or None
 
+    def preferred(self, model: str, now: float) -> int:
+        """Returns the version whose servers go first now; 0 for any.
+
+        A request may wait at a server, and would begin there on a version that
+        is no longer allowed by then.
+        """
+        found = self._models.get(model)
+        if found is None:
+            return 0
+        near = [v for at, v in found.pending if at - _PREFER_S <= now]
+        return max(near, default=found.demanded)
+
     def expected(self, model: str, held: int, now: float) -> int | None:
         """Returns the exact version to ask a server for; None for any.
 
--- a/src/clementinegw/lifetime.py
+++ b/src/clementinegw/lifetime.py
@@ -1,6 +1,7 @@
 """Runs a daemon until it is told to stop, and lets it finish what it has."""
 
 import asyncio
+from collections.abc import Callable
 import signal
 from typing import Protocol
 
@@ -20,11 +21,17 @@
         """Ends it."""
 
 
-async def run_until_signal(daemon: Daemon) -> int:
+async def run_until_signal(
+    daemon: Daemon, reload: Callable[[], None] = lambda: None
+) -> int:
     """Runs a daemon until SIGTERM or SIGINT, then drains and stops it.
 
     A second signal ends it at once.
 
+    Args:
+      daemon: What to run.
+      reload: Called at SIGHUP, which would else end the process.
+
     Returns:
       The exit code.
     """
@@ -39,6 +46,7 @@
     loop = asyncio.get_running_loop()
     for number in _SIGNALS:
         loop.add_signal_handler(number, on_signal)
+    loop.add_signal_handler(signal.SIGHUP, reload)
     try:
         await daemon.start()
         await stopping.wait()
@@ -47,6 +55,7 @@
     finally:
         for number in _SIGNALS:
             loop.remove_signal_handler(number)
+        loop.remove_signal_handler(signal.SIGHUP)
     return 0
 
 
--- a/src/clementinegw/wire/gen/reports/ttypes.py
+++ b/src/clementinegw/wire/gen/reports/ttypes.py
@@ -125,6 +125,7 @@
      - pace
      - yielding
      - entries
+     - ready_in_s
 
     """
 
@@ -140,10 +141,11 @@
         'pace',
         'yielding',
         'entries',
+        'ready_in_s',
     )
 
 
-    def __init__(self, server_id=None, running=None, waiting=None, slots=None, model=None, version=None, whole=None, loading=None, pace=None, yielding=None, entries=None,):
+    def __init__(self, server_id=None, running=None, waiting=None, slots=None, model=None, version=None, whole=None, loading=None, pace=None, yielding=None, entries=None, ready_in_s=None,):
         self.server_id = server_id
         self.running = running
         self.waiting = waiting
@@ -155,6 +157,7 @@
         self.pace = pace
         self.yielding = yielding
         self.entries = entries
+        self.ready_in_s = ready_in_s
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -220,6 +223,11 @@
                     self.entries = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.DOUBLE:
+                    self.ready_in_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -274,6 +282,10 @@
             oprot.writeFieldBegin('entries', TType.I32, 11)
             oprot.writeI32(self.entries)
             oprot.writeFieldEnd()
+        if self.ready_in_s is not None:
+            oprot.writeFieldBegin('ready_in_s', TType.DOUBLE, 12)
+            oprot.writeDouble(self.ready_in_s)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -300,6 +312,8 @@
             raise TProtocolException(message='Required field yielding is unset!')
         if self.entries is None:
             raise TProtocolException(message='Required field entries is unset!')
+        if self.ready_in_s is None:
+            raise TProtocolException(message='Required field ready_in_s is unset!')
         return
 
     def __repr__(self):
@@ -339,6 +353,7 @@
     (9, TType.DOUBLE, 'pace', None, None, ),  # 9
     (10, TType.BOOL, 'yielding', None, None, ),  # 10
     (11, TType.I32, 'entries', None, None, ),  # 11
+    (12, TType.DOUBLE, 'ready_in_s', None, None, ),  # 12
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/clementinegw/wire/reports.thrift
+++ b/src/clementinegw/wire/reports.thrift
@@ -22,4 +22,6 @@
   10: required bool yielding,
   // Entries that ask this agent for reports.
   11: required i32 entries,
+  // Seconds until it serves again, about; negative when that is not known.
+  12: required double ready_in_s,
 }
