--- a/src/clementinegw/direct/attempt.py
+++ b/src/clementinegw/direct/attempt.py
@@ -80,27 +80,40 @@
         self._clock = clock
 
     async def run(
-        self, job: Job, backend: fleet.Backend, sending: types.Sending
+        self,
+        job: Job,
+        backend: fleet.Backend,
+        sending: types.Sending,
+        elsewhere: Callable[[], bool],
     ) -> outcomes.Attempt:
         """Makes one attempt.
 
+        Args:
+          job: The request.
+          backend: The server.
+          sending: What it is told besides the request.
+          elsewhere: Returns whether another server could take the request
+            over now. While none can, a silent server is waited for.
+
         Raises:
           channel.ChannelClosed: The caller has left.
         """
         backend.unread_tokens += job.facts.prompt_tokens
         unread = _Unread(backend, job.facts.prompt_tokens)
         try:
-            return await self._run(job, backend, sending, unread)
+            hearing = _Hearing(backend, elsewhere, self._clock)
+            return await self._run(job, hearing, sending, unread)
         finally:
             unread.done()
 
     async def _run(
         self,
         job: Job,
-        backend: fleet.Backend,
+        hearing: "_Hearing",
         sending: types.Sending,
         unread: "_Unread",
     ) -> outcomes.Attempt:
+        backend = hearing.backend
         try:
             connection, _ = await backend.pool.take()
         except client.ConnectFailed:
@@ -109,7 +122,7 @@
         whole = False
         try:
             outcome = await self._call(
-                job, backend, sending, connection, unread
+                job, hearing, sending, connection, unread
             )
             whole = not isinstance(outcome, outcomes.Lost)
             return outcome
@@ -130,11 +143,12 @@
     async def _call(
         self,
         job: Job,
-        backend: fleet.Backend,
+        hearing: "_Hearing",
         sending: types.Sending,
         connection: client.Connection,
         unread: "_Unread",
     ) -> outcomes.Attempt:
+        backend = hearing.backend
         request = job.request
         headers = self._dialect.sent_on(request.headers, sending)
         job.sends += 1
@@ -146,7 +160,7 @@
             _LEAST_SILENCE_S, _SILENT_OBJECTIVES * route.objective_s
         )
         patience = silence_s if route.idempotent else None
-        head = await self._hear(connection.head, backend, patience)
+        head = await hearing.hear(connection.head, patience)
         facts = self._dialect.answer_facts(head)
         connection.keep_s = facts.keep_s
         now = self._clock()
@@ -162,9 +176,9 @@
             if not facts.sealed:
                 return outcomes.Lost(outcomes.LostReason.UNSEALED)
             if job.streaming:
-                await self._stream(job, backend, connection, head, unread)
+                await self._stream(job, hearing, connection, head, unread)
             else:
-                await self._whole(job, backend, connection, head)
+                await self._whole(job, hearing, connection, head)
             backend.answered(self._clock())
             return outcomes.Delivered(head.status)
         if head.status in _PROMISES:
@@ -190,14 +204,14 @@
     async def _whole(
         self,
         job: Job,
-        backend: fleet.Backend,
+        hearing: "_Hearing",
         connection: client.Connection,
         head: client.Head,
     ) -> None:
         async def read() -> bytes:
             return await connection.body(_MAX_BODY_BYTES)
 
-        body = await self._hear(read, backend, None)
+        body = await hearing.hear(read, None)
         await job.responder.answer(
             head.status, self._dialect.handed_back(head), body
         )
@@ -205,7 +219,7 @@
     async def _stream(
         self,
         job: Job,
-        backend: fleet.Backend,
+        hearing: "_Hearing",
         connection: client.Connection,
         head: client.Head,
         unread: "_Unread",
@@ -220,7 +234,7 @@
         silence_s = max(_LEAST_SILENCE_S, _SILENT_GAPS * route.max_gap_s)
         patience = silence_s if route.idempotent else None
         while True:
-            data = await self._hear(connection.data, backend, patience)
+            data = await hearing.hear(connection.data, patience)
             if data is None:
                 break
             whole = [e for e in splitter.feed(data) if _new(e, job.last_event)]
@@ -245,21 +259,36 @@
                 head.status, self._dialect.handed_back(head)
             )
 
-    async def _hear(self, receive, backend: fleet.Backend, silence_s):
-        """Awaits bytes of a server, for as long as it seems alive.
+
+class _Hearing:
+    """Awaits bytes of one server, for as long as it is worth while."""
+
+    def __init__(
+        self,
+        backend: fleet.Backend,
+        elsewhere: Callable[[], bool],
+        clock: Callable[[], float],
+    ):
+        self.backend = backend
+        self._elsewhere = elsewhere
+        self._clock = clock
+
+    async def hear(self, receive, silence_s: float | None):
+        """Returns what `receive` does.
 
         Raises:
-          _Silent: It sent nothing on any connection for `silence_s`.
+          _Silent: The server sent nothing on any connection for `silence_s`,
+            and another one can take over.
         """
         while True:
             since = self._clock()
             try:
                 async with asyncio.timeout(silence_s):
                     result = await receive()
-                backend.heard_at = self._clock()
+                self.backend.heard_at = self._clock()
                 return result
             except TimeoutError as error:
-                if backend.heard_at <= since:
+                if self.backend.heard_at <= since and self._elsewhere():
                     raise _Silent from error
 
 
--- a/src/clementinegw/direct/entry.py
+++ b/src/clementinegw/direct/entry.py
@@ -1,6 +1,7 @@
 """The entry daemon of the direct path: wiring only."""
 
 import asyncio
+from collections.abc import Callable
 import random
 from typing import Protocol
 
@@ -69,6 +70,7 @@
         log: logs.Log,
         counters: counters_lib.Counters,
         rng: random.Random | None = None,
+        boot_clock: Callable[[], float] = follow.boot_time,
     ):
         """Prepares the daemon.
 
@@ -78,6 +80,7 @@
           log: Where events go.
           counters: Counts refusals and retries.
           rng: Breaks ties.
+          boot_clock: Seconds that also count while the machine is suspended.
         """
         super().__init__()
         assert instance.callers is not None
@@ -96,6 +99,7 @@
             self._on_operators,
             log,
             counters,
+            boot_clock,
         )
         self._listing = follow.Follower(
             "servers",
@@ -104,6 +108,7 @@
             self._on_servers,
             log,
             counters,
+            boot_clock,
         )
         self._knowledge = forward.Knowledge(
             None,
--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -253,7 +253,9 @@
             None,
             job.last_event,
         )
-        outcome = await self._attempts.run(job, backend, sending)
+        outcome = await self._attempts.run(
+            job, backend, sending, lambda: self._elsewhere(job, backend)
+        )
         if not isinstance(outcome, outcomes.Delivered):
             self._note(job, backend, outcome)
         return outcome
@@ -330,6 +332,16 @@
         """Returns a part of the caller's time, spread over a span."""
         return self._rng.uniform(*span)
 
+    def _elsewhere(self, job: attempts.Job, backend: fleet.Backend) -> bool:
+        """Returns whether another server could take a request over now."""
+        if job.runs + 1 >= job.match.route.max_attempts:
+            return False
+        least = self._versions.demanded(job.facts.model, self._clock()) or 0
+        engine = self._engine(job.service) is not None
+        wanted = balance.Wanted(job.service, engine, least, most_busy=1.0)
+        tried = {backend.server.server_id, *job.tried}
+        return self._balancer.choose(wanted, tried) is not None
+
     def _note(
         self,
         job: attempts.Job,
--- /dev/null
+++ b/tests/platform_site.py
@@ -0,0 +1,379 @@
+"""A store and backend servers of the users' platform, small and in process."""
+
+import asyncio
+import base64
+import contextlib
+import json
+
+import h11
+
+from adapter import roles
+from clementinegw import types as places
+from clementinegw.direct import entry as entries
+from clementinegw.direct import instance as instances
+from clementinegw.direct import server as servers
+from clementinegw.telemetry import counters as counters_lib
+from clementinegw.telemetry import logs
+from clementinegw.testing import clock as clocks
+
+KEY = "key-of-one"
+GRACE_S = 0.002
+
+
+def run(coroutine):
+    """Runs a site in virtual time, with time for the loopback."""
+    return clocks.run(coroutine, grace_s=GRACE_S)
+
+
+class Store:
+    """The topics of operators and servers."""
+
+    def __init__(self):
+        self.topics = {"keyed.op": [], "keyed.servers": []}
+        self.status = 200
+        self.silent = False
+        self.calls = 0
+        self._news = asyncio.Event()
+        self._server = servers.Server(self._handle)
+
+    async def start(self):
+        self.address = await listen(self._server)
+
+    async def stop(self):
+        await self._server.stop()
+
+    def put(self, topic, key, value):
+        data = b"" if value is None else json.dumps(value).encode()
+        self.topics[topic].append((key, data))
+        self._news.set()
+        self._news = asyncio.Event()
+
+    async def _handle(self, request, responder):
+        self.calls += 1
+        if self.silent:
+            await responder.gone
+            return
+        if self.status != 200:
+            await responder.answer(self.status, [], b"")
+            return
+        path, _, text = request.target.partition("?")
+        query = dict(part.split("=") for part in text.split("&"))
+        if path == "/log-newest":
+            body = self._newest(query["topic"])
+        else:
+            body = await self._read(query)
+        await responder.answer(200, [], body)
+
+    def _newest(self, topic):
+        newest = {key: value for key, value in self.topics[topic] if value}
+        items = [
+            {"key": k, "value": base64.b64encode(v).decode(), "offset": 0}
+            for k, v in newest.items()
+        ]
+        end = len(self.topics[topic])
+        return json.dumps({"items": items, "end": end}).encode()
+
+    async def _read(self, query):
+        records = self.topics[query["topic"]]
+        start = int(query["from"])
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(int(query.get("wait_ms", 0)) / 1e3):
+                while len(records) <= start:
+                    await self._news.wait()
+        body = len(records).to_bytes(8, "big") + bytes(8)
+        for key, value in records[start:]:
+            content = bytes([len(key)]) + key.encode() + value
+            body += len(content).to_bytes(4, "big") + content
+        return body
+
+
+async def listen(server):
+    """Listens on a free port of the loopback."""
+    await server.listen(places.Address("127.0.0.1", 0))
+    host, port = server._server.sockets[0].getsockname()
+    return places.Address(host, port)
+
+
+class Call:
+    """One request at a backend server."""
+
+    def __init__(self, head, body, writer):
+        self.head = head
+        self.body = body
+        self.writer = writer
+        self.headers = {k.decode(): v.decode() for k, v in head.headers}
+
+    @property
+    def attempt_id(self):
+        return self.headers.get("x-clementinegw-attempt-id", "")
+
+    def send(self, data):
+        self.writer.write(data)
+
+    def answer(self, body=b"whole", status=200, attempt_id=None, more=()):
+        head = [
+            f"HTTP/1.1 {status} X",
+            f"X-Clementinegw-Attempt-Id: {attempt_id or self.attempt_id}",
+            f"X-Clementinegw-Response-Seal: seal-{self.attempt_id}",
+            f"Content-Length: {len(body)}",
+            *more,
+        ]
+        self.send("\r\n".join(head).encode() + b"\r\n\r\n" + body)
+
+    def shed(self):
+        self.answer(b"", 503, more=("X-Clementinegw-Not-Executed: 1",))
+
+    def begin_stream(self):
+        head = [
+            "HTTP/1.1 200 OK",
+            f"X-Clementinegw-Attempt-Id: {self.attempt_id}",
+            f"X-Clementinegw-Response-Seal: seal-{self.attempt_id}",
+            "Content-Type: text/event-stream",
+            "Transfer-Encoding: chunked",
+        ]
+        self.send("\r\n".join(head).encode() + b"\r\n\r\n")
+
+    def event(self, number):
+        data = f"id: {number}\ndata: {number}\n\n".encode()
+        self.send(f"{len(data):x}\r\n".encode() + data + b"\r\n")
+
+    def end_stream(self):
+        self.send(b"0\r\n\r\n")
+
+    def reset(self):
+        self.writer.transport.abort()
+
+
+class Server:
+    """A backend server that does with each call what a test says."""
+
+    def __init__(self, name, do=None):
+        self.name = name
+        self.do = do or (lambda call: call.answer())
+        self.calls = []
+        self.ran = []
+        self.closed = 0
+        self.connections = 0
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+
+    async def stop(self):
+        self._server.close()
+
+    def entry(self, service="plain", **fields):
+        return {
+            "service": service,
+            "address": self.address,
+            "zone": "d1",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "cold_remaining_ms": 0,
+            "sequence": 1,
+            **fields,
+        }
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        http = h11.Connection(h11.SERVER)
+        head, body = None, b""
+        try:
+            while True:
+                event = http.next_event()
+                if event is h11.NEED_DATA:
+                    http.receive_data(await reader.read(65536))
+                elif isinstance(event, h11.Request):
+                    head, body = event, b""
+                elif isinstance(event, h11.Data):
+                    body += event.data
+                elif isinstance(event, h11.EndOfMessage):
+                    await self._call(Call(head, body, writer))
+                    http = h11.Connection(h11.SERVER)
+                else:
+                    break
+        except (OSError, h11.RemoteProtocolError, asyncio.CancelledError):
+            pass
+        self.closed += 1
+        writer.close()
+
+    async def _call(self, call):
+        self.calls.append(call)
+        if call.headers["x-clementinegw-expect-instance"] != self.name:
+            call.answer(b"", 421)
+            return
+        result = self.do(call)
+        if asyncio.iscoroutine(result):
+            await result
+
+
+def config(version=1, **fields):
+    """Returns a configuration as operators write it."""
+    route = {
+        "host": "h.example",
+        "timeout_ms": 3000,
+        "target_latency_ms": 400,
+        "max_attempts": 2,
+        "service": "plain",
+    }
+    routes = [
+        {**route, "name": "safe", "path_prefix": "/safe/", "kind": "safe"},
+        {**route, "name": "once", "path_prefix": "/once/", "kind": "unsafe"},
+        {
+            **route,
+            "name": "stream",
+            "path_prefix": "/stream/",
+            "kind": "streaming",
+            "stream_resume": True,
+            "gap_target_ms": 300,
+        },
+    ]
+    services = [{"name": "plain", "max_connections": 100}]
+    return {
+        "version": version,
+        "routes": routes,
+        "services": services,
+        "tenants": [{"name": "one", "api_keys": [KEY]}],
+        **fields,
+    }
+
+
+class Site:
+    """An entry in front of servers."""
+
+    def __init__(self, *names, do=None):
+        self.store = Store()
+        self.servers = [Server(name, do) for name in names]
+
+    async def __aenter__(self):
+        await self.store.start()
+        for server in self.servers:
+            await server.start()
+            self.store.put("keyed.servers", server.name, server.entry())
+        self.store.put("keyed.op", "config", config())
+        instance = instances.Instance(
+            name="entry-1",
+            place=places.Place("r1", "d1"),
+            regions={"d1": "r1"},
+            host="127.0.0.1",
+            peer_ports=(0, 0),
+            store=self.store.address,
+            callers=places.Address("127.0.0.1", 0),
+            ready=places.Address("127.0.0.1", 0),
+            backend=None,
+            service="",
+            link_bytes_per_s=1e6,
+            bounds=instances.Bounds(),
+        )
+        log = logs.Log()
+        self.counters = counters_lib.Counters()
+        self.entry = entries.Entry(
+            instance,
+            roles.Platform(instance, log),
+            log,
+            self.counters,
+            boot_clock=asyncio.get_running_loop().time,
+        )
+        await self.entry.start()
+        while not self.entry.ready:
+            await asyncio.sleep(0.01)
+        host, port = self.entry._server._server.sockets[0].getsockname()
+        self.address = (host, port)
+        return self
+
+    async def __aexit__(self, *_):
+        await self.entry.stop()
+        for server in self.servers:
+            await server.stop()
+        await self.store.stop()
+
+    async def ask(self, path="/safe/1", **fields):
+        """Sends one request on a connection of its own."""
+        async with Caller(self) as caller:
+            return await caller.ask(path, **fields)
+
+
+class Answer:
+    """What a caller got."""
+
+    def __init__(self, status, headers, body, whole):
+        self.status = status
+        self.headers = headers
+        self.body = body
+        self.whole = whole
+
+
+class Caller:
+    """One caller's connection."""
+
+    def __init__(self, site):
+        self._site = site
+        self._number = 0
+
+    async def __aenter__(self):
+        self.reader, self.writer = await asyncio.open_connection(
+            *self._site.address
+        )
+        self._http = h11.Connection(h11.CLIENT)
+        return self
+
+    async def __aexit__(self, *_):
+        self.writer.close()
+
+    def send(
+        self,
+        path="/safe/1",
+        key=KEY,
+        attempt_id="",
+        body=b"",
+        method="POST",
+        headers=(),
+    ):
+        """Sends a request."""
+        self._number += 1
+        lines = [
+            f"{method} {path} HTTP/1.1",
+            "Host: h.example",
+            f"X-Clementinegw-Attempt-Id: {attempt_id or f'a{self._number}'}",
+            "X-Clementinegw-Deadline-Ms: 2500",
+            f"Content-Length: {len(body)}",
+            *headers,
+        ]
+        if key:
+            lines.append(f"Authorization: Token {key}")
+        self.writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+
+    async def ask(self, path="/safe/1", **fields):
+        """Sends a request and returns the answer."""
+        self.send(path, **fields)
+        return await self.answer()
+
+    async def answer(self):
+        """Returns the next answer."""
+        http = h11.Connection(h11.CLIENT)
+        http.send(
+            h11.Request(method="GET", target="/", headers=[("host", "h")])
+        )
+        http.send(h11.EndOfMessage())
+        status, headers, body = 0, {}, b""
+        while True:
+            try:
+                event = http.next_event()
+            except h11.RemoteProtocolError:
+                return Answer(status, headers, body, False)
+            if event is h11.NEED_DATA:
+                try:
+                    http.receive_data(await self.reader.read(65536))
+                except OSError:
+                    return Answer(status, headers, body, False)
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+                headers = {k.decode(): v.decode() for k, v in event.headers}
+            elif isinstance(event, h11.Data):
+                body += event.data
+            elif isinstance(event, h11.EndOfMessage):
+                return Answer(status, headers, body, True)
+            else:
+                return Answer(status, headers, body, False)
--- /dev/null
+++ b/tests/test_direct_decisions.py
@@ -0,0 +1,300 @@
+"""Decisions of the direct path that need no sockets and no clock."""
+
+import random
+
+import pytest
+
+from clementinegw import types as places
+from clementinegw.direct import budget
+from clementinegw.direct import catalog
+from clementinegw.direct import events
+from clementinegw.direct import fleet
+from clementinegw.direct import follow
+from clementinegw.direct import plan
+from clementinegw.direct import reports
+from clementinegw.direct import turns
+from clementinegw.direct import types
+from clementinegw.direct import versions
+from clementinegw.telemetry import logs
+
+TERMS = plan.Terms(bring_s=5.0, swap_s=1.6, due_s=8.0)
+FIRST = plan.Declaration(2, 0.0)
+
+
+def route(prefix, name="r", **fields):
+    values = {
+        "host": "h",
+        "repeat": types.Repeat.SAFE,
+        "targets": (types.Target("plain", 1.0),),
+        "timeout_s": 6.0,
+        "objective_s": 0.4,
+        "rank": 0,
+        "max_attempts": 2,
+    }
+    return types.Route(name=name, prefix=prefix, **{**values, **fields})
+
+
+def server(name, **fields):
+    values = {
+        "service": "engine",
+        "address": places.Address("127.0.0.1", 9),
+        "failure_domain": "d1",
+        "slots": 16,
+    }
+    return types.Server(server_id=name, **{**values, **fields})
+
+
+def new_fleet():
+    return fleet.Fleet(logs.Log(), lambda service: 64, random.Random(1))
+
+
+def batch(*records):
+    found = tuple(follow.Record(key, value) for key, value in records)
+    return follow.Batch(found, len(found))
+
+
+# Which version to bring.
+
+
+def test_a_version_that_a_newer_one_would_leave_a_gap_behind_is_ended():
+    """Symptom: for two seconds no server may begin any request.
+
+    Sequence: version 2 is named and four seconds later version 3. Every agent
+    drops what it has of 2 and begins 3. Then 2 is due, and nobody has it.
+    Cause: only the newest version was ever brought.
+    """
+    both = [FIRST, plan.Declaration(3, 4.0)]
+    current = plan.Progress(2, left=0.25)
+    assert plan.choose(both, current, TERMS, now=4.0) == 2
+
+
+def test_a_newer_version_that_comes_in_time_for_both_is_brought_alone():
+    both = [FIRST, plan.Declaration(3, 0.5)]
+    current = plan.Progress(2, left=0.95)
+    assert plan.choose(both, current, TERMS, now=0.5) == 3
+
+
+def test_the_newest_follows_once_the_older_one_is_here():
+    both = [FIRST, plan.Declaration(3, 4.0)]
+    assert plan.choose(both, plan.Progress(2, 0.0), TERMS, now=5.2) == 3
+
+
+def test_a_version_that_comes_too_late_in_any_case_gives_way():
+    both = [FIRST, plan.Declaration(3, 7.5)]
+    current = plan.Progress(2, left=0.9)
+    assert plan.choose(both, current, TERMS, now=7.5) == 3
+
+
+@pytest.mark.parametrize("current", [None, plan.Progress(1, 0.0)])
+def test_the_only_declared_version_is_brought(current):
+    assert plan.choose([FIRST], current, TERMS, now=1.0) == 2
+
+
+def test_nothing_is_brought_before_a_declaration():
+    assert plan.choose([], None, TERMS, now=1.0) == 0
+
+
+# Turns.
+
+
+def test_every_agent_computes_the_same_turns_and_groups_are_even():
+    names = [f"i-{number}" for number in range(10)]
+    terms = turns.Terms(groups=3, first_s=0.0, step_s=1.0)
+    delays = [turns.delay_s(name, names, 7, terms) for name in names]
+    assert sorted(delays).count(0.0) in (3, 4)
+    assert set(delays) == {0.0, 1.0, 2.0}
+    shuffled = list(reversed(names))
+    again = [turns.delay_s(name, shuffled, 7, terms) for name in names]
+    assert again == delays
+
+
+def test_an_agent_that_is_not_listed_yet_has_a_turn():
+    terms = turns.Terms()
+    assert turns.delay_s("me", [], 1, terms) == 0.0
+
+
+# Versions.
+
+
+def test_a_version_is_demanded_shortly_before_it_is_due():
+    now = [100.0]
+    known = versions.Versions(8.0, lambda: now[0])
+    assert known.declare(types.Declared("m", 2))
+    assert known.demanded("m", 106.0) is None
+    assert known.demanded("m", 107.5) == 2
+    assert known.preferred("m", 106.0) == 2
+
+
+def test_a_repeated_or_older_declaration_changes_nothing():
+    known = versions.Versions(8.0, lambda: 0.0)
+    assert known.declare(types.Declared("m", 3))
+    assert not known.declare(types.Declared("m", 3))
+    assert not known.declare(types.Declared("m", 2))
+    assert known.declared("m") == 3
+
+
+def test_a_server_with_the_newer_version_is_not_turned_away():
+    """Symptom: servers that load early refuse with 421 until all have.
+
+    Sequence: version 2 is due, 3 is on its way, one server has 3 already; a
+    request asks it for exactly 2. Cause: the demanded version was named
+    whatever the server had.
+    """
+    now = [0.0]
+    known = versions.Versions(8.0, lambda: now[0])
+    known.declare(types.Declared("m", 2))
+    now[0] = 4.0
+    known.declare(types.Declared("m", 3))
+    assert known.expected("m", held=3, now=8.0) == 3
+    assert known.expected("m", held=2, now=8.0) == 2
+    assert known.expected("m", held=1, now=8.0) == 2
+    assert known.expected("m", held=1, now=12.0) == 3
+
+
+# The list of servers.
+
+
+def test_a_list_that_shrank_during_an_outage_is_not_believed_at_once():
+    """Symptom: after an outage of the platform no server is left.
+
+    Sequence: the platform is away; entries run out meanwhile; at its return
+    all are reported gone, and come back within two seconds. Cause: a listing
+    that ran out says nothing of the server.
+    """
+    servers = new_fleet()
+    servers.apply(batch(("a", server("a")), ("b", server("b"))), True, 60.0)
+    servers.apply(batch(("a", None), ("b", None)), False, 0.3)
+    assert len(servers.of("engine")) == 2
+    servers.apply(batch(("a", server("a"))), False, 1.5)
+    servers.settle(1.9)
+    assert len(servers.of("engine")) == 2
+    servers.settle(3.0)
+    assert [b.server.server_id for b in servers.of("engine")] == ["a"]
+
+
+def test_a_server_that_is_gone_in_calm_times_gets_nothing_more():
+    servers = new_fleet()
+    servers.apply(batch(("a", server("a"))), True, 60.0)
+    servers.apply(batch(("a", None)), False, 60.0)
+    assert servers.of("engine") == []
+
+
+def test_a_whole_reading_leaves_out_who_is_gone():
+    servers = new_fleet()
+    servers.apply(batch(("a", server("a")), ("b", server("b"))), True, 60.0)
+    servers.apply(batch(("b", server("b"))), True, 60.0)
+    assert [b.server.server_id for b in servers.of("engine")] == ["b"]
+
+
+def report(**fields):
+    values = {"server_id": "a", "running": 8, "waiting": 0, "slots": 16}
+    return reports.Report(**{**values, **fields})
+
+
+def test_free_slots_are_shared_out_between_the_entries():
+    """Symptom: a server with one free slot gets a request of every entry.
+
+    Sequence: all slots of all servers are taken and requests wait in eight
+    entries; one request ends and every entry sees it in the same report.
+    Cause: each entry took all free slots for its own.
+    """
+    taken = 0
+    for seed in range(800):
+        backends = fleet.Fleet(logs.Log(), lambda s: 64, random.Random(seed))
+        backends.apply(batch(("a", server("a"))), True, 60.0)
+        backend = backends.find("a")
+        backend.take_report(report(running=15, entries=8), 1.0)
+        taken += backend.has_share(1.0)
+    assert 0.15 < taken / 800 < 0.35
+
+
+def test_a_server_whose_agent_is_silent_is_used_all_the_same():
+    backends = new_fleet()
+    backends.apply(batch(("a", server("a"))), True, 60.0)
+    backend = backends.find("a")
+    backend.take_report(report(running=16, entries=8), 1.0)
+    assert not backend.has_share(1.1)
+    assert backend.has_share(3.0)
+
+
+def test_a_server_without_layers_serves_nothing_whatever_the_list_says():
+    backends = new_fleet()
+    held = (types.Held("m", 1, True),)
+    backends.apply(batch(("a", server("a", held=held))), True, 60.0)
+    backend = backends.find("a")
+    assert backend.serves(1)
+    backend.take_report(report(version=0, whole=False), 1.0)
+    assert not backend.serves(1)
+
+
+# The retry budget.
+
+
+def test_all_entries_together_keep_the_budget():
+    """Symptom: a service gets more repeats than allowed while it is failing.
+
+    Sequence: every send of eight entries fails and each repeats as often as
+    its budget allows. Cause: each entry used the whole slack.
+    """
+    terms = budget.Terms(ratio=0.2, slack=104.0, window_s=10.0)
+    repeats, requests = 0, 0
+    for _ in range(8):
+        one = budget.RetryBudget(terms)
+        one.entries = 8
+        for number in range(100):
+            now = number * 0.1
+            one.request(now)
+            requests += 1
+            while one.allow(now):
+                repeats += 1
+    assert repeats <= 0.2 * requests + 104.0
+    assert repeats > 0.15 * requests
+
+
+def test_the_budget_comes_back_after_its_window():
+    one = budget.RetryBudget(budget.Terms(0.0, 100.0, 10.0))
+    one.entries = 10
+    while one.allow(0.0):
+        pass
+    assert not one.allow(9.9)
+    assert one.allow(10.1)
+
+
+# Routes.
+
+
+@pytest.mark.parametrize(
+    ("path", "found"),
+    [
+        ("/a/b/c", "long"),
+        ("/a/x", "short"),
+        ("/a/bb/", "short"),
+        ("/b/", None),
+        ("/a", None),
+        ("", None),
+    ],
+)
+def test_the_longest_prefix_wins(path, found):
+    routes = (route("/a/", "short"), route("/a/b/", "long"))
+    known = catalog.Catalog(types.Configuration(1, routes, {}, {}))
+    match = known.route("h", path)
+    assert (match.name if match else None) == found
+    assert known.route("other", path) is None
+
+
+# Events.
+
+
+def test_events_are_whole_whatever_the_bytes_come_in():
+    stream = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: c\n\n"
+    for cut in range(len(stream) + 1):
+        splitter = events.Splitter()
+        found = splitter.feed(stream[:cut]) + splitter.feed(stream[cut:])
+        assert b"".join(e.data for e in found) + splitter.rest == stream
+        assert [e.event_id for e in found][:2] == ["1", "2"]
+
+
+def test_an_event_that_has_not_ended_is_kept_back():
+    splitter = events.Splitter()
+    assert splitter.feed(b"id: 1\ndata: a\n") == []
+    assert splitter.rest == b"id: 1\ndata: a\n"
