Test the agent and the adapter; mend what they found

Causes: a log line's field of the same name as its event's number ended the loop that loads; an agent that started again drew everything from the origin, since it asked the server beside it too late what lies staged; a server with a part of the layers was taken for whole.

--- a/src/clementinegw/direct/_events.py
+++ b/src/clementinegw/direct/_events.py
@@ -112,3 +112,16 @@
 WEIGHTS_ORDERED = events.define(
     922, "weights_ordered", _INFO, "The server beside was ordered to load."
 )
+STEP_FAILED = events.define(
+    923,
+    "step_failed",
+    events.Level.ERROR,
+    "A step towards the wanted weights met a defect; it is tried again.",
+    "Report it with the line's `step` and `error`.",
+)
+CUT_OFF = events.define(
+    924,
+    "cut_off",
+    _WARNING,
+    "The time to stop was over before all requests had their answers.",
+)
--- a/src/clementinegw/direct/agent.py
+++ b/src/clementinegw/direct/agent.py
@@ -8,6 +8,7 @@
 
 import mode
 
+from clementinegw import clock as clocks
 from clementinegw import exceptions
 from clementinegw import types as places
 from clementinegw.direct import _events
@@ -75,6 +76,8 @@
         log: logs.Log,
         counters: counters_lib.Counters,
         rng: random.Random | None = None,
+        clock: clocks.Clock | None = None,
+        boot_clock: Callable[[], float] = follow.boot_time,
     ):
         """Prepares the daemon; see `entry.Entry`."""
         super().__init__()
@@ -92,6 +95,7 @@
             self._on_operators,
             log,
             counters,
+            boot_clock,
         )
         self._listing = follow.Follower(
             "servers",
@@ -100,6 +104,7 @@
             self._on_servers,
             log,
             counters,
+            boot_clock,
         )
         self._me = self._agent_at(instance.host, instance.place)
         self._bringer = bring.Bringer(
@@ -108,6 +113,7 @@
             rng or random.Random(),
             log,
             counters,
+            clock or clocks.SystemClock(),
         )
         self._reporter = reports.Reporter(self._on_declared)
         self._engine: types.Engine | None = None
@@ -218,7 +224,11 @@
         self._tell_known()
 
     def _tell_known(self) -> None:
-        if self.model and self._origin is not None and self._listing.known:
+        if not self.model:
+            return
+        if self._beside is None:
+            self._beside = self._platform.beside(self._backend, self.model)
+        if self._origin is not None and self._listing.known:
             self._known.set()
 
     def _agent_at(self, host: str, place: places.Place) -> places.Instance:
@@ -235,15 +245,13 @@
     async def _watch_server(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(_STATE_S)
-            if self.model:
-                await self._look()
+            if self._beside is not None:
+                await self._look(self._beside)
 
-    async def _look(self) -> None:
-        if self._beside is None:
-            self._beside = self._platform.beside(self._backend, self.model)
+    async def _look(self, beside: backing.Beside) -> None:
         former = self._state
         try:
-            self._state = await self._beside.state()
+            self._state = await beside.state()
         except exceptions.BackendError as error:
             self._state = None
             if former is not None:
@@ -252,7 +260,7 @@
         if former is None or former.held != self._state.held:
             self._log.write(
                 _events.SERVER_HOLDS,
-                held=[(h.model, h.version, h.whole) for h in self._state.held],
+                held=[(h.model, h.version, h.layers) for h in self._state.held],
                 busy=self._state.busy,
                 sequence=self._state.sequence,
             )
@@ -269,12 +277,14 @@
                 slots=self._engine.slots if self._engine else 1,
                 model=self.model,
                 version=best.version if best else 0,
-                whole=best.whole if best else False,
+                whole=best is not None and self._whole(best),
                 loading=state.busy,
                 pace=state.pace,
                 yielding=self._yielding,
                 entries=self._reporter.entries,
-                ready_in_s=self._ready_in_s(best is not None and best.whole),
+                ready_in_s=self._ready_in_s(
+                    best is not None and self._whole(best)
+                ),
             )
         )
 
@@ -308,13 +318,16 @@
             h.version
             for server in self._servers.values()
             for h in server.held
-            if h.model == self.model and h.whole
+            if h.model == self.model and self._whole(h)
         ]
         return [plan.Declaration(max(held, default=1), -math.inf)]
 
+    def _whole(self, held: types.Held) -> bool:
+        return self._engine is not None and held.layers >= self._engine.layers
+
     def _serves(self, version: int) -> bool:
         return self._state is not None and any(
-            h.model == self.model and h.whole and h.version >= version
+            h.model == self.model and self._whole(h) and h.version >= version
             for h in self._state.held
         )
 
@@ -336,6 +349,14 @@
             await step()
         except exceptions.ClementineError as error:
             self._log.write(_events.WEIGHTS_WAIT, reason=error.message)
+        except Exception as error:
+            # A defect in one step must not end the loop in silence: the
+            # process would live on and never load anything again.
+            self._log.write(
+                _events.STEP_FAILED,
+                step=step.__name__,
+                error=f"{type(error).__name__}: {error}",
+            )
         await asyncio.sleep(_STEP_S)
 
     async def _bring(self) -> None:
@@ -400,7 +421,7 @@
         for version in sorted(self._digests, reverse=True):
             if self._serves(version):
                 return
-            empty = not any(h.whole for h in self._state.held)
+            empty = not any(self._whole(h) for h in self._state.held)
             if not empty and self._clock() < self._turn_at(version):
                 continue
             self._yielding = not empty
--- a/src/clementinegw/direct/balance.py
+++ b/src/clementinegw/direct/balance.py
@@ -30,14 +30,14 @@
 
     Attributes:
       service: The service.
-      engine: Whether it needs whole weights.
+      layers: The layers of its model; 0 for a plain service.
       least_version: Of at least this version.
       preferred_version: Servers with at least this version go first.
       most_busy: Servers with this part of their slots taken are passed over.
     """
 
     service: str
-    engine: bool
+    layers: int = 0
     least_version: int = 0
     preferred_version: int = 0
     most_busy: float = 3.0
@@ -88,8 +88,8 @@
             for backend in self._servers.of(wanted.service)
             if not backend.server.leaving
             and (
-                not wanted.engine
-                or backend.serves(max(1, wanted.least_version))
+                not wanted.layers
+                or backend.serves(max(1, wanted.least_version), wanted.layers)
             )
         ]
 
@@ -118,7 +118,11 @@
         # is about to load still serves where no other has room.
         rested = [b for b in able if b.rest_until <= now] or able
         staying = [b for b in rested if not b.yielding] or rested
-        newer = [b for b in staying if b.serves(wanted.preferred_version)]
+        newer = [
+            b
+            for b in staying
+            if b.serves(wanted.preferred_version, wanted.layers)
+        ]
         staying = newer or staying
         return min(staying, key=lambda b: self._score(b, now), default=None)
 
--- a/src/clementinegw/direct/bring.py
+++ b/src/clementinegw/direct/bring.py
@@ -105,6 +105,7 @@
         rng: random.Random,
         log: logs.Log,
         counters: counters_lib.Counters,
+        clock: clocks.Clock,
     ):
         """Does nothing before `start`.
 
@@ -114,6 +115,7 @@
           rng: Breaks ties.
           log: Where events go.
           counters: Counts bytes, refusals and retries.
+          clock: The source of time.
         """
         identity = connections.Identity(me.instance_id, me.role, me.place)
         self._me = me
@@ -123,7 +125,6 @@
         )
         self._origin = _OriginBlobs(counters)
         self._store = stores.MemoryStore(_LEAST_STORE_BYTES, digest_of)
-        clock = clocks.SystemClock()
         self.transfer = transfer.Transfer(
             me,
             self._endpoint,
@@ -211,7 +212,7 @@
             await beside.stage(number, data)
             lying = await beside.read_staged(number)
             if lying is None or digest_of(lying) != digest:
-                self._log.write(_events.STAGED_SPOILT, number=number)
+                self._log.write(_events.STAGED_SPOILT, piece=number)
                 return False
         return True
 
--- a/src/clementinegw/direct/entry.py
+++ b/src/clementinegw/direct/entry.py
@@ -181,9 +181,11 @@
         # The balancer goes on sending callers until it has asked twice.
         await asyncio.sleep(_TAKE_ON_S)
         self._server.close_idle()
-        while self._server.busy and self._clock() < end:
-            await asyncio.sleep(0.02)
-        self._server.close_idle()
+        try:
+            async with asyncio.timeout_at(end):
+                await self._server.wait_idle()
+        except TimeoutError:
+            self._log.write(_events.CUT_OFF, busy=self._server.busy)
 
     async def on_shutdown(self) -> None:
         """Ends what is left."""
@@ -249,12 +251,15 @@
             if isinstance(record.value, types.Configuration):
                 self._take_configuration(record.value)
             elif isinstance(record.value, types.Declared):
-                if self._versions.declare(record.value):
-                    self._log.write(
-                        _events.WEIGHTS_DECLARED,
-                        model=record.value.model,
-                        version=record.value.version,
-                    )
+                self._take_declared(record.value)
+
+    def _take_declared(self, declared: types.Declared) -> None:
+        if self._versions.declare(declared):
+            self._log.write(
+                _events.WEIGHTS_DECLARED,
+                model=declared.model,
+                version=declared.version,
+            )
 
     def _take_configuration(self, configuration: types.Configuration) -> None:
         catalog = self._knowledge.catalog
--- a/src/clementinegw/direct/fleet.py
+++ b/src/clementinegw/direct/fleet.py
@@ -144,13 +144,13 @@
         self.version = version
         self.version_at = now
 
-    def serves(self, least_version: int) -> bool:
-        """Returns whether it has whole weights of at least a version."""
+    def serves(self, least_version: int, layers: int) -> bool:
+        """Returns whether it has all layers of at least a version."""
         if self.empty:
             return False
         if self.version:
             return self.version >= least_version
-        return self.server.serves(least_version)
+        return self.server.version(layers) >= least_version
 
 
 class Fleet:
@@ -239,9 +239,7 @@
         if changed:
             self._tell(server)
             backend.empty = False
-            backend.version = max((h.version for h in server.held), default=0)
-            if not any(h.whole for h in server.held):
-                backend.version = 0
+            backend.version = 0
         backend.server = server
         backend.missing = False
 
@@ -280,7 +278,7 @@
             address=str(server.address),
             domain=server.failure_domain,
             leaving=server.leaving,
-            versions=[h.version for h in server.held if h.whole],
+            held=[(h.version, h.layers) for h in server.held],
         )
 
 
--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -267,7 +267,7 @@
         least = self._versions.demanded(job.facts.model, self._clock())
         wanted = balance.Wanted(
             job.service,
-            engine is not None,
+            engine.layers if engine else 0,
             least or 0,
             self._versions.preferred(job.facts.model, self._clock()),
         )
@@ -337,8 +337,9 @@
         if job.runs + 1 >= job.match.route.max_attempts:
             return False
         least = self._versions.demanded(job.facts.model, self._clock()) or 0
-        engine = self._engine(job.service) is not None
-        wanted = balance.Wanted(job.service, engine, least, most_busy=1.0)
+        engine = self._engine(job.service)
+        layers = engine.layers if engine else 0
+        wanted = balance.Wanted(job.service, layers, least, most_busy=1.0)
         tried = {backend.server.server_id, *job.tried}
         return self._balancer.choose(wanted, tried) is not None
 
--- a/src/clementinegw/direct/server.py
+++ b/src/clementinegw/direct/server.py
@@ -154,6 +154,7 @@
         self._server: asyncio.Server | None = None
         self._sessions: dict[_Session, asyncio.Task] = {}
         self._body_bytes = 0
+        self._ended = asyncio.Event()
         self.limits = direct_types.Limits()
         self.closing = False
         self.requests = 0
@@ -173,6 +174,12 @@
             backlog=512,
         )
 
+    async def wait_idle(self) -> None:
+        """Returns once no request is waiting for its answer."""
+        while self.busy:
+            self._ended.clear()
+            await self._ended.wait()
+
     def refuse_new(self) -> None:
         """Answers from now on carry the wish to close."""
         self.closing = True
@@ -194,6 +201,10 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    def request_ended(self) -> None:
+        """Notes that a request has its answer, or its caller has left."""
+        self._ended.set()
+
     def reserve(self, count: int) -> bool:
         """Counts bytes of bodies; False when all bodies are too many."""
         if self._body_bytes + count > _BODIES_BYTES:
@@ -303,6 +314,7 @@
             await handler(request, responder)
         finally:
             self.busy = False
+            self._server.request_ended()
         self._server.release(self._held_bytes)
         self._held_bytes = 0
         if not responder.ended:
--- a/src/clementinegw/direct/types.py
+++ b/src/clementinegw/direct/types.py
@@ -208,12 +208,12 @@
     Attributes:
       model: The model's name.
       version: The version of its layers.
-      whole: Whether every layer is there.
+      layers: How many layers from the first on it has, of that version.
     """
 
     model: str
     version: int
-    whole: bool
+    layers: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -238,9 +238,14 @@
     leaving: bool = False
     held: tuple[Held, ...] = ()
 
-    def serves(self, version: int) -> bool:
-        """Returns whether it has all layers of at least this version."""
-        return any(h.whole and h.version >= version for h in self.held)
+    def version(self, layers: int) -> int:
+        """Returns the newest version of which it has all layers; 0 for none.
+
+        Args:
+          layers: The layers that a model has.
+        """
+        whole = (h.version for h in self.held if h.layers >= layers)
+        return max(whole, default=0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -5,9 +5,9 @@
 import contextlib
 import json
 
+from adapter import roles
 import h11
 
-from adapter import roles
 from clementinegw import types as places
 from clementinegw.direct import entry as entries
 from clementinegw.direct import instance as instances
--- /dev/null
+++ b/tests/test_direct_agent.py
@@ -0,0 +1,330 @@
+"""Agents bring versions to the servers beside them, whatever spoils."""
+
+import asyncio
+import hashlib
+import random
+
+import pytest
+
+from clementinegw import exceptions
+from clementinegw import types as places
+from clementinegw.direct import agent as agents
+from clementinegw.direct import backing
+from clementinegw.direct import follow
+from clementinegw.direct import instance as instances
+from clementinegw.direct import types
+from clementinegw.telemetry import counters as counters_lib
+from clementinegw.telemetry import logs
+from clementinegw.testing import clock as clocks
+
+PIECES = 12
+PIECE_BYTES = 4096
+PORT = 17_731
+MODEL = "m"
+
+
+def piece(version, number):
+    return random.Random(f"{version}/{number}").randbytes(PIECE_BYTES)
+
+
+def digest(data):
+    return hashlib.sha256(data).digest()
+
+
+class Beside:
+    """A model server: takes what lies staged, checks nothing."""
+
+    def __init__(self):
+        self.staged_pieces = {}
+        self.held = ()
+        self.busy_until = 0.0
+        self.sequence = 0
+        self.loads = []
+        self.whole = []
+        self.rot = False
+        self.lose_answer = False
+
+    async def state(self):
+        now = asyncio.get_running_loop().time()
+        busy = now < self.busy_until
+        held = () if busy else self.held
+        return backing.State(held, busy, self.sequence, 0, 0, 1.0)
+
+    async def staged(self):
+        return frozenset(self.staged_pieces)
+
+    async def read_staged(self, number):
+        return self.staged_pieces.get(number)
+
+    async def stage(self, number, data):
+        if self.rot and number == 3:
+            self.rot = False
+            data = b"rotten" + data[6:]
+        self.staged_pieces[number] = data
+
+    async def load(self, model, version, sequence, cut):
+        if sequence != self.sequence:
+            return False
+        self.sequence += 1
+        self.loads.append(version)
+        expected = [piece(version, n) for n in range(PIECES)]
+        found = [self.staged_pieces.get(n) for n in range(PIECES)]
+        self.whole.append(expected == found)
+        self.busy_until = asyncio.get_running_loop().time() + 0.3
+        self.held = (types.Held(model, version, 4),)
+        if self.lose_answer:
+            self.lose_answer = False
+            raise exceptions.BackendLost("the answer was lost")
+        return True
+
+
+class Origin:
+    """The origin of weights."""
+
+    def __init__(self):
+        self.sent = 0
+        self.down = False
+        self.spoil = 0
+
+    async def digests(self, model, version):
+        if self.down:
+            raise exceptions.PlatformUnavailable("down")
+        names = tuple(digest(piece(version, n)) for n in range(PIECES))
+        return backing.Digests(model, version, PIECE_BYTES, names)
+
+    async def piece(self, model, version, number):
+        await asyncio.sleep(0.02)
+        if self.down:
+            raise exceptions.PlatformUnavailable("down")
+        self.sent += 1
+        if self.spoil:
+            self.spoil -= 1
+            return b"spoilt" * 100
+        return piece(version, number)
+
+
+class Topic:
+    """A topic whose records a test adds."""
+
+    def __init__(self):
+        self.records = []
+
+    async def newest(self):
+        return follow.Batch((), 0)
+
+    async def changes(self, offset, wait_s):
+        until = asyncio.get_running_loop().time() + wait_s
+        while len(self.records) <= offset:
+            if asyncio.get_running_loop().time() >= until:
+                break
+            await asyncio.sleep(0.05)
+        found = tuple(self.records[offset:])
+        return follow.Batch(found, offset + len(found))
+
+
+class Site:
+    """Three agents in three failure domains."""
+
+    def __init__(self, count=3):
+        self.origin = Origin()
+        self.besides = [Beside() for _ in range(count)]
+        self.topics = (Topic(), Topic())
+        self.agents = []
+
+    def operators(self):
+        return self.topics[0]
+
+    def servers(self):
+        return self.topics[1]
+
+    def beside(self, address, model):
+        return self.besides[int(address.host.rpartition(".")[2]) - 11]
+
+    def origin_at(self, address):
+        return self.origin
+
+    def declare(self, version):
+        record = follow.Record("v", types.Declared(MODEL, version))
+        self.topics[0].records.append(record)
+
+    async def __aenter__(self):
+        engine = types.Engine(
+            (MODEL,), 16, 0.01, 0.0, 1e4, 6, 4, PIECES, PIECE_BYTES
+        )
+        origin = types.Origin(places.Address("127.0.0.1", 1), 8, 1e6)
+        services = {
+            "engine": types.Service("engine", 64, engine),
+            "origin": types.Service("origin", 8, None, origin),
+        }
+        configuration = types.Configuration(1, (), services, {})
+        self.topics[0].records.append(follow.Record("c", configuration))
+        hosts = [f"127.0.0.{11 + n}" for n in range(len(self.besides))]
+        for number, host in enumerate(hosts):
+            server = types.Server(
+                f"i-{number}",
+                "engine",
+                places.Address(host, 1),
+                f"d{number}",
+                16,
+            )
+            self.topics[1].records.append(follow.Record(f"i-{number}", server))
+        for number, host in enumerate(hosts):
+            await self.start(number, host)
+        return self
+
+    async def start(self, number, host):
+        instance = instances.Instance(
+            name=f"agent-{number}",
+            place=places.Place(f"r{number}", f"d{number}"),
+            regions={f"d{n}": f"r{n}" for n in range(len(self.besides))},
+            host=host,
+            peer_ports=(PORT, PORT + 1),
+            store=places.Address("127.0.0.1", 1),
+            callers=None,
+            ready=None,
+            backend=places.Address(host, 1),
+            service="engine",
+            link_bytes_per_s=50_000.0,
+            bounds=instances.Bounds(),
+        )
+        platform = Platform(self)
+        agent = agents.Agent(
+            instance,
+            platform,
+            logs.Log(),
+            counters_lib.Counters(),
+            random.Random(number),
+            asyncio.get_running_loop().clock,
+            asyncio.get_running_loop().time,
+        )
+        await agent.start()
+        self.agents.append(agent)
+
+    async def __aexit__(self, *_):
+        for agent in self.agents:
+            await agent.stop()
+
+    async def until_all_hold(self, version, most_s=20.0):
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        while loop.time() < began + most_s:
+            states = [await beside.state() for beside in self.besides]
+            if all(
+                any(h.version == version for h in state.held)
+                for state in states
+            ):
+                return loop.time() - began
+            await asyncio.sleep(0.05)
+        raise AssertionError(f"version {version} is not everywhere")
+
+
+class Platform:
+    def __init__(self, site):
+        self.operators = site.operators
+        self.servers = site.servers
+        self.beside = site.beside
+        self.origin = site.origin_at
+
+
+def run(coroutine):
+    return clocks.run(coroutine, grace_s=0.002)
+
+
+def test_a_version_comes_to_every_server_with_about_one_copy_drawn():
+    async def play():
+        async with Site() as site:
+            await site.until_all_hold(1)
+            site.origin.sent = 0
+            site.declare(2)
+            took = await site.until_all_hold(2)
+            wholes = [beside.whole for beside in site.besides]
+            return took, site.origin.sent, wholes
+
+    took, sent, wholes = run(play())
+    assert took < 8.0
+    assert sent <= PIECES + 3
+    assert all(all(whole) for whole in wholes)
+
+
+def test_what_rots_while_it_lies_staged_is_put_right_before_the_order():
+    """Symptom: a server makes tokens with a spoilt layer.
+
+    Sequence: a piece that was staged rots; the server takes it unchecked.
+    Cause: pieces were checked only as they arrived.
+    """
+
+    async def play():
+        async with Site(1) as site:
+            site.besides[0].rot = True
+            await site.until_all_hold(1)
+            return site.besides[0].whole
+
+    assert run(play()) == [True]
+
+
+def test_what_the_origin_spoils_is_never_staged():
+    async def play():
+        async with Site(1) as site:
+            site.origin.spoil = 3
+            await site.until_all_hold(1, most_s=30.0)
+            return site.besides[0].whole
+
+    assert run(play()) == [True]
+
+
+def test_an_order_whose_answer_is_lost_is_not_given_twice():
+    """Symptom: a server loads twice and serves nothing meanwhile.
+
+    Sequence: an order begins and its answer is lost; the agent orders again.
+    Cause: no answer was taken for a refusal.
+    """
+
+    async def play():
+        async with Site(1) as site:
+            site.besides[0].lose_answer = True
+            await site.until_all_hold(1)
+            await asyncio.sleep(2.0)
+            return site.besides[0].loads
+
+    assert run(play()) == [1]
+
+
+def test_an_agent_that_starts_again_takes_what_lies_staged():
+    async def play():
+        async with Site(1) as site:
+            await site.until_all_hold(1)
+            site.origin.sent = 0
+            await site.agents.pop().stop()
+            site.besides[0].held = ()
+            await site.start(0, "127.0.0.11")
+            await site.until_all_hold(1)
+            return site.origin.sent
+
+    assert run(play()) == 0
+
+
+@pytest.mark.parametrize("gap_s", [1.0, 4.0])
+def test_of_versions_named_in_a_row_the_newest_is_everywhere(gap_s):
+    async def play():
+        async with Site() as site:
+            await site.until_all_hold(1)
+            site.declare(2)
+            await asyncio.sleep(gap_s)
+            site.declare(3)
+            await site.until_all_hold(3)
+            return [beside.whole for beside in site.besides]
+
+    assert all(all(whole) for whole in run(play()))
+
+
+def test_an_origin_that_is_down_is_waited_for():
+    async def play():
+        async with Site() as site:
+            await site.until_all_hold(1)
+            site.origin.down = True
+            site.declare(2)
+            await asyncio.sleep(5.0)
+            site.origin.down = False
+            return await site.until_all_hold(2)
+
+    assert run(play()) < 8.0
--- a/tests/test_direct_decisions.py
+++ b/tests/test_direct_decisions.py
@@ -219,12 +219,12 @@
 
 def test_a_server_without_layers_serves_nothing_whatever_the_list_says():
     backends = new_fleet()
-    held = (types.Held("m", 1, True),)
+    held = (types.Held("m", 1, 16),)
     backends.apply(batch(("a", server("a", held=held))), True, 60.0)
     backend = backends.find("a")
-    assert backend.serves(1)
+    assert backend.serves(1, 16)
     backend.take_report(report(version=0, whole=False), 1.0)
-    assert not backend.serves(1)
+    assert not backend.serves(1, 16)
 
 
 # The retry budget.
--- a/tests/test_direct_entry.py
+++ b/tests/test_direct_entry.py
@@ -380,16 +380,18 @@
             await asyncio.sleep(2.0)
             call.answer()
 
-        async with sites.Site("i-1", do=slow) as site:
-            async with sites.Caller(site) as first:
-                first.send()
-                await asyncio.sleep(0.1)
-                draining = asyncio.ensure_future(site.entry.drain())
-                await asyncio.sleep(1.0)
-                ready = site.entry.ready
-                second = await site.ask()
-                answer = await first.answer()
-                await draining
-                return answer.status, second.status, ready
+        async with (
+            sites.Site("i-1", do=slow) as site,
+            sites.Caller(site) as first,
+        ):
+            first.send()
+            await asyncio.sleep(0.1)
+            draining = asyncio.ensure_future(site.entry.drain())
+            await asyncio.sleep(1.0)
+            ready = site.entry.ready
+            second = await site.ask()
+            answer = await first.answer()
+            await draining
+            return answer.status, second.status, ready
 
     assert sites.run(play()) == (200, 200, False)
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,226 @@
+"""The adapter: the platform's names decoded once, and known nowhere else."""
+
+import json
+import pathlib
+import re
+import subprocess
+import sys
+
+from adapter import headers
+from adapter import records
+import pytest
+
+from clementinegw.direct import client
+from clementinegw.direct import instance as instances
+from clementinegw.direct import types
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+NAMES = re.compile(
+    rb"x-clementinegw|keyed\.(op|servers|status)|/log-(append|read|newest|join"
+    rb"|commit|owners|trim)|/stage-(put|get)|path_prefix|target_latency_ms"
+    rb"|allow_anonymous|switch_mode|cold_remaining_ms"
+    rb"|kv_token_bytes|CLEMENTINEGW_NODE_FILE",
+    re.IGNORECASE,
+)
+
+
+def test_no_name_of_the_platform_is_known_outside():
+    found = [
+        str(path)
+        for path in (ROOT / "src").rglob("*")
+        if path.suffix in (".py", ".thrift") and NAMES.search(path.read_bytes())
+    ]
+    assert found == []
+
+
+def test_the_folder_does_not_hide_the_standard_module():
+    """Symptom: programs fail as they import Python's own `platform`.
+
+    Sequence: the repository's root, or a package of that name, comes first on
+    the path. Cause: the folder bears the name of a standard module.
+    """
+    code = (
+        "import sys; sys.path.insert(0, '.'); import platform; "
+        "print(platform.system())"
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True
+    )
+    assert done.stdout.strip() == "Linux", done.stderr
+    assert not (ROOT / "platform" / "__init__.py").exists()
+
+
+@pytest.mark.parametrize("role", ["entry", "agent"])
+def test_a_role_without_its_file_ends_with_a_clear_error(role, tmp_path):
+    missing = tmp_path / "none.json"
+    done = subprocess.run(
+        [sys.executable, str(ROOT / "platform" / "main.py"), role],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        env={"CLEMENTINEGW_NODE_FILE": str(missing)},
+    )
+    assert done.returncode == 3
+    assert str(missing) in done.stdout
+
+
+def test_the_template_names_what_the_instance_file_needs():
+    text = (ROOT / "deploy" / "instance.json").read_text()
+    filled = re.sub(r"\{\{[a-z_.]+\|json\}\}", "null", text)
+    names = set(json.loads(filled))
+    assert names == set(instances._File.__struct_fields__)
+    bounds = set(json.loads(filled)["bounds"])
+    assert bounds == set(instances.Bounds.__struct_fields__)
+
+
+# Headers.
+
+
+def facts(**fields):
+    raw = [(k.encode(), v.encode()) for k, v in fields.items()]
+    return headers.Headers().request_facts(raw)
+
+
+def test_a_request_is_decoded():
+    found = headers.Headers().request_facts(
+        [
+            (b"X-Clementinegw-Attempt-Id", b"abc"),
+            (b"X-Clementinegw-Deadline-Ms", b"1500"),
+            (b"x-clementinegw-token-usage", b"1460,80"),
+            (b"X-Clementinegw-Prompt-Prefix", b"5c:800,91:410,e4:250"),
+            (b"Authorization", b"Token secret"),
+            (b"Last-Event-Id", b"12"),
+        ]
+    )
+    assert found == types.RequestFacts(
+        "abc", 1.5, "secret", "", 1460, 80, "e4", "12"
+    )
+
+
+@pytest.mark.parametrize("text", ["-1", "1.5", "", "1e3", "9" * 40, "²"])
+def test_a_deadline_that_is_no_number_is_malformed(text):
+    raw = [(b"X-Clementinegw-Deadline-Ms", text.encode())]
+    with pytest.raises(ValueError, match="whole number"):
+        headers.Headers().request_facts(raw)
+
+
+@pytest.mark.parametrize(
+    ("text", "load"),
+    [
+        ("3,0,8", types.Load(3, 0, 8)),
+        ("3,0", None),
+        ("a,b,c", None),
+        ("", None),
+    ],
+)
+def test_a_load_that_cannot_be_read_says_nothing(text, load):
+    head = client.Head(200, ((b"x-clementinegw-server-load", text.encode()),))
+    assert headers.Headers().answer_facts(head).load == load
+
+
+def test_headers_of_one_connection_are_not_passed_on():
+    raw = [
+        (b"Connection", b"close, X-Private"),
+        (b"X-Private", b"1"),
+        (b"TE", b"trailers"),
+        (b"X-Kept", b"2"),
+    ]
+    sent = headers.Headers().sent_on(raw, types.Sending("i-1", 1.0))
+    names = {name.lower() for name, _ in sent}
+    assert b"x-kept" in names
+    assert not names & {b"connection", b"x-private", b"te"}
+
+
+# Records.
+
+
+def config(**fields):
+    return json.dumps(
+        {"version": 7, "routes": [], "services": [], **fields}
+    ).encode()
+
+
+ROUTE = {
+    "name": "r",
+    "host": "H.example",
+    "path_prefix": "/a/",
+    "kind": "streaming",
+    "timeout_ms": 6000,
+    "target_latency_ms": 405,
+}
+
+
+def test_a_route_may_be_split_between_services():
+    split = [
+        {"service": "a", "weight": 90},
+        {"service": "b", "weight": 10},
+    ]
+    body = config(routes=[{**ROUTE, "backends": split, "unknown": 1}])
+    found = records.configuration(body).routes[0]
+    assert found.targets == (types.Target("a", 90), types.Target("b", 10))
+    assert (found.host, found.timeout_s) == ("h.example", 6.0)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"{}",
+        b"[]",
+        config(routes=[{**ROUTE, "kind": "odd", "service": "a"}]),
+        config(routes=[ROUTE]),
+        config(services=[{"name": "o", "origin": "nowhere"}]),
+    ],
+)
+def test_a_malformed_configuration_is_refused(body):
+    with pytest.raises(ValueError):
+        records.configuration(body)
+
+
+@pytest.mark.parametrize(
+    ("layers", "whole"),
+    [
+        ([{"from": 0, "target": 16, "version": 2}], True),
+        ([{"from": 0, "target": 8, "version": 2}], False),
+        (
+            [
+                {"from": 8, "target": 16, "version": 2},
+                {"from": 0, "target": 8, "version": 2},
+            ],
+            True,
+        ),
+        (
+            [
+                {"from": 0, "target": 8, "version": 2},
+                {"from": 8, "target": 16, "version": 1},
+            ],
+            False,
+        ),
+        ([{"from": 0, "target": 0, "version": 2}], False),
+    ],
+)
+def test_a_server_is_whole_only_with_every_layer_of_one_version(layers, whole):
+    """Symptom: requests go to a server that lacks layers, and are refused.
+
+    Sequence: a server holds a part of the layers, or of two versions. Cause:
+    any layer was taken for all.
+    """
+    entry = {
+        "service": "s",
+        "address": "10.0.0.1:80",
+        "zone": "z",
+        "models": [{"name": "m", "version": 2, "adapters": []}],
+        "layers": layers,
+    }
+    server = records.server_record("i-1", json.dumps(entry).encode())
+    assert server.version(16) == (2 if whole else 0)
+
+
+@pytest.mark.parametrize("cut", range(1, 30))
+def test_a_log_answer_that_is_cut_is_refused(cut):
+    content = b"\x01kvalue"
+    body = bytes(16) + len(content).to_bytes(4, "big") + content
+    assert records.log_records(body)[0] == [("k", b"value")]
+    if cut < len(body) - 16 or len(body) - cut < 16:
+        with pytest.raises(ValueError, match="log"):
+            records.log_records(body[:-cut])
