Take up the version before when the origin of a newer one is cut off

Change: a version without a new piece for a second gives way to one that was begun; draws are spread over less time.

--- a/src/clementinegw/direct/agent.py
+++ b/src/clementinegw/direct/agent.py
@@ -48,6 +48,9 @@
 # How long an agent that has every piece goes on sending that version.
 _LINGER_S = 0.25
 _VERSIONS_KEPT = 3
+# Without any new piece for so long, a version that was begun before is taken
+# up again, in seconds.
+_STALL_S = 1.0
 
 
 class Platform(Protocol):
@@ -122,6 +125,8 @@
         self._declared: list[plan.Declaration] = []
         self._digests: dict[int, backing.Digests] = {}
         self._here_at: dict[int, float] = {}
+        self._last_left = 1.0
+        self._moved_at = 0.0
         self._whole_at = math.inf
         self._yielding = False
         self._yields_since = 0.0
@@ -364,14 +369,24 @@
         digests = self._bringer.digests
         current = None
         if digests is not None:
-            current = plan.Progress(digests.version, self._left())
+            current = plan.Progress(
+                digests.version, self._left(), self._stalled()
+            )
         version = plan.choose(
-            self._versions(), current, self._terms(), self._clock()
+            self._versions(),
+            current,
+            self._terms(),
+            self._clock(),
+            self._begun(),
         )
-        if digests is not None and digests.version >= version:
+        if digests is not None and digests.version == version:
+            return
+        if not version or self._serves(version + 1):
             return
         assert self._origin is not None
-        found = await self._origin.digests(self.model, version)
+        found = self._digests.get(version)
+        if found is None:
+            found = await self._origin.digests(self.model, version)
         if found.version != version or not found.digests:
             raise exceptions.PlatformUnavailable("another manifest")
         self._digests[version] = found
@@ -386,6 +401,7 @@
             pieces=len(found.digests),
             staged=staged,
         )
+        self._moved_at = self._clock()
         self._bringer.want(self._origin, found)
 
     def _left(self) -> float:
@@ -402,6 +418,26 @@
             self._whole_at = now
         return left if now - self._whole_at >= _LINGER_S else max(left, 0.01)
 
+    def _stalled(self) -> bool:
+        """Returns whether no piece has come for a while."""
+        left = self._bringer.left
+        now = self._clock()
+        if left != self._last_left:
+            self._last_left = left
+            self._moved_at = now
+        return left > 0 and now - self._moved_at > _STALL_S
+
+    def _begun(self) -> list[plan.Progress]:
+        """Returns what else was begun and is worth ending."""
+        current = self._bringer.digests
+        return [
+            plan.Progress(version, self._bringer.left_of(digests))
+            for version, digests in self._digests.items()
+            if current is not None
+            and version != current.version
+            and not self._serves(version)
+        ]
+
     def _terms(self) -> plan.Terms:
         due_s = self._instance.bounds.weights_ms / 1e3
         return plan.Terms(self._bring_s(), _SWAP_S, due_s)
--- a/src/clementinegw/direct/bring.py
+++ b/src/clementinegw/direct/bring.py
@@ -28,6 +28,9 @@
 # What is asked for at once: at a small machine's link a live event waits for
 # about two of them, well under what makes a stream late. Bytes.
 _PART_BYTES = 8 << 10
+# Draws are spread as if the origin's link were this many of a machine's. The
+# sooner all pieces are out, the less an origin that is cut off can hold back.
+_ORIGIN_LINKS = 3.0
 # All agents of a deployment stand in the platform's own network; the key only
 # keeps a stray connection of something else out.
 _KEY = b"clementinegw agents of one platform"
@@ -153,6 +156,11 @@
             return 1.0
         return 1.0 - progress.held / progress.total
 
+    def left_of(self, digests: backing.Digests) -> float:
+        """Returns the part of a version's pieces that is not here."""
+        held = sum(self._store.holds(digest) for digest in digests.digests)
+        return 1.0 - held / max(1, len(digests.digests))
+
     def holds(self, digests: backing.Digests) -> bool:
         """Returns whether every piece of a version is here."""
         return all(self._store.holds(digest) for digest in digests.digests)
@@ -230,10 +238,11 @@
         remote_neighbours=4,
         draws=1,
         draw_deadline_s=0.8,
+        origin_bytes_per_s=_ORIGIN_LINKS * link_bytes_per_s,
         cut_off_s=3.0,
         settle_s=0.15,
         link_bytes_per_s=link_bytes_per_s,
-        stall_floor_s=0.8,
+        stall_floor_s=1.2,
         aside_s=3.0,
         advert_s=0.05,
     )
--- a/tests/test_direct_agent.py
+++ b/tests/test_direct_agent.py
@@ -125,7 +125,8 @@
 class Site:
     """Three agents in three failure domains."""
 
-    def __init__(self, count=3):
+    def __init__(self, count=3, link_bytes_per_s=50_000.0):
+        self.link_bytes_per_s = link_bytes_per_s
         self.origin = Origin()
         self.besides = [Beside() for _ in range(count)]
         self.topics = (Topic(), Topic())
@@ -184,7 +185,7 @@
             ready=None,
             backend=places.Address(host, 1),
             service="engine",
-            link_bytes_per_s=50_000.0,
+            link_bytes_per_s=self.link_bytes_per_s,
             bounds=instances.Bounds(),
         )
         platform = Platform(self)
@@ -328,3 +329,29 @@
             return await site.until_all_hold(2)
 
     assert run(play()) < 8.0
+
+
+def test_an_origin_that_dies_behind_a_newer_name_leaves_the_older_version():
+    """Symptom: every server is out from the older version's due time on.
+
+    Sequence: version 2 is on its way and version 3 is named two seconds
+    later; then the origin is cut off for good. Cause: the agents dropped 2,
+    whose pieces they held, for 3, of which they had none.
+    """
+
+    async def play():
+        async with Site(link_bytes_per_s=20_000.0) as site:
+            await site.until_all_hold(1)
+            site.origin.sent = 0
+            site.declare(2)
+            while site.origin.sent < PIECES:
+                await asyncio.sleep(0.05)
+            site.declare(3)
+            await asyncio.sleep(0.05)
+            site.origin.down = True
+            took = await site.until_all_hold(2)
+            return took, [beside.whole for beside in site.besides]
+
+    took, wholes = run(play())
+    assert took < 8.0
+    assert all(all(whole) for whole in wholes)
--- a/tests/test_direct_decisions.py
+++ b/tests/test_direct_decisions.py
@@ -85,6 +85,20 @@
     assert plan.choose(both, current, TERMS, now=7.5) == 3
 
 
+def test_a_version_whose_origin_is_cut_off_gives_way_to_the_one_before():
+    """Symptom: nothing serves until an origin that was cut off is back.
+
+    Sequence: version 2 is half here when 3 is named; all agents begin 3, and
+    the origin is cut off. Cause: what lay with the agents was given up.
+    """
+    both = [FIRST, plan.Declaration(3, 2.0)]
+    current = plan.Progress(3, left=0.9, stalled=True)
+    begun = [plan.Progress(2, left=0.5)]
+    assert plan.choose(both, current, TERMS, 3.5, begun) == 2
+    back = plan.Progress(2, left=0.2, stalled=True)
+    assert plan.choose(both, back, TERMS, 5.0, [plan.Progress(3, 0.9)]) == 3
+
+
 @pytest.mark.parametrize("current", [None, plan.Progress(1, 0.0)])
 def test_the_only_declared_version_is_brought(current):
     assert plan.choose([FIRST], current, TERMS, now=1.0) == 2
