--- a/src/clementinegw/direct/agent.py
+++ b/src/clementinegw/direct/agent.py
@@ -49,8 +49,9 @@
 _LINGER_S = 0.25
 _VERSIONS_KEPT = 3
 # Without any new piece for so long, a version that was begun before is taken
-# up again, in seconds.
+# up again, and the one that stalled is left aside for so long. Seconds.
 _STALL_S = 1.0
+_ASIDE_S = 4.0
 
 
 class Platform(Protocol):
@@ -125,6 +126,7 @@
         self._declared: list[plan.Declaration] = []
         self._digests: dict[int, backing.Digests] = {}
         self._here_at: dict[int, float] = {}
+        self._aside: dict[int, float] = {}
         self._last_left = 1.0
         self._moved_at = 0.0
         self._whole_at = math.inf
@@ -369,19 +371,19 @@
         digests = self._bringer.digests
         current = None
         if digests is not None:
-            current = plan.Progress(
-                digests.version, self._left(), self._stalled()
-            )
+            current = plan.Progress(digests.version, self._left())
+            if self._stalled():
+                self._aside[digests.version] = self._clock() + _ASIDE_S
         version = plan.choose(
             self._versions(),
             current,
             self._terms(),
             self._clock(),
-            self._begun(),
+            self._set_aside(),
         )
         if digests is not None and digests.version == version:
             return
-        if not version or self._serves(version + 1):
+        if not version:
             return
         assert self._origin is not None
         found = self._digests.get(version)
@@ -427,16 +429,15 @@
             self._moved_at = now
         return left > 0 and now - self._moved_at > _STALL_S
 
-    def _begun(self) -> list[plan.Progress]:
-        """Returns what else was begun and is worth ending."""
-        current = self._bringer.digests
-        return [
-            plan.Progress(version, self._bringer.left_of(digests))
-            for version, digests in self._digests.items()
-            if current is not None
-            and version != current.version
-            and not self._serves(version)
-        ]
+    def _set_aside(self) -> set[int]:
+        """Returns the versions that stall, and those that are served.
+
+        None stalls for good: where no other is left, they are tried again.
+        """
+        now = self._clock()
+        stalled = {v for v, until in self._aside.items() if until > now}
+        served = {v for v in self._digests if self._serves(v)}
+        return stalled | served if stalled else set()
 
     def _terms(self) -> plan.Terms:
         due_s = self._instance.bounds.weights_ms / 1e3
--- a/src/clementinegw/direct/balance.py
+++ b/src/clementinegw/direct/balance.py
@@ -11,7 +11,7 @@
 # What a server's load, as a part of its slots, counts for in another failure
 # domain and in another region. Bytes between places are paid for, but a full
 # server costs more.
-_DISTANCE = (0.0, 0.1, 0.2)
+_DISTANCE = (0.0, 0.15, 0.35)
 # How much a doubted server's load seems larger: one that fails half of its
 # requests gets a few only, and still enough to show that it is well again.
 _DOUBT_WEIGHT = 12.0
--- a/src/clementinegw/direct/bring.py
+++ b/src/clementinegw/direct/bring.py
@@ -156,11 +156,6 @@
             return 1.0
         return 1.0 - progress.held / progress.total
 
-    def left_of(self, digests: backing.Digests) -> float:
-        """Returns the part of a version's pieces that is not here."""
-        held = sum(self._store.holds(digest) for digest in digests.digests)
-        return 1.0 - held / max(1, len(digests.digests))
-
     def holds(self, digests: backing.Digests) -> bool:
         """Returns whether every piece of a version is here."""
         return all(self._store.holds(digest) for digest in digests.digests)
--- a/src/clementinegw/direct/plan.py
+++ b/src/clementinegw/direct/plan.py
@@ -1,6 +1,6 @@
 """Which of several declared versions to bring next."""
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 import dataclasses
 
 
@@ -24,12 +24,10 @@
     Attributes:
       version: Its number.
       left: The part of its pieces that is missing.
-      stalled: Whether no piece has come for a while.
     """
 
     version: int
     left: float
-    stalled: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,7 +50,7 @@
     current: Progress | None,
     terms: Terms,
     now: float,
-    begun: Sequence[Progress] = (),
+    aside: Collection[int] = (),
 ) -> int:
     """Returns the version to bring; 0 when none is declared.
 
@@ -66,17 +64,15 @@
       current: What is under way.
       terms: What a rollout takes.
       now: Monotonic seconds.
-      begun: Other versions that were begun and are not served.
+      aside: Versions that stall, and those that are served already.
     """
     if not declared:
         return 0
+    # The origin may be cut off right after a newer version was named. The
+    # pieces of the one before lie with all agents; without it nothing could
+    # serve from its due time on. Where all stall, the newest is tried again.
+    declared = [d for d in declared if d.version not in aside] or declared
     newest = declared[-1]
-    if current is not None and current.stalled and begun:
-        # The origin may be cut off right after a newer version was named. The
-        # pieces of the one before lie with all agents; without it nothing
-        # could serve from its due time on. A version that stalls as well
-        # gives way again.
-        return min(begun, key=lambda other: other.left).version
     older = [d for d in declared if current and d.version == current.version]
     if not older or current is None or current.version >= newest.version:
         return newest.version
