--- a/src/clementinegw/direct/agent.py
+++ b/src/clementinegw/direct/agent.py
@@ -22,6 +22,7 @@
 from clementinegw.direct import types
 from clementinegw.telemetry import counters as counters_lib
 from clementinegw.telemetry import events
+from clementinegw.telemetry import histograms
 from clementinegw.telemetry import logs
 
 # Entries pass a new declaration on within a second, so a connection to the
@@ -120,6 +121,7 @@
             clock or clocks.SystemClock(),
         )
         self._reporter = reports.Reporter(self._on_declared)
+        self.histograms = histograms.Histograms()
         self._engine: types.Engine | None = None
         self._origin: backing.Origin | None = None
         self._origin_address: places.Address | None = None
@@ -488,6 +490,10 @@
             self.model, digests.version, state.sequence, cut=True
         )
         self._counters.add("weights.orders")
+        self.histograms.add(
+            "weights.declared_to_order",
+            self._clock() - self._at(digests.version),
+        )
         self._log.write(
             _events.WEIGHTS_ORDERED,
             version=digests.version,
--- a/src/clementinegw/direct/entry.py
+++ b/src/clementinegw/direct/entry.py
@@ -23,6 +23,7 @@
 from clementinegw.direct import versions as versions_lib
 from clementinegw.telemetry import counters as counters_lib
 from clementinegw.telemetry import events
+from clementinegw.telemetry import histograms
 from clementinegw.telemetry import logs
 
 # How topics are read. The platform answers as soon as something changes, so
@@ -121,6 +122,7 @@
         self._balancer = balance.Balancer(
             self._fleet, instance.place, instance.regions, rng, clock
         )
+        self.histograms = histograms.Histograms()
         self._forwarder = forward.Forwarder(
             platform.dialect(),
             self._knowledge,
@@ -131,6 +133,7 @@
             clock,
             log,
             counters,
+            self.histograms,
         )
         self._server = servers.Server(self._forwarder.handle)
         self._health = servers.Server(self._answer_ready)
--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -22,6 +22,7 @@
 from clementinegw.direct import types
 from clementinegw.direct import versions as versions_lib
 from clementinegw.telemetry import counters as counters_lib
+from clementinegw.telemetry import histograms as histograms_lib
 from clementinegw.telemetry import logs
 
 Reason = outcomes.RefusalReason
@@ -88,6 +89,7 @@
         clock: Callable[[], float],
         log: logs.Log,
         counters: counters_lib.Counters,
+        histograms: histograms_lib.Histograms,
     ):
         self._dialect = dialect
         self._knowledge = knowledge
@@ -98,6 +100,7 @@
         self._clock = clock
         self._log = log
         self._counters = counters
+        self._histograms = histograms
         self._attempts = attempts.Attempts(dialect, clock)
         self._budgets: dict[str, budgets.RetryBudget] = {}
         self._queues: dict[str, queue.Queue] = {}
@@ -471,7 +474,10 @@
         first = job.first_answer_at
         arrived = job.request.arrived_at
         self._counters.add(f"direct.done.{outcome}")
-        self._counters.timing("direct.answer", now - arrived)
+        self._histograms.add("direct.answer", now - arrived)
+        self._histograms.add("direct.waited", job.waited_s)
+        if first is not None:
+            self._histograms.add("direct.first_event", first - arrived)
         self._log.write(
             _events.REQUEST_DONE,
             request=job.facts.attempt_id,
--- a/src/clementinegw/direct/run.py
+++ b/src/clementinegw/direct/run.py
@@ -7,14 +7,18 @@
 
 from clementinegw import exceptions
 from clementinegw import lifetime
+from clementinegw import types
 from clementinegw.direct import _events
 from clementinegw.direct import instance as instances
+from clementinegw.direct import server as servers
 from clementinegw.telemetry import counters as counters_lib
+from clementinegw.telemetry import histograms as histograms_lib
 from clementinegw.telemetry import logs
 from clementinegw.telemetry import output
 
 # How often the instance file is read again, in seconds.
 _LOOK_S = 3.0
+_METRICS_PATH = "/metrics"
 
 MakePlatform = Callable[[instances.Instance, logs.Log], Any]
 
@@ -44,15 +48,49 @@
     counters = counters_lib.Counters()
     platform = make_platform(instance, log)
     daemon = _ROLES[args[0]](instance, platform, log, counters)
+    pages = servers.Server(_Pages(counters, daemon.histograms, out).answer)
+    await pages.listen(_metrics_address(instance, args[0]))
     watcher = _Watcher(path, instance, daemon, log)
     watching = asyncio.ensure_future(watcher.watch())
     try:
         return await lifetime.run_until_signal(daemon, watcher.look)
     finally:
         watching.cancel()
+        await pages.stop()
         out.flush()
 
 
+class _Pages:
+    """Answers with the process's metrics."""
+
+    def __init__(
+        self,
+        counters: counters_lib.Counters,
+        histograms: histograms_lib.Histograms,
+        out: output.Output,
+    ):
+        self._counters = counters
+        self._histograms = histograms
+        self._out = out
+
+    async def answer(
+        self, request: servers.Request, responder: servers.Responder
+    ) -> None:
+        if request.path != _METRICS_PATH:
+            await responder.answer(404, [], b"")
+            return
+        self._counters.gauge("log.dropped", self._out.dropped)
+        text = histograms_lib.page(self._counters, self._histograms)
+        headers = [(b"content-type", b"text/plain; charset=utf-8")]
+        await responder.answer(200, headers, text.encode())
+
+
+def _metrics_address(instance: instances.Instance, role: str) -> types.Address:
+    """Returns the last peer port; the one before it for an agent."""
+    port = instance.peer_ports[1] - (role == "agent")
+    return types.Address(instance.host, port)
+
+
 class _Watcher:
     """Reads the instance file again, at SIGHUP and every few seconds.
 
--- /dev/null
+++ b/src/clementinegw/telemetry/histograms.py
@@ -0,0 +1,50 @@
+"""Latencies in histograms, and a page of all metrics as text."""
+
+from hdrh import histogram
+
+from clementinegw.telemetry import counters as counters_lib
+
+# From a millisecond to ten minutes, to two digits. Milliseconds.
+_LEAST_MS = 1
+_MOST_MS = 600_000
+_DIGITS = 2
+_QUANTILES = (50.0, 90.0, 99.0, 99.9)
+
+
+class Histograms:
+    """The latencies of one process by name."""
+
+    def __init__(self) -> None:
+        self._by_name: dict[str, histogram.HdrHistogram] = {}
+
+    def add(self, name: str, seconds: float) -> None:
+        """Records a duration in seconds."""
+        found = self._by_name.get(name)
+        if found is None:
+            found = histogram.HdrHistogram(_LEAST_MS, _MOST_MS, _DIGITS)
+            self._by_name[name] = found
+        found.record_value(min(_MOST_MS, max(_LEAST_MS, int(seconds * 1e3))))
+
+    def lines(self) -> list[str]:
+        """Returns a line for each quantile and count."""
+        lines = []
+        for name, found in sorted(self._by_name.items()):
+            for quantile in _QUANTILES:
+                value = found.get_value_at_percentile(quantile)
+                lines.append(
+                    f'{_plain(name)}_ms{{quantile="{quantile / 100:g}"}} '
+                    f"{value}"
+                )
+            lines.append(f"{_plain(name)}_count {found.get_total_count()}")
+        return lines
+
+
+def page(counters: counters_lib.Counters, histograms: Histograms) -> str:
+    """Returns all metrics, one a line, as name and value."""
+    values = sorted(counters.snapshot().items())
+    lines = [f"{_plain(name)} {value:g}" for name, value in values]
+    return "\n".join([*lines, *histograms.lines()]) + "\n"
+
+
+def _plain(name: str) -> str:
+    return "clementinegw_" + name.replace(".", "_").replace("-", "_")
