Tell callers that come back from new ones, and send who is late away for a while

Change: a caller that has less time than is usual on its route has been here before; new requests are refused once they are late and come back a second or two later; those that came back wait for what is left over.

--- a/src/clementinegw/direct/attempt.py
+++ b/src/clementinegw/direct/attempt.py
@@ -42,6 +42,7 @@
       service: The service that serves it.
       responder: Answers it.
       deadline: When its final answer is due, in monotonic seconds.
+      spent_s: How long its caller has been at it before, in seconds.
       sends: Times that it was handed to a server.
       runs: Times that it may have begun to run.
       last_event: The last event that the caller has got in this answer.
@@ -57,6 +58,7 @@
     service: str
     responder: servers.Responder
     deadline: float
+    spent_s: float = 0.0
     sends: int = 0
     runs: int = 0
     last_event: str | None = None
--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -38,9 +38,11 @@
 # How long an engine takes from a request's arrival to the first event beside
 # reading its prompt, in seconds: the pass under way and the first of its own.
 _FIRST_EVENT_S = 0.2
-# How long a request that is late waits for room, as a part of its time. Those
-# that are given up later have less time to go elsewhere.
-_LATE_SHARE = 0.2
+# How long a request that came back waits for room, as a part of its time.
+_LATE_SHARE = 0.3
+# What a caller's time may differ by between two requests of a route without
+# the later one being taken for one that came back, in seconds.
+_SAME_TIME_S = 0.1
 # A request whose server will serve within this part of its time waits for it.
 _SOON_SHARE = 0.27
 # A server that said it is full is passed over for this long, in seconds.
@@ -104,6 +106,7 @@
         self._attempts = attempts.Attempts(dialect, clock)
         self._budgets: dict[str, budgets.RetryBudget] = {}
         self._queues: dict[str, queue.Queue] = {}
+        self._callers_time = _CallersTime()
         self._suspects = suspects_lib.Suspects()
 
     async def handle(
@@ -161,6 +164,7 @@
         timeout_s = route.timeout_s
         if facts.timeout_s is not None:
             timeout_s = min(timeout_s, facts.timeout_s)
+        spent_s = self._callers_time.spent_s(route.name, facts.timeout_s)
         service = balance.draw_service(route, self._rng)
         self._budget(service).request(self._clock())
         return attempts.Job(
@@ -170,6 +174,7 @@
             service,
             responder,
             request.arrived_at + timeout_s,
+            spent_s,
         )
 
     def _match(
@@ -276,7 +281,15 @@
         )
         arrived = job.request.arrived_at
         time_s = job.deadline - arrived
-        until = arrived + _LATE_SHARE * time_s
+        on_time_until = arrived - job.spent_s + job.match.route.objective_s
+        if engine is not None:
+            reading_s = job.facts.prompt_tokens / engine.prefill_tokens_per_s
+            on_time_until -= _FIRST_EVENT_S + reading_s
+        # Who is late comes back in a while and costs nothing meanwhile; who
+        # has come back is not sent away again while there is hope.
+        until = max(arrived, on_time_until)
+        if job.spent_s or job.sends:
+            until = arrived + _LATE_SHARE * time_s
         if not self._balancer.candidates(wanted):
             ready_in_s = self._balancer.ready_in_s(job.service)
             if ready_in_s > _SOON_SHARE * time_s:
@@ -285,11 +298,7 @@
                 )
             # Turned away, it would come back before the server does, and be
             # lost; a server that is nearly there still serves it, if late.
-            until = self._clock() + ready_in_s + _LATE_SHARE * time_s
-        on_time_until = arrived + job.match.route.objective_s
-        if engine is not None:
-            reading_s = job.facts.prompt_tokens / engine.prefill_tokens_per_s
-            on_time_until -= _FIRST_EVENT_S + reading_s
+            until = self._clock() + ready_in_s + _SOON_SHARE * time_s
         began = self._clock()
         place = await self._queue(job.service).place(
             wanted,
@@ -494,5 +503,25 @@
         )
 
 
+class _CallersTime:
+    """How long callers of each route wait at first.
+
+    A caller that was refused comes back with less time. Taken for a new one,
+    it would be preferred to those that can still be on time, and late itself.
+    """
+
+    def __init__(self) -> None:
+        self._usual_s: dict[str, float] = {}
+
+    def spent_s(self, route: str, timeout_s: float | None) -> float:
+        """Returns how long a caller has been at it; 0 for a new request."""
+        if timeout_s is None:
+            return 0.0
+        usual_s = max(self._usual_s.get(route, 0.0), timeout_s)
+        self._usual_s[route] = usual_s
+        spent_s = usual_s - timeout_s
+        return spent_s if spent_s > _SAME_TIME_S else 0.0
+
+
 def _later(reason: Reason, retry_after_s: float) -> outcomes.Refusal:
     return outcomes.Refusal(_UNAVAILABLE, reason, retry_after_s)
