--- a/Makefile
+++ b/Makefile
@@ -19,13 +19,13 @@
 	$(PY) -m pytest -n 10 --dist worksteal
 
 check: setup
-	$(VENV)/bin/ruff format --check src tests
-	$(VENV)/bin/ruff check src tests
+	$(VENV)/bin/ruff format --check src tests platform
+	$(VENV)/bin/ruff check src tests platform
 	$(VENV)/bin/mypy
 
 format: setup
-	$(VENV)/bin/ruff format src tests
-	$(VENV)/bin/ruff check --fix src tests
+	$(VENV)/bin/ruff format src tests platform
+	$(VENV)/bin/ruff check --fix src tests platform
 
 # Members over six host processes and the log in a seventh: the shell starts
 # them, since a process starts no other.
--- a/src/clementinegw/weights/_swarm_imports.py
+++ b/src/clementinegw/weights/_swarm_imports.py
@@ -6,6 +6,8 @@
 from clementinegw.weights import drawers
 from clementinegw.weights import peers as peers_lib
 
+# How many mean request times each in rank gives those before it.
+_PATIENCE = 2.0
 _DOMAIN = drawers.DrawPolicy.FAILURE_DOMAIN
 
 
@@ -70,8 +72,14 @@
             return now >= arrived_at + self._limits.draw_deadline_s
         if self._peers.held_near(index):
             return False
+        group = self._me.failure_domain
+        first = fleet.ranked(digests[index], _DOMAIN, group)[0]
+        if self._peers.find(first) is None:
+            # Nobody brings it who is waited for; each chunk of one that died
+            # would else come later, and its next drawers draw later still.
+            return True
         seen_at = self._peers.seen_far_at(index, now)
-        return now >= seen_at + (2 + 2 * rank) * mean_s
+        return now >= seen_at + _PATIENCE * (1 + rank) * mean_s
 
     def _budget(self, chunks: int, fleet: drawers.Fleet) -> int:
         near = len(fleet.group(_DOMAIN, self._me.failure_domain))
--- a/src/clementinegw/weights/_swarm_machine.py
+++ b/src/clementinegw/weights/_swarm_machine.py
@@ -47,6 +47,7 @@
         self._next_draw_at = _NEVER
         self._settle_at = 0.0
         self._arrived_at = 0.0
+        self._drawn_at = 0.0
         self._imports = imports.Imports(limits, me, self._peers)
         self._adverts = adverts.Adverts(limits)
         self._out: list[types_.Action] = []
@@ -196,6 +197,8 @@
             return
         self._target.have |= 1 << event.index
         self._arrived_at = now
+        if event.source == types_.ORIGIN:
+            self._drawn_at = now
         self._adverts.gained(event.index)
         if self.complete:
             self._out.append(types_.Completed(self._target.digest))
@@ -291,7 +294,9 @@
     def _draw(self, now: float) -> None:
         self._next_draw_at = _NEVER
         wanted = self._peers.held_by_none(self._target.missing)
-        fresh_at = max(self._arrived_at, self._peers.fresh_at)
+        # What comes from a peer has appeared there before; counted again as it
+        # arrives here, a late copy would hide that drawers are silent.
+        fresh_at = max(self._drawn_at, self._peers.fresh_at)
         self._draws.appeared(wanted, fresh_at)
         if self.complete or not self._target.chunks:
             return
@@ -387,6 +392,7 @@
             self._view.absent,
         )
         self._arrived_at = now
+        self._drawn_at = now
         self._settle_at = now + self._limits.settle_s
 
     def _abandon(self) -> None:
--- a/tests/test_direct_agent.py
+++ b/tests/test_direct_agent.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+import os
 import random
 
 import pytest
@@ -20,6 +21,9 @@
 PIECES = 12
 PIECE_BYTES = 4096
 PORT = 17_731
+# Agents of one deployment have one port and an address each. Tests run in many
+# processes at once, so each process has a loopback network of its own.
+NETWORK = f"127.{1 + os.getpid() // 256 % 200}.{os.getpid() % 256}"
 MODEL = "m"
 
 
@@ -159,7 +163,7 @@
         }
         configuration = types.Configuration(1, (), services, {})
         self.topics[0].records.append(follow.Record("c", configuration))
-        hosts = [f"127.0.0.{11 + n}" for n in range(len(self.besides))]
+        hosts = [f"{NETWORK}.{11 + n}" for n in range(len(self.besides))]
         for number, host in enumerate(hosts):
             server = types.Server(
                 f"i-{number}",
@@ -297,7 +301,7 @@
             site.origin.sent = 0
             await site.agents.pop().stop()
             site.besides[0].held = ()
-            await site.start(0, "127.0.0.11")
+            await site.start(0, f"{NETWORK}.11")
             await site.until_all_hold(1)
             return site.origin.sent
 
