--- /dev/null
+++ b/src/clementinegw/direct/admit.py
@@ -0,0 +1,91 @@
+"""Whether a request may be served at all: its route, its key, its caller."""
+
+from collections.abc import Callable
+import dataclasses
+
+from clementinegw.direct import catalog as catalogs
+from clementinegw.direct import outcomes
+from clementinegw.direct import server as servers
+from clementinegw.direct import types
+
+Reason = outcomes.RefusalReason
+
+# When to come back while the process learns what it needs, in seconds.
+_RETRY_SOON_S = 0.3
+# What a caller's time may differ by between two requests of a route without
+# the later one being taken for one that came back, in seconds.
+_SAME_TIME_S = 0.1
+_UNAVAILABLE = 503
+
+
+@dataclasses.dataclass(slots=True)
+class Knowledge:
+    """What the entry knows of its surroundings.
+
+    Attributes:
+      catalog: The configuration in force; None before the first.
+      age_s: How old that knowledge may be, in seconds.
+      revoke_s: Keys are served while it is younger than this.
+      routes_s: Unknown routes and keys are refused for good while younger.
+    """
+
+    catalog: catalogs.Catalog | None
+    age_s: Callable[[], float]
+    revoke_s: float
+    routes_s: float
+
+
+def match(
+    knowledge: Knowledge, request: servers.Request, facts: types.RequestFacts
+) -> catalogs.Match | outcomes.Refusal:
+    """Returns a request's route and customer, or why it is refused."""
+    catalog = knowledge.catalog
+    if catalog is None:
+        return later(Reason.NO_CONFIGURATION, _RETRY_SOON_S)
+    # What is unknown here may be new: only a process that has heard from
+    # the platform just now may say that it does not exist.
+    fresh = knowledge.age_s() < knowledge.routes_s
+    route = catalog.route(request.host, request.path)
+    if route is None:
+        if fresh:
+            return outcomes.Refusal(404, Reason.NO_ROUTE)
+        return later(Reason.STALE_ROUTES, _RETRY_SOON_S)
+    if not catalog.keyed or (route.anonymous and not facts.key):
+        return catalogs.Match(route, None)
+    customer = catalog.customer(facts.key)
+    if customer is None and route.anonymous:
+        return catalogs.Match(route, None)
+    if customer is None:
+        if fresh:
+            return outcomes.Refusal(401, Reason.NO_KEY)
+        return later(Reason.STALE_KEYS, _RETRY_SOON_S)
+    # The key may have been taken away since the platform last answered.
+    # Whoever is cut off shows nothing else, so the age alone decides.
+    if knowledge.age_s() >= knowledge.revoke_s:
+        return later(Reason.STALE_KEYS, _RETRY_SOON_S)
+    return catalogs.Match(route, customer)
+
+
+class CallersTime:
+    """How long callers of each route wait at first.
+
+    A caller that was refused comes back with less time. Taken for a new one,
+    it would be preferred to those that can still be on time, and late itself.
+    """
+
+    def __init__(self) -> None:
+        self._usual_s: dict[str, float] = {}
+
+    def spent_s(self, route: str, timeout_s: float | None) -> float:
+        """Returns how long a caller has been at it; 0 for a new request."""
+        if timeout_s is None:
+            return 0.0
+        usual_s = max(self._usual_s.get(route, 0.0), timeout_s)
+        self._usual_s[route] = usual_s
+        spent_s = usual_s - timeout_s
+        return spent_s if spent_s > _SAME_TIME_S else 0.0
+
+
+def later(reason: Reason, retry_after_s: float) -> outcomes.Refusal:
+    """Returns the answer that a request was not run and may come back."""
+    return outcomes.Refusal(_UNAVAILABLE, reason, retry_after_s)
--- a/src/clementinegw/direct/bring.py
+++ b/src/clementinegw/direct/bring.py
@@ -69,6 +69,7 @@
         self._parts: dict[str, bytes] = {}
 
     def set(self, origin: backing.Origin, digests: backing.Digests) -> None:
+        """Says of which version pieces are asked for."""
         self._origin = origin
         self._digests = digests
         self._numbers = {
--- a/src/clementinegw/direct/client.py
+++ b/src/clementinegw/direct/client.py
@@ -248,6 +248,35 @@
         self.opened += 1
         return connection, False
 
+    async def call(
+        self,
+        method: str,
+        target: str,
+        headers: Headers,
+        body: bytes,
+        limit: int,
+    ) -> tuple[int, bytes]:
+        """Makes one call and returns status and body.
+
+        Raises:
+          ConnectFailed: No connection: nothing was sent.
+          AnswerBroken: The answer is not whole, or over `limit` bytes.
+        """
+        connection, _ = await self.take()
+        whole = False
+        try:
+            await connection.send(method, target, headers, body)
+            head = await connection.head()
+            data = await connection.body(limit)
+            whole = True
+            return head.status, data
+        finally:
+            # On a connection whose answer was lost nothing follows any more.
+            if whole:
+                self.give_back(connection)
+            else:
+                self._drop(connection)
+
     def give_back(self, connection: Connection) -> None:
         """Keeps a connection for another call, if it may be used again."""
         connection.renew()
--- a/src/clementinegw/direct/entry.py
+++ b/src/clementinegw/direct/entry.py
@@ -9,6 +9,7 @@
 
 from clementinegw import types as places
 from clementinegw.direct import _events
+from clementinegw.direct import admit
 from clementinegw.direct import balance
 from clementinegw.direct import budget
 from clementinegw.direct import catalog as catalogs
@@ -111,7 +112,7 @@
             counters,
             boot_clock,
         )
-        self._knowledge = forward.Knowledge(
+        self._knowledge = admit.Knowledge(
             None,
             lambda: self._operators.age_s,
             bounds.keys_ms / 1e3 * _KEYS_SHARE,
--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -2,15 +2,14 @@
 
 import asyncio
 from collections.abc import Callable
-import dataclasses
 import json
 import random
 
 from clementinegw.direct import _events
+from clementinegw.direct import admit
 from clementinegw.direct import attempt as attempts
 from clementinegw.direct import balance
 from clementinegw.direct import budget as budgets
-from clementinegw.direct import catalog as catalogs
 from clementinegw.direct import channel
 from clementinegw.direct import client
 from clementinegw.direct import dialect as dialects
@@ -40,50 +39,30 @@
 _FIRST_EVENT_S = 0.2
 # How long a request that came back waits for room, as a part of its time.
 _LATE_SHARE = 0.3
-# What a caller's time may differ by between two requests of a route without
-# the later one being taken for one that came back, in seconds.
-_SAME_TIME_S = 0.1
 # A request whose server will serve within this part of its time waits for it.
 _SOON_SHARE = 0.27
 # A server that said it is full is passed over for this long, in seconds.
 _FULL_S = 0.15
-# When to come back, in seconds: while the process learns what it needs, and,
-# as a part of the caller's time, when servers have no room or none serves.
+# One that is another start than the list says, for this long, in seconds.
+_WRONG_SERVER_S = 0.3
+# When to come back, as a part of the caller's time: when servers have no room,
+# and when none serves.
 # Callers wait for a third of their time at most; what is refused twice is lost.
-_RETRY_SOON_S = 0.3
 _RETRY_FULL = (0.15, 0.3)
 _RETRY_NONE = (0.27, 0.33)
 # A server stops at the time that it is given; the answer needs the way back.
 _WAY_BACK_S = 0.02
 _BAD_GATEWAY = 502
-_UNAVAILABLE = 503
 _GATEWAY_TIMEOUT = 504
 
 
-@dataclasses.dataclass(slots=True)
-class Knowledge:
-    """What the entry knows of its surroundings.
-
-    Attributes:
-      catalog: The configuration in force; None before the first.
-      age_s: How old that knowledge may be, in seconds.
-      revoke_s: Keys are served while it is younger than this.
-      routes_s: Unknown routes and keys are refused for good while younger.
-    """
-
-    catalog: catalogs.Catalog | None
-    age_s: Callable[[], float]
-    revoke_s: float
-    routes_s: float
-
-
 class Forwarder:
     """Serves requests."""
 
     def __init__(
         self,
         dialect: dialects.Dialect,
-        knowledge: Knowledge,
+        knowledge: admit.Knowledge,
         balancer: balance.Balancer,
         versions: versions_lib.Versions,
         terms: budgets.Terms,
@@ -106,7 +85,7 @@
         self._attempts = attempts.Attempts(dialect, clock)
         self._budgets: dict[str, budgets.RetryBudget] = {}
         self._queues: dict[str, queue.Queue] = {}
-        self._callers_time = _CallersTime()
+        self._callers_time = admit.CallersTime()
         self._suspects = suspects_lib.Suspects()
 
     async def handle(
@@ -148,16 +127,13 @@
     def _admit(
         self, request: servers.Request, responder: servers.Responder
     ) -> attempts.Job | outcomes.Refusal:
-        catalog = self._knowledge.catalog
-        if catalog is None:
-            return _later(Reason.NO_CONFIGURATION, _RETRY_SOON_S)
         try:
             facts = self._dialect.request_facts(request.headers)
         except ValueError:
             return outcomes.Refusal(400, Reason.MALFORMED)
         if not facts.attempt_id:
             return outcomes.Refusal(400, Reason.MALFORMED)
-        matched = self._match(catalog, request, facts)
+        matched = admit.match(self._knowledge, request, facts)
         if isinstance(matched, outcomes.Refusal):
             return matched
         route = matched.route
@@ -177,35 +153,6 @@
             spent_s,
         )
 
-    def _match(
-        self,
-        catalog: catalogs.Catalog,
-        request: servers.Request,
-        facts: types.RequestFacts,
-    ) -> catalogs.Match | outcomes.Refusal:
-        # What is unknown here may be new: only a process that has heard from
-        # the platform just now may say that it does not exist.
-        fresh = self._knowledge.age_s() < self._knowledge.routes_s
-        route = catalog.route(request.host, request.path)
-        if route is None:
-            if fresh:
-                return outcomes.Refusal(404, Reason.NO_ROUTE)
-            return _later(Reason.STALE_ROUTES, _RETRY_SOON_S)
-        if not catalog.keyed or (route.anonymous and not facts.key):
-            return catalogs.Match(route, None)
-        customer = catalog.customer(facts.key)
-        if customer is None and route.anonymous:
-            return catalogs.Match(route, None)
-        if customer is None:
-            if fresh:
-                return outcomes.Refusal(401, Reason.NO_KEY)
-            return _later(Reason.STALE_KEYS, _RETRY_SOON_S)
-        # The key may have been taken away since the platform last answered.
-        # Whoever is cut off shows nothing else, so the age alone decides.
-        if self._knowledge.age_s() >= self._knowledge.revoke_s:
-            return _later(Reason.STALE_KEYS, _RETRY_SOON_S)
-        return catalogs.Match(route, customer)
-
     # Serving.
 
     async def _serve(
@@ -370,7 +317,7 @@
             if outcome.reason is outcomes.NotRunReason.WRONG_SERVER:
                 # Another start of a server, or of its weights: the list is
                 # behind, and catches up within a heartbeat.
-                backend.rest_until = now + _RETRY_SOON_S
+                backend.rest_until = now + _WRONG_SERVER_S
         else:
             job.tried.add(backend.server.server_id)
         if not isinstance(outcome, outcomes.NotRun):
@@ -430,7 +377,7 @@
         if job.runs:
             return outcomes.Refusal(_BAD_GATEWAY, Reason.MAY_HAVE_RUN)
         left_s = max(0.0, job.deadline - self._clock())
-        return _later(reason, share * left_s)
+        return admit.later(reason, share * left_s)
 
     def _budget(self, service: str) -> budgets.RetryBudget:
         found = self._budgets.get(service)
@@ -456,7 +403,7 @@
         self._counters.add(f"direct.refused.{refusal.reason}")
         self._log.write(
             _events.REQUEST_REFUSED,
-            request=job.facts.attempt_id if job else "",
+            request=job.facts.attempt_id if job else self._id_of(request),
             target=request.target[:120],
             status=refusal.status,
             reason=refusal.reason.value,
@@ -478,6 +425,13 @@
         except channel.ChannelClosed:
             responder.abort()
 
+    def _id_of(self, request: servers.Request) -> str:
+        """Returns the id of a request that was not admitted, for the log."""
+        try:
+            return self._dialect.request_facts(request.headers).attempt_id
+        except ValueError:
+            return ""
+
     def _done(self, job: attempts.Job, outcome: str, status: int) -> None:
         now = self._clock()
         first = job.first_answer_at
@@ -501,27 +455,3 @@
             total_ms=round((now - arrived) * 1e3),
             age_s=round(min(self._knowledge.age_s(), 9_999.0), 3),
         )
-
-
-class _CallersTime:
-    """How long callers of each route wait at first.
-
-    A caller that was refused comes back with less time. Taken for a new one,
-    it would be preferred to those that can still be on time, and late itself.
-    """
-
-    def __init__(self) -> None:
-        self._usual_s: dict[str, float] = {}
-
-    def spent_s(self, route: str, timeout_s: float | None) -> float:
-        """Returns how long a caller has been at it; 0 for a new request."""
-        if timeout_s is None:
-            return 0.0
-        usual_s = max(self._usual_s.get(route, 0.0), timeout_s)
-        self._usual_s[route] = usual_s
-        spent_s = usual_s - timeout_s
-        return spent_s if spent_s > _SAME_TIME_S else 0.0
-
-
-def _later(reason: Reason, retry_after_s: float) -> outcomes.Refusal:
-    return outcomes.Refusal(_UNAVAILABLE, reason, retry_after_s)
--- /dev/null
+++ b/src/clementinegw/direct/keep.py
@@ -0,0 +1,342 @@
+"""One server's weights: what to bring, when to yield, when to load."""
+
+import asyncio
+import dataclasses
+import math
+
+from clementinegw import exceptions
+from clementinegw.direct import _events
+from clementinegw.direct import backing
+from clementinegw.direct import bring
+from clementinegw.direct import instance as instances
+from clementinegw.direct import plan
+from clementinegw.direct import turns
+from clementinegw.direct import types
+from clementinegw.telemetry import counters as counters_lib
+from clementinegw.telemetry import histograms as histograms_lib
+from clementinegw.telemetry import logs
+
+# After an order until the server's state shows it, in seconds.
+_ORDER_S = 0.3
+# Servers swap in groups, so that most serve at any time; the last group must
+# have ended its requests when the version is due.
+_TURNS = turns.Terms(groups=3, first_s=0.0, step_s=0.8)
+# How long a server gets no new requests before it is ordered to load, and how
+# long it takes to load and to be known to serve again, in seconds.
+_DRAIN_S = 1.0
+_LOAD_S = 0.6
+_SWAP_S = _DRAIN_S + _LOAD_S
+# How much longer than at the links' limit a version takes to come.
+_BRING_FACTOR = 1.22
+# How long an agent that has every piece goes on sending that version.
+_LINGER_S = 0.25
+_VERSIONS_KEPT = 3
+# Without any new piece for so long, a version that was begun before is taken
+# up again, and the one that stalled is left aside for so long. Seconds.
+_STALL_S = 1.0
+_ASIDE_S = 4.0
+
+
+@dataclasses.dataclass(slots=True)
+class Around:
+    """What an agent knows of its surroundings.
+
+    Attributes:
+      instance: What it knows of itself.
+      engine: How the server beside works; None before the configuration.
+      origin: Where weights come from first.
+      servers: The listed servers of its service by id.
+      state: What the server beside last said; None while it is silent.
+      beside: The server beside.
+    """
+
+    instance: instances.Instance
+    engine: types.Engine | None = None
+    origin: backing.Origin | None = None
+    servers: dict[str, types.Server] = dataclasses.field(default_factory=dict)
+    state: backing.State | None = None
+    beside: backing.Beside | None = None
+
+    @property
+    def model(self) -> str:
+        """The model that the server beside serves; empty when unknown."""
+        if self.engine is None or not self.engine.models:
+            return ""
+        return self.engine.models[0]
+
+    @property
+    def server_id(self) -> str:
+        """The present start of the server beside; empty when not listed."""
+        for server in self.servers.values():
+            if server.address == self.instance.backend:
+                return server.server_id
+        return ""
+
+
+class Weights:
+    """The weights of the server beside an agent."""
+
+    def __init__(
+        self,
+        around: Around,
+        bringer: bring.Bringer,
+        log: logs.Log,
+        counters: counters_lib.Counters,
+        histograms: histograms_lib.Histograms,
+    ):
+        self._around = around
+        self._bringer = bringer
+        self._log = log
+        self._counters = counters
+        self._histograms = histograms
+        self._clock = asyncio.get_running_loop().time
+        self._declared: list[plan.Declaration] = []
+        self._digests: dict[int, backing.Digests] = {}
+        self._here_at: dict[int, float] = {}
+        self._aside: dict[int, float] = {}
+        self._last_left = 1.0
+        self._moved_at = 0.0
+        self._whole_at = math.inf
+        self._yielding = False
+        self._yields_since = 0.0
+
+    @property
+    def yielding(self) -> bool:
+        """Whether the server is about to load and others are preferred."""
+        return self._yielding
+
+    def declare(self, version: int) -> bool:
+        """Takes a declaration in; returns whether it is new."""
+        if self._declared and version <= self._declared[-1].version:
+            return False
+        if version <= 0:
+            return False
+        self._declared.append(plan.Declaration(version, self._clock()))
+        del self._declared[:-_VERSIONS_KEPT]
+        return True
+
+    def ready_in_s(self, serves: bool) -> float:
+        """Returns about when the server serves; negative when unknown."""
+        if serves:
+            return 0.0
+        if self._around.state is not None and self._around.state.busy:
+            return _LOAD_S
+        if self._bringer.digests is None:
+            return -1.0
+        return self._bringer.left * self._bring_s() + _LOAD_S
+
+    def _versions(self) -> list[plan.Declaration]:
+        """Returns what is to be served: declared, or what others have.
+
+        Before the first declaration the servers that were there from the
+        start hold the first version, and an empty one must get it.
+        """
+        if self._declared:
+            return self._declared
+        held = [
+            h.version
+            for server in self._around.servers.values()
+            for h in server.held
+            if h.model == self._around.model and self.whole(h)
+        ]
+        return [plan.Declaration(max(held, default=1), -math.inf)]
+
+    def whole(self, held: types.Held) -> bool:
+        """Returns whether all layers of a model are there."""
+        return (
+            self._around.engine is not None
+            and held.layers >= self._around.engine.layers
+        )
+
+    def _serves(self, version: int) -> bool:
+        return self._around.state is not None and any(
+            h.model == self._around.model
+            and self.whole(h)
+            and h.version >= version
+            for h in self._around.state.held
+        )
+
+    async def bring(self) -> None:
+        """Begins to bring the version that the plan names."""
+        digests = self._bringer.digests
+        current = None
+        if digests is not None:
+            current = plan.Progress(digests.version, self._left())
+            if self._stalled():
+                self._aside[digests.version] = self._clock() + _ASIDE_S
+        version = plan.choose(
+            self._versions(),
+            current,
+            self._terms(),
+            self._clock(),
+            self._set_aside(),
+        )
+        if digests is not None and digests.version == version:
+            return
+        if not version:
+            return
+        assert self._around.origin is not None
+        found = self._digests.get(version)
+        if found is None:
+            found = await self._around.origin.digests(
+                self._around.model, version
+            )
+        if found.version != version or not found.digests:
+            raise exceptions.PlatformUnavailable("another manifest")
+        self._digests[version] = found
+        for old in sorted(self._digests)[:-_VERSIONS_KEPT]:
+            del self._digests[old]
+        staged = 0
+        if self._around.beside is not None:
+            staged = await self._bringer.take_staged(self._around.beside, found)
+        self._log.write(
+            _events.WEIGHTS_WANTED,
+            version=version,
+            pieces=len(found.digests),
+            staged=staged,
+        )
+        self._moved_at = self._clock()
+        self._bringer.want(self._around.origin, found)
+
+    def _left(self) -> float:
+        """Returns the part of the pieces that is missing here or at peers.
+
+        An agent that has all goes on sending for a while: whoever lacks the
+        last piece would have to draw it from the origin again.
+        """
+        left = self._bringer.left
+        now = self._clock()
+        if left > 0:
+            self._whole_at = math.inf
+        elif self._whole_at > now:
+            self._whole_at = now
+        return left if now - self._whole_at >= _LINGER_S else max(left, 0.01)
+
+    def _stalled(self) -> bool:
+        """Returns whether no piece has come for a while."""
+        left = self._bringer.left
+        now = self._clock()
+        if left != self._last_left:
+            self._last_left = left
+            self._moved_at = now
+        return left > 0 and now - self._moved_at > _STALL_S
+
+    def _set_aside(self) -> set[int]:
+        """Returns the versions that stall, and those that are served.
+
+        None stalls for good: where no other is left, they are tried again.
+        """
+        now = self._clock()
+        stalled = {v for v, until in self._aside.items() if until > now}
+        served = {v for v in self._digests if self._serves(v)}
+        return stalled | served if stalled else set()
+
+    def _terms(self) -> plan.Terms:
+        due_s = self._around.instance.bounds.weights_ms / 1e3
+        return plan.Terms(self._bring_s(), _SWAP_S, due_s)
+
+    def _bring_s(self) -> float:
+        """Returns how long the links take to bring a version everywhere."""
+        if self._around.engine is None:
+            return 0.0
+        size = self._around.engine.chunks * self._around.engine.chunk_bytes
+        return size / self._around.instance.link_bytes_per_s * _BRING_FACTOR
+
+    async def load_newest(self) -> None:
+        """Orders the newest version that is here, if it is not served."""
+        if (
+            self._around.state is None
+            or self._around.beside is None
+            or self._around.state.busy
+        ):
+            return
+        yielded, self._yielding = self._yielding, False
+        for version in sorted(self._digests, reverse=True):
+            if self._serves(version):
+                return
+            empty = not any(self.whole(h) for h in self._around.state.held)
+            if not empty and self._clock() < self._turn_at(version):
+                continue
+            self._yielding = not empty
+            if not yielded:
+                self._yields_since = self._clock()
+            if self._bringer.holds(self._digests[version]):
+                await self._load(self._digests[version])
+                return
+
+    async def _load(self, digests: backing.Digests) -> None:
+        assert self._around.beside is not None
+        if not await self._bringer.stage(self._around.beside, digests):
+            return
+        state = await self._around.beside.state()
+        if state.busy:
+            return
+        yielded_s = self._clock() - self._yields_since
+        if (
+            state.running
+            and yielded_s < _DRAIN_S
+            and self._spare_s(digests.version) > 0
+        ):
+            return
+        # Streams last for seconds; what is left of them goes on at another
+        # server, which takes a quarter of a second.
+        begun = await self._around.beside.load(
+            self._around.model, digests.version, state.sequence, cut=True
+        )
+        self._counters.add("weights.orders")
+        self._histograms.add(
+            "weights.declared_to_order",
+            self._clock() - self._at(digests.version),
+        )
+        self._log.write(
+            _events.WEIGHTS_ORDERED,
+            version=digests.version,
+            sequence=state.sequence,
+            begun=begun,
+            running=state.running,
+            yielded_s=round(yielded_s, 3),
+            after_s=round(self._clock() - self._at(digests.version), 3),
+            received_bytes=self._counters.value("weights.received_bytes"),
+            from_afar_bytes=self._counters.value("weights.cross_domain_bytes"),
+            drawn_bytes=self._counters.value("weights.drawn_bytes"),
+        )
+        await asyncio.sleep(_ORDER_S)
+
+    def _at(self, version: int) -> float:
+        """Returns when a version was declared; now when it never was."""
+        for declared in self._declared:
+            if declared.version == version:
+                return declared.at
+        return self._clock()
+
+    def _turn_at(self, version: int) -> float:
+        """Returns when this server may begin to yield for a version.
+
+        The first group yields while the last pieces come, so that its requests
+        have ended when they are there. The others follow in steps, but none so
+        late that it would not serve when the version is due.
+        """
+        same = [
+            server.server_id
+            for server in self._around.servers.values()
+            if not server.leaving
+        ]
+        now = self._clock()
+        if self._bringer.holds(self._digests[version]):
+            here_at = self._here_at.setdefault(version, now)
+        else:
+            here_at = now + self._bringer.left * self._bring_s()
+        delay_s = turns.delay_s(self._around.server_id, same, version, _TURNS)
+        # The last group's turn, if it is to serve in time, and the part of
+        # the steps that fits before.
+        latest = self._due_at(version) - _SWAP_S
+        first = min(here_at - _DRAIN_S, latest)
+        span_s = (_TURNS.groups - 1) * _TURNS.step_s
+        return first + delay_s * min(1.0, (latest - first) / span_s)
+
+    def _due_at(self, version: int) -> float:
+        return self._at(version) + self._around.instance.bounds.weights_ms / 1e3
+
+    def _spare_s(self, version: int) -> float:
+        """Returns how long an order may wait so that it serves in time."""
+        return self._due_at(version) - _LOAD_S - self._clock()
--- a/src/clementinegw/direct/run.py
+++ b/src/clementinegw/direct/run.py
@@ -76,6 +76,7 @@
     async def answer(
         self, request: servers.Request, responder: servers.Responder
     ) -> None:
+        """Answers one call."""
         if request.path != _METRICS_PATH:
             await responder.answer(404, [], b"")
             return
@@ -112,11 +113,13 @@
         self._refused = ""
 
     async def watch(self) -> None:
+        """Looks again and again."""
         while True:
             await asyncio.sleep(_LOOK_S)
             self.look()
 
     def look(self) -> None:
+        """Reads the file; hands it on when it has changed."""
         try:
             found = instances.read(self._path)
         except exceptions.SettingsError as error:
