--- a/src/clementinegw/direct/follow.py
+++ b/src/clementinegw/direct/follow.py
@@ -139,6 +139,7 @@
         self._offset: int | None = None
         self._proved_at: float | None = None
         self._failing_since: float | None = None
+        self._unproved = False
         self._returned_at = clock()
 
     @property
@@ -188,9 +189,14 @@
         if self._offset is None:
             batch = await self._source.newest()
         else:
-            batch = await self._source.changes(self._offset, self._pace.wait_s)
+            wait_s = 0.0 if self._unproved else self._pace.wait_s
+            batch = await self._source.changes(self._offset, wait_s)
         self._offset = batch.end
         self._succeeded(self._proved(batch, whole, asked_at))
+        # An answer that waited and then brought news proves the time of its
+        # question only. Asked again at once, the knowledge is as young as it
+        # can be; else every change made the process look cut off for a while.
+        self._unproved = bool(batch.records) and not self._pace.pause_s
         if whole or batch.records:
             self._on_batch(batch, whole)
         return bool(batch.records)
@@ -203,6 +209,8 @@
         """
         if whole or batch.records:
             return asked_at
+        if self._unproved:
+            return asked_at
         waited = self._clock() - asked_at
         return asked_at + min(waited, self._pace.wait_s) * _WAIT_SHARE
 
@@ -220,6 +228,9 @@
 
     def _failed(self, error: exceptions.ClementineError) -> None:
         self._counters.add(f"platform.{self._name}.failed")
+        # The first answer after an outage must not wait for news: until it
+        # comes the process refuses what it could serve.
+        self._unproved = True
         if self._failing_since is None:
             self._failing_since = self._clock()
             self._log.write(
--- /dev/null
+++ b/tests/test_direct_follow.py
@@ -0,0 +1,124 @@
+"""How old a process's knowledge is, and what it does when history is lost."""
+
+import asyncio
+
+import pytest
+
+from clementinegw import exceptions
+from clementinegw.direct import follow
+from clementinegw.telemetry import counters as counters_lib
+from clementinegw.telemetry import logs
+from clementinegw.testing import clock as clocks
+
+
+class Topic:
+    """A topic that answers a waiting question at the wait's end or at news."""
+
+    def __init__(self):
+        self.records = []
+        self.first = 0
+        self.down = False
+        self.wholes = 0
+
+    async def newest(self):
+        self._check()
+        self.wholes += 1
+        return follow.Batch(tuple(self.records[-1:]), len(self.records))
+
+    async def changes(self, offset, wait_s):
+        loop = asyncio.get_running_loop()
+        until = loop.time() + wait_s
+        while len(self.records) <= offset and loop.time() < until:
+            self._check()
+            await asyncio.sleep(min(0.01, until - loop.time()))
+        self._check()
+        await asyncio.sleep(0.004)
+        if offset < self.first:
+            raise follow.HistoryLost("gone")
+        return follow.Batch(tuple(self.records[offset:]), len(self.records))
+
+    def put(self, key):
+        self.records.append(follow.Record(key, key))
+
+    def _check(self):
+        if self.down:
+            raise exceptions.PlatformUnavailable("down")
+
+
+async def following(topic, pace, taken):
+    follower = follow.Follower(
+        "t",
+        topic,
+        pace,
+        lambda batch, whole: taken.append((batch, whole)),
+        logs.Log(),
+        counters_lib.Counters(),
+        asyncio.get_running_loop().time,
+    )
+    await follower.start()
+    return follower
+
+
+@pytest.mark.parametrize("news_at", [0.5, 1.9])
+def test_news_do_not_make_the_knowledge_old(news_at):
+    """Symptom: a process takes no callers for a while after each change.
+
+    Sequence: a question waits for two seconds, brings a change at its end, and
+    the next one waits for two seconds more. Cause: an answer with news proves
+    only the time of its question.
+    """
+
+    async def play():
+        topic = Topic()
+        topic.put("a")
+        follower = await following(topic, follow.Pace(2.0, 0.0), [])
+        await asyncio.sleep(4.0 + news_at)
+        topic.put("b")
+        oldest = 0.0
+        for _ in range(500):
+            await asyncio.sleep(0.01)
+            oldest = max(oldest, follower.age_s)
+        await follower.stop()
+        return oldest
+
+    assert clocks.run(play()) < 2.3
+
+
+def test_the_age_grows_while_the_platform_is_away():
+    async def play():
+        topic = Topic()
+        follower = await following(topic, follow.Pace(2.0, 0.0), [])
+        await asyncio.sleep(3.0)
+        topic.down = True
+        await asyncio.sleep(5.0)
+        old, settled = follower.age_s, follower.settled_s
+        topic.down = False
+        await asyncio.sleep(2.0)
+        young, again = follower.age_s, follower.settled_s
+        await follower.stop()
+        return old, settled, young, again
+
+    old, settled, young, again = clocks.run(play())
+    assert old > 4.9
+    assert settled == 0.0
+    assert young < 2.2
+    assert 0.0 < again < 2.1
+
+
+def test_lost_history_is_made_good_by_a_whole_reading():
+    async def play():
+        topic, taken = Topic(), []
+        topic.put("a")
+        follower = await following(topic, follow.Pace(0.5, 0.0), taken)
+        await asyncio.sleep(1.2)
+        topic.put("b")
+        topic.put("c")
+        topic.first = len(topic.records)
+        await asyncio.sleep(1.2)
+        await follower.stop()
+        return topic.wholes, taken[-1]
+
+    wholes, (batch, whole) = clocks.run(play())
+    assert wholes == 2
+    assert whole
+    assert [record.key for record in batch.records] == ["c"]
