--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -211,7 +211,9 @@
         outcome = await self._attempts.run(
             job, backend, sending, lambda: self._elsewhere(job, backend)
         )
-        if not isinstance(outcome, outcomes.Delivered):
+        if isinstance(outcome, outcomes.Delivered):
+            self._suspects.completed(job.request)
+        else:
             self._note(job, backend, outcome)
         return outcome
 
@@ -326,7 +328,9 @@
             # A server that loads breaks off what it runs, by our own order.
             broken = outcome.reason is outcomes.LostReason.BROKEN
             if broken and not (backend.yielding or backend.loading):
-                self._suspects.crashed(job.request, now)
+                self._suspects.crashed(
+                    job.request, backend.server.server_id, now
+                )
         self._log.write(
             _events.ATTEMPT_ENDED,
             request=job.facts.attempt_id,
--- a/src/clementinegw/direct/suspects.py
+++ b/src/clementinegw/direct/suspects.py
@@ -11,7 +11,8 @@
 from clementinegw.direct import server as servers
 
 _MOST_KEPT = 4_096
-# How long a crash is remembered, in seconds.
+# How long a crash is remembered, in seconds, and at how many servers in a row
+# a request must have been for it to be refused.
 _MEMORY_S = 60.0
 _CRASHES = 3
 
@@ -20,27 +21,35 @@
     """Counts crashes by what was sent."""
 
     def __init__(self) -> None:
-        self._crashes: collections.OrderedDict[bytes, list[float]]
+        self._crashes: collections.OrderedDict[bytes, dict[str, float]]
         self._crashes = collections.OrderedDict()
 
-    def crashed(self, request: servers.Request, now: float) -> None:
+    def crashed(
+        self, request: servers.Request, server_id: str, now: float
+    ) -> None:
         """Counts a connection that broke while a request ran."""
         key = _fingerprint(request)
-        times = self._crashes.setdefault(key, [])
-        times.append(now)
+        self._crashes.setdefault(key, {})[server_id] = now
         self._crashes.move_to_end(key)
         while len(self._crashes) > _MOST_KEPT:
             self._crashes.popitem(last=False)
 
+    def completed(self, request: servers.Request) -> None:
+        """Clears a request that a server ran to its end.
+
+        Many callers ask the same; three of their answers that are lost in a
+        minute would else make it refused to all of them.
+        """
+        if self._crashes:
+            self._crashes.pop(_fingerprint(request), None)
+
     def refused(self, request: servers.Request, now: float) -> bool:
         """Returns whether a request has crashed too many servers."""
         if not self._crashes:
             return False
-        times = self._crashes.get(_fingerprint(request))
-        if times is None:
-            return False
-        times[:] = [at for at in times if now - at < _MEMORY_S]
-        return len(times) >= _CRASHES
+        found = self._crashes.get(_fingerprint(request), {})
+        recent = [at for at in found.values() if now - at < _MEMORY_S]
+        return len(recent) >= _CRASHES
 
 
 def _fingerprint(request: servers.Request) -> bytes:
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -108,7 +108,8 @@
         return self.headers.get("x-clementinegw-attempt-id", "")
 
     def send(self, data):
-        self.writer.write(data)
+        if not self.writer.is_closing():
+            self.writer.write(data)
 
     def answer(self, body=b"whole", status=200, attempt_id=None, more=()):
         head = [
--- /dev/null
+++ b/tests/soak/judge.py
@@ -0,0 +1,108 @@
+"""Judges promises from what callers and servers saw, not from the system."""
+
+import collections
+import dataclasses
+
+
+@dataclasses.dataclass
+class Sent:
+    """A request as its caller sent it.
+
+    Attributes:
+      kind: safe, once or stream.
+      key: Its API key.
+      at: When it was sent, in seconds.
+      status: What it was told; 0 for no answer.
+    """
+
+    kind: str
+    key: str
+    at: float
+    status: int = 0
+
+
+class Judge:
+    """Collects what was seen and lists the promises that were broken."""
+
+    def __init__(self, ratio, slack):
+        self._ratio = ratio
+        self._slack = slack
+        self.sent = {}
+        self.runs = collections.Counter()
+        self.arrivals = collections.Counter()
+        self.broken = []
+        self.revoked = {}
+        self.config_seen = {}
+
+    def asked(self, attempt_id, kind, key, at):
+        self.sent[attempt_id] = Sent(kind, key, at)
+
+    def arrived(self, attempt_id):
+        self.arrivals[attempt_id] += 1
+
+    def ran(self, server, call):
+        """Takes a run, as the server sees it begin."""
+        attempt_id = call.attempt_id
+        self.runs[attempt_id] += 1
+        sent = self.sent.get(attempt_id)
+        if sent is None:
+            self._break("asked for", f"{attempt_id} was never sent")
+            return
+        if call.headers.get("x-clementinegw-expect-instance") != server.name:
+            self._break("own server", f"{attempt_id} ran at {server.name}")
+        if sent.kind == "once" and self.runs[attempt_id] > 1:
+            self._break("at most once", f"{attempt_id} ran again")
+        at = self.revoked.get(sent.key)
+        if at is not None and sent.at > at + 5.0:
+            late = round(sent.at - at, 2)
+            self._break("keys gone", f"{attempt_id} ran {late} s after")
+        if "authorization" in call.headers:
+            self._break("key kept", f"{attempt_id}: the key was passed on")
+
+    def answered(self, attempt_id, answer):
+        """Takes what the caller got."""
+        sent = self.sent[attempt_id]
+        sent.status = answer.status if answer.whole else 0
+        if answer.status != 200 or not answer.whole:
+            return
+        if sent.kind == "stream":
+            numbers = [
+                int(line[4:])
+                for line in answer.body.split(b"\n")
+                if line.startswith(b"id: ")
+            ]
+            if numbers != list(range(1, len(numbers) + 1)) or not numbers:
+                self._break("order", f"{attempt_id}: {numbers}")
+            elif f"end {attempt_id}".encode() not in answer.body:
+                self._break("whole", f"{attempt_id} ends at {numbers[-1]}")
+        elif answer.body != f"answer to {attempt_id}".encode():
+            self._break("own answer", f"{attempt_id}: {answer.body[:60]}")
+
+    def finish(self):
+        """Judges what can be judged at the end only."""
+        for attempt_id, sent in self.sent.items():
+            if sent.status in (503, 429) and self.runs[attempt_id]:
+                self._break("not run", f"{attempt_id} was told {sent.status}")
+        requests = len(self.sent)
+        repeats = sum(n - 1 for n in self.arrivals.values() if n > 1)
+        # The limit holds for each window; a soak of some windows may use the
+        # slack once in each.
+        windows = 1 + max((s.at for s in self.sent.values()), default=0) // 10
+        limit = self._ratio * requests + self._slack * (windows + 1)
+        if repeats > limit:
+            self._break("budget", f"{repeats} repeats of {requests}")
+        if not any(sent.status == 200 for sent in self.sent.values()):
+            self._break("service", "nothing was served")
+
+    def served_since(self, at):
+        """Returns the share of what was sent since then that was served."""
+        late = [
+            sent
+            for sent in self.sent.values()
+            if sent.at >= at and sent.key not in self.revoked
+        ]
+        good = sum(sent.status == 200 for sent in late)
+        return good / max(1, len(late))
+
+    def _break(self, promise, text):
+        self.broken.append(f"{promise}: {text}")
