--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -202,7 +202,8 @@
 
     async def _call(self, call):
         self.calls.append(call)
-        if call.headers["x-clementinegw-expect-instance"] != self.name:
+        expected = call.headers.get("x-clementinegw-expect-instance")
+        if expected not in (None, self.name):
             call.answer(b"", 421)
             return
         result = self.do(call)
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -30,6 +30,7 @@
         self.sent = {}
         self.runs = collections.Counter()
         self.arrivals = collections.Counter()
+        self.repeats = []
         self.broken = []
         self.revoked = {}
         self.config_seen = {}
@@ -37,7 +38,9 @@
     def asked(self, attempt_id, kind, key, at):
         self.sent[attempt_id] = Sent(kind, key, at)
 
-    def arrived(self, attempt_id):
+    def arrived(self, attempt_id, at):
+        if self.arrivals[attempt_id]:
+            self.repeats.append(at)
         self.arrivals[attempt_id] += 1
 
     def ran(self, server, call):
@@ -83,17 +86,26 @@
         for attempt_id, sent in self.sent.items():
             if sent.status in (503, 429) and self.runs[attempt_id]:
                 self._break("not run", f"{attempt_id} was told {sent.status}")
-        requests = len(self.sent)
-        repeats = sum(n - 1 for n in self.arrivals.values() if n > 1)
-        # The limit holds for each window; a soak of some windows may use the
-        # slack once in each.
-        windows = 1 + max((s.at for s in self.sent.values()), default=0) // 10
-        limit = self._ratio * requests + self._slack * (windows + 1)
-        if repeats > limit:
-            self._break("budget", f"{repeats} repeats of {requests}")
+        self._judge_budget()
         if not any(sent.status == 200 for sent in self.sent.values()):
             self._break("service", "nothing was served")
 
+    def _judge_budget(self):
+        """Judges every window of ten seconds, a step of one second each."""
+        asked = sorted(sent.at for sent in self.sent.values())
+        end = int(max([*asked, *self.repeats], default=0)) + 1
+        for start in range(-9, end):
+            repeats = _within(self.repeats, start, start + 10)
+            # What is asked in the window before, or half a window before,
+            # counts where it is more.
+            requests = max(
+                _within(asked, start - back, start - back + 10)
+                for back in (0, 5, 10)
+            )
+            if repeats > self._ratio * requests + self._slack:
+                self._break("budget", f"{repeats} repeats of {requests}")
+                return
+
     def served_since(self, at):
         """Returns the share of what was sent since then that was served."""
         late = [
@@ -106,3 +118,7 @@
 
     def _break(self, promise, text):
         self.broken.append(f"{promise}: {text}")
+
+
+def _within(times, start, end):
+    return sum(start <= at < end for at in times)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -33,7 +33,8 @@
 SERVERS = 4
 CALLERS = 16
 EVENTS = 8
-RATIO, SLACK = 0.2, 10.0
+# Tighter than a platform's, so that a few callers come near them.
+RATIO, SLACK = 0.02, 6.0
 KEYS = ("key-of-one", "key-of-two", "key-of-three")
 MOST_MB = 120
 
@@ -77,7 +78,7 @@
         self.number = number
         self.port = free_port()
         self.expected_end = False
-        self.ended_by_itself = 0
+        self.ended_by_itself = ""
         self.peak_mb = 0.0
 
     async def start(self, store_port):
@@ -110,7 +111,7 @@
         if self._process is None or self.expected_end:
             return
         if self._process.returncode is not None:
-            self.ended_by_itself += 1
+            self.ended_by_itself = f"code {self._process.returncode}"
             self.expected_end = True
             return
         status = pathlib.Path(f"/proc/{self._process.pid}/status")
@@ -158,6 +159,7 @@
         self._version = 1
         self._ids = 0
         self._keys = list(KEYS)
+        self._shed_share = 0.03
         self._began = 0.0
         self.judge = Judge(RATIO, SLACK)
         self.store = sites.Store()
@@ -221,7 +223,9 @@
             self.judge.broken.append(f"recovery: {served:.2f} served, {told}")
         for entry in self.entries:
             if entry.ended_by_itself:
-                self.judge.broken.append(f"ended by itself: {entry.number}")
+                self.judge.broken.append(
+                    f"ended by itself: {entry.ended_by_itself}"
+                )
             if entry.peak_mb > MOST_MB:
                 self.judge.broken.append(f"memory: {entry.peak_mb:.0f} MB")
 
@@ -243,21 +247,21 @@
         self.store.put("keyed.servers", server.name, entry)
 
     async def _serve(self, server, call):
-        self.judge.arrived(call.attempt_id)
+        self.judge.arrived(call.attempt_id, self.now)
         chance = self._rng.random()
-        if chance < 0.03:
+        if self._rng.random() < self._shed_share:
             call.shed()
             return
         self.judge.ran(server, call)
         await asyncio.sleep(self._rng.uniform(0.005, 0.05))
-        if chance < 0.06:
+        if chance < 0.03:
             call.reset()
             return
         if call.head.target.startswith(b"/stream"):
-            await self._stream(call, cut=chance < 0.12)
+            await self._stream(call, cut=chance < 0.09)
             return
         call.answer(f"answer to {call.attempt_id}".encode())
-        if chance < 0.08:
+        if chance < 0.05:
             call.answer(b"an answer that nobody asked for")
 
     async def _stream(self, call, cut):
@@ -327,6 +331,8 @@
             "server": self._fault_server,
             "config": self._fault_config,
             "revoke": self._fault_revoke,
+            "cut_and_revoke": self._fault_cut_and_revoke,
+            "shed": self._fault_shed,
         }
         running = set()
         while self.now < self._seconds:
@@ -388,6 +394,20 @@
             self._put_config()
             self.judge.revoked[key] = self.now
 
+    async def _fault_cut_and_revoke(self):
+        """A key is taken away while no entry reaches the store."""
+        self.store_proxy.mode = "silence"
+        await asyncio.sleep(0.5)
+        await self._fault_revoke()
+        await asyncio.sleep(7.5)
+        self.store_proxy.mode = "pass"
+
+    async def _fault_shed(self):
+        """Servers are full for a while."""
+        self._shed_share = 0.7
+        await asyncio.sleep(self._rng.uniform(1.0, 3.0))
+        self._shed_share = 0.03
+
     def _put_config(self):
         self._version += self._rng.randint(1, 5)
         tenants = [
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,26 @@
+"""A short soak with a fixed seed, and every seed that ever failed.
+
+Real processes and real signals; only promises are judged, no times. Longer:
+`python tests/soak/run.py --seeds=50`.
+"""
+
+import pathlib
+import sys
+
+import pytest
+
+sys.path.insert(0, str(pathlib.Path(__file__).parent / "soak"))
+
+import run
+
+# Seed 1 found two faults: questions that many ask were refused after three
+# lost answers, and a reload during the start ended the process.
+SEEDS = [1, 101]
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_promises_hold_under_a_seeded_plan_of_faults(seed):
+    broken, requests, faults = run.play(seed, seconds=6.0)
+    assert broken == []
+    assert requests > 0
+    assert faults > 0
