--- a/src/clementinegw/direct/attempt.py
+++ b/src/clementinegw/direct/attempt.py
@@ -171,6 +171,8 @@
         if facts.attempt_id and facts.attempt_id != job.facts.attempt_id:
             return outcomes.Lost(outcomes.LostReason.CROSSED)
         if facts.not_run or head.status == _MISDIRECTED:
+            if head.status == _MISDIRECTED and facts.server_id:
+                backend.met(facts.server_id)
             return await self._not_run(connection, backend, head)
         if facts.version is not None:
             backend.take_version(facts.version, now)
--- a/src/clementinegw/direct/balance.py
+++ b/src/clementinegw/direct/balance.py
@@ -87,6 +87,7 @@
             backend
             for backend in self._servers.of(wanted.service)
             if not backend.server.leaving
+            and not backend.replaced
             and (
                 not wanted.layers
                 or backend.serves(max(1, wanted.least_version), wanted.layers)
--- a/src/clementinegw/direct/fleet.py
+++ b/src/clementinegw/direct/fleet.py
@@ -63,6 +63,7 @@
         self._share = 1.0
         self._rng = rng
         self.empty = False
+        self.replaced = False
         self._rest_s = _FIRST_REST_S
         self._others = 0.0
         self._reported_at = -math.inf
@@ -122,6 +123,14 @@
         age = now - self._reported_at
         return self.in_flight + self._others * math.exp(-age / _REPORT_MEMORY_S)
 
+    def met(self, server_id: str) -> None:
+        """Takes in who answers at the server's address.
+
+        A start that is gone never comes back; the platform lists it until it
+        runs out, and every request would be sent to it once more.
+        """
+        self.replaced = server_id != self.server.server_id
+
     def answered(self, now: float) -> None:
         """Counts a whole answer."""
         self.heard_at = now
@@ -239,6 +248,7 @@
         if changed:
             self._tell(server)
             backend.empty = False
+            backend.replaced = False
             backend.version = 0
         backend.server = server
         backend.missing = False
--- a/src/clementinegw/direct/types.py
+++ b/src/clementinegw/direct/types.py
@@ -299,6 +299,7 @@
       load: What it says of its load; None when it says nothing.
       version: The version of the weights that answer; None when unsaid.
       keep_s: How long it keeps the connection when idle; None when unsaid.
+      server_id: Which start of a server answers; empty when it does not say.
     """
 
     attempt_id: str
@@ -307,6 +308,7 @@
     load: Load | None = None
     version: int | None = None
     keep_s: float | None = None
+    server_id: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -204,7 +204,8 @@
         self.calls.append(call)
         expected = call.headers.get("x-clementinegw-expect-instance")
         if expected not in (None, self.name):
-            call.answer(b"", 421)
+            name = f"X-Clementinegw-Instance-Id: {self.name}"
+            call.answer(b"", 421, more=(name,))
             return
         result = self.do(call)
         if asyncio.iscoroutine(result):
--- a/tests/test_direct_entry.py
+++ b/tests/test_direct_entry.py
@@ -175,6 +175,28 @@
     assert sites.run(play()).status == 503
 
 
+def test_a_start_that_is_gone_is_asked_once():
+    """Symptom: refusals for two seconds behind a loss of power.
+
+    Sequence: all servers start again at their addresses; the platform lists
+    the former starts until they run out; each request is sent to those again
+    and again, until the repeats are used up. Cause: who answers "another one
+    has my address" was passed over for a moment only.
+    """
+
+    async def play():
+        async with sites.Site("i-1", "i-2") as site:
+            former = site.servers[0]
+            former.name = "i-1-again"
+            for number in range(20):
+                answer = await site.ask("/once/1", attempt_id=f"b{number}")
+                assert answer.status == 200
+                await asyncio.sleep(0.4)
+            return len(former.calls)
+
+    assert sites.run(play()) <= 1
+
+
 def test_a_stream_goes_on_at_another_server_without_gap_or_repeat():
     """Symptom: a stream ends early, or an event comes twice.
 
