--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -100,6 +100,23 @@
         if self._process is not None and self._process.returncode is None:
             self._process.send_signal(number)
 
+    def takes(self, number):
+        """Returns whether the program ignores or handles a signal by now.
+
+        Before its first line runs, the kernel ends it at SIGHUP; nothing in
+        the program can prevent that. Seen beside load with seed 1: an end with
+        code -1 and not one line in its log.
+        """
+        if self._process is None or self._process.returncode is not None:
+            return False
+        status = pathlib.Path(f"/proc/{self._process.pid}/status")
+        masks = [
+            int(line.split()[1], 16)
+            for line in status.read_text().splitlines()
+            if line.startswith(("SigIgn", "SigCgt"))
+        ]
+        return any(mask >> (number - 1) & 1 for mask in masks)
+
     async def end(self, number):
         self.expected_end = True
         self.signal(signal.SIGCONT)
@@ -375,7 +392,9 @@
         await entry.start(store_port)
 
     async def _fault_hup(self):
-        self._rng.choice(self.entries).signal(signal.SIGHUP)
+        entry = self._rng.choice(self.entries)
+        if entry.takes(signal.SIGHUP):
+            entry.signal(signal.SIGHUP)
 
     async def _fault_server(self):
         """Another start takes a server's address before the list says so."""
