Remove what nothing reads on the direct path

Cause: two numbered events were defined and never written; a pool's count of opened connections and the time of a server's version were kept and never read. Change: they are gone; behaviour is unchanged. 130 tests of the direct path, the adapter and the catalogue pass; formatter, linter and type checker are clean.

--- a/src/clementinegw/direct/_events.py
+++ b/src/clementinegw/direct/_events.py
@@ -46,12 +46,6 @@
 SERVER_GONE = events.define(
     908, "server_gone", _INFO, "A backend server is no longer listed."
 )
-SERVER_DOUBTED = events.define(
-    909,
-    "server_doubted",
-    _WARNING,
-    "A backend server failed requests and gets fewer for a while.",
-)
 REQUEST_DONE = events.define(
     910, "request_done", _INFO, "A request got its final answer."
 )
@@ -67,12 +61,6 @@
 READY_CHANGED = events.define(
     913, "ready_changed", _INFO, "The process takes new callers, or not."
 )
-LINES_DROPPED = events.define(
-    914,
-    "lines_dropped",
-    _WARNING,
-    "Log lines were dropped since standard output did not take them.",
-)
 SETTINGS_RELOADED = events.define(
     915, "settings_reloaded", _INFO, "The instance file was read again."
 )
--- a/src/clementinegw/direct/attempt.py
+++ b/src/clementinegw/direct/attempt.py
@@ -175,7 +175,7 @@
                 backend.met(facts.server_id)
             return await self._not_run(connection, backend, head)
         if facts.version is not None:
-            backend.take_version(facts.version, now)
+            backend.take_version(facts.version)
         if 200 <= head.status < 300:
             if not facts.sealed:
                 return outcomes.Lost(outcomes.LostReason.UNSEALED)
--- a/src/clementinegw/direct/client.py
+++ b/src/clementinegw/direct/client.py
@@ -215,7 +215,6 @@
         self._idle_s = idle_s
         self._idle: list[Connection] = []
         self._open = 0
-        self.opened = 0
 
     @property
     def full(self) -> bool:
@@ -245,7 +244,6 @@
         except BaseException:
             self._open -= 1
             raise
-        self.opened += 1
         return connection, False
 
     async def call(
--- a/src/clementinegw/direct/fleet.py
+++ b/src/clementinegw/direct/fleet.py
@@ -54,7 +54,6 @@
         self.rest_until = -math.inf
         self.full_until = -math.inf
         self.version = 0
-        self.version_at = -math.inf
         self.pace = 1.0
         self.loading = False
         self.yielding = False
@@ -86,7 +85,7 @@
             self.ready_at = now + report.ready_in_s
         self._share_room(report)
         self.pace = max(1.0, report.pace)
-        self.take_version(report.version if report.whole else 0, now)
+        self.take_version(report.version if report.whole else 0)
         self.empty = not report.whole
 
     def has_share(self, now: float) -> bool:
@@ -148,10 +147,9 @@
         self.rest_until = now + self._rest_s
         self._rest_s = min(2 * self._rest_s, _LONGEST_REST_S)
 
-    def take_version(self, version: int, now: float) -> None:
+    def take_version(self, version: int) -> None:
         """Takes in which version's weights it answers with."""
         self.version = version
-        self.version_at = now
 
     def serves(self, least_version: int, layers: int) -> bool:
         """Returns whether it has all layers of at least a version."""
