Bring a version sooner, and go on sending the former one

Two pieces may now be asked of one agent.

The quarter of a second that a whole agent lingered is not needed any more.

--- a/src/clementinegw/direct/bring.py
+++ b/src/clementinegw/direct/bring.py
@@ -28,6 +28,14 @@
 # What is asked for at once: at a small machine's link a live event waits for
 # about two of them, well under what makes a stream late. Bytes.
 _PART_BYTES = 8 << 10
+# Pieces asked of one agent at once. In a failure domain of two, all that is
+# left near the end lies with one other; asked one by one, the turnaround of
+# each leaves two fifths of the link idle.
+_ASKS_A_PEER = 2
+# Agents of the own failure domain that each is connected to: all of a dozen.
+# An agent sees only what its neighbours hold; with eight of fourteen it took
+# from other regions what was near, 5.7 copies of a version in place of 2.0.
+_LOCAL_NEIGHBOURS = 16
 # Draws are spread as if the origin's link were this many of a machine's. The
 # sooner all pieces are out, the less an origin that is cut off can hold back.
 _ORIGIN_LINKS = 3.0
@@ -230,7 +238,9 @@
     return swarm.Limits(
         outstanding=4,
         upload_slots=4,
-        local_neighbours=8,
+        asks_a_peer=_ASKS_A_PEER,
+        formers=_VERSIONS_KEPT - 1,
+        local_neighbours=_LOCAL_NEIGHBOURS,
         remote_neighbours=4,
         draws=1,
         draw_deadline_s=0.8,
@@ -240,5 +250,6 @@
         link_bytes_per_s=link_bytes_per_s,
         stall_floor_s=1.2,
         aside_s=3.0,
+        cross_copies=1.0,
         advert_s=0.05,
     )
--- a/src/clementinegw/direct/keep.py
+++ b/src/clementinegw/direct/keep.py
@@ -28,12 +28,13 @@
 _SWAP_S = _DRAIN_S + _LOAD_S
 # How much longer than at the links' limit a version takes to come.
 _BRING_FACTOR = 1.22
-# How long an agent that has every piece goes on sending that version.
-_LINGER_S = 0.25
 _VERSIONS_KEPT = 3
 # Without any new piece for so long, a version that was begun before is taken
-# up again, and the one that stalled is left aside for so long. Seconds.
+# up again, and the one that stalled is left aside for so long. Agents give the
+# newest one up within a second of each other; who gave up the older one as soon
+# would leave it just as the others come, and none would ever be whole. Seconds.
 _STALL_S = 1.0
+_OLDER_STALL_S = 3.0
 _ASIDE_S = 4.0
 
 
@@ -96,7 +97,6 @@
         self._aside: dict[int, float] = {}
         self._last_left = 1.0
         self._moved_at = 0.0
-        self._whole_at = math.inf
         self._yielding = False
         self._yields_since = 0.0
 
@@ -161,7 +161,7 @@
         digests = self._bringer.digests
         current = None
         if digests is not None:
-            current = plan.Progress(digests.version, self._left())
+            current = plan.Progress(digests.version, self._bringer.left)
             if self._stalled():
                 self._aside[digests.version] = self._clock() + _ASIDE_S
         version = plan.choose(
@@ -198,20 +198,6 @@
         self._moved_at = self._clock()
         self._bringer.want(self._around.origin, found)
 
-    def _left(self) -> float:
-        """Returns the part of the pieces that is missing here or at peers.
-
-        An agent that has all goes on sending for a while: whoever lacks the
-        last piece would have to draw it from the origin again.
-        """
-        left = self._bringer.left
-        now = self._clock()
-        if left > 0:
-            self._whole_at = math.inf
-        elif self._whole_at > now:
-            self._whole_at = now
-        return left if now - self._whole_at >= _LINGER_S else max(left, 0.01)
-
     def _stalled(self) -> bool:
         """Returns whether no piece has come for a while."""
         left = self._bringer.left
@@ -219,7 +205,11 @@
         if left != self._last_left:
             self._last_left = left
             self._moved_at = now
-        return left > 0 and now - self._moved_at > _STALL_S
+        newest = self._versions()[-1].version
+        digests = self._bringer.digests
+        older = digests is not None and digests.version < newest
+        most_s = _OLDER_STALL_S if older else _STALL_S
+        return left > 0 and now - self._moved_at > most_s
 
     def _set_aside(self) -> set[int]:
         """Returns the versions that stall, and those that are served.
--- a/src/clementinegw/weights/_swarm_adverts.py
+++ b/src/clementinegw/weights/_swarm_adverts.py
@@ -35,14 +35,24 @@
         self._gained.append(index)
 
     def flush(
-        self, digest: str, peers: list[peers_lib.Peer], now: float
+        self,
+        digest: str,
+        peers: list[peers_lib.Peer],
+        now: float,
+        last: bool = False,
     ) -> types_.TellGained | None:
         """Returns the announcement that is due, if any.
 
         A peer that holds all that is new will ask for none of it and is not
         told.
+
+        Args:
+          digest: The manifest's digest.
+          peers: Who is told.
+          now: Monotonic seconds.
+          last: Whether no later one will tell of what is not due yet.
         """
-        if now < self.due_at:
+        if now < self.due_at and not (last and self._gained):
             return None
         self._told_at = now
         gained, self._gained = self._gained, []
--- a/src/clementinegw/weights/_swarm_choice.py
+++ b/src/clementinegw/weights/_swarm_choice.py
@@ -53,7 +53,12 @@
     able = [peer for peer in peers if peer.bits >> index & 1]
     return min(
         able,
-        key=lambda peer: (not peer.local, peer.taken, rng.random()),
+        key=lambda peer: (
+            not peer.local,
+            peer.asked,
+            peer.taken,
+            rng.random(),
+        ),
         default=None,
     )
 
--- a/src/clementinegw/weights/_swarm_machine.py
+++ b/src/clementinegw/weights/_swarm_machine.py
@@ -38,9 +38,12 @@
         self._limits = limits
         self._rng = rng
         self._view = fleets.FleetView(me, limits.draw_policy, limits.cut_off_s)
-        self._peers = peers_lib.Neighbourhood(me.failure_domain)
+        self._peers = peers_lib.Neighbourhood(
+            me.failure_domain, 1 + limits.formers
+        )
         self._chosen: set[str] = set()
         self._target = targets.Target()
+        self._formers: dict[str, targets.Target] = {}
         self._requests = requests.Requests(limits, 0)
         self._uploads = uploads.Uploads(limits, rng)
         self._draws = draws.Draws(limits, me, self._view.fleet, (), 0.0, {})
@@ -138,7 +141,9 @@
     def _on_target_set(self, event: types_.TargetSet, now: float) -> None:
         if event.digest == self._target.digest:
             return
+        self._tell_gained(now, last=True)
         self._abandon()
+        self._keep_former(event.digest)
         have = int.from_bytes(event.held, "little")
         target = targets.Target(event.digest, event.chunks, have, now)
         self._target = target
@@ -169,11 +174,18 @@
     def _on_peer_down(self, event: types_.PeerDown, now: float) -> None:
         self._cancel_all_of(event.peer_id, types_.CancelReason.PEER_GONE)
         self._peers.remove(event.peer_id)
-        self._uploads.free(event.peer_id)
+        self._uploads.forget(event.peer_id)
 
     def _on_peer_holds(self, event: types_.PeerHolds, now: float) -> None:
         bits = int.from_bytes(event.bits, "little")
         self._peers.holds(event.peer_id, event.digest, bits, now)
+        former = self._formers.get(event.digest)
+        if former is not None:
+            # It wants what this agent wanted before. Nobody else may hold the
+            # last chunks: who came late would never be whole.
+            self._out.append(
+                types_.TellAll(event.peer_id, event.digest, former.held_bits)
+            )
 
     def _on_peer_gained(self, event: types_.PeerGained, now: float) -> None:
         self._peers.gained(event.peer_id, event.digest, event.indices, now)
@@ -216,6 +228,9 @@
             self._imports.took()
 
     def _on_lost(self, event: types_.Lost, now: float) -> None:
+        former = self._formers.get(event.digest)
+        if former is not None:
+            former.have &= ~(1 << event.index)
         if event.digest == self._target.digest:
             self._target.have &= ~(1 << event.index)
             for peer in self._peers.all():
@@ -281,10 +296,11 @@
     # What others ask.
 
     def _on_wanted(self, event: types_.Wanted, now: float) -> None:
-        self._out.append(self._uploads.answer(event, self._target, now))
+        target = self._formers.get(event.digest, self._target)
+        self._out.append(self._uploads.answer(event, target, now))
 
     def _on_served(self, event: types_.Served, now: float) -> None:
-        self._uploads.free(event.peer_id)
+        self._uploads.free(event.peer_id, event.index)
 
     def _on_tick(self, event: types_.Tick, now: float) -> None:
         """Whatever depends on time runs after each event."""
@@ -321,7 +337,7 @@
     def _fill(self, now: float) -> None:
         missing = self._target.missing
         while missing and len(self._requests) < self._limits.outstanding:
-            able = self._peers.usable(now)
+            able = self._peers.usable(now, self._limits.asks_a_peer)
             wanted = missing & ~self._requests.pending
             chosen = choice.choose(
                 wanted,
@@ -350,9 +366,9 @@
             now,
         )
 
-    def _tell_gained(self, now: float) -> None:
+    def _tell_gained(self, now: float, last: bool = False) -> None:
         advert = self._adverts.flush(
-            self._target.digest, self._peers.all(), now
+            self._target.digest, self._peers.all(), now, last
         )
         if advert is not None:
             self._out.append(advert)
@@ -398,8 +414,18 @@
     def _abandon(self) -> None:
         for request in self._requests.all():
             self._cancel(request, types_.CancelReason.ABANDONED)
-        for name in self._uploads.clear():
-            self._out.append(types_.StopServing(name))
+        if self._limits.formers:
+            return
+        for name, index in self._uploads.clear():
+            self._out.append(types_.StopServing(name, index))
+
+    def _keep_former(self, digest: str) -> None:
+        """Remembers the target that another one replaces."""
+        self._formers.pop(digest, None)
+        if self._target.digest:
+            self._formers[self._target.digest] = self._target
+        while len(self._formers) > self._limits.formers:
+            del self._formers[next(iter(self._formers))]
 
     def _ask(self, index: int, source: str, now: float) -> None:
         self._requests.start(index, source, now)
--- a/src/clementinegw/weights/_swarm_types.py
+++ b/src/clementinegw/weights/_swarm_types.py
@@ -17,6 +17,8 @@
     Attributes:
       outstanding: Chunks asked for and not arrived; bounds memory as well.
       upload_slots: Chunks sent at once; one more request is refused.
+      asks_a_peer: Chunks asked of one peer at once.
+      formers: Earlier targets of which chunks are still sent.
       local_neighbours: Connections opened within the failure domain.
       remote_neighbours: Connections opened to other failure domains.
       import_neighbours: Connections opened to first drawers elsewhere.
@@ -43,6 +45,8 @@
 
     outstanding: int = 3
     upload_slots: int = 3
+    asks_a_peer: int = 1
+    formers: int = 0
     local_neighbours: int = 6
     remote_neighbours: int = 2
     import_neighbours: int = 32
@@ -211,6 +215,7 @@
     """Sending a chunk to a peer ended, well or not."""
 
     peer_id: str
+    index: int
     whole: bool
 
 
@@ -303,9 +308,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StopServing:
-    """Stop sending to a peer: the version was abandoned."""
+    """Stop sending a chunk to a peer: the version was abandoned."""
 
     peer_id: str
+    index: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/clementinegw/weights/_swarm_uploads.py
+++ b/src/clementinegw/weights/_swarm_uploads.py
@@ -18,7 +18,7 @@
         """
         self._limits = limits
         self._rng = rng
-        self._began: dict[str, float] = {}
+        self._began: dict[tuple[str, int], float] = {}
 
     def __len__(self) -> int:
         return len(self._began)
@@ -33,22 +33,27 @@
             reason = types_.RefuseReason.OTHER_TARGET
         elif not target.holds(index):
             reason = types_.RefuseReason.NOT_HELD
-        elif not self._take(peer_id, now):
+        elif not self._take(peer_id, index, now):
             reason = types_.RefuseReason.BUSY
             wait = self._retry_after(target.chunks[index].size, now)
         else:
             return types_.Serve(peer_id, event.digest, index)
         return types_.Refuse(peer_id, index, reason, wait)
 
-    def free(self, peer_id: str) -> None:
-        """Frees the slot of a peer, if it has one."""
-        self._began.pop(peer_id, None)
+    def free(self, peer_id: str, index: int) -> None:
+        """Frees the slot of a chunk that a peer asked for, if it has one."""
+        self._began.pop((peer_id, index), None)
 
-    def clear(self) -> list[str]:
-        """Frees all slots and returns the peers that had them."""
-        names = list(self._began)
+    def forget(self, peer_id: str) -> None:
+        """Frees all slots of a peer."""
+        for key in [key for key in self._began if key[0] == peer_id]:
+            del self._began[key]
+
+    def clear(self) -> list[tuple[str, int]]:
+        """Frees all slots and returns the peers and chunks that had them."""
+        taken = list(self._began)
         self._began.clear()
-        return names
+        return taken
 
     def _retry_after(self, chunk_bytes: int, now: float) -> float:
         """Returns in how many seconds a slot is likely to be free."""
@@ -59,9 +64,10 @@
         # same moment, and all but one would be refused again.
         return left + chunk_s * self._rng.random()
 
-    def _take(self, peer_id: str, now: float) -> bool:
+    def _take(self, peer_id: str, index: int, now: float) -> bool:
+        mine = sum(1 for name, _ in self._began if name == peer_id)
         full = len(self._began) >= self._limits.upload_slots
-        if full or peer_id in self._began:
+        if full or mine >= self._limits.asks_a_peer:
             return False
-        self._began[peer_id] = now
+        self._began[peer_id, index] = now
         return True
--- a/src/clementinegw/weights/_transfer_send.py
+++ b/src/clementinegw/weights/_transfer_send.py
@@ -27,7 +27,7 @@
         """
         self._context = context
         self._verdict: swarm.Serve | swarm.Refuse | None = None
-        self._tasks: dict[str, asyncio.Task] = {}
+        self._tasks: dict[tuple[str, int], asyncio.Task] = {}
         endpoint.on_call(connections.Kind.CHUNK_GET, self._on_get)
 
     def serve(self, action: swarm.Serve) -> None:
@@ -39,8 +39,8 @@
         self._verdict = action
 
     def stop(self, action: swarm.StopServing) -> None:
-        """Stops sending to a peer."""
-        task = self._tasks.pop(action.peer_id, None)
+        """Stops sending a chunk to a peer."""
+        task = self._tasks.pop((action.peer_id, action.index), None)
         if task is not None:
             task.cancel()
 
@@ -70,7 +70,8 @@
     ) -> None:
         task = asyncio.current_task()
         assert task is not None
-        self._tasks[name] = task
+        key = name, first.index
+        self._tasks[key] = task
         whole = False
         try:
             whole = await self._send(exchange, first)
@@ -82,16 +83,14 @@
             await _send_refusal(exchange, swarm.RefuseReason.OTHER_TARGET, 0.0)
             raise
         finally:
-            if self._tasks.get(name) is task:
-                del self._tasks[name]
-                self._context.give(swarm.Served(name, whole))
+            if self._tasks.get(key) is task:
+                del self._tasks[key]
+                self._context.give(swarm.Served(name, first.index, whole))
 
     async def _send(
         self, exchange: connections.Exchange, first: ttypes.ChunkGet
     ) -> bool:
-        assert self._context.manifest is not None
-        chunk = self._context.manifest.chunks[first.index]
-        data = await self._context.store.get(chunk.digest)
+        data = await self._context.store.get(first.chunk_digest)
         if data is None:
             self._context.give(swarm.Lost(first.digest, first.index))
             reason = swarm.RefuseReason.NOT_HELD
--- a/src/clementinegw/weights/peers.py
+++ b/src/clementinegw/weights/peers.py
@@ -39,36 +39,35 @@
     aside_until: float = 0.0
     strikes: int = 0
 
-    def usable(self, now: float) -> bool:
-        """Whether it can be asked for a chunk now."""
+    def usable(self, now: float, most: int) -> bool:
+        """Whether it can be asked for a chunk now.
+
+        Args:
+          now: Monotonic seconds.
+          most: Chunks that may be asked of it at once.
+        """
         return (
             self.known
-            and not self.asked
+            and self.asked < most
             and self.busy_until <= now
             and self.aside_until <= now
         )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Told:
-    """What a peer said last, perhaps about another target."""
-
-    digest: str
-    bits: int
-
-
 class Neighbourhood:
     """The connected peers of one agent and which chunks they hold."""
 
-    def __init__(self, domain: str):
+    def __init__(self, domain: str, targets: int = 1):
         """Starts without peers.
 
         Args:
           domain: The failure domain of the agent itself.
+          targets: Of how many targets it is remembered what a peer said last.
         """
+        self._targets = targets
         self._domain = domain
         self._peers: dict[str, Peer] = {}
-        self._told: dict[str, _Told] = {}
+        self._told: dict[str, dict[str, int]] = {}
         self._digest = ""
         self._full = 0
         self._holders: list[int] = []
@@ -97,9 +96,14 @@
         """Returns the peer of that id."""
         return self._peers.get(peer_id)
 
-    def usable(self, now: float) -> list[Peer]:
-        """Returns the peers that can be asked for a chunk now."""
-        return [peer for peer in self._peers.values() if peer.usable(now)]
+    def usable(self, now: float, most: int) -> list[Peer]:
+        """Returns the peers that can be asked for a chunk now.
+
+        Args:
+          now: Monotonic seconds.
+          most: Chunks that may be asked of one of them at once.
+        """
+        return [p for p in self._peers.values() if p.usable(now, most)]
 
     def held_by_none(self, bits: int) -> int:
         """Returns those of the chunks that no peer holds."""
@@ -146,7 +150,11 @@
         peer = self._peers.get(peer_id)
         if peer is None:
             return
-        self._told[peer_id] = _Told(digest, bits)
+        told = self._told.setdefault(peer_id, {})
+        told.pop(digest, None)
+        told[digest] = bits
+        while len(told) > self._targets:
+            del told[next(iter(told))]
         self._unlearn(peer)
         self._recall(peer_id, peer, now)
 
@@ -156,12 +164,10 @@
         """Takes what a peer holds besides what it told before."""
         peer = self._peers.get(peer_id)
         told = self._told.get(peer_id)
-        if peer is None or told is None or told.digest != digest:
+        if peer is None or told is None or digest not in told:
             return
-        bits = told.bits
         for index in indices:
-            bits |= 1 << index
-        self._told[peer_id] = _Told(digest, bits)
+            told[digest] |= 1 << index
         if peer.known:
             self._recall(peer_id, peer, now)
 
@@ -189,12 +195,10 @@
                 self._recall(name, peer, now)
 
     def _recall(self, name: str, peer: Peer, now: float) -> None:
-        told = self._told.get(name)
-        if told is None or told.digest != self._digest:
-            return
-        if peer.aside_until > now:
+        told = self._told.get(name, {})
+        if self._digest not in told or peer.aside_until > now:
             return
-        bits = told.bits & self._full
+        bits = told[self._digest] & self._full
         fresh = bits & ~peer.bits
         peer.bits = bits
         peer.known = True
--- a/tests/swarm_network.py
+++ b/tests/swarm_network.py
@@ -329,7 +329,7 @@
     def _end_session(self, agent, peer_id, index, whole):
         if agent.sessions.get(peer_id) == index:
             del agent.sessions[peer_id]
-            self.give(agent, swarm.Served(peer_id, whole))
+            self.give(agent, swarm.Served(peer_id, index, whole))
 
     def _tellall(self, agent, action):
         event = swarm.PeerHolds(
--- a/tests/test_swarm.py
+++ b/tests/test_swarm.py
@@ -5,6 +5,7 @@
 import pytest
 import swarm_network
 
+from clementinegw.weights import bitset
 from clementinegw.weights import drawers
 from clementinegw.weights import swarm
 
@@ -302,3 +303,66 @@
         first = before.ranked(chunk.digest, policy, "")[0]
         if first != members[0].instance_id:
             assert after.ranked(chunk.digest, policy, "")[0] == first
+
+
+@pytest.mark.parametrize("most", [1, 2])
+def test_so_many_chunks_are_asked_of_one_peer_at_once(most):
+    """Symptom: the end of a rollout takes half of the link only.
+
+    Sequence: a failure domain has two agents; all that one lacks lies with
+    the other. Cause: it was asked for one chunk at a time.
+    """
+    chunks = swarm_network.chunks_of(6)
+    members = swarm_network.members_of(2, 1)
+    limits = swarm.Limits(outstanding=4, asks_a_peer=most, upload_slots=4)
+    one, other = [
+        swarm.Swarm(member, limits, random.Random(1)) for member in members
+    ]
+    for agent in (one, other):
+        agent.handle(swarm.FleetChanged(drawers.Fleet(members)), 0.0)
+    held = bytes(bitset.of(len(chunks), range(len(chunks))))
+    nothing = bytes(bitset.empty(len(chunks)))
+    one.handle(swarm.TargetSet("v1", chunks, nothing), 0.0)
+    other.handle(swarm.TargetSet("v1", chunks, held), 0.0)
+    one.handle(swarm.PeerUp(members[1]), 0.0)
+    name = members[1].instance_id
+    actions = one.handle(swarm.PeerHolds(name, "v1", held), 0.0)
+    asks = [a for a in actions if isinstance(a, swarm.Ask)]
+    assert [ask.source for ask in asks] == [name] * most
+    answers = [
+        other.handle(swarm.Wanted("a000", "v1", ask.index), 0.1)[0]
+        for ask in asks
+    ]
+    assert [type(answer) for answer in answers] == [swarm.Serve] * most
+
+
+def test_an_agent_that_went_on_still_sends_the_former_version():
+    """Symptom: a server stays on an old version for good.
+
+    Sequence: a newer version is named when all agents but one hold the former
+    one whole; then the origin is cut off. Cause: who followed the newer one
+    told and sent nothing of the former one any more.
+    """
+    chunks = swarm_network.chunks_of(6)
+    newer = swarm_network.chunks_of(6, "b")
+    members = swarm_network.members_of(2, 1)
+    limits = swarm.Limits(formers=1)
+    ahead, behind = [
+        swarm.Swarm(member, limits, random.Random(1)) for member in members
+    ]
+    for agent, peer in ((ahead, members[1]), (behind, members[0])):
+        agent.handle(swarm.FleetChanged(drawers.Fleet(members)), 0.0)
+        agent.handle(swarm.PeerUp(peer), 0.0)
+    held = bytes(bitset.of(len(chunks), range(len(chunks))))
+    nothing = bytes(bitset.empty(len(chunks)))
+    ahead.handle(swarm.TargetSet("v1", chunks, held), 0.0)
+    ahead.handle(swarm.TargetSet("v2", newer, nothing), 1.0)
+    behind.handle(swarm.TargetSet("v1", chunks, nothing), 2.0)
+    told = ahead.handle(swarm.PeerHolds("a001", "v1", nothing), 2.0)
+    assert swarm.TellAll("a001", "v1", held) in told
+    behind.handle(swarm.PeerHolds("a000", "v1", held), 2.0)
+    asks = behind.handle(swarm.PeerHolds("a000", "v2", nothing), 2.1)
+    assert not [ask for ask in asks if isinstance(ask, swarm.Cancel)]
+    assert behind.outstanding == 1
+    answer = ahead.handle(swarm.Wanted("a001", "v1", 0), 2.2)[0]
+    assert answer == swarm.Serve("a001", "v1", 0)
