Use servers until a version is due, and pass over those that fall silent

Agents report ten times a second, so a server whose agent is silent and that sent nothing itself is passed over after 0.4 s (1.2 s between regions). Not measured alone yet.

--- a/src/clementinegw/direct/attempt.py
+++ b/src/clementinegw/direct/attempt.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
+import math
 
 from clementinegw.direct import catalog
 from clementinegw.direct import client
@@ -22,6 +23,8 @@
 _LEAST_SILENCE_S = 0.6
 _SILENT_OBJECTIVES = 2.0
 _SILENT_GAPS = 3.0
+# How often it is looked whether a server has fallen silent, in seconds.
+_LOOK_S = 0.2
 _MISDIRECTED = 421
 # What promises a caller that a request was not run.
 _PROMISES = frozenset({408, 421, 429, 503})
@@ -87,6 +90,7 @@
         backend: fleet.Backend,
         sending: types.Sending,
         elsewhere: Callable[[], bool],
+        take_back_at: float = math.inf,
     ) -> outcomes.Attempt:
         """Makes one attempt.
 
@@ -96,6 +100,7 @@
           sending: What it is told besides the request.
           elsewhere: Returns whether another server could take the request
             over now. While none can, a silent server is waited for.
+          take_back_at: When a stream must have begun; monotonic seconds.
 
         Raises:
           channel.ChannelClosed: The caller has left.
@@ -104,8 +109,13 @@
         unread = _Unread(backend, job.facts.prompt_tokens)
         try:
             hearing = _Hearing(backend, elsewhere, self._clock)
-            return await self._run(job, hearing, sending, unread)
+            async with asyncio.timeout_at(_when(take_back_at)) as waiting:
+                unread.on_done = lambda: waiting.reschedule(None)
+                return await self._run(job, hearing, sending, unread)
+        except TimeoutError:
+            return outcomes.Lost(outcomes.LostReason.OUTDATED)
         finally:
+            unread.on_done = None
             unread.done()
 
     async def _run(
@@ -282,30 +292,47 @@
 
         Raises:
           _Silent: The server sent nothing on any connection for `silence_s`,
-            and another one can take over.
+            or the agent beside it is silent too, and another server can take
+            over.
         """
+        since = self._clock()
+        look_s = None if silence_s is None else min(silence_s, _LOOK_S)
         while True:
-            since = self._clock()
             try:
-                async with asyncio.timeout(silence_s):
+                async with asyncio.timeout(look_s):
                     result = await receive()
                 self.backend.heard_at = self._clock()
                 return result
             except TimeoutError as error:
-                if self.backend.heard_at <= since and self._elsewhere():
+                if self._is_silent(since, silence_s) and self._elsewhere():
                     raise _Silent from error
 
+    def _is_silent(self, since: float, silence_s: float | None) -> bool:
+        now = self._clock()
+        heard_at = max(since, self.backend.heard_at)
+        late = silence_s is not None and now - heard_at >= silence_s
+        return late or self.backend.silent(now)
+
 
 class _Unread:
     """The tokens that a server still has to read, until its first event."""
 
     def __init__(self, backend: fleet.Backend, tokens: int):
+        self.on_done: Callable[[], None] | None = None
         self._backend = backend
         self._tokens = tokens
 
     def done(self) -> None:
         self._backend.unread_tokens -= self._tokens
         self._tokens = 0
+        if self.on_done is not None:
+            self.on_done()
+            self.on_done = None
+
+
+def _when(at: float) -> float | None:
+    """Returns a time as asyncio takes it: None for never."""
+    return None if math.isinf(at) else at
 
 
 def _new(event: events.Event, last_event: str | None) -> bool:
--- a/src/clementinegw/direct/balance.py
+++ b/src/clementinegw/direct/balance.py
@@ -117,7 +117,9 @@
         # Where every server rests after a failure, one of them is tried all
         # the same: nobody else would ever find out that it is back. One that
         # is about to load still serves where no other has room.
-        rested = [b for b in able if b.rest_until <= now] or able
+        rested = [
+            b for b in able if b.rest_until <= now and not b.silent(now)
+        ] or able
         staying = [b for b in rested if not b.yielding] or rested
         newer = [
             b
--- a/src/clementinegw/direct/entry.py
+++ b/src/clementinegw/direct/entry.py
@@ -211,12 +211,13 @@
         while not self.should_stop:
             await asyncio.sleep(_SUBSCRIBE_S)
             port = self._instance.peer_ports[0]
-            hosts = {
-                backend.server.address.host
+            agents = {
+                places.Address(backend.server.address.host, port): self._is_far(
+                    backend.server
+                )
                 for backend in self._fleet.all()
                 if self._is_engine(backend.server.service)
             }
-            agents = [places.Address(host, port) for host in hosts]
             self._reports.subscribe(agents, self._versions.all())
 
     def _on_report(self, host: str, report: reports.Report) -> None:
@@ -224,9 +225,18 @@
         # An address may belong to another server by now: the id decides.
         if backend is None or backend.server.address.host != host:
             return
-        backend.take_report(report, self._clock())
+        backend.take_report(report, self._clock(), self._is_far(backend.server))
         self._forwarder.look()
 
+    def _is_far(self, server: types.Server) -> bool:
+        """Returns whether a server stands in another region."""
+        distance = fleets.region_of(
+            self._instance.regions,
+            self._instance.place,
+            server.failure_domain,
+        )
+        return distance > 1
+
     def _is_engine(self, service: str) -> bool:
         catalog = self._knowledge.catalog
         known = catalog.services.get(service) if catalog else None
@@ -258,7 +268,7 @@
                 self._take_declared(record.value)
 
     def _take_declared(self, declared: types.Declared) -> None:
-        if self._versions.declare(declared):
+        if self._versions.declare(declared, self._operators.unread_s):
             self._log.write(
                 _events.WEIGHTS_DECLARED,
                 model=declared.model,
--- a/src/clementinegw/direct/fleet.py
+++ b/src/clementinegw/direct/fleet.py
@@ -33,6 +33,13 @@
 _REPORT_MEMORY_S = 0.7
 # A report older than this says nothing of free slots, in seconds.
 _REPORT_FRESH_S = 0.5
+# A server whose agent, near or in another region, has told nothing for so long,
+# and that has sent nothing itself since, is taken for frozen or cut off. Found
+# out from requests alone, each entry loses some of them to it, for 0.8 s each.
+# Lost datagrams come one or two in a row. After a while only requests tell: an
+# agent may be gone for long beside a server that is well. Seconds.
+_QUIET_S = {False: 0.4, True: 1.2}
+_LONG_QUIET_S = 6.0
 # Free slots are given out this often: not every entry has a request for its
 # part, and the next report corrects what was too much.
 _OVERBOOKING = 2.0
@@ -66,6 +73,15 @@
         self._rest_s = _FIRST_REST_S
         self._others = 0.0
         self._reported_at = -math.inf
+        self._told_at = -math.inf
+        self._far = False
+
+    def silent(self, now: float) -> bool:
+        """Returns whether the server and the agent beside it fell silent."""
+        quiet_s = _QUIET_S[self._far]
+        if not quiet_s < now - self._told_at < _LONG_QUIET_S:
+            return False
+        return self.heard_at < self._told_at + quiet_s / 2
 
     def take_load(self, load: types.Load, now: float) -> None:
         """Takes in what the server says of its load."""
@@ -73,8 +89,18 @@
         self._others = max(0.0, total - self.in_flight)
         self._reported_at = now
 
-    def take_report(self, report: reports.Report, now: float) -> None:
-        """Takes in what the agent beside the server tells of it."""
+    def take_report(
+        self, report: reports.Report, now: float, far: bool = False
+    ) -> None:
+        """Takes in what the agent beside the server tells of it.
+
+        Args:
+          report: What it tells.
+          now: Monotonic seconds.
+          far: Whether it stands in another region, and so tells less often.
+        """
+        self._told_at = now
+        self._far = far
         self.take_load(
             types.Load(report.running, report.waiting, report.slots), now
         )
@@ -151,13 +177,15 @@
         """Takes in which version's weights it answers with."""
         self.version = version
 
+    def held(self, layers: int) -> int:
+        """Returns the version of which it has all layers; 0 for none."""
+        if self.empty:
+            return 0
+        return self.version or self.server.version(layers)
+
     def serves(self, least_version: int, layers: int) -> bool:
         """Returns whether it has all layers of at least a version."""
-        if self.empty:
-            return False
-        if self.version:
-            return self.version >= least_version
-        return self.server.version(layers) >= least_version
+        return self.held(layers) >= least_version
 
 
 class Fleet:
--- a/src/clementinegw/direct/follow.py
+++ b/src/clementinegw/direct/follow.py
@@ -25,6 +25,8 @@
 # clocks need not agree to the last percent.
 _WAIT_SHARE = 0.95
 _LONGEST_PAUSE_S = 0.8
+# An answer that took longer had waited for its records, in seconds.
+_AT_ONCE_S = 0.05
 
 
 class HistoryLost(exceptions.PlatformError):
@@ -140,6 +142,7 @@
         self._proved_at: float | None = None
         self._failing_since: float | None = None
         self._unproved = False
+        self._unread_s = 0.0
         self._returned_at = clock()
 
     @property
@@ -154,6 +157,11 @@
             return float("inf")
         return self._clock() - self._proved_at
 
+    @property
+    def unread_s(self) -> float:
+        """How long the records of the last batch may have lain, in seconds."""
+        return self._unread_s
+
     @property
     def settled_s(self) -> float:
         """How long the platform has answered without failure, in seconds."""
@@ -192,6 +200,7 @@
             wait_s = 0.0 if self._unproved else self._pace.wait_s
             batch = await self._source.changes(self._offset, wait_s)
         self._offset = batch.end
+        self._unread_s = self._lain_s(asked_at)
         self._succeeded(self._proved(batch, whole, asked_at))
         # An answer that waited and then brought news proves the time of its
         # question only. Asked again at once, the knowledge is as young as it
@@ -201,6 +210,18 @@
             self._on_batch(batch, whole)
         return bool(batch.records)
 
+    def _lain_s(self, asked_at: float) -> float:
+        """Returns how long the records of an answer may have lain unread.
+
+        An answer that waited brings what was added just then. One that came at
+        once may bring what was added since the last proof: long ago, where a
+        connection had gone silent meanwhile.
+        """
+        now = self._clock()
+        if now - asked_at > _AT_ONCE_S or self._proved_at is None:
+            return 0.0
+        return now - self._proved_at
+
     def _proved(self, batch: Batch, whole: bool, asked_at: float) -> float:
         """Returns up to when an answer proves that nothing else is new.
 
--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -2,7 +2,9 @@
 
 import asyncio
 from collections.abc import Callable
+import dataclasses
 import json
+import math
 import random
 
 from clementinegw.direct import _events
@@ -200,16 +202,21 @@
                 job, Reason.NO_BUDGET, self._share(_RETRY_FULL)
             )
         now = self._clock()
+        held = backend.held(self._layers(job.service))
         sending = types.Sending(
             backend.server.server_id,
             max(0.001, job.deadline - now - _WAY_BACK_S),
             job.match.customer.name if job.match.customer else "",
-            self._versions.expected(job.facts.model, backend.version, now),
+            self._versions.expected(job.facts.model, held, now),
             None,
             job.last_event,
         )
         outcome = await self._attempts.run(
-            job, backend, sending, lambda: self._elsewhere(job, backend)
+            job,
+            backend,
+            sending,
+            lambda: self._elsewhere(job, backend),
+            self._take_back_at(job, held),
         )
         if isinstance(outcome, outcomes.Delivered):
             self._suspects.completed(job.request)
@@ -221,13 +228,6 @@
         self, job: attempts.Job
     ) -> queue.Place | outcomes.Refusal:
         engine = self._engine(job.service)
-        least = self._versions.demanded(job.facts.model, self._clock())
-        wanted = balance.Wanted(
-            job.service,
-            engine.layers if engine else 0,
-            least or 0,
-            self._versions.preferred(job.facts.model, self._clock()),
-        )
         arrived = job.request.arrived_at
         time_s = job.deadline - arrived
         on_time_until = arrived - job.spent_s + job.match.route.objective_s
@@ -239,7 +239,7 @@
         until = max(arrived, on_time_until)
         if job.spent_s or job.sends:
             until = arrived + _LATE_SHARE * time_s
-        if not self._balancer.candidates(wanted):
+        if not self._balancer.candidates(self._wanted(job)):
             ready_in_s = self._balancer.ready_in_s(job.service)
             if ready_in_s > _SOON_SHARE * time_s:
                 return self._unserved(
@@ -250,7 +250,7 @@
             until = self._clock() + ready_in_s + _SOON_SHARE * time_s
         began = self._clock()
         place = await self._queue(job.service).place(
-            wanted,
+            lambda: self._wanted(job),
             frozenset(job.tried),
             on_time_until,
             until,
@@ -264,6 +264,26 @@
             return self._unserved(job, Reason.BUSY, self._share(_RETRY_FULL))
         return place
 
+    def _take_back_at(self, job: attempts.Job, held: int) -> float:
+        """Returns when a request is taken back that has not begun."""
+        if not job.match.route.idempotent:
+            return math.inf
+        return self._versions.take_back_at(job.facts.model, held)
+
+    def _wanted(self, job: attempts.Job) -> balance.Wanted:
+        """Returns what a request needs of a server that it is sent to now."""
+        now = self._clock()
+        model = job.facts.model
+        least = self._versions.demanded(model, now) or 0
+        if job.runs:
+            least = max(least, self._versions.lasting(model, now))
+        return balance.Wanted(
+            job.service,
+            self._layers(job.service),
+            least,
+            self._versions.preferred(model, now),
+        )
+
     def _back_share(self, job: attempts.Job, ready_in_s: float) -> float:
         """Returns when to come back, as a part of the time that is left."""
         left_s = max(0.001, job.deadline - self._clock())
@@ -297,10 +317,7 @@
         """Returns whether another server could take a request over now."""
         if job.runs + 1 >= job.match.route.max_attempts:
             return False
-        least = self._versions.demanded(job.facts.model, self._clock()) or 0
-        engine = self._engine(job.service)
-        layers = engine.layers if engine else 0
-        wanted = balance.Wanted(job.service, layers, least, most_busy=1.0)
+        wanted = dataclasses.replace(self._wanted(job), most_busy=1.0)
         tried = {backend.server.server_id, *job.tried}
         return self._balancer.choose(wanted, tried) is not None
 
@@ -395,6 +412,10 @@
         known = catalog.services.get(service) if catalog else None
         return known.engine if known else None
 
+    def _layers(self, service: str) -> int:
+        engine = self._engine(service)
+        return engine.layers if engine else 0
+
     # Answers of our own.
 
     async def _refuse(
--- a/src/clementinegw/direct/outcomes.py
+++ b/src/clementinegw/direct/outcomes.py
@@ -22,6 +22,7 @@
     CROSSED = "crossed"
     UNSEALED = "unsealed"
     FALSE_PROMISE = "false_promise"
+    OUTDATED = "outdated"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/clementinegw/direct/queue.py
+++ b/src/clementinegw/direct/queue.py
@@ -37,14 +37,14 @@
     """One request that waits.
 
     Attributes:
-      wanted: What it needs of a server.
+      wanted: Returns what it needs of a server now.
       tried: Ids of servers that have had it.
       on_time_until: When it must begin to be on time, in monotonic seconds.
       until: When it is given up, in monotonic seconds.
       place: Its place at a server; None when it is given up.
     """
 
-    wanted: balance.Wanted
+    wanted: Callable[[], balance.Wanted]
     tried: frozenset[str]
     on_time_until: float
     until: float
@@ -88,7 +88,7 @@
 
     async def place(
         self,
-        wanted: balance.Wanted,
+        wanted: Callable[[], balance.Wanted],
         tried: frozenset[str],
         on_time_until: float,
         until: float,
@@ -96,7 +96,8 @@
         """Returns a place at a server; None when there is none in time.
 
         Args:
-          wanted: What the request needs of a server.
+          wanted: Returns what the request needs of a server now; a newer
+            version of weights may be demanded while it waits.
           tried: Ids of servers that have had it.
           on_time_until: When it must begin to be on time.
           until: When it is given up.
@@ -150,7 +151,7 @@
 
     def _choose(self, waiting: Waiting, late: bool) -> fleet.Backend | None:
         most = self._terms.most_busy_late if late else self._terms.most_busy
-        wanted = dataclasses.replace(waiting.wanted, most_busy=most)
+        wanted = dataclasses.replace(waiting.wanted(), most_busy=most)
         backend = self._balancer.choose(wanted, waiting.tried)
         if backend is None and waiting.tried:
             backend = self._balancer.choose(wanted)
--- a/src/clementinegw/direct/reports.py
+++ b/src/clementinegw/direct/reports.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Mapping
 import dataclasses
 
 from clementinegw import exceptions
@@ -18,6 +18,10 @@
 # renew it more often by some times.
 KEEP_S = 4.0
 _MOST_SUBSCRIBERS = 512
+# Of so many reports an entry in another region gets one, unless the server's
+# weights have changed. Bytes between regions are paid for, and with 43 entries
+# reports took a tenth of a machine's link; servers far away get few requests.
+_FAR_EVERY = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -54,6 +58,12 @@
     ready_in_s: float = -1.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Subscriber:
+    until: float
+    far: bool
+
+
 class Reporter(asyncio.DatagramProtocol):
     """The agent's side."""
 
@@ -65,7 +75,9 @@
         """
         self._on_declared = on_declared
         self._transport: asyncio.DatagramTransport | None = None
-        self._subscribers: dict[tuple, float] = {}
+        self._subscribers: dict[tuple, _Subscriber] = {}
+        self._told = 0
+        self._former: tuple = ()
 
     def connection_made(self, transport) -> None:
         """Called by asyncio."""
@@ -81,7 +93,8 @@
         if addr in self._subscribers or (
             len(self._subscribers) < _MOST_SUBSCRIBERS
         ):
-            self._subscribers[addr] = now + KEEP_S
+            until = now + KEEP_S
+            self._subscribers[addr] = _Subscriber(until, bool(message.far))
         self._on_declared(message.declared)
 
     @property
@@ -94,12 +107,27 @@
         if self._transport is None:
             return
         now = asyncio.get_running_loop().time()
+        everyone = self._is_news(report)
         data = codec.encode(ttypes.BackendReport(**dataclasses.asdict(report)))
-        for addr, until in list(self._subscribers.items()):
-            if until < now:
+        for addr, subscriber in list(self._subscribers.items()):
+            if subscriber.until < now:
                 del self._subscribers[addr]
-                continue
-            self._transport.sendto(data, addr)
+            elif everyone or not subscriber.far:
+                self._transport.sendto(data, addr)
+
+    def _is_news(self, report: Report) -> bool:
+        """Returns whether entries in other regions are told of a report."""
+        told = (
+            report.server_id,
+            report.version,
+            report.whole,
+            report.loading,
+            report.yielding,
+        )
+        changed = told != self._former
+        self._former = told
+        self._told += 1
+        return changed or not self._told % _FAR_EVERY
 
     def close(self) -> None:
         """Ends it."""
@@ -150,17 +178,22 @@
         )
 
     def subscribe(
-        self, agents: Iterable[types.Address], declared: Mapping[str, int]
+        self, agents: Mapping[types.Address, bool], declared: Mapping[str, int]
     ) -> None:
-        """Asks agents for reports."""
+        """Asks agents for reports.
+
+        Args:
+          agents: Whether each stands in another region.
+          declared: The versions of weights that are known to be declared.
+        """
         if self._transport is None:
             return
-        message = ttypes.Subscribe(
-            instance_id=self._name, declared=dict(declared)
-        )
-        data = codec.encode(message)
-        for agent in agents:
-            self._transport.sendto(data, (agent.host, agent.port))
+        data = {
+            far: codec.encode(ttypes.Subscribe(self._name, dict(declared), far))
+            for far in (False, True)
+        }
+        for agent, far in agents.items():
+            self._transport.sendto(data[far], (agent.host, agent.port))
 
     def close(self) -> None:
         """Ends it."""
--- a/src/clementinegw/wire/gen/reports/ttypes.py
+++ b/src/clementinegw/wire/gen/reports/ttypes.py
@@ -22,18 +22,21 @@
     Attributes:
      - instance_id
      - declared
+     - far
 
     """
 
     __slots__ = (
         'instance_id',
         'declared',
+        'far',
     )
 
 
-    def __init__(self, instance_id=None, declared=None,):
+    def __init__(self, instance_id=None, declared=None, far=False,):
         self.instance_id = instance_id
         self.declared = declared
+        self.far = far
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -60,6 +63,11 @@
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.far = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -82,6 +90,10 @@
                 oprot.writeI64(viter8)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
+        if self.far is not None:
+            oprot.writeFieldBegin('far', TType.BOOL, 3)
+            oprot.writeBool(self.far)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -338,6 +350,7 @@
     None,  # 0
     (1, TType.STRING, 'instance_id', 'UTF8', None, ),  # 1
     (2, TType.MAP, 'declared', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 2
+    (3, TType.BOOL, 'far', None, False, ),  # 3
 )
 all_structs.append(BackendReport)
 BackendReport.thrift_spec = (
--- a/src/clementinegw/wire/reports.thrift
+++ b/src/clementinegw/wire/reports.thrift
@@ -5,6 +5,8 @@
 struct Subscribe {
   1: required string instance_id,
   2: required map<string, i64> declared,
+  // It stands in another region, and so is told less often.
+  3: optional bool far = false,
 }
 
 // An agent tells what it has just read from the server beside it.
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -292,6 +292,14 @@
             await server.stop()
         await self.store.stop()
 
+    def hold(self, server, version):
+        """Lists a server with all layers of a version."""
+        layers = {"from": 0, "target": 1, "version": version}
+        model = {"name": "m", "version": version, "layers": layers}
+        self.store.put(
+            "keyed.servers", server.name, server.entry(models=[model])
+        )
+
     async def ask(self, path="/safe/1", **fields):
         """Sends one request on a connection of its own."""
         async with Caller(self) as caller:
--- a/tests/test_direct_entry.py
+++ b/tests/test_direct_entry.py
@@ -252,6 +252,55 @@
     assert (answer.status, answer.whole) == (200, False)
 
 
+def test_a_stream_that_has_not_begun_is_taken_back_before_a_version_is_due():
+    """Symptom: a request begins on the former version after the due time.
+
+    Sequence: it is sent shortly before that time to a server on the former
+    version, waits there, and begins just after it; another server has the
+    newer one. Cause: nothing took it back in time.
+    """
+    began = []
+
+    async def slow(call):
+        await asyncio.sleep(0.75)
+        began.append("old")
+        call.begin_stream()
+        call.event(1)
+        call.end_stream()
+
+    def quick(call):
+        call.begin_stream()
+        call.event(1)
+        call.end_stream()
+
+    async def play():
+        async with sites.Site("i-1", "i-2", do=slow) as site:
+            engine = {"slots": 8, "step_ms": 7.0, "models": [{"name": "m"}]}
+            service = {"name": "plain", "engine": engine}
+            change = sites.config(2, services=[service])
+            site.store.put("keyed.op", "config", change)
+            old, new = site.servers
+            new.do = quick
+            site.hold(old, 1)
+            site.store.put("keyed.servers", new.name, None)
+            version = {"model": "m", "version": 2}
+            site.store.put("keyed.op", "version/m", version)
+            due_s = site.entry._instance.bounds.weights_ms / 1e3
+            await asyncio.sleep(due_s - 0.7)
+            headers = ["X-Clementinegw-Model: m"]
+            asking = asyncio.ensure_future(
+                site.ask("/stream/1", headers=headers)
+            )
+            await asyncio.sleep(0.1)
+            site.hold(new, 2)
+            answer = await asking
+            return answer, len(old.calls), len(new.calls)
+
+    answer, olds, news = sites.run(play())
+    assert (answer.status, answer.whole) == (200, True)
+    assert (olds, news, began) == (1, 1, [])
+
+
 def test_a_caller_that_leaves_ends_the_work_at_the_server():
     """Symptom: servers work for callers that have left.
 
