--- a/src/clementinegw/direct/agent.py
+++ b/src/clementinegw/direct/agent.py
@@ -25,8 +25,10 @@
 
 # Entries pass a new declaration on within a second, so a connection to the
 # platform that went silent may go unnoticed for a while.
-_OPERATOR_PACE = follow.Pace(wait_s=6.0, pause_s=0.0)
-_SERVER_PACE = follow.Pace(wait_s=10.0, pause_s=2.0)
+_PACES = follow.Paces(
+    operators=follow.Pace(wait_s=6.0, pause_s=0.0),
+    servers=follow.Pace(wait_s=10.0, pause_s=2.0),
+)
 # How often the server beside is asked, in seconds. It costs nothing there and
 # bounds the age of what entries balance by.
 _STATE_S = 0.1
@@ -34,15 +36,9 @@
 _STEP_S = 0.1
 
 
-class Platform(Protocol):
+class Platform(follow.Platform, Protocol):
     """What the daemon needs of the platform."""
 
-    def operators(self) -> follow.Source:
-        """Returns the operators' declarations."""
-
-    def servers(self) -> follow.Source:
-        """Returns the list of backend servers."""
-
     def beside(self, address: places.Address, model: str) -> backing.Beside:
         """Returns the server beside the agent."""
 
@@ -72,24 +68,16 @@
         self._counters = counters
         self._backend = instance.backend
         self._clock = asyncio.get_running_loop().time
-        self._operators = follow.Follower(
-            "operators",
-            platform.operators(),
-            _OPERATOR_PACE,
+        topics = follow.Topics(
+            platform,
+            _PACES,
             self._on_operators,
-            log,
-            counters,
-            boot_clock,
-        )
-        self._listing = follow.Follower(
-            "servers",
-            platform.servers(),
-            _SERVER_PACE,
             self._on_servers,
             log,
             counters,
             boot_clock,
         )
+        self._operators, self._listing = topics.operators, topics.servers
         self._me = self._agent_at(instance.host, instance.place)
         self._bringer = bring.Bringer(
             self._me,
--- a/src/clementinegw/direct/entry.py
+++ b/src/clementinegw/direct/entry.py
@@ -30,8 +30,10 @@
 # How topics are read. The platform answers as soon as something changes, so
 # the wait only bounds how long a connection that went silent goes unnoticed,
 # and how old a key's proof grows; each call is paid for.
-_OPERATOR_PACE = follow.Pace(wait_s=2.0, pause_s=0.0)
-_SERVER_PACE = follow.Pace(wait_s=2.0, pause_s=0.5)
+_PACES = follow.Paces(
+    operators=follow.Pace(wait_s=2.0, pause_s=0.0),
+    servers=follow.Pace(wait_s=2.0, pause_s=0.5),
+)
 # The part of the time in which a key that was taken away must stop that its
 # last proof may be old, and the part after which the process takes no new
 # callers: others may have heard from the platform since.
@@ -49,15 +51,9 @@
 _LEAVE_EARLY_S = 0.4
 
 
-class Platform(Protocol):
+class Platform(follow.Platform, Protocol):
     """What the daemon needs of the platform."""
 
-    def operators(self) -> follow.Source:
-        """Returns the operators' declarations."""
-
-    def servers(self) -> follow.Source:
-        """Returns the list of backend servers."""
-
     def dialect(self) -> dialects.Dialect:
         """Returns what knows the platform's headers."""
 
@@ -94,24 +90,16 @@
         self._counters = counters
         self._clock = clock
         bounds = instance.bounds
-        self._operators = follow.Follower(
-            "operators",
-            platform.operators(),
-            _OPERATOR_PACE,
+        topics = follow.Topics(
+            platform,
+            _PACES,
             self._on_operators,
-            log,
-            counters,
-            boot_clock,
-        )
-        self._listing = follow.Follower(
-            "servers",
-            platform.servers(),
-            _SERVER_PACE,
             self._on_servers,
             log,
             counters,
             boot_clock,
         )
+        self._operators, self._listing = topics.operators, topics.servers
         self._knowledge = admit.Knowledge(
             None,
             lambda: self._operators.age_s,
--- a/src/clementinegw/direct/follow.py
+++ b/src/clementinegw/direct/follow.py
@@ -82,6 +82,16 @@
         """
 
 
+class Platform(Protocol):
+    """The topics that every process follows."""
+
+    def operators(self) -> Source:
+        """Returns the operators' declarations."""
+
+    def servers(self) -> Source:
+        """Returns the list of backend servers."""
+
+
 def boot_time() -> float:
     """Returns seconds that also count while the machine is suspended.
 
@@ -257,3 +267,55 @@
             self._log.write(
                 _events.TOPIC_LOST, topic=self._name, reason=error.message
             )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Paces:
+    """How the topics of a platform are read."""
+
+    operators: Pace
+    servers: Pace
+
+
+class Topics:
+    """Keeps up with all topics of a platform."""
+
+    def __init__(
+        self,
+        platform: Platform,
+        paces: Paces,
+        on_operators: Callable[[Batch, bool], None],
+        on_servers: Callable[[Batch, bool], None],
+        log: logs.Log,
+        counters: counters_lib.Counters,
+        clock: Callable[[], float] = boot_time,
+    ):
+        """Does nothing before its followers start.
+
+        Args:
+          platform: Has the topics.
+          paces: How often each is read.
+          on_operators: Takes what operators declared; see `Follower`.
+          on_servers: Takes changes of the list of servers.
+          log: Where events go.
+          counters: Counts calls and failures.
+          clock: Seconds that also count while the machine is suspended.
+        """
+        self.operators = Follower(
+            "operators",
+            platform.operators(),
+            paces.operators,
+            on_operators,
+            log,
+            counters,
+            clock,
+        )
+        self.servers = Follower(
+            "servers",
+            platform.servers(),
+            paces.servers,
+            on_servers,
+            log,
+            counters,
+            clock,
+        )
