Share out what engines read, and draw the next version ahead

The share of an entry is now bounded by what the engine reads between two reports as well.

While an older version comes, agents draw their parts of the newest one: the origin's link is idle then, and the pieces outlive an origin that is cut off. Not measured yet.

--- a/src/clementinegw/direct/balance.py
+++ b/src/clementinegw/direct/balance.py
@@ -15,9 +15,9 @@
 # How much a doubted server's load seems larger: one that fails half of its
 # requests gets a few only, and still enough to show that it is well again.
 _DOUBT_WEIGHT = 12.0
-# Prompt tokens that are not read yet count as one more running request each:
-# about what an engine reads in the time that a request holds a slot for.
-_TOKENS_A_REQUEST = 4_000.0
+# So many prompt tokens that are not read yet count as one more request: what
+# comes behind them waits for about 30 ms.
+_TOKENS_A_REQUEST = 1_000.0
 # A draw is added to each load, as a part of the slots. Without it all entries
 # send to the server that the last reports showed emptiest, until the next ones
 # come; with 0.03 in its place 6 in 100 answers were late, with 0.4 under 1.
@@ -104,30 +104,36 @@
           tried: Ids of servers that have had it.
         """
         now = self._clock()
-        able = [
+        found = [
             backend
             for backend in self.candidates(wanted)
             if backend.server.server_id not in tried
             and not backend.loading
             and backend.full_until <= now
             and not backend.pool.full
-            and backend.has_share(now)
             and self.busy(backend, now) < wanted.most_busy
         ]
-        # Where every server rests after a failure, one of them is tried all
-        # the same: nobody else would ever find out that it is back. One that
-        # is about to load still serves where no other has room.
-        rested = [
-            b for b in able if b.rest_until <= now and not b.silent(now)
-        ] or able
-        staying = [b for b in rested if not b.yielding] or rested
-        newer = [
-            b
-            for b in staying
-            if b.serves(wanted.preferred_version, wanted.layers)
-        ]
-        staying = newer or staying
-        return min(staying, key=lambda b: self._score(b, now), default=None)
+        for better in self._preferences(wanted, now):
+            found = [b for b in found if better(b)] or found
+        # Only now: a request waits for the next report rather than go where
+        # it is broken off soon.
+        sharing = [b for b in found if b.has_share(now)]
+        return min(sharing, key=lambda b: self._score(b, now), default=None)
+
+    def _preferences(
+        self, wanted: Wanted, now: float
+    ) -> tuple[Callable[[fleet.Backend], bool], ...]:
+        """Returns what a server should be, the most important first.
+
+        Where no server is, one is chosen all the same: nobody else would ever
+        find out that one that rests after a failure is back, and one that is
+        about to load still serves where no other has room.
+        """
+        return (
+            lambda b: b.rest_until <= now and not b.silent(now),
+            lambda b: not b.yielding,
+            lambda b: b.serves(wanted.preferred_version, wanted.layers),
+        )
 
     def busy(self, backend: fleet.Backend, now: float) -> float:
         """Returns a server's requests as a part of its slots."""
--- a/src/clementinegw/direct/bring.py
+++ b/src/clementinegw/direct/bring.py
@@ -189,6 +189,24 @@
         self._origin.set(origin, digests)
         self.transfer.set_target(manifest_of(digests))
 
+    def own_part(self, digests: backing.Digests) -> list[int]:
+        """Returns the pieces that this agent draws first, and does not hold."""
+        firsts = self.transfer.first_draws(manifest_of(digests))
+        return [n for n in firsts if not self._store.holds(digests.digests[n])]
+
+    async def draw(
+        self, origin: backing.Origin, digests: backing.Digests, number: int
+    ) -> bool:
+        """Draws one piece outside the exchange; returns whether it is kept.
+
+        Raises:
+          exceptions.PlatformError: The origin gave no whole piece.
+        """
+        # Last in the order: what the link carries for the exchange goes first.
+        await self.transfer.take_pace(digests.chunk_bytes)
+        data = await origin.piece(digests.model, digests.version, number)
+        return await self._store.put(digests.digests[number], data)
+
     async def take_staged(
         self, beside: backing.Beside, digests: backing.Digests
     ) -> int:
--- a/src/clementinegw/direct/entry.py
+++ b/src/clementinegw/direct/entry.py
@@ -213,7 +213,12 @@
         # An address may belong to another server by now: the id decides.
         if backend is None or backend.server.address.host != host:
             return
-        backend.take_report(report, self._clock(), self._is_far(backend.server))
+        backend.take_report(
+            report,
+            self._clock(),
+            self._is_far(backend.server),
+            self._reading_s(backend.server.service),
+        )
         self._forwarder.look()
 
     def _is_far(self, server: types.Server) -> bool:
@@ -225,10 +230,20 @@
         )
         return distance > 1
 
-    def _is_engine(self, service: str) -> bool:
+    def _engine(self, service: str) -> types.Engine | None:
         catalog = self._knowledge.catalog
         known = catalog.services.get(service) if catalog else None
-        return known is not None and known.engine is not None
+        return known.engine if known else None
+
+    def _is_engine(self, service: str) -> bool:
+        return self._engine(service) is not None
+
+    def _reading_s(self, service: str) -> float:
+        """Returns how long a usual prompt is read; 0 when that is unknown."""
+        engine = self._engine(service)
+        if engine is None or not engine.prefill_tokens_per_s:
+            return 0.0
+        return engine.usual_prompt / engine.prefill_tokens_per_s
 
     def _tell_ready(self) -> None:
         if self.ready == self._ready:
--- a/src/clementinegw/direct/fleet.py
+++ b/src/clementinegw/direct/fleet.py
@@ -43,6 +43,12 @@
 # Free slots are given out this often: not every entry has a request for its
 # part, and the next report corrects what was too much.
 _OVERBOOKING = 2.0
+# The same for the prompts that an engine reads from one report to the next. A
+# server that has just loaded shows all its slots free, and got 16 requests in
+# 0.15 s, the last of which waited 0.6 s for their prompts to be read.
+_READING_OVERBOOKING = 1.5
+# The longest time between two reports that counts, in seconds.
+_LONGEST_SPAN_S = 0.5
 
 
 class Backend:
@@ -90,7 +96,11 @@
         self._reported_at = now
 
     def take_report(
-        self, report: reports.Report, now: float, far: bool = False
+        self,
+        report: reports.Report,
+        now: float,
+        far: bool = False,
+        reading_s: float = 0.0,
     ) -> None:
         """Takes in what the agent beside the server tells of it.
 
@@ -98,7 +108,9 @@
           report: What it tells.
           now: Monotonic seconds.
           far: Whether it stands in another region, and so tells less often.
+          reading_s: How long the engine reads a usual prompt; 0 when unknown.
         """
+        span_s = min(now - self._told_at, _LONGEST_SPAN_S)
         self._told_at = now
         self._far = far
         self.take_load(
@@ -109,7 +121,8 @@
         self.entries = report.entries
         if report.ready_in_s >= 0.0:
             self.ready_at = now + report.ready_in_s
-        self._share_room(report)
+        reads = span_s / reading_s if reading_s else math.inf
+        self._share_room(report, reads)
         self.pace = max(1.0, report.pace)
         self.take_version(report.version if report.whole else 0)
         self.empty = not report.whole
@@ -130,7 +143,7 @@
         self.in_flight -= 1
         self._share += 1.0
 
-    def _share_room(self, report: reports.Report) -> None:
+    def _share_room(self, report: reports.Report, reads: float) -> None:
         """Takes this entry's part of the slots that a report shows free.
 
         All entries see the same free slots at the same moment. With each
@@ -138,7 +151,11 @@
         from every entry, and all but one of them are late.
         """
         free = report.slots - report.running - report.waiting
-        part = max(0.0, free * _OVERBOOKING / max(1, report.entries))
+        room = min(
+            free * _OVERBOOKING,
+            reads * _READING_OVERBOOKING - report.waiting,
+        )
+        part = max(0.0, room / max(1, report.entries))
         whole = int(part)
         more = self._rng.random() < part - whole
         self._share = float(whole + more)
--- a/src/clementinegw/direct/keep.py
+++ b/src/clementinegw/direct/keep.py
@@ -6,6 +6,7 @@
 
 from clementinegw import exceptions
 from clementinegw.direct import _events
+from clementinegw.direct import ahead
 from clementinegw.direct import backing
 from clementinegw.direct import bring
 from clementinegw.direct import instance as instances
@@ -90,6 +91,7 @@
         self._counters = counters
         self._histograms = histograms
         self._clock = asyncio.get_running_loop().time
+        self._ahead = ahead.Ahead(bringer, log, counters)
         self._declared: list[plan.Declaration] = []
         self._digests: dict[int, backing.Digests] = {}
         self._here_at: dict[int, float] = {}
@@ -170,11 +172,17 @@
             self._clock(),
             self._set_aside(),
         )
+        assert self._around.origin is not None
         if digests is not None and digests.version == version:
+            newest = self._versions()[-1].version
+            if newest > version:
+                self._ahead.begin(
+                    self._around.origin, self._around.model, newest
+                )
             return
         if not version:
             return
-        assert self._around.origin is not None
+        await self._ahead.settle()
         found = self._digests.get(version)
         if found is None:
             found = await self._around.origin.digests(
--- a/src/clementinegw/weights/transfer.py
+++ b/src/clementinegw/weights/transfer.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections.abc import Callable, Iterable
 import dataclasses
+import math
 import random
 
 import mode
@@ -102,6 +103,8 @@
             self._counters,
             part_bytes,
         )
+        self._fleet = drawers.Fleet([self._me])
+        self._draw_policy = limits.draw_policy
         self._links = links.Links(endpoint, self._give)
         self._receiver = receive.Receiver(self._context, self._links, origin)
         self._sender = send.Sender(self._context, endpoint)
@@ -142,7 +145,20 @@
             {name: other.address for name, other in others.items()}
         )
         members = [self._me, *map(member_of, others.values())]
-        self._give(swarm.FleetChanged(drawers.Fleet(members)))
+        self._fleet = drawers.Fleet(members)
+        self._give(swarm.FleetChanged(self._fleet))
+
+    def first_draws(self, manifest: manifests.Manifest) -> list[int]:
+        """Returns the chunks of a manifest that this agent draws first."""
+        return [
+            index
+            for index, chunk in enumerate(manifest.chunks)
+            if not self._fleet.rank(chunk.digest, self._draw_policy, self._me)
+        ]
+
+    async def take_pace(self, count: int) -> None:
+        """Waits until the link has room for bytes outside the exchange."""
+        await self._context.pacing.down.take(count, math.inf)
 
     def set_target(self, manifest: manifests.Manifest) -> None:
         """Says which version is wanted now; an earlier one is abandoned."""
--- a/tests/test_direct_agent.py
+++ b/tests/test_direct_agent.py
@@ -251,6 +251,31 @@
     assert all(all(whole) for whole in wholes)
 
 
+def test_a_newer_version_is_drawn_while_the_older_one_comes():
+    """Symptom: of two versions the second is late.
+
+    Sequence: version 3 is named while 2 comes; the origin has sent 2 long
+    before the agents have exchanged it. Cause: nothing of 3 was drawn until
+    its turn came, and then all of its pieces one after the other.
+    """
+
+    async def play():
+        async with Site(link_bytes_per_s=14_000.0) as site:
+            await site.until_all_hold(1)
+            site.origin.sent = 0
+            site.declare(2)
+            await asyncio.sleep(3.0)
+            site.declare(3)
+            await site.until_all_hold(3, most_s=30.0)
+            counted = [a._counters for a in site.agents]
+            ahead = sum(c.value("weights.drawn_ahead") for c in counted)
+            return ahead, site.origin.sent
+
+    ahead, sent = run(play())
+    assert ahead >= PIECES / 3
+    assert sent <= 2 * PIECES + 4
+
+
 def test_what_rots_while_it_lies_staged_is_put_right_before_the_order():
     """Symptom: a server makes tokens with a spoilt layer.
 
--- a/tests/test_direct_decisions.py
+++ b/tests/test_direct_decisions.py
@@ -301,6 +301,28 @@
     assert 0.15 < taken / 800 < 0.35
 
 
+def test_a_server_that_has_just_loaded_is_not_flooded():
+    """Symptom: requests wait 0.6 s at a server that all others look up to.
+
+    Sequence: a server has loaded and shows all its slots free; every entry
+    sends it what it has until the next report. Cause: slots were shared out,
+    though reading the prompts takes longer than waiting for a slot.
+    """
+    taken = 0
+    for seed in range(400):
+        backends = fleet.Fleet(logs.Log(), lambda s: 64, random.Random(seed))
+        backends.apply(batch(("a", server("a"))), True, 60.0)
+        backend = backends.find("a")
+        for now in (1.0, 1.1):
+            empty = report(running=0, entries=8)
+            backend.take_report(empty, now, reading_s=0.03)
+        while backend.has_share(1.1):
+            backend.take()
+            taken += 1
+    # Each of eight entries: 0.1 s are 3.3 prompts, and half as many again.
+    assert 3.3 < 8 * taken / 400 < 7.0
+
+
 def test_a_server_whose_agent_is_silent_is_used_all_the_same():
     backends = new_fleet()
     backends.apply(batch(("a", server("a"))), True, 60.0)
