Let one prompt at a time be read where no agent tells of a server

Agents that are listed anew are asked for reports at once, for their shares count the entries that asked. Not measured yet.

--- a/src/clementinegw/direct/entry.py
+++ b/src/clementinegw/direct/entry.py
@@ -127,6 +127,7 @@
         self._server = servers.Server(self._forwarder.handle)
         self._health = servers.Server(self._answer_ready)
         self._reports = reports.Listener(instance.name, self._on_report)
+        self._asked: dict[places.Address, bool] = {}
         self._leaving = False
         self._ready = False
 
@@ -198,15 +199,32 @@
     async def _subscribe(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(_SUBSCRIBE_S)
-            port = self._instance.peer_ports[0]
-            agents = {
-                places.Address(backend.server.address.host, port): self._is_far(
-                    backend.server
-                )
-                for backend in self._fleet.all()
-                if self._is_engine(backend.server.service)
-            }
-            self._reports.subscribe(agents, self._versions.all())
+            self._asked = self._agents()
+            self._reports.subscribe(self._asked, self._versions.all())
+
+    def _subscribe_new(self) -> None:
+        """Asks agents that have just been listed, without delay.
+
+        An agent tells each entry its share of the free slots. After a loss of
+        power it heard of the first entries only for a second, and each of them
+        took half of the slots.
+        """
+        agents = self._agents()
+        fresh = {a: far for a, far in agents.items() if a not in self._asked}
+        self._asked = agents
+        if fresh:
+            self._reports.subscribe(fresh, self._versions.all())
+
+    def _agents(self) -> dict[places.Address, bool]:
+        """Returns where agents listen, and whether in another region."""
+        port = self._instance.peer_ports[0]
+        return {
+            places.Address(backend.server.address.host, port): self._is_far(
+                backend.server
+            )
+            for backend in self._fleet.all()
+            if self._is_engine(backend.server.service)
+        }
 
     def _on_report(self, host: str, report: reports.Report) -> None:
         backend = self._fleet.find(report.server_id)
@@ -302,6 +320,7 @@
 
     def _on_servers(self, batch: follow.Batch, whole: bool) -> None:
         self._fleet.apply(batch, whole, self._listing.settled_s)
+        self._subscribe_new()
 
     def _max_connections(self, service: str) -> int:
         catalog = self._knowledge.catalog
--- a/src/clementinegw/direct/fleet.py
+++ b/src/clementinegw/direct/fleet.py
@@ -128,9 +128,14 @@
         self.empty = not report.whole
 
     def has_share(self, now: float) -> bool:
-        """Returns whether this entry may take one more of the free slots."""
-        if now - self._reported_at > _REPORT_FRESH_S or not self.entries:
-            return True
+        """Returns whether this entry may take one more of the free slots.
+
+        While no agent tells, each entry has one prompt read there at a time:
+        nine servers that came back after a loss of power got 109 requests in a
+        quarter of a second, and all of them were late.
+        """
+        if now - self._told_at > _REPORT_FRESH_S or not self.entries:
+            return not self.unread_tokens
         return self._share >= 1.0
 
     def take(self) -> None:
--- a/tests/test_direct_decisions.py
+++ b/tests/test_direct_decisions.py
@@ -332,6 +332,22 @@
     assert backend.has_share(3.0)
 
 
+def test_one_prompt_at_a_time_goes_to_a_server_of_which_no_agent_tells():
+    """Symptom: all servers are overloaded just after a loss of power.
+
+    Sequence: servers come back before their agents are heard; every entry has
+    many requests that wait. Cause: without reports nothing was shared out.
+    """
+    backends = new_fleet()
+    backends.apply(batch(("a", server("a"))), True, 60.0)
+    backend = backends.find("a")
+    assert backend.has_share(1.0)
+    backend.unread_tokens += 700
+    assert not backend.has_share(1.0)
+    backend.unread_tokens -= 700
+    assert backend.has_share(1.0)
+
+
 def test_a_server_without_layers_serves_nothing_whatever_the_list_says():
     backends = new_fleet()
     held = (types.Held("m", 1, 16),)
