--- /dev/null
+++ b/src/clementinegw/direct/finals.py
@@ -0,0 +1,130 @@
+"""The end of a request: its refusal, its log line, its figures."""
+
+from collections.abc import Callable
+import json
+
+from clementinegw.direct import _events
+from clementinegw.direct import admit
+from clementinegw.direct import attempt as attempts
+from clementinegw.direct import channel
+from clementinegw.direct import client
+from clementinegw.direct import dialect as dialects
+from clementinegw.direct import outcomes
+from clementinegw.direct import server as servers
+from clementinegw.telemetry import counters as counters_lib
+from clementinegw.telemetry import histograms as histograms_lib
+from clementinegw.telemetry import logs
+
+Reason = outcomes.RefusalReason
+
+# Refusals for which only this process is to blame: another one may serve. The
+# connection ends with them, for the balancer sends the caller elsewhere only
+# when it connects anew. An entry cut off from the platform got 20 requests a
+# second on kept connections for as long as that lasted.
+_OURS_ALONE = frozenset(
+    {Reason.STALE_KEYS, Reason.STALE_ROUTES, Reason.NO_CONFIGURATION}
+)
+
+
+class Finals:
+    """Ends requests."""
+
+    def __init__(
+        self,
+        dialect: dialects.Dialect,
+        knowledge: admit.Knowledge,
+        clock: Callable[[], float],
+        log: logs.Log,
+        counters: counters_lib.Counters,
+        histograms: histograms_lib.Histograms,
+    ):
+        """Ends nothing by itself.
+
+        Args:
+          dialect: Knows the platform's headers.
+          knowledge: How old what the process knows is.
+          clock: Monotonic seconds.
+          log: Where events go.
+          counters: Counts refusals and answers by reason.
+          histograms: Of the answers' times.
+        """
+        self._dialect = dialect
+        self._knowledge = knowledge
+        self._clock = clock
+        self._log = log
+        self._counters = counters
+        self._histograms = histograms
+
+    async def refuse(
+        self,
+        request: servers.Request,
+        responder: servers.Responder,
+        refusal: outcomes.Refusal,
+        job: attempts.Job | None,
+    ) -> None:
+        """Answers a request that no server's answer ends.
+
+        Args:
+          request: As it came.
+          responder: Answers it.
+          refusal: The status, why, and when to come back.
+          job: Set once it was admitted.
+        """
+        self._counters.add(f"direct.refused.{refusal.reason}")
+        self._log.write(
+            _events.REQUEST_REFUSED,
+            request=job.facts.attempt_id if job else self._id_of(request),
+            target=request.target[:120],
+            status=refusal.status,
+            reason=refusal.reason.value,
+            sends=job.sends if job else 0,
+            runs=job.runs if job else 0,
+            age_s=round(min(self._knowledge.age_s(), 9_999.0), 3),
+            after_ms=round((self._clock() - request.arrived_at) * 1000, 1),
+        )
+        if responder.begun:
+            responder.abort()
+            return
+        headers: client.Headers = [(b"content-type", b"application/json")]
+        if refusal.retry_after_s is not None:
+            text = f"{refusal.retry_after_s:.2f}"
+            headers.append((b"retry-after", text.encode()))
+        body = json.dumps({"reason": refusal.reason.value}).encode()
+        try:
+            await responder.answer(
+                refusal.status, headers, body, refusal.reason in _OURS_ALONE
+            )
+        except channel.ChannelClosed:
+            responder.abort()
+
+    def _id_of(self, request: servers.Request) -> str:
+        """Returns the id of a request that was not admitted, for the log."""
+        try:
+            return self._dialect.request_facts(request.headers).attempt_id
+        except ValueError:
+            return ""
+
+    def done(self, job: attempts.Job, outcome: str, status: int) -> None:
+        """Notes how an admitted request ended."""
+        now = self._clock()
+        first = job.first_answer_at
+        arrived = job.request.arrived_at
+        self._counters.add(f"direct.done.{outcome}")
+        self._histograms.add("direct.answer", now - arrived)
+        self._histograms.add("direct.waited", job.waited_s)
+        if first is not None:
+            self._histograms.add("direct.first_event", first - arrived)
+        self._log.write(
+            _events.REQUEST_DONE,
+            request=job.facts.attempt_id,
+            route=job.match.route.name,
+            outcome=outcome,
+            status=status,
+            sends=job.sends,
+            server=job.server_id,
+            busy=round(job.busy, 2),
+            waited_ms=round(job.waited_s * 1e3),
+            first_ms=None if first is None else round((first - arrived) * 1e3),
+            total_ms=round((now - arrived) * 1e3),
+            age_s=round(min(self._knowledge.age_s(), 9_999.0), 3),
+        )
--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
-import json
 import math
 import random
 
@@ -13,8 +12,8 @@
 from clementinegw.direct import balance
 from clementinegw.direct import budget as budgets
 from clementinegw.direct import channel
-from clementinegw.direct import client
 from clementinegw.direct import dialect as dialects
+from clementinegw.direct import finals
 from clementinegw.direct import fleet
 from clementinegw.direct import outcomes
 from clementinegw.direct import queue
@@ -54,13 +53,6 @@
 _RETRY_NONE = (0.27, 0.33)
 # A server stops at the time that it is given; the answer needs the way back.
 _WAY_BACK_S = 0.02
-# Refusals for which only this process is to blame: another one may serve. The
-# connection ends with them, for the balancer sends the caller elsewhere only
-# when it connects anew. An entry cut off from the platform got 20 requests a
-# second on kept connections for as long as that lasted.
-_OURS_ALONE = frozenset(
-    {Reason.STALE_KEYS, Reason.STALE_ROUTES, Reason.NO_CONFIGURATION}
-)
 _BAD_GATEWAY = 502
 _GATEWAY_TIMEOUT = 504
 
@@ -92,6 +84,9 @@
         self._counters = counters
         self._histograms = histograms
         self._attempts = attempts.Attempts(dialect, clock)
+        self._finals = finals.Finals(
+            dialect, knowledge, clock, log, counters, histograms
+        )
         self._budgets: dict[str, budgets.RetryBudget] = {}
         self._queues: dict[str, queue.Queue] = {}
         self._callers_time = admit.CallersTime()
@@ -103,7 +98,7 @@
         """Answers one request."""
         admitted = self._admit(request, responder)
         if isinstance(admitted, outcomes.Refusal):
-            await self._refuse(request, responder, admitted, None)
+            await self._finals.refuse(request, responder, admitted, None)
             return
         serving = asyncio.ensure_future(self._serve(admitted))
         await asyncio.wait(
@@ -115,21 +110,21 @@
             outcome = await serving
         except (asyncio.CancelledError, channel.ChannelClosed):
             responder.abort()
-            self._done(admitted, "caller_left", 0)
+            self._finals.done(admitted, "caller_left", 0)
             if responder.gone.done():
                 return
             raise
         if isinstance(outcome, outcomes.Refusal):
-            await self._refuse(request, responder, outcome, admitted)
+            await self._finals.refuse(request, responder, outcome, admitted)
         elif isinstance(outcome, outcomes.Failed):
             await responder.answer(
                 outcome.head.status,
                 self._dialect.handed_back(outcome.head),
                 outcome.body,
             )
-            self._done(admitted, "failed_at_server", outcome.head.status)
+            self._finals.done(admitted, "failed_at_server", outcome.head.status)
         else:
-            self._done(admitted, "answered", outcome.status)
+            self._finals.done(admitted, "answered", outcome.status)
 
     # Admission.
 
@@ -422,70 +417,3 @@
     def _layers(self, service: str) -> int:
         engine = self._engine(service)
         return engine.layers if engine else 0
-
-    # Answers of our own.
-
-    async def _refuse(
-        self,
-        request: servers.Request,
-        responder: servers.Responder,
-        refusal: outcomes.Refusal,
-        job: attempts.Job | None,
-    ) -> None:
-        self._counters.add(f"direct.refused.{refusal.reason}")
-        self._log.write(
-            _events.REQUEST_REFUSED,
-            request=job.facts.attempt_id if job else self._id_of(request),
-            target=request.target[:120],
-            status=refusal.status,
-            reason=refusal.reason.value,
-            sends=job.sends if job else 0,
-            runs=job.runs if job else 0,
-            age_s=round(min(self._knowledge.age_s(), 9_999.0), 3),
-            after_ms=round((self._clock() - request.arrived_at) * 1000, 1),
-        )
-        if responder.begun:
-            responder.abort()
-            return
-        headers: client.Headers = [(b"content-type", b"application/json")]
-        if refusal.retry_after_s is not None:
-            text = f"{refusal.retry_after_s:.2f}"
-            headers.append((b"retry-after", text.encode()))
-        body = json.dumps({"reason": refusal.reason.value}).encode()
-        try:
-            await responder.answer(
-                refusal.status, headers, body, refusal.reason in _OURS_ALONE
-            )
-        except channel.ChannelClosed:
-            responder.abort()
-
-    def _id_of(self, request: servers.Request) -> str:
-        """Returns the id of a request that was not admitted, for the log."""
-        try:
-            return self._dialect.request_facts(request.headers).attempt_id
-        except ValueError:
-            return ""
-
-    def _done(self, job: attempts.Job, outcome: str, status: int) -> None:
-        now = self._clock()
-        first = job.first_answer_at
-        arrived = job.request.arrived_at
-        self._counters.add(f"direct.done.{outcome}")
-        self._histograms.add("direct.answer", now - arrived)
-        self._histograms.add("direct.waited", job.waited_s)
-        if first is not None:
-            self._histograms.add("direct.first_event", first - arrived)
-        self._log.write(
-            _events.REQUEST_DONE,
-            request=job.facts.attempt_id,
-            route=job.match.route.name,
-            outcome=outcome,
-            status=status,
-            sends=job.sends,
-            server=job.server_id,
-            busy=round(job.busy, 2),
-            waited_ms=round(job.waited_s * 1e3),
-            first_ms=None if first is None else round((first - arrived) * 1e3),
-            total_ms=round((now - arrived) * 1e3),
-            age_s=round(min(self._knowledge.age_s(), 9_999.0), 3),
-        )
