--- a/src/clementinegw/direct/bring.py
+++ b/src/clementinegw/direct/bring.py
@@ -69,7 +69,9 @@
 class _OriginBlobs:
     """The origin as the exchange asks it: a piece by its digest."""
 
-    def __init__(self, counters: counters_lib.Counters):
+    def __init__(self, counters: counters_lib.Counters, clock: clocks.Clock):
+        self.failing_since: float | None = None
+        self._clock = clock
         self._counters = counters
         self._origin: backing.Origin | None = None
         self._digests: backing.Digests | None = None
@@ -94,9 +96,16 @@
         if self._origin is None or self._digests is None or number is None:
             raise exceptions.BlobMissing(f"origin: no {name}")
         self._counters.add("weights.origin.calls")
-        return await self._origin.piece(
-            self._digests.model, self._digests.version, number
-        )
+        try:
+            data = await self._origin.piece(
+                self._digests.model, self._digests.version, number
+            )
+        except exceptions.PlatformError:
+            if self.failing_since is None:
+                self.failing_since = self._clock.now()
+            raise
+        self.failing_since = None
+        return data
 
     async def put(self, name: str, data: bytes) -> None:
         """See `platform.store.BlobStore`; nothing is published here."""
@@ -135,7 +144,8 @@
         self._endpoint = connections.Endpoint(
             identity, auth.single(_KEY), log, counters, _TIMING
         )
-        self._origin = _OriginBlobs(counters)
+        self._clock = clock
+        self._origin = _OriginBlobs(counters, clock)
         self._store = stores.MemoryStore(_LEAST_STORE_BYTES, digest_of)
         self.transfer = transfer.Transfer(
             me,
@@ -165,6 +175,12 @@
             return 1.0
         return 1.0 - progress.held / progress.total
 
+    @property
+    def origin_failing_s(self) -> float:
+        """How long the origin has given no piece to this agent, in seconds."""
+        since = self._origin.failing_since
+        return 0.0 if since is None else self._clock.now() - since
+
     def holds(self, digests: backing.Digests) -> bool:
         """Returns whether every piece of a version is here."""
         return all(self._store.holds(digest) for digest in digests.digests)
@@ -186,6 +202,7 @@
         if digests == self._digests:
             return
         self._digests = digests
+        self._origin.failing_since = None
         self._origin.set(origin, digests)
         self.transfer.set_target(manifest_of(digests))
 
--- a/src/clementinegw/direct/keep.py
+++ b/src/clementinegw/direct/keep.py
@@ -35,6 +35,9 @@
 # would leave it just as the others come, and none would ever be whole. Seconds.
 _STALL_S = 1.0
 _OLDER_STALL_S = 3.0
+# The newest one is given up after so long of failed draws: they mean that
+# pieces are missing everywhere, while those that are out go on arriving.
+_ORIGIN_FAILS_S = 0.5
 _ASIDE_S = 4.0
 
 
@@ -215,6 +218,8 @@
         newest = self._versions()[-1].version
         digests = self._bringer.digests
         older = digests is not None and digests.version < newest
+        if not older and self._bringer.origin_failing_s > _ORIGIN_FAILS_S:
+            return left > 0
         most_s = _OLDER_STALL_S if older else _STALL_S
         return left > 0 and now - self._moved_at > most_s
 
--- a/tests/test_direct_agent.py
+++ b/tests/test_direct_agent.py
@@ -1,6 +1,7 @@
 """Agents bring versions to the servers beside them, whatever spoils."""
 
 import asyncio
+import dataclasses
 import hashlib
 import os
 import random
@@ -13,8 +14,10 @@
 from clementinegw.direct import backing
 from clementinegw.direct import follow
 from clementinegw.direct import instance as instances
+from clementinegw.direct import keep
 from clementinegw.direct import types
 from clementinegw.telemetry import counters as counters_lib
+from clementinegw.telemetry import histograms
 from clementinegw.telemetry import logs
 from clementinegw.testing import clock as clocks
 
@@ -384,3 +387,41 @@
     took, wholes = run(play())
     assert took < 8.0
     assert all(all(whole) for whole in wholes)
+
+
+@dataclasses.dataclass
+class Bringing:
+    """What is brought, as `keep.Weights` asks it."""
+
+    digests: backing.Digests
+    origin_failing_s: float
+    left: float = 0.9
+
+
+@pytest.mark.parametrize(
+    ("version", "failing_s", "given_up"),
+    [(3, 0.0, False), (3, 0.3, False), (3, 0.6, True), (2, 0.6, False)],
+)
+def test_failed_draws_give_the_newest_version_up(version, failing_s, given_up):
+    """Symptom: no server serves between two due times.
+
+    Sequence: version 3 is named, and the origin dies when few pieces of it are
+    out; those go on arriving for a second, and then it takes another one until
+    2 is taken up again. Cause: only a stall of all pieces counted.
+    """
+
+    async def play():
+        digests = backing.Digests(MODEL, version, PIECE_BYTES, (b"d",))
+        weights = keep.Weights(
+            keep.Around(None),
+            Bringing(digests, failing_s),
+            logs.Log(),
+            counters_lib.Counters(),
+            histograms.Histograms(),
+        )
+        weights.declare(2)
+        weights.declare(3)
+        weights._moved_at = asyncio.get_running_loop().time()
+        return weights._stalled()
+
+    assert run(play()) == given_up
