Put agents and weights into the soak

Real agents beside stand-ins that check nothing, an origin that spoils pieces, and faults: versions named singly and in pairs, agents killed and stopped, staged pieces that rot, model servers that start again, links of origin and store that delay, fall silent or break. Judged: every order is given on whole pieces of its version, every server holds the newest one after the calm, no process ends by itself.

--- /dev/null
+++ b/tests/soak/process.py
@@ -0,0 +1,145 @@
+"""The real programs, as the soak starts and ends them."""
+
+import asyncio
+import json
+import pathlib
+import signal
+import socket
+import sys
+
+
+class Process:
+    """One program, started and ended by its process id."""
+
+    role = ""
+
+    def __init__(self, number, code, folder):
+        self._code = code
+        self._folder = folder
+        self._process = None
+        self.number = number
+        self.expected_end = False
+        self.ended_by_itself = ""
+        self.peak_mb = 0.0
+
+    async def start(self, store_port):
+        path = self._folder / f"{self.role}-{self.number}.json"
+        path.write_text(json.dumps(self._instance(store_port)))
+        log = (self._folder / f"{self.role}-{self.number}.log").open("ab")
+        self.expected_end = False
+        self._process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(self._code / "platform" / "main.py"),
+            self.role,
+            cwd=self._code,
+            env={"CLEMENTINEGW_NODE_FILE": str(path)},
+            stdout=log,
+            stderr=log,
+        )
+
+    def signal(self, number):
+        if self._process is not None and self._process.returncode is None:
+            self._process.send_signal(number)
+
+    def takes(self, number):
+        """Returns whether the program ignores or handles a signal by now.
+
+        Before its first line runs, the kernel ends it at SIGHUP; nothing in
+        the program can prevent that. Seen beside load with seed 1: an end with
+        code -1 and not one line in its log.
+        """
+        if self._process is None or self._process.returncode is not None:
+            return False
+        status = pathlib.Path(f"/proc/{self._process.pid}/status")
+        masks = [
+            int(line.split()[1], 16)
+            for line in status.read_text().splitlines()
+            if line.startswith(("SigIgn", "SigCgt"))
+        ]
+        return any(mask >> (number - 1) & 1 for mask in masks)
+
+    async def end(self, number):
+        self.expected_end = True
+        self.signal(signal.SIGCONT)
+        self.signal(number)
+        await self._process.wait()
+
+    def look(self):
+        """Notes an end that nobody asked for, and the memory."""
+        if self._process is None or self.expected_end:
+            return
+        if self._process.returncode is not None:
+            self.ended_by_itself = f"code {self._process.returncode}"
+            self.expected_end = True
+            return
+        status = pathlib.Path(f"/proc/{self._process.pid}/status")
+        for line in status.read_text().splitlines():
+            if line.startswith("VmRSS"):
+                self.peak_mb = max(self.peak_mb, int(line.split()[1]) / 1024)
+
+    def _instance(self, store_port):
+        raise NotImplementedError
+
+
+class Entry(Process):
+    """An entry."""
+
+    role = "entry"
+
+    def __init__(self, number, code, folder, repeats):
+        super().__init__(number, code, folder)
+        self._repeats = repeats
+        self.port = free_port()
+
+    def _instance(self, store_port):
+        host = "127.0.0.1"
+        first = free_port()
+        return {
+            "name": f"entry-{self.number}",
+            "place": {"region": "r1", "failure_domain": "d1"},
+            "regions": {"d1": "r1"},
+            "host": host,
+            "peer_ports": [first, free_port()],
+            "callers_address": f"{host}:{self.port}",
+            "ready_address": f"{host}:{free_port()}",
+            "store_address": f"{host}:{store_port}",
+            "bounds": {
+                "keys_ms": 5000,
+                "grace_s": 4,
+                "repeat_ratio": self._repeats["ratio"],
+                "repeat_slack": self._repeats["slack"],
+            },
+        }
+
+
+class Agent(Process):
+    """An agent beside a model server on a loopback address of its own."""
+
+    role = "agent"
+
+    def __init__(self, number, code, folder, hosts, ports):
+        super().__init__(number, code, folder)
+        self._hosts = hosts
+        self._ports = ports
+
+    def _instance(self, store_port):
+        domains = [f"d{number}" for number in range(len(self._hosts))]
+        host = self._hosts[self.number]
+        return {
+            "name": f"agent-{self.number}",
+            "place": {"region": "r1", "failure_domain": domains[self.number]},
+            "regions": dict.fromkeys(domains, "r1"),
+            "host": host,
+            "peer_ports": list(self._ports[:2]),
+            "store_address": f"127.0.0.1:{store_port}",
+            "backend_address": f"{host}:{self._ports[2]}",
+            "service": "engine",
+            "link_mbps": 4.0,
+            "bounds": {"weights_ms": 8000},
+        }
+
+
+def free_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -2,14 +2,14 @@
 
 Starts entries as separate processes in front of stand-ins, with a proxy on each
 link, plays a plan of faults drawn from the seed, and judges the promises from
-both ends. `--guard=NAME` breaks one guard in a copy of the code: the judge must
-then find it.
+both ends; with `--subject=weights` agents beside model servers.
+`--guard=NAME` breaks one guard in a copy of the code: the judge must then
+find it.
 """
 
 import argparse
 import asyncio
 import collections
-import json
 import pathlib
 import random
 import shutil
@@ -25,9 +25,11 @@
     str(ROOT / "tests" / "soak"),
 ]
 
-from judge import Judge  # noqa: E402
+import judge as judges  # noqa: E402
 import platform_site as sites  # noqa: E402
-from proxy import Proxy  # noqa: E402
+import process as processes  # noqa: E402
+import proxy as proxies  # noqa: E402
+import weights  # noqa: E402
 
 ENTRIES = 2
 SERVERS = 4
@@ -60,6 +62,12 @@
         "if len(self._repeats) + 1 > limit:",
         "if False:",
     ),
+    "digest_check": (
+        "src/clementinegw/direct/bring.py",
+        "if lying is not None and digest_of(lying) == digest:\n"
+        "                continue",
+        "if lying is not None:\n                continue",
+    ),
     "true_refusal": (
         "src/clementinegw/direct/forward.py",
         "if job.runs:\n            return outcomes.Refusal(_BAD_GATEWAY",
@@ -68,103 +76,6 @@
 }
 
 
-class Process:
-    """One entry, started and ended by its process id."""
-
-    def __init__(self, number, code, folder):
-        self._code = code
-        self._folder = folder
-        self._process = None
-        self.number = number
-        self.port = free_port()
-        self.expected_end = False
-        self.ended_by_itself = ""
-        self.peak_mb = 0.0
-
-    async def start(self, store_port):
-        path = self._folder / f"entry-{self.number}.json"
-        path.write_text(json.dumps(self._instance(store_port)))
-        log = (self._folder / f"entry-{self.number}.log").open("ab")
-        self.expected_end = False
-        self._process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            str(self._code / "platform" / "main.py"),
-            "entry",
-            cwd=self._code,
-            env={"CLEMENTINEGW_NODE_FILE": str(path)},
-            stdout=log,
-            stderr=log,
-        )
-
-    def signal(self, number):
-        if self._process is not None and self._process.returncode is None:
-            self._process.send_signal(number)
-
-    def takes(self, number):
-        """Returns whether the program ignores or handles a signal by now.
-
-        Before its first line runs, the kernel ends it at SIGHUP; nothing in
-        the program can prevent that. Seen beside load with seed 1: an end with
-        code -1 and not one line in its log.
-        """
-        if self._process is None or self._process.returncode is not None:
-            return False
-        status = pathlib.Path(f"/proc/{self._process.pid}/status")
-        masks = [
-            int(line.split()[1], 16)
-            for line in status.read_text().splitlines()
-            if line.startswith(("SigIgn", "SigCgt"))
-        ]
-        return any(mask >> (number - 1) & 1 for mask in masks)
-
-    async def end(self, number):
-        self.expected_end = True
-        self.signal(signal.SIGCONT)
-        self.signal(number)
-        await self._process.wait()
-
-    def look(self):
-        """Notes an end that nobody asked for, and the memory."""
-        if self._process is None or self.expected_end:
-            return
-        if self._process.returncode is not None:
-            self.ended_by_itself = f"code {self._process.returncode}"
-            self.expected_end = True
-            return
-        status = pathlib.Path(f"/proc/{self._process.pid}/status")
-        for line in status.read_text().splitlines():
-            if line.startswith("VmRSS"):
-                self.peak_mb = max(self.peak_mb, int(line.split()[1]) / 1024)
-
-    def _instance(self, store_port):
-        host = "127.0.0.1"
-        first = free_port()
-        return {
-            "name": f"entry-{self.number}",
-            "place": {"region": "r1", "failure_domain": "d1"},
-            "regions": {"d1": "r1"},
-            "host": host,
-            "peer_ports": [first, free_port()],
-            "callers_address": f"{host}:{self.port}",
-            "ready_address": f"{host}:{free_port()}",
-            "store_address": f"{host}:{store_port}",
-            "bounds": {
-                "keys_ms": 5000,
-                "grace_s": 4,
-                "repeat_ratio": RATIO,
-                "repeat_slack": SLACK,
-            },
-        }
-
-
-def free_port():
-    import socket
-
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 class Soak:
     """One seed."""
 
@@ -178,13 +89,18 @@
         self._keys = list(KEYS)
         self._shed_share = 0.03
         self._began = 0.0
-        self.judge = Judge(RATIO, SLACK)
+        self.judge = judges.Judge(RATIO, SLACK)
         self.store = sites.Store()
         self.servers = []
         self.proxies = []
         self.entries = []
         self.plan = []
 
+    @property
+    def counted(self):
+        """How many requests were sent."""
+        return len(self.judge.sent)
+
     @property
     def now(self):
         return asyncio.get_running_loop().time() - self._began
@@ -193,13 +109,18 @@
         loop = asyncio.get_running_loop()
         self._began = loop.time()
         await self.store.start()
-        self.store_proxy = Proxy(self.store.address.port)
+        self.store_proxy = proxies.Proxy(self.store.address.port)
         store_port = await self.store_proxy.start()
         for number in range(SERVERS):
             await self._add_server(f"i-{number}")
         self._put_config()
         for number in range(ENTRIES):
-            entry = Process(number, self._code, self._folder)
+            entry = processes.Entry(
+                number,
+                self._code,
+                self._folder,
+                {"ratio": RATIO, "slack": SLACK},
+            )
             self.entries.append(entry)
             await entry.start(store_port)
         await asyncio.sleep(1.5)
@@ -252,7 +173,7 @@
         server = sites.Server(name)
         server.do = lambda call: self._serve(server, call)
         await server.start()
-        proxy = Proxy(int(server.address.rpartition(":")[2]))
+        proxy = proxies.Proxy(int(server.address.rpartition(":")[2]))
         port = await proxy.start()
         self.servers.append(server)
         self.proxies.append(proxy)
@@ -450,18 +371,19 @@
     return folder
 
 
-def play(seed, seconds, guard=""):
+def play(seed, seconds, guard="", subject="requests"):
     """Plays one seed and returns the promises that were broken."""
     with tempfile.TemporaryDirectory() as name:
         folder = pathlib.Path(name)
         code = code_with(guard, folder)
-        soak = Soak(seed, seconds, code, folder)
+        kind = weights.Soak if subject == "weights" else Soak
+        soak = kind(seed, seconds, code, folder)
         broken = asyncio.run(soak.run())
         if broken and not guard:
             kept = pathlib.Path(tempfile.gettempdir()) / f"soak-{seed}"
             shutil.copytree(folder, kept, dirs_exist_ok=True)
             (kept / "plan.txt").write_text(str(soak.plan))
-        return broken, len(soak.judge.sent), len(soak.plan)
+        return broken, soak.counted, len(soak.plan)
 
 
 def main():
@@ -470,14 +392,21 @@
     parser.add_argument("--seeds", type=int, default=5)
     parser.add_argument("--first", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=15.0)
+    parser.add_argument(
+        "--subject", choices=("requests", "weights"), default="requests"
+    )
     parser.add_argument("--guard", choices=sorted(GUARDS), default="")
     args = parser.parse_args()
     red = 0
     for seed in range(args.first, args.first + args.seeds):
-        broken, requests, faults = play(seed, args.seconds, args.guard)
+        broken, counted, faults = play(
+            seed, args.seconds, args.guard, args.subject
+        )
         red += bool(broken)
         verdict = "; ".join(broken[:3]) or "held"
-        print(f"seed {seed}: {requests} requests, {faults} faults: {verdict}")
+        print(
+            f"seed {seed}: {counted} {args.subject}, {faults} faults: {verdict}"
+        )
     print(f"{args.seeds - red} held, {red} broken")
     return 1 if red else 0
 
--- /dev/null
+++ b/tests/soak/weights.py
@@ -0,0 +1,355 @@
+"""Agents, model servers and an origin: versions come whole at any time."""
+
+import asyncio
+import hashlib
+import json
+import os
+import random
+import signal
+
+import platform_site as sites
+import process as processes
+import proxy as proxies
+
+from clementinegw import types as places
+from clementinegw.direct import server as servers
+
+MODEL = "m"
+AGENTS = 4
+LAYERS = 4
+PIECES = 12
+PIECE_BYTES = 4096
+LOAD_S = 0.2
+# Between the check of a piece and the order it may rot unseen: the rules allow
+# three seconds. Here both are in one process's reach, and far quicker.
+UNSEEN_S = 0.5
+# After the last fault, until every server must hold the newest version: what
+# was left aside is tried again after four seconds, and then comes and loads.
+CALM_S = 14.0
+MOST_MB = 120
+
+
+def piece(version, number):
+    seed = f"{version}/{number}".encode()
+    return hashlib.sha256(seed).digest() * (PIECE_BYTES // 32)
+
+
+class ModelServer:
+    """A model server that checks nothing, as the real one."""
+
+    def __init__(self, name, broken):
+        self.name = name
+        self.starts = 0
+        self.loads = 0
+        self._broken = broken
+        self._server = servers.Server(self._handle)
+        self.restart()
+
+    @property
+    def server_id(self):
+        return f"{self.name}-{self.starts}"
+
+    def restart(self):
+        """Loses its layers and what was staged."""
+        self.starts += 1
+        self.version = 0
+        self.sequence = 0
+        self.staged = {}
+        self._rotted_at = {}
+
+    def rot(self, rng):
+        if self.staged:
+            number = rng.choice(sorted(self.staged))
+            self.staged[number] = b"r" * PIECE_BYTES
+            self._rotted_at[number] = asyncio.get_running_loop().time()
+
+    async def start(self, host, port):
+        await self._server.listen(places.Address(host, port))
+
+    async def stop(self):
+        await self._server.stop()
+
+    async def _handle(self, request, responder):
+        path, _, query = request.target.partition("?")
+        table = {
+            "report": self._report,
+            "stage-get": self._stage_get,
+            "stage-put": self._stage_put,
+            "order": self._order,
+        }
+        status, body = table[path.split("/")[1]](query, request.body)
+        await responder.answer(status, [], body)
+
+    def _report(self, query, body):
+        del query, body
+        layers = {"from": 0, "target": LAYERS, "version": self.version}
+        held = [{"name": MODEL, "version": self.version, "layers": layers}]
+        report = {
+            "models": held if self.version else [],
+            "busy": self.version < 0,
+            "sequence": self.sequence,
+        }
+        if self.version < 0:
+            report["models"] = []
+        return 200, json.dumps(report).encode()
+
+    def _stage_get(self, query, body):
+        del body
+        if not query:
+            return 200, json.dumps({"held": sorted(self.staged)}).encode()
+        found = self.staged.get(int(query.partition("=")[2]))
+        return (200, found) if found is not None else (404, b"")
+
+    def _stage_put(self, query, body):
+        self.staged[int(query.partition("=")[2])] = bytes(body)
+        return 200, b""
+
+    def _order(self, query, body):
+        del query
+        order = json.loads(body)
+        if self.version < 0 or order["expect"] != self.sequence:
+            return 409, b""
+        self._judge(order["version"])
+        self.sequence += 1
+        self.loads += 1
+        self.version = -1
+        start = self.starts
+        asyncio.get_running_loop().call_later(
+            LOAD_S, self._loaded, start, order["version"]
+        )
+        return 202, b""
+
+    def _loaded(self, start, version):
+        if start == self.starts:
+            self.version = version
+
+    def _judge(self, version):
+        right = [piece(version, number) for number in range(PIECES)]
+        found = [self.staged.get(number) for number in range(PIECES)]
+        since = asyncio.get_running_loop().time() - UNSEEN_S
+        wrong = [
+            number
+            for number in range(PIECES)
+            if found[number] != right[number]
+            and self._rotted_at.get(number, since) <= since
+        ]
+        if wrong:
+            self._broken.append(
+                f"weights whole: {self.name} loads {version} with {wrong}"
+            )
+
+
+class Origin:
+    """The origin of weights; spoils a share of its pieces."""
+
+    def __init__(self, rng):
+        self._rng = rng
+        self.spoilt_share = 0.0
+        self.server = servers.Server(self._handle)
+
+    async def _handle(self, request, responder):
+        path, _, text = request.target.partition("?")
+        query = dict(part.split("=") for part in text.split("&"))
+        version = int(query["version"])
+        if path.startswith("/manifest"):
+            digests = [
+                hashlib.sha256(piece(version, number)).hexdigest()
+                for number in range(PIECES)
+            ]
+            body = json.dumps(
+                {
+                    "version": version,
+                    "digests": digests,
+                    "chunk_bytes": PIECE_BYTES,
+                }
+            ).encode()
+        elif self._rng.random() < self.spoilt_share:
+            body = b"s" * PIECE_BYTES
+        else:
+            body = piece(version, int(query["num"]))
+        await responder.answer(200, [], body)
+
+
+class Soak:
+    """One seed."""
+
+    def __init__(self, seed, seconds, code, folder):
+        self._rng = random.Random(seed)
+        self._seconds = seconds
+        self._code = code
+        self._folder = folder
+        self._version = 1
+        self._began = 0.0
+        # Addresses of this process alone: several soaks may run at once.
+        net = f"127.{1 + os.getpid() % 250}.{1 + seed % 250}"
+        self._hosts = [f"{net}.{11 + number}" for number in range(AGENTS)]
+        self._ports = (17_841, 17_844, 17_845)
+        self.broken = []
+        self.plan = []
+        self.store = sites.Store()
+        self.origin = Origin(random.Random(seed + 1))
+        self.servers = [
+            ModelServer(f"i-{number}", self.broken) for number in range(AGENTS)
+        ]
+        self.agents = [
+            processes.Agent(number, code, folder, self._hosts, self._ports)
+            for number in range(AGENTS)
+        ]
+
+    @property
+    def counted(self):
+        """How many loads were ordered."""
+        return sum(server.loads for server in self.servers)
+
+    @property
+    def now(self):
+        return asyncio.get_running_loop().time() - self._began
+
+    async def run(self):
+        """Plays the seed and returns the promises that were broken."""
+        self._began = asyncio.get_running_loop().time()
+        await self.store.start()
+        self.store_proxy = proxies.Proxy(self.store.address.port)
+        self._store_port = await self.store_proxy.start()
+        origin = await sites.listen(self.origin.server)
+        self.origin_proxy = proxies.Proxy(origin.port)
+        self._put_config(await self.origin_proxy.start())
+        for number, server in enumerate(self.servers):
+            await server.start(self._hosts[number], self._ports[2])
+            self._list(number)
+        for agent in self.agents:
+            await agent.start(self._store_port)
+        await self._faults()
+        await self._calm()
+        for agent in self.agents:
+            agent.look()
+            await agent.end(signal.SIGKILL)
+            self._judge_process(agent)
+        for server in self.servers:
+            await server.stop()
+        await self.origin_proxy.stop()
+        await self.origin.server.stop()
+        await self.store_proxy.stop()
+        await self.store.stop()
+        return self.broken
+
+    async def _calm(self):
+        """Waits until every server holds the newest version."""
+        until = self.now + CALM_S
+        while self.now < until:
+            if all(s.version == self._version for s in self.servers):
+                return
+            await asyncio.sleep(0.1)
+        held = [server.version for server in self.servers]
+        self.broken.append(f"declared: {held} hold, {self._version} is named")
+
+    def _judge_process(self, agent):
+        if agent.ended_by_itself:
+            self.broken.append(f"ended by itself: {agent.ended_by_itself}")
+        if agent.peak_mb > MOST_MB:
+            self.broken.append(f"memory: {agent.peak_mb:.0f} MB")
+
+    # Faults.
+
+    async def _faults(self):
+        table = {
+            "declare": self._fault_declare,
+            "two_versions": self._fault_two_versions,
+            "kill": self._fault_kill,
+            "stop": self._fault_stop,
+            "rot": self._fault_rot,
+            "spoil": self._fault_spoil,
+            "server": self._fault_server,
+            "origin_link": lambda: self._disturb(self.origin_proxy),
+            "store_link": lambda: self._disturb(self.store_proxy),
+        }
+        running = set()
+        while self.now < self._seconds:
+            kind = self._rng.choice(sorted(table))
+            self.plan.append((round(self.now, 1), kind))
+            running.add(asyncio.create_task(table[kind]()))
+            await asyncio.sleep(self._rng.uniform(0.3, 1.5))
+            for agent in self.agents:
+                agent.look()
+        await asyncio.gather(*running)
+
+    async def _fault_declare(self):
+        self._version += 1
+        declared = {"model": MODEL, "version": self._version}
+        self.store.put("keyed.op", f"version/{MODEL}", declared)
+
+    async def _fault_two_versions(self):
+        await self._fault_declare()
+        await asyncio.sleep(self._rng.uniform(0.1, 1.0))
+        await self._fault_declare()
+
+    async def _fault_kill(self):
+        agent = self._rng.choice(self.agents)
+        if agent.expected_end:
+            return
+        await agent.end(signal.SIGKILL)
+        await agent.start(self._store_port)
+
+    async def _fault_stop(self):
+        agent = self._rng.choice(self.agents)
+        agent.signal(signal.SIGSTOP)
+        await asyncio.sleep(self._rng.uniform(0.5, 3.0))
+        agent.signal(signal.SIGCONT)
+
+    async def _fault_rot(self):
+        for _ in range(20):
+            self._rng.choice(self.servers).rot(self._rng)
+            await asyncio.sleep(0.1)
+
+    async def _fault_spoil(self):
+        self.origin.spoilt_share = 0.3
+        await asyncio.sleep(self._rng.uniform(0.5, 3.0))
+        self.origin.spoilt_share = 0.0
+
+    async def _fault_server(self):
+        """A model server starts again, with nothing."""
+        number = self._rng.randrange(AGENTS)
+        former = self.servers[number].server_id
+        self.servers[number].restart()
+        await asyncio.sleep(self._rng.uniform(0.2, 1.0))
+        self.store.put("keyed.servers", former, None)
+        self._list(number)
+
+    async def _disturb(self, proxy):
+        proxy.mode = self._rng.choice(("delay", "silence", "one_way", "reset"))
+        if proxy.mode == "reset":
+            proxy.reset()
+        await asyncio.sleep(self._rng.uniform(0.5, 4.0))
+        proxy.mode = "pass"
+
+    def _list(self, number):
+        server = self.servers[number]
+        entry = {
+            "service": "engine",
+            "address": f"{self._hosts[number]}:{self._ports[2]}",
+            "zone": f"d{number}",
+            "slots": 8,
+            "state": "ready",
+        }
+        self.store.put("keyed.servers", server.server_id, entry)
+
+    def _put_config(self, origin_port):
+        engine = {
+            "slots": 8,
+            "step_ms": 7.0,
+            "models": [{"name": MODEL}],
+            "layers": LAYERS,
+            "chunks": PIECES,
+            "chunk_bytes": PIECE_BYTES,
+        }
+        services = [
+            {"name": "plain"},
+            {"name": "engine", "engine": engine},
+            {
+                "name": "origin",
+                "origin": f"127.0.0.1:{origin_port}",
+                "link_mbps": 8.0,
+            },
+        ]
+        config = sites.config(1, services=services)
+        self.store.put("keyed.op", "config", config)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -16,6 +16,9 @@
 # Seed 1 found two faults: questions that many ask were refused after three
 # lost answers, and a reload during the start ended the process.
 SEEDS = [1, 101]
+# Seed 3 found that the judge took a piece for spoilt that had rotted between
+# its check and the order, which the rules allow.
+WEIGHTS_SEEDS = [3]
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -24,3 +27,11 @@
     assert broken == []
     assert requests > 0
     assert faults > 0
+
+
+@pytest.mark.parametrize("seed", WEIGHTS_SEEDS)
+def test_versions_come_whole_under_a_seeded_plan_of_faults(seed):
+    broken, loads, faults = run.play(seed, seconds=6.0, subject="weights")
+    assert broken == []
+    assert loads > 0
+    assert faults > 0
