--- a/tests/test_direct_agent.py
+++ b/tests/test_direct_agent.py
@@ -271,8 +271,7 @@
             site.declare(3)
             await site.until_all_hold(3, most_s=30.0)
             counted = [a._counters for a in site.agents]
-            ahead = sum(c.value("weights.drawn_ahead") for c in counted)
-            return ahead
+            return sum(c.value("weights.drawn_ahead") for c in counted)
 
     assert run(play()) >= 1
 
