--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,7 @@
 """What every test starts from."""
 
 import gc
+import pathlib
 
 import pytest
 import structlog
@@ -26,3 +27,30 @@
     """
     yield
     structlog.reset_defaults()
+
+
+def _known_red():
+    """Returns the lines `TEST: cause; issue; seed` by test."""
+    path = pathlib.Path(__file__).resolve().parents[1] / "KNOWN-RED.txt"
+    if not path.exists():
+        return {}
+    lines = path.read_text().splitlines()
+    return {line.partition(": ")[0]: line for line in lines if line.strip()}
+
+
+def pytest_collection_modifyitems(items):
+    """Passes over the tests that are known to be red, and only while they are.
+
+    One that passes again fails the run, so that its line goes.
+    """
+    red = _known_red()
+    for item in items:
+        line = red.get(item.nodeid)
+        if line is not None:
+            item.add_marker(pytest.mark.xfail(reason=line, strict=True))
+
+
+def pytest_terminal_summary(terminalreporter):
+    """Prints the tests that were passed over, with their causes."""
+    for line in _known_red().values():
+        terminalreporter.write_line(f"KNOWN RED {line}")
--- a/tests/test_direct_entry.py
+++ b/tests/test_direct_entry.py
@@ -5,6 +5,8 @@
 import platform_site as sites
 import pytest
 
+from clementinegw.direct import client
+
 
 def test_an_answer_comes_back_as_the_server_gave_it():
     async def play():
@@ -486,3 +488,29 @@
             return answer.status, second.status, ready
 
     assert sites.run(play()) == (200, 200, False)
+
+
+def test_servers_out_of_reach_are_not_tried_over_and_over(monkeypatch):
+    """Symptom: one request makes up to 220 connections in 0.8 s.
+
+    Sequence: a failure domain is cut off, and all servers of a service that it
+    knows refuse connections at once. Cause: only sends count towards the
+    limit, and where all servers rest each is tried again at once.
+    """
+    refusals = []
+
+    async def refused(address, timeout_s):
+        del address, timeout_s
+        refusals.append(1)
+        await asyncio.sleep(0.01)
+        raise client.ConnectFailed("refused")
+
+    async def play():
+        async with sites.Site("i-1", "i-2") as site:
+            monkeypatch.setattr(client, "connect", refused)
+            for server in site.servers:
+                site.entry._fleet.find(server.name).pool.close()
+            await site.ask()
+
+    sites.run(play())
+    assert len(refusals) <= 8
