Make one piece of what stood twice on the direct path and in the soak

Cause: read once more. Entry and forwarder each looked a service up in the configuration (three copies, now admit.Knowledge); two look-ups of a version demanded soon differed by a constant; a load's last time was computed twice; the soaks had the same harm to a link, the same pause and the same verdict on a process. Removed what nothing calls: Fleet.at, the queue's length, a dictionary, a proxy's aim, fields.

--- a/src/clementinegw/direct/admit.py
+++ b/src/clementinegw/direct/admit.py
@@ -34,6 +34,15 @@
     revoke_s: float
     routes_s: float
 
+    def service(self, name: str) -> types.Service | None:
+        """Returns a service of the configuration; None while unknown."""
+        return self.catalog.services.get(name) if self.catalog else None
+
+    def engine(self, service: str) -> types.Engine | None:
+        """Returns how a service's engines work; None for a plain one."""
+        known = self.service(service)
+        return known.engine if known else None
+
 
 def match(
     knowledge: Knowledge, request: servers.Request, facts: types.RequestFacts
--- a/src/clementinegw/direct/attempt.py
+++ b/src/clementinegw/direct/attempt.py
@@ -140,7 +140,7 @@
             return outcome
         except client.AnswerBroken:
             if not backend.yielding:
-                backend.failed(self._clock())
+                backend.failed()
             return outcomes.Lost(outcomes.LostReason.BROKEN)
         except _Silent:
             backend.unreachable(self._clock())
@@ -200,7 +200,7 @@
             return outcomes.Lost(outcomes.LostReason.FALSE_PROMISE)
         body = await connection.body(_MAX_BODY_BYTES)
         if head.status >= 500:
-            backend.failed(self._clock())
+            backend.failed()
         return outcomes.Failed(head, body)
 
     async def _not_run(
@@ -323,6 +323,7 @@
         self._tokens = tokens
 
     def done(self) -> None:
+        """Counts them as read, once."""
         self._backend.unread_tokens -= self._tokens
         self._tokens = 0
         if self.on_done is not None:
--- a/src/clementinegw/direct/bring.py
+++ b/src/clementinegw/direct/bring.py
@@ -77,7 +77,6 @@
         self._origin: backing.Origin | None = None
         self._digests: backing.Digests | None = None
         self._numbers: dict[str, int] = {}
-        self._parts: dict[str, bytes] = {}
 
     def set(self, origin: backing.Origin, digests: backing.Digests) -> None:
         """Says of which version pieces are asked for."""
--- a/src/clementinegw/direct/entry.py
+++ b/src/clementinegw/direct/entry.py
@@ -223,7 +223,7 @@
                 backend.server
             )
             for backend in self._fleet.all()
-            if self._is_engine(backend.server.service)
+            if self._knowledge.engine(backend.server.service) is not None
         }
 
     def _on_report(self, host: str, report: reports.Report) -> None:
@@ -247,17 +247,9 @@
         )
         return distance > 1
 
-    def _engine(self, service: str) -> types.Engine | None:
-        catalog = self._knowledge.catalog
-        known = catalog.services.get(service) if catalog else None
-        return known.engine if known else None
-
-    def _is_engine(self, service: str) -> bool:
-        return self._engine(service) is not None
-
     def _reading_s(self, service: str) -> float:
         """Returns how long a usual prompt is read; 0 when that is unknown."""
-        engine = self._engine(service)
+        engine = self._knowledge.engine(service)
         if engine is None or not engine.prefill_tokens_per_s:
             return 0.0
         return engine.usual_prompt / engine.prefill_tokens_per_s
@@ -322,8 +314,7 @@
         self._subscribe_new()
 
     def _max_connections(self, service: str) -> int:
-        catalog = self._knowledge.catalog
-        known = catalog.services.get(service) if catalog else None
+        known = self._knowledge.service(service)
         return known.max_connections if known else 32
 
 
--- a/src/clementinegw/direct/fleet.py
+++ b/src/clementinegw/direct/fleet.py
@@ -186,14 +186,13 @@
         self._rest_s = _FIRST_REST_S
         self.doubt *= 1.0 - _DOUBT_GAIN
 
-    def failed(self, now: float) -> None:
+    def failed(self) -> None:
         """Counts a failed or broken answer."""
-        del now
         self.doubt += _DOUBT_GAIN * (1.0 - self.doubt)
 
     def unreachable(self, now: float) -> None:
         """Counts a connection that did not come up, or was reset."""
-        self.failed(now)
+        self.failed()
         self.rest_until = now + self._rest_s
         self._rest_s = min(2 * self._rest_s, _LONGEST_REST_S)
 
@@ -246,12 +245,6 @@
         """Returns a backend server by its id."""
         return self._backends.get(server_id)
 
-    def at(self, host: str) -> Iterable[Backend]:
-        """Returns the backend servers at an IP address."""
-        return [
-            b for b in self._backends.values() if b.server.address.host == host
-        ]
-
     def apply(self, batch: follow.Batch, whole: bool, settled_s: float) -> None:
         """Takes records in.
 
--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -82,7 +82,6 @@
         self._clock = clock
         self._log = log
         self._counters = counters
-        self._histograms = histograms
         self._attempts = attempts.Attempts(dialect, clock)
         self._finals = finals.Finals(
             dialect, knowledge, clock, log, counters, histograms
@@ -177,7 +176,7 @@
                         outcome = self._give_up(job, outcome)
                         break
         except TimeoutError:
-            outcome = self._timed_out(job)
+            outcome = outcomes.Refusal(_GATEWAY_TIMEOUT, Reason.TIMEOUT)
         if isinstance(outcome, outcomes.Refusal) and failed is not None:
             # The server's own failure says more than ours would.
             return failed
@@ -229,7 +228,7 @@
     async def _choose(
         self, job: attempts.Job
     ) -> queue.Place | outcomes.Refusal:
-        engine = self._engine(job.service)
+        engine = self._knowledge.engine(job.service)
         arrived = job.request.arrived_at
         time_s = job.deadline - arrived
         on_time_until = arrived - job.spent_s + job.match.route.objective_s
@@ -295,7 +294,11 @@
     def _queue(self, service: str) -> queue.Queue:
         found = self._queues.get(service)
         if found is None:
-            terms = _ENGINE_TERMS if self._engine(service) else _PLAIN_TERMS
+            terms = (
+                _ENGINE_TERMS
+                if self._knowledge.engine(service)
+                else _PLAIN_TERMS
+            )
             found = queue.Queue(self._balancer, terms, self._clock)
             self._queues[service] = found
         return found
@@ -382,9 +385,6 @@
             job, Reason.ATTEMPTS_USED, self._share(_RETRY_FULL)
         )
 
-    def _timed_out(self, job: attempts.Job) -> outcomes.Refusal:
-        return outcomes.Refusal(_GATEWAY_TIMEOUT, Reason.TIMEOUT)
-
     def _unserved(
         self, job: attempts.Job, reason: Reason, share: float
     ) -> outcomes.Refusal:
@@ -409,11 +409,6 @@
         found.entries = self._balancer.entries
         return found
 
-    def _engine(self, service: str) -> types.Engine | None:
-        catalog = self._knowledge.catalog
-        known = catalog.services.get(service) if catalog else None
-        return known.engine if known else None
-
     def _layers(self, service: str) -> int:
-        engine = self._engine(service)
+        engine = self._knowledge.engine(service)
         return engine.layers if engine else 0
--- a/src/clementinegw/direct/keep.py
+++ b/src/clementinegw/direct/keep.py
@@ -321,7 +321,7 @@
             here_at = self._here_at.setdefault(version, now)
         else:
             here_at = now + self._bringer.left * self._bring_s()
-        last_at = self._due_at(version) - _LOAD_S
+        last_at = self._last_at(version)
         me = self._around.server_id
         return turns.turn(me, same, version, here_at, last_at, _TURNS)
 
@@ -332,8 +332,9 @@
         yielded later than its turn says.
         """
         yielded_at = self._yields_since + turn.load_at - turn.yield_at
-        last_at = self._due_at(version) - _LOAD_S
-        return max(turn.load_at, min(yielded_at, last_at))
+        return max(turn.load_at, min(yielded_at, self._last_at(version)))
 
-    def _due_at(self, version: int) -> float:
-        return self._at(version) + self._around.instance.bounds.weights_ms / 1e3
+    def _last_at(self, version: int) -> float:
+        """Returns when a load must begin so that the server serves in time."""
+        due_s = self._around.instance.bounds.weights_ms / 1e3
+        return self._at(version) + due_s - _LOAD_S
--- a/src/clementinegw/direct/queue.py
+++ b/src/clementinegw/direct/queue.py
@@ -83,9 +83,6 @@
         self._waiting: list[Waiting] = []
         self._timer: asyncio.TimerHandle | None = None
 
-    def __len__(self) -> int:
-        return len(self._waiting)
-
     async def place(
         self,
         wanted: Callable[[], balance.Wanted],
--- a/src/clementinegw/direct/versions.py
+++ b/src/clementinegw/direct/versions.py
@@ -85,11 +85,7 @@
         A request may wait at a server, and would begin there on a version that
         is no longer allowed by then.
         """
-        found = self._models.get(model)
-        if found is None:
-            return 0
-        near = [v for at, v in found.pending if at - _PREFER_S <= now]
-        return max(near, default=found.demanded)
+        return self._demanded_soon(model, now + _PREFER_S)
 
     def lasting(self, model: str, now: float) -> int:
         """Returns the version whose servers do not load soon; 0 for any.
@@ -97,10 +93,14 @@
         A stream that a load broke off must not be broken off once more by the
         next server's load: it would have used its attempts, and be lost.
         """
+        return self._demanded_soon(model, now + _LASTING_S)
+
+    def _demanded_soon(self, model: str, until: float) -> int:
+        """Returns the newest version that is demanded by then; 0 for none."""
         found = self._models.get(model)
         if found is None:
             return 0
-        near = [v for at, v in found.pending if at - _LASTING_S <= now]
+        near = [v for at, v in found.pending if at <= until]
         return max(near, default=found.demanded)
 
     def take_back_at(self, model: str, held: int) -> float:
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -33,7 +33,6 @@
         self.repeats = []
         self.broken = []
         self.revoked = {}
-        self.config_seen = {}
 
     def asked(self, attempt_id, kind, key, at):
         self.sent[attempt_id] = Sent(kind, key, at)
--- a/tests/soak/process.py
+++ b/tests/soak/process.py
@@ -77,6 +77,21 @@
             if line.startswith("VmRSS"):
                 self.peak_mb = max(self.peak_mb, int(line.split()[1]) / 1024)
 
+    async def pause(self, rng):
+        """Stands still for a while."""
+        self.signal(signal.SIGSTOP)
+        await asyncio.sleep(rng.uniform(0.5, 3.0))
+        self.signal(signal.SIGCONT)
+
+    def broken(self, most_mb):
+        """Returns the promises of a process that it broke."""
+        found = []
+        if self.ended_by_itself:
+            found.append(f"ended by itself: {self.ended_by_itself}")
+        if self.peak_mb > most_mb:
+            found.append(f"memory: {self.peak_mb:.0f} MB")
+        return found
+
     def _instance(self, store_port):
         raise NotImplementedError
 
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -20,9 +20,13 @@
         self._server.close()
         self.reset()
 
-    def aim(self, port):
-        """Sends new connections to another port."""
-        self._port = port
+    async def disturb(self, rng):
+        """Does one kind of harm for a while."""
+        self.mode = rng.choice(("delay", "silence", "one_way", "reset"))
+        if self.mode == "reset":
+            self.reset()
+        await asyncio.sleep(rng.uniform(0.5, 4.0))
+        self.mode = "pass"
 
     def reset(self):
         """Breaks every connection."""
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -160,12 +160,7 @@
             )
             self.judge.broken.append(f"recovery: {served:.2f} served, {told}")
         for entry in self.entries:
-            if entry.ended_by_itself:
-                self.judge.broken.append(
-                    f"ended by itself: {entry.ended_by_itself}"
-                )
-            if entry.peak_mb > MOST_MB:
-                self.judge.broken.append(f"memory: {entry.peak_mb:.0f} MB")
+            self.judge.broken += entry.broken(MOST_MB)
 
     # Servers.
 
@@ -282,17 +277,10 @@
 
     async def _fault_link(self):
         proxy = self._rng.choice(self.proxies)
-        await self._disturb(proxy)
+        await proxy.disturb(self._rng)
 
     async def _fault_store_link(self):
-        await self._disturb(self.store_proxy)
-
-    async def _disturb(self, proxy):
-        proxy.mode = self._rng.choice(("delay", "silence", "one_way", "reset"))
-        if proxy.mode == "reset":
-            proxy.reset()
-        await asyncio.sleep(self._rng.uniform(0.5, 4.0))
-        proxy.mode = "pass"
+        await self.store_proxy.disturb(self._rng)
 
     async def _fault_store(self):
         self.store.status = self._rng.choice((503, 429))
@@ -301,9 +289,7 @@
 
     async def _fault_stop(self):
         entry = self._rng.choice(self.entries)
-        entry.signal(signal.SIGSTOP)
-        await asyncio.sleep(self._rng.uniform(0.5, 3.0))
-        entry.signal(signal.SIGCONT)
+        await entry.pause(self._rng)
 
     async def _fault_end(self, number, store_port):
         entry = self._rng.choice(self.entries)
--- a/tests/soak/weights.py
+++ b/tests/soak/weights.py
@@ -224,7 +224,7 @@
         for agent in self.agents:
             agent.look()
             await agent.end(signal.SIGKILL)
-            self._judge_process(agent)
+            self.broken += agent.broken(MOST_MB)
         for server in self.servers:
             await server.stop()
         await self.origin_proxy.stop()
@@ -243,12 +243,6 @@
         held = [server.version for server in self.servers]
         self.broken.append(f"declared: {held} hold, {self._version} is named")
 
-    def _judge_process(self, agent):
-        if agent.ended_by_itself:
-            self.broken.append(f"ended by itself: {agent.ended_by_itself}")
-        if agent.peak_mb > MOST_MB:
-            self.broken.append(f"memory: {agent.peak_mb:.0f} MB")
-
     # Faults.
 
     async def _faults(self):
@@ -260,8 +254,8 @@
             "rot": self._fault_rot,
             "spoil": self._fault_spoil,
             "server": self._fault_server,
-            "origin_link": lambda: self._disturb(self.origin_proxy),
-            "store_link": lambda: self._disturb(self.store_proxy),
+            "origin_link": lambda: self.origin_proxy.disturb(self._rng),
+            "store_link": lambda: self.store_proxy.disturb(self._rng),
         }
         running = set()
         while self.now < self._seconds:
@@ -292,9 +286,7 @@
 
     async def _fault_stop(self):
         agent = self._rng.choice(self.agents)
-        agent.signal(signal.SIGSTOP)
-        await asyncio.sleep(self._rng.uniform(0.5, 3.0))
-        agent.signal(signal.SIGCONT)
+        await agent.pause(self._rng)
 
     async def _fault_rot(self):
         for _ in range(20):
@@ -315,13 +307,6 @@
         self.store.put("keyed.servers", former, None)
         self._list(number)
 
-    async def _disturb(self, proxy):
-        proxy.mode = self._rng.choice(("delay", "silence", "one_way", "reset"))
-        if proxy.mode == "reset":
-            proxy.reset()
-        await asyncio.sleep(self._rng.uniform(0.5, 4.0))
-        proxy.mode = "pass"
-
     def _list(self, number):
         server = self.servers[number]
         entry = {
