--- /dev/null
+++ b/src/clementinegw/direct/placing.py
@@ -0,0 +1,190 @@
+"""Which server a request goes to, and what it waits for until then."""
+
+from collections.abc import Callable
+import dataclasses
+import random
+
+from clementinegw.direct import admit
+from clementinegw.direct import attempt as attempts
+from clementinegw.direct import balance
+from clementinegw.direct import fleet
+from clementinegw.direct import outcomes
+from clementinegw.direct import queue
+from clementinegw.direct import versions as versions_lib
+
+Reason = outcomes.RefusalReason
+
+# What room a server must have, as a part of its slots. An engine runs as many
+# as it has slots, and what waits behind them is late soon; plain servers take
+# turns so quickly that a few may wait there. Late ones take what is left over.
+_ENGINE_TERMS = queue.Terms(most_busy=1.0, most_busy_late=0.9)
+_PLAIN_TERMS = queue.Terms(most_busy=3.0, most_busy_late=2.0)
+# How long an engine takes from a request's arrival to the first event beside
+# reading its prompt, in seconds: the pass under way and the first of its own.
+_FIRST_EVENT_S = 0.2
+# How long a request that came back waits for room, as a part of its time.
+_LATE_SHARE = 0.3
+# A request whose server will serve within this part of its time waits for it.
+_SOON_SHARE = 0.27
+# When to come back, as a part of the caller's time: when servers have no room,
+# and when none serves.
+# Callers wait for a third of their time at most; what is refused twice is lost.
+_RETRY_FULL = (0.15, 0.3)
+_RETRY_NONE = (0.27, 0.33)
+# What crashes servers does so again: its caller gets no second chance.
+_RETRY_NEVER = (1.0, 1.0)
+_RETRY_SHARES = {
+    Reason.BUSY: _RETRY_FULL,
+    Reason.NO_BUDGET: _RETRY_FULL,
+    Reason.ATTEMPTS_USED: _RETRY_FULL,
+    Reason.CRASHES_SERVERS: _RETRY_NEVER,
+}
+_BAD_GATEWAY = 502
+
+
+class Placing:
+    """Finds servers for requests."""
+
+    def __init__(
+        self,
+        knowledge: admit.Knowledge,
+        balancer: balance.Balancer,
+        versions: versions_lib.Versions,
+        rng: random.Random,
+        clock: Callable[[], float],
+    ):
+        """Places nothing before a request comes.
+
+        Args:
+          knowledge: How engines work.
+          balancer: Ranks servers.
+          versions: Which weights may serve.
+          rng: Spreads the times to come back.
+          clock: Monotonic seconds.
+        """
+        self._knowledge = knowledge
+        self._balancer = balancer
+        self._versions = versions
+        self._rng = rng
+        self._clock = clock
+        self._queues: dict[str, queue.Queue] = {}
+
+    async def choose(self, job: attempts.Job) -> queue.Place | outcomes.Refusal:
+        """Returns a place at a server, or why there is none."""
+        arrived = job.request.arrived_at
+        time_s = job.deadline - arrived
+        on_time_until = self._on_time_until(job)
+        # Who is late comes back in a while and costs nothing meanwhile; who
+        # has come back is not sent away again while there is hope.
+        until = max(arrived, on_time_until)
+        if job.spent_s or job.sends:
+            until = arrived + _LATE_SHARE * time_s
+        if not self._balancer.candidates(self._wanted(job)):
+            ready_in_s = self._balancer.ready_in_s(job.service)
+            if ready_in_s > _SOON_SHARE * time_s:
+                return self._none_serves(job, Reason.NO_SERVER, ready_in_s)
+            # Turned away, it would come back before the server does, and be
+            # lost; a server that is nearly there still serves it, if late.
+            until = self._clock() + ready_in_s + _SOON_SHARE * time_s
+        began = self._clock()
+        place = await self._queue(job.service).place(
+            lambda: self._wanted(job),
+            frozenset(job.tried),
+            on_time_until,
+            until,
+        )
+        now = self._clock()
+        job.waited_s += now - began
+        if place is None:
+            return self.unserved(job, Reason.BUSY)
+        job.busy = self._balancer.busy(place.backend, now)
+        job.server_id = place.backend.server.server_id
+        return place
+
+    def look(self) -> None:
+        """Looks for room for those who wait; servers told of their load."""
+        for waiting in self._queues.values():
+            waiting.look()
+
+    def elsewhere(self, job: attempts.Job, backend: fleet.Backend) -> bool:
+        """Returns whether another server could take a request over now."""
+        if job.runs + 1 >= job.match.route.max_attempts:
+            return False
+        wanted = dataclasses.replace(self._wanted(job), most_busy=1.0)
+        tried = {backend.server.server_id, *job.tried}
+        return self._balancer.choose(wanted, tried) is not None
+
+    def layers(self, service: str) -> int:
+        """Returns the layers of a service's model; 0 for a plain one."""
+        engine = self._knowledge.engine(service)
+        return engine.layers if engine else 0
+
+    def unserved(self, job: attempts.Job, reason: Reason) -> outcomes.Refusal:
+        """Returns the answer to a request without one."""
+        return self._refusal(job, reason, self._share(_RETRY_SHARES[reason]))
+
+    def _none_serves(
+        self, job: attempts.Job, reason: Reason, ready_in_s: float
+    ) -> outcomes.Refusal:
+        """Returns the answer where a server serves in a while only."""
+        left_s = max(0.001, job.deadline - self._clock())
+        most = self._share(_RETRY_NONE)
+        share = min(most, max(_RETRY_FULL[0], ready_in_s / left_s))
+        return self._refusal(job, reason, share)
+
+    def _refusal(
+        self, job: attempts.Job, reason: Reason, share: float
+    ) -> outcomes.Refusal:
+        """Returns a refusal.
+
+        Only a request that no server may have begun is told "not run".
+
+        Args:
+          job: The request.
+          reason: Why.
+          share: When to come back, as a part of the time that is left.
+        """
+        if job.runs:
+            return outcomes.Refusal(_BAD_GATEWAY, Reason.MAY_HAVE_RUN)
+        left_s = max(0.0, job.deadline - self._clock())
+        return admit.later(reason, share * left_s)
+
+    def _on_time_until(self, job: attempts.Job) -> float:
+        """Returns when a request must begin to be answered on time."""
+        at = job.request.arrived_at - job.spent_s
+        at += job.match.route.objective_s
+        engine = self._knowledge.engine(job.service)
+        if engine is not None:
+            reading_s = job.facts.prompt_tokens / engine.prefill_tokens_per_s
+            at -= _FIRST_EVENT_S + reading_s
+        return at
+
+    def _wanted(self, job: attempts.Job) -> balance.Wanted:
+        """Returns what a request needs of a server that it is sent to now."""
+        now = self._clock()
+        model = job.facts.model
+        least = self._versions.demanded(model, now) or 0
+        if job.runs:
+            least = max(least, self._versions.lasting(model, now))
+        return balance.Wanted(
+            job.service,
+            self.layers(job.service),
+            least,
+            self._versions.preferred(model, now),
+        )
+
+    def _queue(self, service: str) -> queue.Queue:
+        found = self._queues.get(service)
+        if found is None:
+            terms = (
+                _ENGINE_TERMS
+                if self._knowledge.engine(service)
+                else _PLAIN_TERMS
+            )
+            found = queue.Queue(self._balancer, terms, self._clock)
+            self._queues[service] = found
+        return found
+
+    def _share(self, span: tuple[float, float]) -> float:
+        """Returns a part of the caller's time, spread over a span."""
+        return self._rng.uniform(*span)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -69,7 +69,7 @@
         "if lying is not None:\n                continue",
     ),
     "true_refusal": (
-        "src/clementinegw/direct/forward.py",
+        "src/clementinegw/direct/placing.py",
         "if job.runs:\n            return outcomes.Refusal(_BAD_GATEWAY",
         "if False:\n            return outcomes.Refusal(_BAD_GATEWAY",
     ),
