Refuse at once what no server is in reach for

Cause: connections that did not come up counted towards no limit, and where all servers rested each was tried again at once. Change: where all rest, each is tried by one request in 0.25 s; a request waits for the end of the first rest if it may wait so long, else it is told 503 out_of_reach, not run, with a time to come back, on a connection that ends. The time of connections that do not come up is limited to three tenths of a request's time. Connections that fail together count as one failure.

--- a/src/clementinegw/direct/attempt.py
+++ b/src/clementinegw/direct/attempt.py
@@ -51,6 +51,7 @@
       last_event: The last event that the caller has got in this answer.
       first_answer_at: When the caller got the first part of its answer.
       waited_s: How long it waited for room in the entry, in seconds.
+      unreached_s: How long connections took that did not come up, in seconds.
       busy: The part of the last server's slots that seemed taken.
       server_id: The last server that it was handed to.
     """
@@ -67,6 +68,7 @@
     last_event: str | None = None
     first_answer_at: float | None = None
     waited_s: float = 0.0
+    unreached_s: float = 0.0
     busy: float = 0.0
     server_id: str = ""
     tried: set[str] = dataclasses.field(default_factory=set)
@@ -126,10 +128,12 @@
         unread: "_Unread",
     ) -> outcomes.Attempt:
         backend = hearing.backend
+        began = self._clock()
         try:
             connection, _ = await backend.pool.take()
         except client.ConnectFailed:
-            backend.unreachable(self._clock())
+            job.unreached_s += self._clock() - began
+            hearing.unreachable()
             return outcomes.NotRun(outcomes.NotRunReason.UNREACHABLE)
         whole = False
         try:
@@ -143,7 +147,7 @@
                 backend.failed()
             return outcomes.Lost(outcomes.LostReason.BROKEN)
         except _Silent:
-            backend.unreachable(self._clock())
+            hearing.unreachable()
             return outcomes.Lost(outcomes.LostReason.SILENT)
         finally:
             # Closing is also how a server learns that its caller has left.
@@ -173,6 +177,7 @@
         )
         patience = silence_s if route.idempotent else None
         head = await hearing.hear(connection.head, patience)
+        hearing.reached()
         facts = self._dialect.answer_facts(head)
         connection.keep_s = facts.keep_s
         now = self._clock()
@@ -286,6 +291,26 @@
         self.backend = backend
         self._elsewhere = elsewhere
         self._clock = clock
+        self._trying = backend.rest_until > clock()
+
+    def reached(self) -> None:
+        """Ends the rest of a server that this attempt was to try."""
+        if self._trying:
+            self.backend.rest_until = min(
+                self.backend.rest_until, self._clock()
+            )
+
+    def unreachable(self) -> None:
+        """Counts a failure to reach the server.
+
+        What began before the server went to rest tells nothing new: ten
+        connections that fail together would make it rest for the longest time.
+        """
+        now = self._clock()
+        if self._trying or self.backend.rest_until <= now:
+            self.backend.unreachable(now)
+        else:
+            self.backend.failed()
 
     async def hear(self, receive, silence_s: float | None):
         """Returns what `receive` does.
--- a/src/clementinegw/direct/balance.py
+++ b/src/clementinegw/direct/balance.py
@@ -6,6 +6,7 @@
 
 from clementinegw import types as places
 from clementinegw.direct import fleet
+from clementinegw.direct import rests
 from clementinegw.direct import types
 
 # What a server's load, as a part of its slots, counts for in another failure
@@ -34,6 +35,7 @@
       least_version: Of at least this version.
       preferred_version: Servers with at least this version go first.
       most_busy: Servers with this part of their slots taken are passed over.
+      resting: Whether one that rests after a failure will do, where all rest.
     """
 
     service: str
@@ -41,6 +43,7 @@
     least_version: int = 0
     preferred_version: int = 0
     most_busy: float = 3.0
+    resting: bool = True
 
 
 class Balancer:
@@ -59,6 +62,7 @@
         self._regions = regions
         self._rng = rng
         self._clock = clock
+        self._rests = rests.Rests()
 
     @property
     def entries(self) -> int:
@@ -104,11 +108,15 @@
           tried: Ids of servers that have had it.
         """
         now = self._clock()
-        found = [
+        fitting = [
             backend
             for backend in self.candidates(wanted)
             if backend.server.server_id not in tried
-            and not backend.loading
+        ]
+        found = [
+            backend
+            for backend in self._reachable(fitting, wanted, now)
+            if not backend.loading
             and backend.full_until <= now
             and not backend.pool.full
             and self.busy(backend, now) < wanted.most_busy
@@ -120,17 +128,36 @@
         sharing = [b for b in found if b.has_share(now)]
         return min(sharing, key=lambda b: self._score(b, now), default=None)
 
+    def sent(self, backend: fleet.Backend) -> None:
+        """Notes that a request goes to a server."""
+        self._rests.tried(backend, self._clock())
+
+    def rested_in_s(self, wanted: Wanted) -> float:
+        """Returns when the first server that could run a request rests no more.
+
+        In seconds; 0 where one does not rest, or there is none at all.
+        """
+        return self._rests.over_in_s(self.candidates(wanted), self._clock())
+
+    def _reachable(
+        self, backends: list[fleet.Backend], wanted: Wanted, now: float
+    ) -> list[fleet.Backend]:
+        awake = self._rests.awake(backends, now)
+        if awake or not wanted.resting:
+            return awake
+        return self._rests.due(backends, now)
+
     def _preferences(
         self, wanted: Wanted, now: float
     ) -> tuple[Callable[[fleet.Backend], bool], ...]:
         """Returns what a server should be, the most important first.
 
-        Where no server is, one is chosen all the same: nobody else would ever
-        find out that one that rests after a failure is back, and one that is
-        about to load still serves where no other has room.
+        Where no server is, one is chosen all the same: one that fell silent
+        may answer, and one that is about to load still serves where no other
+        has room.
         """
         return (
-            lambda b: b.rest_until <= now and not b.silent(now),
+            lambda b: not b.silent(now),
             lambda b: not b.yielding,
             lambda b: b.serves(wanted.preferred_version, wanted.layers),
         )
--- a/src/clementinegw/direct/finals.py
+++ b/src/clementinegw/direct/finals.py
@@ -17,12 +17,18 @@
 
 Reason = outcomes.RefusalReason
 
-# Refusals for which only this process is to blame: another one may serve. The
-# connection ends with them, for the balancer sends the caller elsewhere only
-# when it connects anew. An entry cut off from the platform got 20 requests a
-# second on kept connections for as long as that lasted.
+# Refusals for which only this process, or the way from it, is to blame: another
+# one may serve. The connection ends with them, for the balancer sends the
+# caller elsewhere only when it connects anew. An entry cut off from the
+# platform got 20 requests a second on kept connections for as long as that
+# lasted.
 _OURS_ALONE = frozenset(
-    {Reason.STALE_KEYS, Reason.STALE_ROUTES, Reason.NO_CONFIGURATION}
+    {
+        Reason.STALE_KEYS,
+        Reason.STALE_ROUTES,
+        Reason.NO_CONFIGURATION,
+        Reason.OUT_OF_REACH,
+    }
 )
 
 
--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -265,6 +265,8 @@
             return False
         if job.sends >= _MOST_SENDS:
             return False
+        if _unreached(outcome):
+            return self._placing.may_try(job)
         if isinstance(outcome, outcomes.NotRun):
             return True
         if isinstance(outcome, outcomes.Failed) and outcome.head.status < 500:
@@ -277,6 +279,8 @@
     ) -> outcomes.Failed | outcomes.Refusal:
         if isinstance(outcome, outcomes.Failed):
             return outcome
+        if _unreached(outcome):
+            return self._placing.out_of_reach(job)
         return self._placing.unserved(job, Reason.ATTEMPTS_USED)
 
     def _budget(self, service: str) -> budgets.RetryBudget:
@@ -285,3 +289,11 @@
             found = self._budgets[service] = budgets.RetryBudget(self._terms)
         found.entries = self._balancer.entries
         return found
+
+
+def _unreached(outcome: outcomes.Attempt) -> bool:
+    """Returns whether an attempt ended before anything was handed over."""
+    return (
+        isinstance(outcome, outcomes.NotRun)
+        and outcome.reason is outcomes.NotRunReason.UNREACHABLE
+    )
--- a/src/clementinegw/direct/outcomes.py
+++ b/src/clementinegw/direct/outcomes.py
@@ -79,6 +79,7 @@
     NO_KEY = "no_key"
     MALFORMED = "malformed"
     NO_SERVER = "no_server"
+    OUT_OF_REACH = "out_of_reach"
     BUSY = "busy"
     NO_BUDGET = "no_budget"
     ATTEMPTS_USED = "attempts_used"
--- a/src/clementinegw/direct/placing.py
+++ b/src/clementinegw/direct/placing.py
@@ -22,7 +22,8 @@
 # How long an engine takes from a request's arrival to the first event beside
 # reading its prompt, in seconds: the pass under way and the first of its own.
 _FIRST_EVENT_S = 0.2
-# How long a request that came back waits for room, as a part of its time.
+# How long a request that came back waits for room, and any one for connections
+# that do not come up, as a part of its time.
 _LATE_SHARE = 0.3
 # A request whose server will serve within this part of its time waits for it.
 _SOON_SHARE = 0.27
@@ -96,6 +97,8 @@
         now = self._clock()
         job.waited_s += now - began
         if place is None:
+            if self._balancer.rested_in_s(self._wanted(job)):
+                return self.out_of_reach(job)
             return self.unserved(job, Reason.BUSY)
         job.busy = self._balancer.busy(place.backend, now)
         job.server_id = place.backend.server.server_id
@@ -110,7 +113,9 @@
         """Returns whether another server could take a request over now."""
         if job.runs + 1 >= job.match.route.max_attempts:
             return False
-        wanted = dataclasses.replace(self._wanted(job), most_busy=1.0)
+        wanted = dataclasses.replace(
+            self._wanted(job), most_busy=1.0, resting=False
+        )
         tried = {backend.server.server_id, *job.tried}
         return self._balancer.choose(wanted, tried) is not None
 
@@ -123,6 +128,20 @@
         """Returns the answer to a request without one."""
         return self._refusal(job, reason, self._share(_RETRY_SHARES[reason]))
 
+    def out_of_reach(self, job: attempts.Job) -> outcomes.Refusal:
+        """Returns the answer where no connection to a server comes up."""
+        rested_in_s = self._balancer.rested_in_s(self._wanted(job))
+        return self._none_serves(job, Reason.OUT_OF_REACH, rested_in_s)
+
+    def may_try(self, job: attempts.Job) -> bool:
+        """Returns whether another connection may be tried for a request.
+
+        One that is refused costs no time, and its server rests; a request that
+        loses its time with connections that time out could not come back.
+        """
+        time_s = job.deadline - job.request.arrived_at
+        return job.unreached_s < _LATE_SHARE * time_s
+
     def _none_serves(
         self, job: attempts.Job, reason: Reason, ready_in_s: float
     ) -> outcomes.Refusal:
--- a/src/clementinegw/direct/queue.py
+++ b/src/clementinegw/direct/queue.py
@@ -120,6 +120,7 @@
         if not self._waiting:
             return
         now = self._clock()
+        rested: dict[balance.Wanted, float] = {}
         for waiting in self._in_order(now):
             if waiting.place.done():
                 self._waiting.remove(waiting)
@@ -128,14 +129,31 @@
             backend = self._choose(waiting, late)
             if backend is not None:
                 self._waiting.remove(waiting)
+                self._balancer.sent(backend)
                 waiting.place.set_result(Place(backend, self.look))
-            elif now >= waiting.until:
+            elif now + self._hopeless_s(waiting, rested) >= waiting.until:
                 self._waiting.remove(waiting)
                 waiting.place.set_result(None)
         if self._waiting and self._timer is None:
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(_LOOK_S, self._again)
 
+    def _hopeless_s(
+        self, waiting: Waiting, rested: dict[balance.Wanted, float]
+    ) -> float:
+        """Returns for how long waiting is in vain, since all servers rest.
+
+        Args:
+          waiting: The request.
+          rested: What was found in this look, by what is wanted.
+        """
+        wanted = waiting.wanted()
+        found = rested.get(wanted)
+        if found is None:
+            found = self._balancer.rested_in_s(wanted)
+            rested[wanted] = found
+        return found
+
     def _again(self) -> None:
         self._timer = None
         self.look()
--- /dev/null
+++ b/src/clementinegw/direct/rests.py
@@ -0,0 +1,50 @@
+"""Servers that rest after a failure: which one is tried all the same.
+
+A server rests after a connection that did not come up, longer after each, and
+requests go to others meanwhile. Where all rest, somebody has to find out that
+one is back: each is tried by one request at a time.
+"""
+
+from collections.abc import Sequence
+import weakref
+
+from clementinegw.direct import fleet
+
+# A server that rests is tried no more often than one whose connections time
+# out would be, also where it refuses them at once; a single request made 220
+# connections in 0.8 s. Seconds, as long as a connection may take to come up.
+_TRY_EVERY_S = 0.25
+
+
+class Rests:
+    """When each server was tried last."""
+
+    def __init__(self) -> None:
+        # Weak: a server that is gone is forgotten with its backend.
+        self._tried_at: weakref.WeakKeyDictionary[fleet.Backend, float]
+        self._tried_at = weakref.WeakKeyDictionary()
+
+    def tried(self, backend: fleet.Backend, now: float) -> None:
+        """Notes that a request goes to a server."""
+        self._tried_at[backend] = now
+
+    def awake(
+        self, backends: Sequence[fleet.Backend], now: float
+    ) -> list[fleet.Backend]:
+        """Returns the servers that do not rest."""
+        return [b for b in backends if b.rest_until <= now]
+
+    def due(
+        self, backends: Sequence[fleet.Backend], now: float
+    ) -> list[fleet.Backend]:
+        """Returns the servers that are tried though they may rest."""
+        return [
+            backend
+            for backend in backends
+            if now - self._tried_at.get(backend, -_TRY_EVERY_S) >= _TRY_EVERY_S
+        ]
+
+    def over_in_s(self, backends: Sequence[fleet.Backend], now: float) -> float:
+        """Returns when the first rest is over, in seconds; 0 without one."""
+        at = min((b.rest_until for b in backends), default=now)
+        return max(0.0, at - now)
--- a/tests/test_direct_reach.py
+++ b/tests/test_direct_reach.py
@@ -127,6 +127,30 @@
     assert sites.run(play()) == [200] * 10
 
 
+def test_servers_that_are_back_are_found_soon(monkeypatch):
+    """All servers of a service were away for ten seconds.
+
+    Each rests longer after each failure, up to four seconds. Where no other
+    serves, that is how long callers would be refused though they are back.
+    """
+
+    async def play():
+        async with sites.Site(*NAMES) as site:
+            reach = Reach(monkeypatch)
+            reach.cut(site)
+            for number in range(200):
+                await site.ask("/once/1", attempt_id=f"b{number}")
+                await asyncio.sleep(0.05)
+            reach.away = False
+            await asyncio.sleep(0.25)
+            return (await site.ask("/once/1")).status, len(reach.tries)
+
+    status, tries = sites.run(play())
+    assert status == 200
+    # Each server four times a second at most, whatever callers come.
+    assert tries <= 2 * 4 * 15
+
+
 def test_one_server_that_answers_again_serves_all_who_wait(monkeypatch):
     async def play():
         async with sites.Site("i-1") as site:
--- a/tests/test_direct_silence.py
+++ b/tests/test_direct_silence.py
@@ -1,5 +1,6 @@
 """Servers that fall silent: found out from the agents beside them."""
 
+import dataclasses
 import random
 
 import pytest
@@ -126,3 +127,24 @@
         return len(transport.to) - near - far
 
     assert clocks.run(play()) == sent
+
+
+def test_a_server_that_rests_is_tried_only_where_no_other_is_left():
+    backends = new_fleet("resting", "well")
+    backends.find("resting").rest_until = 11.0
+    now = [10.0]
+    chooser = balance.Balancer(
+        backends, places.Place("r", "d1"), {}, random.Random(1), lambda: now[0]
+    )
+    assert chooser.choose(WANTED) is backends.find("well")
+    found = chooser.choose(WANTED, {"well"})
+    assert found is backends.find("resting")
+    chooser.sent(found)
+    assert chooser.choose(WANTED, {"well"}) is None
+    now[0] = 10.3
+    assert chooser.choose(WANTED, {"well"}) is found
+    waited_for = dataclasses.replace(WANTED, resting=False)
+    assert chooser.choose(waited_for, {"well"}) is None
+    assert chooser.rested_in_s(WANTED) == 0.0
+    backends.find("well").rest_until = 10.5
+    assert chooser.rested_in_s(WANTED) == pytest.approx(0.2)
