--- a/tests/test_direct_agent.py
+++ b/tests/test_direct_agent.py
@@ -49,6 +49,7 @@
         self.loads = []
         self.whole = []
         self.rot = False
+        self.restart = False
         self.lose_answer = False
 
     async def state(self):
@@ -67,6 +68,9 @@
         if self.rot and number == 3:
             self.rot = False
             data = b"rotten" + data[6:]
+        if self.restart and number == 3:
+            self.restart = False
+            self.staged_pieces.clear()
         self.staged_pieces[number] = data
 
     async def load(self, model, version, sequence, cut):
@@ -292,6 +296,23 @@
     assert run(play()) == [True]
 
 
+def test_a_server_that_starts_again_while_pieces_are_staged_loads_them_all():
+    """A server loaded a version of which three pieces were missing.
+
+    It started again, with nothing, while its agent staged piece after piece,
+    each of which was in order as it was compared; the order named the number
+    of orders that a new start has accepted, none.
+    """
+
+    async def play():
+        async with Site(1) as site:
+            site.besides[0].restart = True
+            await site.until_all_hold(1)
+            return site.besides[0].whole
+
+    assert run(play()) == [True]
+
+
 def test_what_the_origin_spoils_is_never_staged():
     async def play():
         async with Site(1) as site:
