Order a load only while every piece still lies staged

Cause: each piece was compared with its digest once; a server that started again with nothing meanwhile was ordered to load without those before. Change: what lies staged is asked for once more right before the order. test_a_server_that_starts_again_while_pieces_are_staged_loads_them_all was red and passes. Left: between that answer and the order, one call to the own machine, a start is still not seen; an order names no start.

--- a/src/clementinegw/direct/bring.py
+++ b/src/clementinegw/direct/bring.py
@@ -261,7 +261,8 @@
             if lying is None or digest_of(lying) != digest:
                 self._log.write(_events.STAGED_SPOILT, piece=number)
                 return False
-        return True
+        # A server that started again meanwhile has lost what was compared.
+        return set(range(len(digests.digests))) <= await beside.staged()
 
 
 def _limits(link_bytes_per_s: float) -> swarm.Limits:
