--- a/tests/soak/process.py
+++ b/tests/soak/process.py
@@ -26,7 +26,6 @@
         path = self._folder / f"{self.role}-{self.number}.json"
         path.write_text(json.dumps(self._instance(store_port)))
         log = (self._folder / f"{self.role}-{self.number}.log").open("ab")
-        self.expected_end = False
         self._process = await asyncio.create_subprocess_exec(
             sys.executable,
             str(self._code / "platform" / "main.py"),
@@ -36,6 +35,9 @@
             stdout=log,
             stderr=log,
         )
+        # Only now: until the new process is there, `look` would take the end
+        # of the former one for its own.
+        self.expected_end = False
 
     def signal(self, number):
         if self._process is not None and self._process.returncode is None:
