Show that servers which leave get requests after their time to drain

Cause: an older write of a server that the store executes late is believed because it comes last in the log; and a removal is held for 2.2 s after a single call of this process failed, though the store was there all the while.

Change: tests of the whole path against the stand-in, which can now break polls, keep news back and drop its history, and forgets keys in its newest records as the store does.

Conclusion: three paths, two causes.

--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -32,8 +32,12 @@
         self.topics = {"keyed.op": [], "keyed.servers": []}
         self.status = 200
         self.silent = False
+        self.muted = False
         self.calls = 0
+        self.hung = []
+        self._first = dict.fromkeys(self.topics, 0)
         self._news = asyncio.Event()
+        self._cut = asyncio.Event()
         self._server = servers.Server(self._handle)
 
     async def start(self):
@@ -48,9 +52,19 @@
         self._news.set()
         self._news = asyncio.Event()
 
+    def cut(self):
+        """Breaks every connection that waits for news."""
+        self._cut.set()
+        self._cut = asyncio.Event()
+
+    def forget(self, topic):
+        """Drops a topic's history; the newest record of each key stays."""
+        self._first[topic] = len(self.topics[topic])
+
     async def _handle(self, request, responder):
         self.calls += 1
         if self.silent:
+            self.hung.append(request.target)
             await responder.gone
             return
         if self.status != 200:
@@ -60,32 +74,55 @@
         query = dict(part.split("=") for part in text.split("&"))
         if path == "/log-newest":
             body = self._newest(query["topic"])
+        elif int(query["from"]) < self._first[query["topic"]]:
+            await responder.answer(410, [], b"{}")
+            return
         else:
             body = await self._read(query)
+        if body is None:
+            responder.abort()
+            return
         await responder.answer(200, [], body)
 
     def _newest(self, topic):
-        newest = {key: value for key, value in self.topics[topic] if value}
+        newest = dict(self.topics[topic])
         items = [
             {"key": k, "value": base64.b64encode(v).decode(), "offset": 0}
             for k, v in newest.items()
+            if v
         ]
         end = len(self.topics[topic])
         return json.dumps({"items": items, "end": end}).encode()
 
     async def _read(self, query):
-        records = self.topics[query["topic"]]
+        topic = query["topic"]
+        records = self.topics[topic]
         start = int(query["from"])
+        cut = self._cut
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(int(query.get("wait_ms", 0)) / 1e3):
-                while len(records) <= start:
-                    await self._news.wait()
-        body = len(records).to_bytes(8, "big") + bytes(8)
+                while self.muted or len(records) <= start:
+                    await self._wake(cut)
+                    if cut.is_set():
+                        return None
+        body = len(records).to_bytes(8, "big")
+        body += self._first[topic].to_bytes(8, "big")
         for key, value in records[start:]:
             content = bytes([len(key)]) + key.encode() + value
             body += len(content).to_bytes(4, "big") + content
         return body
 
+    async def _wake(self, cut):
+        """Waits for a record or until the connections are cut."""
+        waits = [
+            asyncio.ensure_future(event.wait()) for event in (self._news, cut)
+        ]
+        try:
+            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for wait in waits:
+                wait.cancel()
+
 
 async def listen(server):
     """Listens on a free port of the loopback."""
@@ -155,6 +192,7 @@
         self.ran = []
         self.closed = 0
         self.connections = 0
+        self.last_call_at = 0.0
 
     async def start(self):
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -202,6 +240,7 @@
 
     async def _call(self, call):
         self.calls.append(call)
+        self.last_call_at = asyncio.get_running_loop().time()
         expected = call.headers.get("x-clementinegw-expect-instance")
         if expected not in (None, self.name):
             name = f"X-Clementinegw-Instance-Id: {self.name}"
--- /dev/null
+++ b/tests/test_platform_drain.py
@@ -0,0 +1,105 @@
+"""Servers that leave, on the whole path from the store's record to a send."""
+
+import asyncio
+
+import platform_site
+
+DRAIN_S = 2.0
+TOPIC = "keyed.servers"
+
+
+async def keep_asking(site, until_s):
+    """Sends requests in a row and returns their statuses."""
+    end = asyncio.get_running_loop().time() + until_s
+    statuses = []
+    while asyncio.get_running_loop().time() < end:
+        statuses.append((await site.ask()).status)
+        await asyncio.sleep(0.03)
+    return statuses
+
+
+def put(site, server, **fields):
+    site.store.put(TOPIC, server.name, server.entry(**fields))
+
+
+def test_an_older_write_that_is_executed_late_brings_no_server_back():
+    """An entry sent to a server again that had said it leaves.
+
+    The server writes that it is ready and gets no answer, then that it leaves,
+    which the store acknowledges. Some seconds later the store executes the
+    first write, and lists the server as ready again. Entries believed whatever
+    was written last and sent to it until it ended. The same befell a server
+    whose listing was taken out in between.
+    """
+
+    async def play(removed):
+        async with platform_site.Site("a", "b") as site:
+            leaving, stays = site.servers
+            put(site, leaving, sequence=5)
+            await asyncio.sleep(1.0)
+            put(site, leaving, state="draining", sequence=7)
+            if removed:
+                site.store.put(TOPIC, leaving.name, None)
+            left_at = asyncio.get_running_loop().time()
+            await keep_asking(site, 2.0)
+            put(site, leaving, sequence=6)
+            statuses = await keep_asking(site, 3.0)
+            assert set(statuses) == {200}
+            assert leaving.last_call_at < left_at + DRAIN_S
+            assert stays.calls
+
+    platform_site.run(play(removed=False))
+    platform_site.run(play(removed=True))
+
+
+async def cut_connection(site):
+    site.store.cut()
+    await asyncio.sleep(0.2)
+    site.store.put(TOPIC, "a", None)
+    return asyncio.get_running_loop().time()
+
+
+async def drop_history(site):
+    site.store.muted = True
+    site.store.put(TOPIC, "a", None)
+    removed_at = asyncio.get_running_loop().time()
+    await asyncio.sleep(1.0)
+    for topic in site.store.topics:
+        site.store.forget(topic)
+    site.store.cut()
+    site.store.muted = False
+    return removed_at
+
+
+async def lose_an_answer(site):
+    site.store.silent = True
+    while not any(TOPIC in target for target in site.store.hung):
+        await asyncio.sleep(0.01)
+    site.store.silent = False
+    await asyncio.sleep(3.0)
+    site.store.put(TOPIC, "a", None)
+    return asyncio.get_running_loop().time()
+
+
+def test_a_server_that_is_taken_out_after_a_fault_gets_nothing_too_late():
+    """An entry sent to a server that was gone, beyond the time to drain.
+
+    The server ends without saying so: its listing is taken out, and it works
+    on for the time to drain. An entry whose connection to the platform had just
+    broken held the removal for a listing that ran out in an outage, and sent to
+    the server for 2.2 s more, over the 2 s that it has in all.
+    """
+
+    async def play(fault):
+        async with platform_site.Site("a", "b") as site:
+            await asyncio.sleep(3.0)
+            asking = asyncio.ensure_future(keep_asking(site, 12.0))
+            removed_at = await fault(site)
+            assert set(await asking) == {200}
+            gone = site.servers[0]
+            assert removed_at - 1.0 < gone.last_call_at
+            assert gone.last_call_at < removed_at + DRAIN_S
+
+    platform_site.run(play(drop_history))
+    platform_site.run(play(cut_connection))
+    platform_site.run(play(lose_an_answer))
