Order a server's records by its starts and their sequence

Cause: entries and agents believed the record that came last in the log. A write without an answer may be executed seconds later, behind the one that said that the server leaves, and also behind the removal.

Change: direct/starts remembers the newest record of every id, also of those that are gone: starts are ordered by when they were born, records of one start by their sequence, and a start that leaves never takes that back. Both daemons use it; older records are logged and left aside.

Conclusion: a write that is executed late behind a removal, with a sequence that nobody has seen, still looks like a return; nothing in the record tells.

--- a/src/clementinegw/direct/_events.py
+++ b/src/clementinegw/direct/_events.py
@@ -107,6 +107,12 @@
     "A step towards the wanted weights met a defect; it is tried again.",
     "Report it with the line's `step` and `error`.",
 )
+SERVER_RECORD_OLD = events.define(
+    930,
+    "server_record_old",
+    _INFO,
+    "A server's record was older than what is known of it and left aside.",
+)
 CUT_OFF = events.define(
     924,
     "cut_off",
--- a/src/clementinegw/direct/agent.py
+++ b/src/clementinegw/direct/agent.py
@@ -17,6 +17,7 @@
 from clementinegw.direct import instance as instances
 from clementinegw.direct import keep
 from clementinegw.direct import reports
+from clementinegw.direct import starts
 from clementinegw.direct import types
 from clementinegw.telemetry import counters as counters_lib
 from clementinegw.telemetry import events
@@ -95,6 +96,7 @@
             self._around, self._bringer, log, counters, self.histograms
         )
         self._known = asyncio.Event()
+        self._starts = starts.Starts(log)
 
     async def on_start(self) -> None:
         """Listens for peers and entries, and follows the platform."""
@@ -159,12 +161,11 @@
 
     def _on_servers(self, batch: follow.Batch, whole: bool) -> None:
         if whole:
-            self._around.servers = {}
+            listed = {record.key for record in batch.records}
+            for key in set(self._around.servers) - listed:
+                del self._around.servers[key]
         for record in batch.records:
-            if record.value is None:
-                self._around.servers.pop(record.key, None)
-            elif record.value.service == self._instance.service:
-                self._around.servers[record.key] = record.value
+            self._take_server(record)
         others = {
             server.address.host: self._agent_at(
                 server.address.host,
@@ -179,6 +180,16 @@
         self._bringer.set_fleet(list(others.values()))
         self._tell_known()
 
+    def _take_server(self, record: follow.Record) -> None:
+        if not isinstance(record.value, types.Server):
+            self._around.servers.pop(record.key, None)
+            return
+        server = self._starts.take(record.value)
+        if server is not None and server.service == self._instance.service:
+            # The one that was heard of last stands last.
+            self._around.servers.pop(record.key, None)
+            self._around.servers[record.key] = server
+
     def _tell_known(self) -> None:
         if not self._around.model:
             return
--- a/src/clementinegw/direct/fleet.py
+++ b/src/clementinegw/direct/fleet.py
@@ -9,6 +9,7 @@
 from clementinegw.direct import client
 from clementinegw.direct import follow
 from clementinegw.direct import reports
+from clementinegw.direct import starts
 from clementinegw.direct import types
 from clementinegw.telemetry import logs
 
@@ -232,6 +233,7 @@
         self._max_connections = max_connections
         self._backends: dict[str, Backend] = {}
         self._of_service: dict[str, list[Backend]] = {}
+        self._starts = starts.Starts(log)
 
     def all(self) -> Iterable[Backend]:
         """Returns every backend server."""
@@ -278,7 +280,10 @@
         for backend in self._backends.values():
             backend.pool.prune()
 
-    def _seen(self, key: str, server: types.Server) -> None:
+    def _seen(self, key: str, listed: types.Server) -> None:
+        server = self._starts.take(listed)
+        if server is None:
+            return
         backend = self._backends.get(key)
         if backend is None:
             pool = self._pool(server)
--- a/src/clementinegw/direct/types.py
+++ b/src/clementinegw/direct/types.py
@@ -216,18 +216,40 @@
     layers: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Start:
+    """One start of a server: what is learned of it speaks of no other.
+
+    Attributes:
+      server_id: The server's id; it may come again.
+      born: When it started, in Unix milliseconds; 0 where nobody says so, and
+        then the id alone names the start.
+    """
+
+    server_id: str
+    born: int = 0
+
+    def same(self, other: "Start") -> bool:
+        """Returns whether two names may be of one start."""
+        if self.server_id != other.server_id:
+            return False
+        return not self.born or not other.born or self.born == other.born
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Server:
     """A backend server as the platform lists it.
 
     Attributes:
-      server_id: Names one start of one server.
+      server_id: Names the server.
       service: The service it belongs to.
       address: Where it takes requests.
       failure_domain: Where it stands.
       slots: Requests that it runs at once.
       leaving: Whether it takes no new requests.
       held: The weights it has loaded; empty for a plain service.
+      born: When it started, in Unix milliseconds; 0 where that is not said.
+      sequence: Grows with each record of one start; says nothing more.
     """
 
     server_id: str
@@ -237,6 +259,13 @@
     slots: int
     leaving: bool = False
     held: tuple[Held, ...] = ()
+    born: int = 0
+    sequence: int = dataclasses.field(default=0, compare=False)
+
+    @property
+    def start(self) -> Start:
+        """Which start of the server it is."""
+        return Start(self.server_id, self.born)
 
     def version(self, layers: int) -> int:
         """Returns the newest version of which it has all layers; 0 for none.
--- a/tests/test_direct_decisions.py
+++ b/tests/test_direct_decisions.py
@@ -279,6 +279,22 @@
     assert [b.server.server_id for b in servers.of("engine")] == ["b"]
 
 
+def test_records_of_one_start_are_ordered_and_leaving_is_for_good():
+    backends = new_fleet()
+    listed = (
+        (server("a", born=5, sequence=3), False),
+        (server("a", born=5, sequence=7, leaving=True), True),
+        (server("a", born=5, sequence=6), True),
+        (server("a", born=5, sequence=8), True),
+        (server("a", born=4, sequence=90), True),
+        (server("a", born=6, sequence=1), False),
+    )
+    for record, leaving in listed:
+        backends.apply(batch(("a", record)), False, 60.0)
+        assert backends.find("a").server.leaving == leaving
+    assert backends.find("a").server.born == 6
+
+
 def report(**fields):
     values = {"server_id": "a", "running": 8, "waiting": 0, "slots": 16}
     return reports.Report(**{**values, **fields})
