Believe a removal in time, whatever has failed just before

Cause: a removal that was read within 2.2 s after a failed call was held, for a listing that ran out in an outage. One connection that broke held it as well, and each failure that followed put the end off again.

Change: direct/outage measures for how long the list gave no answer. After less than one interval in which servers renew their listings, a removal is believed at once: none runs out in that. After more it is held until 0.65 of the time to drain after the return, and no further. Both times come from the settings.

A list that ran out in an outage still serves.

Conclusion: with 2 s to drain, servers that are back on the list only 1.3 to 2 s after an outage get nothing in between; less is impossible while the time at which the platform returned is known to 3.3 s only.

--- a/src/clementinegw/direct/entry.py
+++ b/src/clementinegw/direct/entry.py
@@ -18,6 +18,7 @@
 from clementinegw.direct import follow
 from clementinegw.direct import forward
 from clementinegw.direct import instance as instances
+from clementinegw.direct import outage
 from clementinegw.direct import reports
 from clementinegw.direct import server as servers
 from clementinegw.direct import types
@@ -90,8 +91,10 @@
         self._counters = counters
         self._clock = clock
         bounds = instance.bounds
+        watched = outage.Watched(platform, boot_clock)
+        self._watch = watched.listing
         topics = follow.Topics(
-            platform,
+            watched,
             _PACES,
             self._on_operators,
             self._on_servers,
@@ -106,7 +109,9 @@
             bounds.keys_ms / 1e3 * _KEYS_SHARE,
             _ROUTES_S,
         )
-        self._fleet = fleets.Fleet(log, self._max_connections, rng)
+        self._fleet = fleets.Fleet(
+            log, self._max_connections, rng, _fleet_terms(bounds)
+        )
         self._versions = versions_lib.Versions(bounds.weights_ms / 1e3, clock)
         self._balancer = balance.Balancer(
             self._fleet, instance.place, instance.regions, rng, clock
@@ -162,6 +167,7 @@
         bounds = instance.bounds
         self._knowledge.revoke_s = bounds.keys_ms / 1e3 * _KEYS_SHARE
         self._versions.due_s = bounds.weights_ms / 1e3
+        self._fleet.terms = _fleet_terms(bounds)
         self._forwarder.set_terms(_terms(bounds))
 
     async def drain(self) -> None:
@@ -191,7 +197,7 @@
     async def _keep_house(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(_HOUSEKEEPING_S)
-            self._fleet.settle(self._listing.settled_s)
+            self._fleet.settle(self._listing.settled_s, self._clock())
             self._fleet.prune()
             self._tell_ready()
 
@@ -310,7 +316,13 @@
         )
 
     def _on_servers(self, batch: follow.Batch, whole: bool) -> None:
-        self._fleet.apply(batch, whole, self._listing.settled_s)
+        self._fleet.apply(
+            batch,
+            whole,
+            self._listing.settled_s,
+            self._watch.away_s,
+            self._clock(),
+        )
         self._subscribe_new()
 
     def _max_connections(self, service: str) -> int:
@@ -318,6 +330,10 @@
         return known.max_connections if known else 32
 
 
+def _fleet_terms(bounds: instances.Bounds) -> outage.Terms:
+    return outage.Terms(bounds.drain_ms / 1e3, bounds.listing_ms / 1e3)
+
+
 def _terms(bounds: instances.Bounds) -> budget.Terms:
     return budget.Terms(
         bounds.repeat_ratio, bounds.repeat_slack, bounds.repeat_window_s
--- a/src/clementinegw/direct/fleet.py
+++ b/src/clementinegw/direct/fleet.py
@@ -8,15 +8,12 @@
 from clementinegw.direct import _events
 from clementinegw.direct import client
 from clementinegw.direct import follow
+from clementinegw.direct import outage
 from clementinegw.direct import reports
 from clementinegw.direct import starts
 from clementinegw.direct import types
 from clementinegw.telemetry import logs
 
-# What a server that vanished during an outage of the platform is believed to
-# be gone after, counted from the platform's return: listings that ran out
-# meanwhile are back by then. Seconds.
-BACK_AFTER_S = 2.2
 # How long a connection may take to come up, in seconds: some round trips
 # between regions, and less than the objective of the quickest requests.
 _CONNECT_S = 0.25
@@ -67,6 +64,7 @@
         self.in_flight = 0
         self.unread_tokens = 0
         self.missing = False
+        self.missing_until = math.inf
         self.heard_at = -math.inf
         self.doubt = 0.0
         self.rest_until = -math.inf
@@ -220,6 +218,7 @@
         log: logs.Log,
         max_connections: Callable[[str], int],
         rng: random.Random,
+        terms: outage.Terms | None = None,
     ):
         """Starts empty.
 
@@ -227,7 +226,10 @@
           log: Where events go.
           max_connections: Connections that a server of a service takes.
           rng: Shares free slots out.
+          terms: How long a server that is no longer listed is believed in;
+            None for as long as an outage may need.
         """
+        self.terms = terms or outage.Terms()
         self._log = log
         self._rng = rng
         self._max_connections = max_connections
@@ -247,31 +249,50 @@
         """Returns a backend server by its id."""
         return self._backends.get(server_id)
 
-    def apply(self, batch: follow.Batch, whole: bool, settled_s: float) -> None:
+    def apply(
+        self,
+        batch: follow.Batch,
+        whole: bool,
+        settled_s: float,
+        away_s: float = math.inf,
+        now: float = 0.0,
+    ) -> None:
         """Takes records in.
 
         Args:
           batch: The records; a value of None says that a server is gone.
           whole: Whether servers that it leaves out are gone.
           settled_s: How long the platform has answered without failure.
+          away_s: How long it gave no answer before that.
+          now: Monotonic seconds.
         """
+        left_s = self.terms.back_s - settled_s
+        # A listing outlives more than one interval without news. What was gone
+        # after a shorter silence, of one connection perhaps, was taken out by
+        # its server; held all the same, it got requests after its last time.
+        if away_s < self.terms.listing_s:
+            left_s = 0.0
         listed = {record.key for record in batch.records}
         for record in batch.records:
             if record.value is None:
-                self._vanished(record.key, settled_s)
+                self._vanished(record.key, now, left_s)
             else:
                 self._seen(record.key, record.value)
         if whole:
             for key in set(self._backends) - listed:
-                self._vanished(key, settled_s)
+                self._vanished(key, now, left_s)
         self._index()
 
-    def settle(self, settled_s: float) -> None:
-        """Drops what is still missing once the platform is back for good."""
-        if settled_s < BACK_AFTER_S:
-            return
+    def settle(self, settled_s: float, now: float = 0.0) -> None:
+        """Drops what is still missing once the platform is back for good.
+
+        Args:
+          settled_s: How long the platform has answered without failure.
+          now: Monotonic seconds.
+        """
+        settled = settled_s >= self.terms.back_s
         for key, backend in list(self._backends.items()):
-            if backend.missing:
+            if backend.missing and (settled or now >= backend.missing_until):
                 self._drop(key)
         self._index()
 
@@ -306,15 +327,19 @@
         most = max(_FEWEST_CONNECTIONS, int(share))
         return client.Pool(server.address, most, _CONNECT_S, _IDLE_S)
 
-    def _vanished(self, key: str, settled_s: float) -> None:
-        if key not in self._backends:
+    def _vanished(self, key: str, now: float, left_s: float) -> None:
+        backend = self._backends.get(key)
+        if backend is None:
             return
         # A listing that ran out while the platform was away says nothing of
         # the server; without it all servers would be given up at once.
-        if settled_s < BACK_AFTER_S:
-            self._backends[key].missing = True
-        else:
+        if left_s <= 0.0:
             self._drop(key)
+        elif not backend.missing:
+            # Failures that follow do not put this off: a platform that comes
+            # and goes would keep a server that is gone for ever.
+            backend.missing = True
+            backend.missing_until = now + left_s
 
     def _drop(self, key: str) -> None:
         backend = self._backends.pop(key)
--- a/src/clementinegw/direct/instance.py
+++ b/src/clementinegw/direct/instance.py
@@ -19,6 +19,10 @@
     Attributes:
       keys_ms: A key that was taken away stops within this, in milliseconds.
       weights_ms: A declared version serves within this, in milliseconds.
+      drain_ms: A server that leaves gets its last request within this, in
+        milliseconds.
+      listing_ms: How often a server writes to the list, about, in
+        milliseconds; it runs out after some of these without news.
       grace_s: What a process has to end, in seconds.
       repeat_ratio: Repeated sends for each request, over all entries.
       repeat_slack: Repeated sends in a window besides those.
@@ -27,6 +31,8 @@
 
     keys_ms: float = 5_000.0
     weights_ms: float = 8_000.0
+    drain_ms: float = 2_000.0
+    listing_ms: float = 1_200.0
     grace_s: float = 8.0
     repeat_ratio: float = 0.2
     repeat_slack: float = 100.0
--- /dev/null
+++ b/src/clementinegw/direct/outage.py
@@ -0,0 +1,125 @@
+"""How long the platform gave no answer: what its list is worth after that."""
+
+from collections.abc import Awaitable, Callable
+import dataclasses
+import math
+
+from clementinegw import exceptions
+from clementinegw.direct import follow
+
+# What a server that vanished during an outage of the platform is believed to
+# be gone after, counted from the platform's return: listings that ran out
+# meanwhile are back by then. Seconds.
+_BACK_AFTER_S = 2.2
+# The part of the time to drain that this may take. The rest is for a return
+# that was noticed late, for the pause between two readings, and for a
+# connection that comes up slowly.
+_BACK_SHARE = 0.65
+# A call that failed this much after its wait was over had hung, in seconds: a
+# platform that is there answers within a quarter of that when it is slow.
+_HUNG_S = 0.8
+# A failure so soon after an answer belongs to the outage before it, in
+# seconds: an outage may end in fits.
+_SAME_S = 3.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Terms:
+    """How long a server that the platform no longer lists is believed in.
+
+    Attributes:
+      drain_s: A server that leaves gets its last request within this, in
+        seconds.
+      listing_s: How often servers renew their listings, about, in seconds.
+    """
+
+    drain_s: float = math.inf
+    listing_s: float = 0.0
+
+    @property
+    def back_s(self) -> float:
+        """How long after the platform's return a listing may be missing."""
+        return min(_BACK_AFTER_S, _BACK_SHARE * self.drain_s)
+
+
+class Watch:
+    """A source that also knows how long it gave no answer.
+
+    A connection that breaks and an answer that is lost look alike to a
+    follower, and neither tells an outage of the platform from a fault of one
+    connection. The time without any answer does: a listing that ran out for
+    want of its server's news takes longer than one such interval.
+    """
+
+    def __init__(self, source: follow.Source, clock: Callable[[], float]):
+        self._source = source
+        self._clock = clock
+        self._since: float | None = None
+        self._began_at = 0.0
+        self._returned_at: float | None = None
+        self._away_s = 0.0
+
+    @property
+    def away_s(self) -> float:
+        """How long the last outage may have lasted, in seconds."""
+        return self._away_s
+
+    async def newest(self) -> follow.Batch:
+        """See `follow.Source`."""
+        return await self._noted(self._source.newest(), 0.0)
+
+    async def changes(self, offset: int, wait_s: float) -> follow.Batch:
+        """See `follow.Source`."""
+        return await self._noted(self._source.changes(offset, wait_s), wait_s)
+
+    async def _noted(
+        self, call: Awaitable[follow.Batch], wait_s: float
+    ) -> follow.Batch:
+        asked_at = self._clock()
+        try:
+            batch = await call
+        except follow.HistoryLost:
+            self._answered()
+            raise
+        except exceptions.ClementineError:
+            self._failed(asked_at, wait_s)
+            raise
+        self._answered()
+        return batch
+
+    def _failed(self, asked_at: float, wait_s: float) -> None:
+        if self._since is not None:
+            return
+        now = self._clock()
+        returned_at = self._returned_at
+        if returned_at is not None and now - returned_at < _SAME_S:
+            self._since = self._began_at
+        elif now - asked_at > wait_s + _HUNG_S:
+            self._since = asked_at
+        else:
+            self._since = now
+        self._began_at = self._since
+
+    def _answered(self) -> None:
+        if self._since is None:
+            return
+        now = self._clock()
+        self._away_s = now - self._since
+        self._since = None
+        self._returned_at = now
+
+
+class Watched:
+    """A platform whose list of servers is watched."""
+
+    def __init__(self, platform: follow.Platform, clock: Callable[[], float]):
+        self._platform = platform
+        self.listing = Watch(platform.servers(), clock)
+
+    def operators(self) -> follow.Source:
+        """Returns the operators' declarations."""
+        return self._platform.operators()
+
+    def servers(self) -> follow.Source:
+        """Returns the list of backend servers."""
+        return self.listing
--- a/tests/test_direct_follow.py
+++ b/tests/test_direct_follow.py
@@ -1,11 +1,13 @@
 """How old a process's knowledge is, and what it does when history is lost."""
 
 import asyncio
+import contextlib
 
 import pytest
 
 from clementinegw import exceptions
 from clementinegw.direct import follow
+from clementinegw.direct import outage
 from clementinegw.telemetry import counters as counters_lib
 from clementinegw.telemetry import logs
 from clementinegw.testing import clock as clocks
@@ -122,3 +124,70 @@
     assert wholes == 2
     assert whole
     assert [record.key for record in batch.records] == ["c"]
+
+
+@pytest.mark.parametrize(
+    ("fault", "away_s"),
+    [
+        ("broke at once", 0.3),
+        ("hung", 3.5),
+        ("broke while it waited", 0.3),
+        ("the history is gone", 0.0),
+    ],
+)
+def test_a_connection_that_broke_is_told_from_a_platform_that_was_away(
+    fault, away_s
+):
+    """A removal was not believed for seconds after one connection broke.
+
+    Whether a listing may have run out for want of its server's news depends on
+    how long the platform may have been away, and no failed call alone tells.
+    """
+    faults = {
+        "broke at once": (0.01, exceptions.PlatformUnavailable("broken")),
+        "hung": (3.2, exceptions.PlatformUnavailable("timeout")),
+        "broke while it waited": (1.9, exceptions.PlatformUnavailable("reset")),
+        "the history is gone": (0.01, follow.HistoryLost("gone")),
+    }
+    lasts_s, error = faults[fault]
+
+    class Source:
+        async def newest(self):
+            return follow.Batch((), 0)
+
+        async def changes(self, offset, wait_s):
+            await asyncio.sleep(lasts_s)
+            raise error
+
+    async def play():
+        watch = outage.Watch(Source(), asyncio.get_running_loop().time)
+        await watch.newest()
+        with pytest.raises(type(error)):
+            await watch.changes(0, 2.0)
+        await asyncio.sleep(0.3)
+        await watch.newest()
+        assert watch.away_s == pytest.approx(away_s, abs=0.01)
+
+    clocks.run(play())
+
+
+def test_an_outage_that_ends_in_fits_is_one():
+    class Source:
+        down = True
+
+        async def newest(self):
+            if self.down:
+                raise exceptions.PlatformUnavailable("down")
+            return follow.Batch((), 0)
+
+    async def play():
+        source = Source()
+        watch = outage.Watch(source, asyncio.get_running_loop().time)
+        for down in (True, False, True, False):
+            source.down = down
+            with contextlib.suppress(exceptions.PlatformUnavailable):
+                await watch.newest()
+            await asyncio.sleep(1.0)
+        assert watch.away_s == pytest.approx(3.0, abs=0.01)
+
+    clocks.run(play())
--- a/tests/test_platform_drain.py
+++ b/tests/test_platform_drain.py
@@ -103,3 +103,56 @@
     platform_site.run(play(drop_history))
     platform_site.run(play(cut_connection))
     platform_site.run(play(lose_an_answer))
+
+
+def test_a_list_that_ran_out_in_an_outage_still_serves():
+    """No request was served for seconds after an outage of the platform.
+
+    Listings run out while the platform is away, and their servers, which are
+    well, are back on the list within about two seconds of its return. An entry
+    that believes the shorter list at once has nobody to send to.
+    """
+
+    async def play():
+        async with platform_site.Site("a", "b") as site:
+            await asyncio.sleep(3.0)
+            asking = asyncio.ensure_future(keep_asking(site, 9.0))
+            site.store.status = 503
+            for server in site.servers:
+                site.store.put(TOPIC, server.name, None)
+            site.store.cut()
+            await asyncio.sleep(2.6)
+            site.store.status = 200
+            await asyncio.sleep(1.0)
+            put(site, site.servers[0], sequence=9)
+            assert set(await asking) == {200}
+            assert site.servers[1].last_call_at < site.servers[0].last_call_at
+
+    platform_site.run(play())
+
+
+def test_a_platform_that_comes_and_goes_keeps_no_server_for_ever():
+    """A server that was gone got requests for as long as calls failed.
+
+    Each failure of a call put off when a missing server was given up; a
+    platform that failed every two seconds kept it for ever.
+    """
+
+    async def play():
+        async with platform_site.Site("a", "b") as site:
+            await asyncio.sleep(3.0)
+            asking = asyncio.ensure_future(keep_asking(site, 20.0))
+            site.store.status = 503
+            site.store.cut()
+            await asyncio.sleep(2.6)
+            site.store.status = 200
+            site.store.put(TOPIC, "a", None)
+            back_at = asyncio.get_running_loop().time()
+            for _ in range(10):
+                await asyncio.sleep(1.2)
+                site.store.cut()
+            assert set(await asking) == {200}
+            # A failed call is repeated after 0.8 s at most.
+            assert site.servers[0].last_call_at < back_at + 0.8 + DRAIN_S
+
+    platform_site.run(play())
