--- a/tests/test_platform_drain.py
+++ b/tests/test_platform_drain.py
@@ -4,6 +4,8 @@
 
 import platform_site
 
+from clementinegw.direct import client
+
 DRAIN_S = 2.0
 TOPIC = "keyed.servers"
 
@@ -156,3 +158,38 @@
             assert site.servers[0].last_call_at < back_at + 0.8 + DRAIN_S
 
     platform_site.run(play())
+
+
+def test_a_request_that_waits_for_a_connection_misses_who_left(monkeypatch):
+    """A request reached a server long after that had said it leaves.
+
+    It had chosen the server before, and its connection took 0.2 s to come up;
+    the entry read of the leaving meanwhile, and sent all the same.
+    """
+    connect = client.connect
+
+    async def slowly(address, timeout_s):
+        if str(address) == slow.get("address"):
+            await asyncio.sleep(0.2)
+        return await connect(address, timeout_s)
+
+    slow = {}
+    monkeypatch.setattr(client, "connect", slowly)
+
+    async def play():
+        async with platform_site.Site("a") as site:
+            leaving = site.servers[0]
+            slow["address"] = leaving.address
+            asking = asyncio.ensure_future(site.ask())
+            await asyncio.sleep(0.05)
+            put(site, leaving, state="draining", sequence=2)
+            stays = platform_site.Server("b")
+            await stays.start()
+            site.servers.append(stays)
+            put(site, stays)
+            answer = await asking
+            assert answer.status == 200
+            assert not leaving.calls
+            assert len(stays.calls) == 1
+
+    platform_site.run(play())
