Look once more before a send whether the server has left

Cause: a connection takes up to 0.25 s to come up, and the request then went out whatever had been read meanwhile.

Change: a start that leaves, is over or is no longer listed gets nothing after its connection came up; the request is proved not to have run and goes elsewhere. The test let the list rest for 0.9 s after its own records, so that the entry could not know in time; it waits now until the list is followed again, and fails without the change as before.

Measured: the test; the other tests of the direct path and the adapter pass.

Conclusion: from the store's acknowledgement to the last send in a calm machine: 0.9 s between two readings and the way there and back, no 0.25 s more.

--- a/src/clementinegw/direct/attempt.py
+++ b/src/clementinegw/direct/attempt.py
@@ -131,6 +131,11 @@
         except client.ConnectFailed:
             backend.unreachable(self._clock())
             return outcomes.NotRun(outcomes.NotRunReason.UNREACHABLE)
+        if backend.left:
+            # Read while the connection came up: a server that leaves got
+            # requests after it had been known to.
+            backend.pool.discard(connection)
+            return outcomes.NotRun(outcomes.NotRunReason.LEFT)
         whole = False
         try:
             outcome = await self._call(
--- a/src/clementinegw/direct/balance.py
+++ b/src/clementinegw/direct/balance.py
@@ -75,7 +75,7 @@
             (
                 backend.ready_at
                 for backend in self._servers.of(service)
-                if not backend.server.leaving
+                if not backend.left
             ),
             default=float("inf"),
         )
@@ -86,8 +86,7 @@
         return [
             backend
             for backend in self._servers.of(wanted.service)
-            if not backend.server.leaving
-            and not backend.replaced
+            if not backend.left
             and (
                 not wanted.layers
                 or backend.serves(max(1, wanted.least_version), wanted.layers)
--- a/src/clementinegw/direct/fleet.py
+++ b/src/clementinegw/direct/fleet.py
@@ -63,6 +63,7 @@
         self.pool = pool
         self.in_flight = 0
         self.unread_tokens = 0
+        self.gone = False
         self.missing = False
         self.missing_until = math.inf
         self.heard_at = -math.inf
@@ -85,6 +86,11 @@
         self._told_at = -math.inf
         self._span_s = 0.0
 
+    @property
+    def left(self) -> bool:
+        """Whether this start gets nothing more: it leaves, or is over."""
+        return self.gone or self.replaced or self.server.leaving
+
     def silent(self, now: float) -> bool:
         """Returns whether the server and the agent beside it fell silent."""
         quiet_s = max(_QUIET_S, _QUIET_SPANS * self._span_s)
@@ -343,6 +349,7 @@
 
     def _drop(self, key: str) -> None:
         backend = self._backends.pop(key)
+        backend.gone = True
         backend.pool.close()
         server = backend.server
         self._log.write(_events.SERVER_GONE, server=key, service=server.service)
--- a/tests/test_platform_drain.py
+++ b/tests/test_platform_drain.py
@@ -180,13 +180,14 @@
         async with platform_site.Site("a") as site:
             leaving = site.servers[0]
             slow["address"] = leaving.address
-            asking = asyncio.ensure_future(site.ask())
-            await asyncio.sleep(0.05)
-            put(site, leaving, state="draining", sequence=2)
             stays = platform_site.Server("b")
             await stays.start()
             site.servers.append(stays)
+            await asyncio.sleep(3.0)
+            asking = asyncio.ensure_future(site.ask())
+            await asyncio.sleep(0.05)
             put(site, stays)
+            put(site, leaving, state="draining", sequence=2)
             answer = await asking
             assert answer.status == 200
             assert not leaving.calls
