Let nothing learned of one start of a server speak of the next

Cause: a server may start again under its id, and then holds and knows nothing of before. Beliefs hung on the id or the address: version, layers, doubt, rest, load, share, silence, requests under way, being given up; reports on the way; who has had or crashed a request; connections in use, which a pool that was closed took back and kept open for good. An agent named the first listed server at its address, which for seconds is the one that has crashed.

Change: a start is (id, born); where nobody says when it was born, the id alone. A new start is a new Backend, and the former one is over for whoever still holds it. An agent gives no order to another start than the one that it staged for.

Conclusion: requests that were sent keep to their start; a plain server has no agent, so its new start is known from the list only.

--- a/src/clementinegw/direct/agent.py
+++ b/src/clementinegw/direct/agent.py
@@ -226,6 +226,8 @@
             if former is not None:
                 self._log.write(_events.SERVER_SILENT, reason=error.message)
             return
+        if former is not None and former.born != self._around.state.born:
+            self._weights.restarted()
         if former is None or former.held != self._around.state.held:
             self._log.write(
                 _events.SERVER_HOLDS,
@@ -235,15 +237,18 @@
                 ],
                 busy=self._around.state.busy,
                 sequence=self._around.state.sequence,
+                born=self._around.state.born,
             )
         self._tell(self._around.state)
 
     def _tell(self, state: backing.State) -> None:
+        start = self._around.start
         held = [h for h in state.held if h.model == self._around.model]
         best = max(held, key=lambda h: h.version, default=None)
         self._reporter.tell(
             reports.Report(
-                server_id=self._around.server_id,
+                server_id=start.server_id,
+                born=start.born,
                 running=state.running,
                 waiting=state.waiting,
                 slots=self._around.engine.slots if self._around.engine else 1,
--- a/src/clementinegw/direct/attempt.py
+++ b/src/clementinegw/direct/attempt.py
@@ -69,7 +69,7 @@
     waited_s: float = 0.0
     busy: float = 0.0
     server_id: str = ""
-    tried: set[str] = dataclasses.field(default_factory=set)
+    tried: set[types.Start] = dataclasses.field(default_factory=set)
 
     @property
     def streaming(self) -> bool:
--- a/src/clementinegw/direct/backing.py
+++ b/src/clementinegw/direct/backing.py
@@ -17,6 +17,7 @@
       running: Requests that it works on.
       waiting: Requests in its queue.
       pace: How many times slower than usual it works.
+      born: When it started, in Unix milliseconds; 0 where that is not said.
     """
 
     held: tuple[types.Held, ...]
@@ -25,6 +26,7 @@
     running: int
     waiting: int
     pace: float
+    born: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/clementinegw/direct/balance.py
+++ b/src/clementinegw/direct/balance.py
@@ -94,19 +94,19 @@
         ]
 
     def choose(
-        self, wanted: Wanted, tried: Collection[str] = ()
+        self, wanted: Wanted, tried: Collection[types.Start] = ()
     ) -> fleet.Backend | None:
         """Returns the server to send to; None when none has room.
 
         Args:
           wanted: What the request needs.
-          tried: Ids of servers that have had it.
+          tried: Starts of servers that have had it.
         """
         now = self._clock()
         found = [
             backend
             for backend in self.candidates(wanted)
-            if backend.server.server_id not in tried
+            if backend.server.start not in tried
             and not backend.loading
             and backend.full_until <= now
             and not backend.pool.full
--- a/src/clementinegw/direct/client.py
+++ b/src/clementinegw/direct/client.py
@@ -215,6 +215,7 @@
         self._idle_s = idle_s
         self._idle: list[Connection] = []
         self._open = 0
+        self._closed = False
 
     @property
     def full(self) -> bool:
@@ -278,7 +279,7 @@
     def give_back(self, connection: Connection) -> None:
         """Keeps a connection for another call, if it may be used again."""
         connection.renew()
-        if not connection.reusable:
+        if self._closed or not connection.reusable:
             self._drop(connection)
             return
         connection.idle_since = asyncio.get_running_loop().time()
@@ -300,7 +301,8 @@
         self._idle = kept
 
     def close(self) -> None:
-        """Closes all idle connections."""
+        """Closes all idle connections, and the others as they come back."""
+        self._closed = True
         for connection in self._idle:
             self._drop(connection)
         self._idle = []
--- a/src/clementinegw/direct/entry.py
+++ b/src/clementinegw/direct/entry.py
@@ -233,9 +233,8 @@
         }
 
     def _on_report(self, host: str, report: reports.Report) -> None:
-        backend = self._fleet.find(report.server_id)
-        # An address may belong to another server by now: the id decides.
-        if backend is None or backend.server.address.host != host:
+        backend = self._fleet.reported(report, host)
+        if backend is None:
             return
         backend.take_report(
             report,
--- a/src/clementinegw/direct/fleet.py
+++ b/src/clementinegw/direct/fleet.py
@@ -255,6 +255,25 @@
         """Returns a backend server by its id."""
         return self._backends.get(server_id)
 
+    def reported(self, report: reports.Report, host: str) -> Backend | None:
+        """Returns the start that a report is of; None for any other.
+
+        Args:
+          report: What an agent tells.
+          host: The IP address that it came from.
+        """
+        backend = self.find(report.server_id)
+        # An address may belong to another server by now: the id decides.
+        if backend is None or backend.server.address.host != host:
+            return None
+        if backend.server.start.same(report.start):
+            return backend
+        # The agent asks the server itself, and so knows before the list that a
+        # start is over. What is late, of a start before, says nothing.
+        if report.born > backend.server.born:
+            backend.gone = True
+        return None
+
     def apply(
         self,
         batch: follow.Batch,
@@ -312,6 +331,11 @@
         if server is None:
             return
         backend = self._backends.get(key)
+        if backend is not None and not backend.server.start.same(server.start):
+            # What was seen of one start says nothing of the next; requests
+            # under way keep to the start that they were sent to.
+            self._drop(key)
+            backend = None
         if backend is None:
             pool = self._pool(server)
             self._backends[key] = backend = Backend(server, pool, self._rng)
--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -323,7 +323,7 @@
         if job.runs + 1 >= job.match.route.max_attempts:
             return False
         wanted = dataclasses.replace(self._wanted(job), most_busy=1.0)
-        tried = {backend.server.server_id, *job.tried}
+        tried = {backend.server.start, *job.tried}
         return self._balancer.choose(wanted, tried) is not None
 
     def _note(
@@ -343,16 +343,14 @@
                 # behind, and catches up within a heartbeat.
                 backend.rest_until = now + _WRONG_SERVER_S
         else:
-            job.tried.add(backend.server.server_id)
+            job.tried.add(backend.server.start)
         if not isinstance(outcome, outcomes.NotRun):
             job.runs += 1
         if isinstance(outcome, outcomes.Lost):
             # A server that loads breaks off what it runs, by our own order.
             broken = outcome.reason is outcomes.LostReason.BROKEN
             if broken and not (backend.yielding or backend.loading):
-                self._suspects.crashed(
-                    job.request, backend.server.server_id, now
-                )
+                self._suspects.crashed(job.request, backend.server.start, now)
         self._log.write(
             _events.ATTEMPT_ENDED,
             request=job.facts.attempt_id,
--- a/src/clementinegw/direct/keep.py
+++ b/src/clementinegw/direct/keep.py
@@ -68,13 +68,35 @@
             return ""
         return self.engine.models[0]
 
+    @property
+    def start(self) -> types.Start:
+        """The present start of the server beside; its id empty when unlisted.
+
+        A start that crashed stays listed for seconds beside the next one, with
+        the same address. The server itself says first when it was born.
+        """
+        here = [
+            server
+            for server in self.servers.values()
+            if server.address == self.instance.backend
+        ]
+        born = self.state.born if self.state is not None else 0
+        # Of those that are born at the same time, or say nothing of it, the
+        # one that was heard of last.
+        newest = max(
+            enumerate(here),
+            key=lambda found: (found[1].born == born, found[1].born, found[0]),
+            default=None,
+        )
+        if newest is None:
+            return types.Start("")
+        listed = newest[1].start
+        return types.Start(listed.server_id, born or listed.born)
+
     @property
     def server_id(self) -> str:
-        """The present start of the server beside; empty when not listed."""
-        for server in self.servers.values():
-            if server.address == self.instance.backend:
-                return server.server_id
-        return ""
+        """The id of the server beside; empty when it is not listed."""
+        return self.start.server_id
 
 
 class Weights:
@@ -109,6 +131,10 @@
         """Whether the server is about to load and others are preferred."""
         return self._yielding
 
+    def restarted(self) -> None:
+        """Forgets what was begun with the start before."""
+        self._yielding = False
+
     def declare(self, version: int) -> bool:
         """Takes a declaration in; returns whether it is new."""
         if self._declared and version <= self._declared[-1].version:
@@ -269,10 +295,12 @@
 
     async def _load(self, digests: backing.Digests, turn: turns.Turn) -> None:
         assert self._around.beside is not None
+        former = self._around.state
         if not await self._bringer.stage(self._around.beside, digests):
             return
         state = await self._around.beside.state()
-        if state.busy:
+        # Another start may not have what lies staged, nor what was decided on.
+        if state.busy or former is None or state.born != former.born:
             return
         now = self._clock()
         yielded_s = now - self._yields_since
--- a/src/clementinegw/direct/queue.py
+++ b/src/clementinegw/direct/queue.py
@@ -12,6 +12,7 @@
 
 from clementinegw.direct import balance
 from clementinegw.direct import fleet
+from clementinegw.direct import types
 
 # How often waiting requests are looked through besides when a request ends
 # or a report comes, in seconds.
@@ -38,14 +39,14 @@
 
     Attributes:
       wanted: Returns what it needs of a server now.
-      tried: Ids of servers that have had it.
+      tried: Starts of servers that have had it.
       on_time_until: When it must begin to be on time, in monotonic seconds.
       until: When it is given up, in monotonic seconds.
       place: Its place at a server; None when it is given up.
     """
 
     wanted: Callable[[], balance.Wanted]
-    tried: frozenset[str]
+    tried: frozenset[types.Start]
     on_time_until: float
     until: float
     place: asyncio.Future["Place | None"]
@@ -86,7 +87,7 @@
     async def place(
         self,
         wanted: Callable[[], balance.Wanted],
-        tried: frozenset[str],
+        tried: frozenset[types.Start],
         on_time_until: float,
         until: float,
     ) -> Place | None:
@@ -95,7 +96,7 @@
         Args:
           wanted: Returns what the request needs of a server now; a newer
             version of weights may be demanded while it waits.
-          tried: Ids of servers that have had it.
+          tried: Starts of servers that have had it.
           on_time_until: When it must begin to be on time.
           until: When it is given up.
         """
--- a/src/clementinegw/direct/reports.py
+++ b/src/clementinegw/direct/reports.py
@@ -11,6 +11,7 @@
 
 from clementinegw import exceptions
 from clementinegw import types
+from clementinegw.direct import types as servers
 from clementinegw.wire import codec
 from clementinegw.wire.gen.reports import ttypes
 
@@ -32,7 +33,7 @@
     """What an agent tells of the server beside it.
 
     Attributes:
-      server_id: The server's present start; empty when it is not known.
+      server_id: The server's id; empty when it is not known.
       running: Requests that it works on.
       waiting: Requests in its queue.
       slots: Requests that it runs at once.
@@ -45,6 +46,7 @@
       entries: Entries that ask its agent for reports.
       ready_in_s: About when it serves again, in seconds; negative when that is
         not known.
+      born: Which start of the server it is of; see `direct.types.Start`.
     """
 
     server_id: str
@@ -59,6 +61,12 @@
     yielding: bool = False
     entries: int = 0
     ready_in_s: float = -1.0
+    born: int = 0
+
+    @property
+    def start(self) -> servers.Start:
+        """Which start of the server it is of."""
+        return servers.Start(self.server_id, self.born)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -114,7 +122,7 @@
         self._told += 1
         near = news or not self._told % self._near_every
         far = news or not self._told % _FAR_EVERY
-        data = codec.encode(ttypes.BackendReport(**dataclasses.asdict(report)))
+        data = codec.encode(_message(report))
         for addr, subscriber in list(self._subscribers.items()):
             if subscriber.until < now:
                 del self._subscribers[addr]
@@ -129,7 +137,7 @@
     def _is_news(self, report: Report) -> bool:
         """Returns whether every entry is told of a report at once."""
         told = (
-            report.server_id,
+            report.start,
             report.version,
             report.whole,
             report.loading,
@@ -169,23 +177,7 @@
             message = codec.decode(ttypes.BackendReport, data)
         except exceptions.DecodeError:
             return
-        self._on_report(
-            addr[0],
-            Report(
-                message.server_id,
-                message.running,
-                message.waiting,
-                message.slots,
-                message.model,
-                message.version,
-                message.whole,
-                message.loading,
-                message.pace,
-                message.yielding,
-                message.entries,
-                message.ready_in_s,
-            ),
-        )
+        self._on_report(addr[0], _report(message))
 
     def subscribe(
         self, agents: Mapping[types.Address, bool], declared: Mapping[str, int]
@@ -209,3 +201,29 @@
         """Ends it."""
         if self._transport is not None:
             self._transport.close()
+
+
+def _message(report: Report) -> ttypes.BackendReport:
+    fields = dataclasses.asdict(report)
+    del fields["born"]
+    fields["server_id"] = report.start.text
+    return ttypes.BackendReport(**fields)
+
+
+def _report(message: ttypes.BackendReport) -> Report:
+    start = servers.Start.read(message.server_id)
+    return Report(
+        start.server_id,
+        message.running,
+        message.waiting,
+        message.slots,
+        message.model,
+        message.version,
+        message.whole,
+        message.loading,
+        message.pace,
+        message.yielding,
+        message.entries,
+        message.ready_in_s,
+        start.born,
+    )
--- a/src/clementinegw/direct/starts.py
+++ b/src/clementinegw/direct/starts.py
@@ -51,8 +51,12 @@
                 known=dataclasses.astuple(mark),
             )
             return None
-        if mark is not None and mark.leaving and mark.born == server.born:
-            server = dataclasses.replace(server, leaving=True)
+        if mark is not None and _one_start(server, mark):
+            server = dataclasses.replace(
+                server,
+                leaving=server.leaving or mark.leaving,
+                born=server.born or mark.born,
+            )
         self._marks[server.server_id] = _Mark(
             server.born, server.sequence, server.leaving
         )
@@ -62,7 +66,15 @@
         return server
 
 
+def _one_start(server: types.Server, mark: _Mark) -> bool:
+    """Returns whether a record is of the start that is known.
+
+    Without a time of birth the id alone names the start.
+    """
+    return not server.born or not mark.born or server.born == mark.born
+
+
 def _is_older(server: types.Server, mark: _Mark) -> bool:
-    if server.born != mark.born:
-        return server.born < mark.born
-    return server.sequence < mark.sequence
+    if _one_start(server, mark):
+        return server.sequence < mark.sequence
+    return server.born < mark.born
--- a/src/clementinegw/direct/suspects.py
+++ b/src/clementinegw/direct/suspects.py
@@ -9,6 +9,7 @@
 import hashlib
 
 from clementinegw.direct import server as servers
+from clementinegw.direct import types
 
 _MOST_KEPT = 4_096
 # How long a crash is remembered, in seconds, and at how many servers in a row
@@ -21,15 +22,15 @@
     """Counts crashes by what was sent."""
 
     def __init__(self) -> None:
-        self._crashes: collections.OrderedDict[bytes, dict[str, float]]
+        self._crashes: collections.OrderedDict[bytes, dict[types.Start, float]]
         self._crashes = collections.OrderedDict()
 
     def crashed(
-        self, request: servers.Request, server_id: str, now: float
+        self, request: servers.Request, start: types.Start, now: float
     ) -> None:
         """Counts a connection that broke while a request ran."""
         key = _fingerprint(request)
-        self._crashes.setdefault(key, {})[server_id] = now
+        self._crashes.setdefault(key, {})[start] = now
         self._crashes.move_to_end(key)
         while len(self._crashes) > _MOST_KEPT:
             self._crashes.popitem(last=False)
--- a/src/clementinegw/direct/types.py
+++ b/src/clementinegw/direct/types.py
@@ -229,6 +229,17 @@
     server_id: str
     born: int = 0
 
+    @property
+    def text(self) -> str:
+        """One word, or two with the birth; ids have no space in them."""
+        return f"{self.server_id} {self.born}" if self.born else self.server_id
+
+    @classmethod
+    def read(cls, text: str) -> "Start":
+        """Returns the start that a text names."""
+        server_id, _, born = text.partition(" ")
+        return cls(server_id, int(born) if born.isdecimal() else 0)
+
     def same(self, other: "Start") -> bool:
         """Returns whether two names may be of one start."""
         if self.server_id != other.server_id:
--- a/tests/test_direct_agent.py
+++ b/tests/test_direct_agent.py
@@ -46,6 +46,7 @@
         self.held = ()
         self.busy_until = 0.0
         self.sequence = 0
+        self.born = 0
         self.loads = []
         self.whole = []
         self.rot = False
@@ -55,7 +56,7 @@
         now = asyncio.get_running_loop().time()
         busy = now < self.busy_until
         held = () if busy else self.held
-        return backing.State(held, busy, self.sequence, 0, 0, 1.0)
+        return backing.State(held, busy, self.sequence, 0, 0, 1.0, self.born)
 
     async def staged(self):
         return frozenset(self.staged_pieces)
@@ -422,3 +423,25 @@
         return weights._stalled()
 
     assert run(play()) == given_up
+
+
+def test_a_server_that_starts_again_under_its_id_is_loaded_again():
+    """A server stayed empty after it had come back under its former id.
+
+    It forgets its layers and how many orders it has accepted; what its agent
+    knew of the start before must not stand in the way of the next order.
+    """
+
+    async def play():
+        async with Site() as site:
+            await site.until_all_hold(1)
+            beside = site.besides[0]
+            beside.held, beside.sequence, beside.born = (), 0, 7
+            loads = len(beside.loads)
+            await asyncio.sleep(5.0)
+            assert len(beside.loads) == loads + 1
+            assert all(beside.whole)
+            told = site.agents[0]._around.start
+            assert told == types.Start("i-0", 7)
+
+    run(play())
--- a/tests/test_direct_decisions.py
+++ b/tests/test_direct_decisions.py
@@ -418,7 +418,7 @@
     known = suspects.Suspects()
     for number in range(3):
         assert not known.refused(asked(), 1.0)
-        known.crashed(asked(), f"i-{number}", 1.0)
+        known.crashed(asked(), types.Start(f"i-{number}"), 1.0)
     assert known.refused(asked(), 2.0)
     assert not known.refused(asked(b"other"), 2.0)
     assert not known.refused(asked(), 62.0)
@@ -432,7 +432,7 @@
     """
     known = suspects.Suspects()
     for number in range(9):
-        known.crashed(asked(), f"i-{number % 4}", float(number))
+        known.crashed(asked(), types.Start(f"i-{number % 4}"), float(number))
         known.completed(asked())
         assert not known.refused(asked(), float(number))
 
@@ -440,7 +440,7 @@
 def test_one_server_that_breaks_everything_accuses_nobody():
     known = suspects.Suspects()
     for number in range(9):
-        known.crashed(asked(), "i-1", float(number))
+        known.crashed(asked(), types.Start("i-1"), float(number))
     assert not known.refused(asked(), 9.0)
 
 
--- a/tests/test_direct_starts.py
+++ b/tests/test_direct_starts.py
@@ -1,14 +1,28 @@
 """Servers that start again under their former id: nothing of before holds."""
 
+import asyncio
 import math
 import random
 
+import pytest
+
 from clementinegw import types as places
+from clementinegw.direct import backing
+from clementinegw.direct import channel
+from clementinegw.direct import client
 from clementinegw.direct import fleet
 from clementinegw.direct import follow
+from clementinegw.direct import instance as instances
+from clementinegw.direct import keep
 from clementinegw.direct import reports
+from clementinegw.direct import suspects
 from clementinegw.direct import types
+from clementinegw.telemetry import counters
+from clementinegw.telemetry import histograms
 from clementinegw.telemetry import logs
+from clementinegw.testing import clock as clocks
+from clementinegw.wire import codec
+from clementinegw.wire.gen.reports import ttypes
 
 HOST = "127.0.0.1"
 HELD = (types.Held("m", 2, 4),)
@@ -83,3 +97,232 @@
     assert beliefs(present) == beliefs(fresh)
     assert present.held(4) == 0
     assert present.pool is not former.pool
+
+
+@pytest.mark.parametrize(
+    ("born", "taken", "over"),
+    [(1, False, False), (2, True, False), (3, False, True), (0, True, False)],
+)
+def test_a_report_speaks_of_its_own_start_only(born, taken, over):
+    """A server without any layers was sent requests after it had come back.
+
+    The last report of the start before was on its way meanwhile, and said that
+    all layers are there. One of a later start says that the listed one is over.
+    """
+    backends = new_fleet()
+    backend = listed(backends, server(2))
+    told = report(born=born, version=2, whole=True)
+    assert backends.reported(told, "127.0.0.2") is None
+    assert (backends.reported(told, HOST) is backend) == taken
+    assert backend.left == over
+    if over:
+        assert not listed(backends, server(3)).left
+
+
+def test_a_report_carries_the_start_that_it_is_of():
+    heard = []
+    listener = reports.Listener("e", lambda host, told: heard.append(told))
+
+    class Transport:
+        def sendto(self, data, addr):
+            listener.datagram_received(data, addr)
+
+    async def play():
+        reporter = reports.Reporter(lambda declared: None)
+        reporter.connection_made(Transport())
+        asks = codec.encode(ttypes.Subscribe("e", {}, False))
+        reporter.datagram_received(asks, (HOST, 1))
+        for born in (0, 1_780_000_000_123, 1_780_000_000_124):
+            reporter.tell(report(born=born))
+
+    clocks.run(play())
+    assert [told.server_id for told in heard] == ["a", "a", "a"]
+    assert [told.born for told in heard] == [
+        0,
+        1_780_000_000_123,
+        1_780_000_000_124,
+    ]
+
+
+def test_a_server_that_leaves_goes_on_leaving_whatever_its_agent_tells():
+    backends = new_fleet()
+    backend = listed(backends, server(2, leaving=True))
+    backends.reported(report(born=2), HOST).take_report(report(born=2), 1.0)
+    assert backend.server.leaving
+    assert backend.left
+
+
+def test_a_start_that_is_listed_anew_still_leaves():
+    backends = new_fleet()
+    listed(backends, server(2, leaving=True, sequence=4))
+    gone = follow.Batch((follow.Record("a", None),), 1)
+    backends.apply(gone, False, 60.0)
+    assert listed(backends, server(2, sequence=9)).left
+    assert not listed(backends, server(3, sequence=1)).left
+
+
+def test_a_start_whose_birth_nobody_tells_is_named_by_its_id():
+    backends = new_fleet()
+    backend = listed(backends, server(0, sequence=3))
+    learn(backend)
+    assert listed(backends, server(0, sequence=4)) is backend
+    assert listed(backends, server(5, sequence=5)) is backend
+    assert listed(backends, server(0, sequence=6)) is backend
+    assert listed(backends, server(6, sequence=1)) is not backend
+
+
+def test_a_request_may_try_the_next_start_and_crash_it_too():
+    """A request crashed one server over and over, which came back each time.
+
+    Crashes were counted by the server's id: three of one server were one.
+    """
+
+    class Request:
+        method, target, host, body = "POST", "/a", "h", b"x"
+
+    known = suspects.Suspects()
+    for born in (1, 2, 3):
+        assert not known.refused(Request, 1.0)
+        known.crashed(Request, types.Start("a", born), 1.0)
+    assert known.refused(Request, 1.0)
+
+
+def test_connections_of_a_start_that_is_over_are_not_kept():
+    """Connections to starts that were gone stayed open for as long as we ran.
+
+    They were in use when the start ended, and were given back to a pool that
+    nobody looks through any more.
+    """
+
+    class Transport(asyncio.Transport):
+        aborted = False
+
+        def abort(self):
+            self.aborted = True
+
+        def is_closing(self):
+            return self.aborted
+
+        def get_write_buffer_size(self):
+            return 0
+
+    async def play():
+        backends = new_fleet()
+        pool = listed(backends, server(1)).pool
+        transport = Transport()
+        link = channel.Channel()
+        link.connection_made(transport)
+        connection = client.Connection(link)
+        connection.renew = lambda: None
+        assert connection.reusable
+        pool._open = 1
+        listed(backends, server(2))
+        pool.give_back(connection)
+        assert pool.open == 0
+        assert transport.aborted
+
+    clocks.run(play())
+
+
+# The agent.
+
+
+ADDRESS = places.Address(HOST, 9)
+
+
+def around(*servers, born=0):
+    instance = instances.Instance(
+        name="agent",
+        place=places.Place("r1", "d1"),
+        regions={"d1": "r1"},
+        host=HOST,
+        peer_ports=(0, 0),
+        store=ADDRESS,
+        callers=None,
+        ready=None,
+        backend=ADDRESS,
+        service="engine",
+        link_bytes_per_s=1e6,
+        bounds=instances.Bounds(),
+    )
+    state = backing.State((), False, 0, 0, 0, 1.0, born)
+    found = {s.server_id: s for s in servers}
+    return keep.Around(instance, servers=found, state=state)
+
+
+def named(server_id, born):
+    return types.Server(server_id, "engine", ADDRESS, "d1", 16, born=born)
+
+
+@pytest.mark.parametrize(
+    ("found", "start"),
+    [
+        (around(), types.Start("")),
+        (around(born=4), types.Start("", 0)),
+        (around(named("a", 0)), types.Start("a")),
+        (around(named("a", 0), named("b", 0)), types.Start("b")),
+        (around(named("a", 4), named("b", 3)), types.Start("a", 4)),
+        (around(named("a", 3), named("b", 4), born=3), types.Start("a", 3)),
+        (around(named("a", 3), born=4), types.Start("a", 4)),
+        (around(named("a", 0), born=4), types.Start("a", 4)),
+    ],
+)
+def test_an_agent_names_the_present_start_of_its_server(found, start):
+    """Nothing was told of a server for seconds after it had crashed.
+
+    The start before is listed until it runs out, at the same address, and the
+    agent went on to tell under its name.
+    """
+    assert found.start == start
+
+
+def test_an_order_is_not_given_to_another_start():
+    """A server that had just come back got the order meant for the one before.
+
+    It crashed while its agent compared the pieces that lie staged; both starts
+    had accepted no order, so that the number of orders told nothing.
+    """
+
+    class Beside:
+        loads = 0
+        born = 1
+
+        async def state(self):
+            return backing.State((), False, 0, 0, 0, 1.0, self.born)
+
+        async def load(self, model, version, sequence, cut):
+            self.loads += 1
+            return True
+
+    class Bringer:
+        digests = None
+        left = 0.0
+
+        def holds(self, digests):
+            return True
+
+        async def stage(self, beside, digests):
+            beside.born = 2
+            return True
+
+    async def play():
+        known = around(named("a", 1), born=1)
+        known.engine = types.Engine(("m",), 16, 0.01, 0.0, 1e4, 6, 4, 1, 10)
+        known.beside = Beside()
+        weights = keep.Weights(
+            known,
+            Bringer(),
+            logs.Log(),
+            counters.Counters(),
+            histograms.Histograms(),
+        )
+        weights.declare(2)
+        weights._digests[2] = backing.Digests("m", 2, 10, (b"d",))
+        await asyncio.sleep(10.0)
+        await weights.load_newest()
+        assert known.beside.loads == 0
+        known.state = await known.beside.state()
+        await weights.load_newest()
+        assert known.beside.loads == 1
+
+    clocks.run(play())
