--- a/src/clementinegw/direct/attempt.py
+++ b/src/clementinegw/direct/attempt.py
@@ -71,7 +71,7 @@
     unreached_s: float = 0.0
     busy: float = 0.0
     server_id: str = ""
-    tried: set[str] = dataclasses.field(default_factory=set)
+    tried: set[types.Start] = dataclasses.field(default_factory=set)
 
     @property
     def caller(self) -> str:
@@ -140,6 +140,11 @@
             job.unreached_s += self._clock() - began
             hearing.unreachable()
             return outcomes.NotRun(outcomes.NotRunReason.UNREACHABLE)
+        if backend.left:
+            # Read while the connection came up: a server that leaves got
+            # requests after it had been known to.
+            backend.pool.discard(connection)
+            return outcomes.NotRun(outcomes.NotRunReason.LEFT)
         whole = False
         try:
             outcome = await self._call(
--- a/src/clementinegw/direct/balance.py
+++ b/src/clementinegw/direct/balance.py
@@ -79,7 +79,7 @@
             (
                 backend.ready_at
                 for backend in self._servers.of(service)
-                if not backend.server.leaving
+                if not backend.left
             ),
             default=float("inf"),
         )
@@ -90,8 +90,7 @@
         return [
             backend
             for backend in self._servers.of(wanted.service)
-            if not backend.server.leaving
-            and not backend.replaced
+            if not backend.left
             and (
                 not wanted.layers
                 or backend.serves(max(1, wanted.least_version), wanted.layers)
@@ -99,19 +98,19 @@
         ]
 
     def choose(
-        self, wanted: Wanted, tried: Collection[str] = ()
+        self, wanted: Wanted, tried: Collection[types.Start] = ()
     ) -> fleet.Backend | None:
         """Returns the server to send to; None when none has room.
 
         Args:
           wanted: What the request needs.
-          tried: Ids of servers that have had it.
+          tried: Starts of servers that have had it.
         """
         now = self._clock()
         fitting = [
             backend
             for backend in self.candidates(wanted)
-            if backend.server.server_id not in tried
+            if backend.server.start not in tried
         ]
         found = [
             backend
--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -201,7 +201,7 @@
             self._take_back_at(job, held),
         )
         if isinstance(outcome, outcomes.Delivered):
-            self._suspects.outlived(backend.server.server_id, now)
+            self._suspects.outlived(backend.server.start, now)
             self._suspects.completed(job.request, job.caller, self._clock())
         else:
             self._note(job, backend, outcome)
@@ -240,7 +240,7 @@
                 # behind, and catches up within a heartbeat.
                 backend.rest_until = now + _WRONG_SERVER_S
         else:
-            job.tried.add(backend.server.server_id)
+            job.tried.add(backend.server.start)
         if not isinstance(outcome, outcomes.NotRun):
             job.runs += 1
         if isinstance(outcome, outcomes.Lost):
@@ -248,7 +248,7 @@
             broken = outcome.reason is outcomes.LostReason.BROKEN
             if broken and not (backend.yielding or backend.loading):
                 self._suspects.crashed(
-                    job.request, job.caller, backend.server.server_id, now
+                    job.request, job.caller, backend.server.start, now
                 )
         self._log.write(
             _events.ATTEMPT_ENDED,
--- a/src/clementinegw/direct/placing.py
+++ b/src/clementinegw/direct/placing.py
@@ -116,7 +116,7 @@
         wanted = dataclasses.replace(
             self._wanted(job), most_busy=1.0, resting=False
         )
-        tried = {backend.server.server_id, *job.tried}
+        tried = {backend.server.start, *job.tried}
         return self._balancer.choose(wanted, tried) is not None
 
     def layers(self, service: str) -> int:
--- a/src/clementinegw/direct/suspects.py
+++ b/src/clementinegw/direct/suspects.py
@@ -18,6 +18,7 @@
 import math
 
 from clementinegw.direct import server as servers
+from clementinegw.direct import types
 
 _MOST_KEPT = 4_096
 # How long a crash is remembered, in seconds, and at how many a request must
@@ -107,11 +108,15 @@
         self._well = collections.OrderedDict()
 
     def crashed(
-        self, request: servers.Request, caller: str, server_id: str, now: float
+        self,
+        request: servers.Request,
+        caller: str,
+        start: types.Start,
+        now: float,
     ) -> None:
         """Counts a connection that broke while a request ran."""
         key = _fingerprint(request, caller)
-        self._add(key, _start(server_id), _Seen(now, own=True))
+        self._add(key, _name(start), _Seen(now, own=True))
         self._bound()
 
     def completed(
@@ -130,14 +135,14 @@
             record.completed_here = True
             self._complete(key, record, now)
 
-    def outlived(self, server_id: str, sent_at: float) -> None:
+    def outlived(self, server: types.Start, sent_at: float) -> None:
         """Takes in that a server answered what was sent to it at a time.
 
         The start was there then, so no crash before that had ended it.
         """
         if not self._at_start:
             return
-        start = _start(server_id)
+        start = _name(server)
         if start not in self._at_start:
             return
         self._well[start] = max(sent_at, self._well.get(start, sent_at))
@@ -282,6 +287,6 @@
     return digest.digest()
 
 
-def _start(server_id: str) -> bytes:
-    encoded = server_id.encode()
+def _name(start: types.Start) -> bytes:
+    encoded = start.text.encode()
     return hashlib.blake2b(encoded, digest_size=_START_BYTES).digest()
--- a/tests/test_direct_silence.py
+++ b/tests/test_direct_silence.py
@@ -62,7 +62,7 @@
     backends = new_fleet("frozen", "well")
     tell(backends.find("frozen"), 10.0)
     tell(backends.find("well"), 10.5)
-    assert chosen(backends, 10.6) == {"well"}
+    assert chosen(backends, 10.6) == {types.Start("well")}
     tell(backends.find("frozen"), 10.6)
     assert chosen(backends, 10.7) == {"frozen", "well"}
 
@@ -137,14 +137,14 @@
         backends, places.Place("r", "d1"), {}, random.Random(1), lambda: now[0]
     )
     assert chooser.choose(WANTED) is backends.find("well")
-    found = chooser.choose(WANTED, {"well"})
+    found = chooser.choose(WANTED, {types.Start("well")})
     assert found is backends.find("resting")
     chooser.sent(found)
-    assert chooser.choose(WANTED, {"well"}) is None
+    assert chooser.choose(WANTED, {types.Start("well")}) is None
     now[0] = 10.3
-    assert chooser.choose(WANTED, {"well"}) is found
+    assert chooser.choose(WANTED, {types.Start("well")}) is found
     waited_for = dataclasses.replace(WANTED, resting=False)
-    assert chooser.choose(waited_for, {"well"}) is None
+    assert chooser.choose(waited_for, {types.Start("well")}) is None
     assert chooser.rested_in_s(WANTED) == 0.0
     backends.find("well").rest_until = 10.5
     assert chooser.rested_in_s(WANTED) == pytest.approx(0.2)
--- a/tests/test_direct_suspects.py
+++ b/tests/test_direct_suspects.py
@@ -8,6 +8,7 @@
 
 from clementinegw.direct import server as servers
 from clementinegw.direct import suspects
+from clementinegw.direct import types
 
 
 def asked(body=b"", target="/safe/x"):
@@ -22,7 +23,9 @@
         self.clock_s = clock_s
 
     def crashed(self, body, start, at):
-        self.known.crashed(asked(body), "c", start, self.clock_s + at)
+        self.known.crashed(
+            asked(body), "c", types.Start(start), self.clock_s + at
+        )
 
     def completed(self, body, at):
         self.known.completed(asked(body), "c", self.clock_s + at)
@@ -81,9 +84,9 @@
     one.crashed(b"", "i-1", 1.0)
     one.crashed(b"", "i-2", 1.1)
     assert one.refused(b"", 1.2)
-    one.known.outlived("i-1", one.clock_s + 0.9)
+    one.known.outlived(types.Start("i-1"), one.clock_s + 0.9)
     assert one.refused(b"", 1.2)
-    one.known.outlived("i-1", one.clock_s + 1.05)
+    one.known.outlived(types.Start("i-1"), one.clock_s + 1.05)
     assert not one.refused(b"", 1.2)
     one.crashed(b"", "i-1", 1.3)
     assert one.refused(b"", 1.4)
@@ -164,7 +167,7 @@
         one.crashed(b"", start, 1.0)
     told = one.told(1.1)
     two.take(told, 1.2)
-    two.known.outlived("i-1", two.clock_s + 1.15)
+    two.known.outlived(types.Start("i-1"), two.clock_s + 1.15)
     two.take(told, 1.3)
     assert not two.refused(b"", 1.4)
 
@@ -250,7 +253,9 @@
     assert len(one.known._records) == 4_096
     assert len(one.known._at_start) == 4_096
     for number in range(2_000):
-        one.known.outlived(f"i-{19_999 - number}", one.clock_s + 30.0)
+        one.known.outlived(
+            types.Start(f"i-{19_999 - number}"), one.clock_s + 30.0
+        )
     assert len(one.known._well) == 1_024
     assert len(one.known._records) == 2_096
 
