Show that a version's time counts from when a process learned of it

Cause: entries and agents count the time in which a version must serve from the moment at which they learned of it, by the loop's clock, which stands still while the machine is suspended. A process that starts, is cut off from the store alone, or is suspended in the middle of that time believes in a due time that is seconds too late, alone among its neighbours.

--- a/src/clementinegw/wire/gen/reports/ttypes.py
+++ b/src/clementinegw/wire/gen/reports/ttypes.py
@@ -23,6 +23,7 @@
      - instance_id
      - declared
      - far
+     - ages_ms
 
     """
 
@@ -30,13 +31,15 @@
         'instance_id',
         'declared',
         'far',
+        'ages_ms',
     )
 
 
-    def __init__(self, instance_id=None, declared=None, far=False,):
+    def __init__(self, instance_id=None, declared=None, far=False, ages_ms=None,):
         self.instance_id = instance_id
         self.declared = declared
         self.far = far
+        self.ages_ms = ages_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -68,6 +71,23 @@
                     self.far = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.MAP:
+                    self.ages_ms = {}
+                    (_ktype8, _vtype9, _size7) = iprot.readMapBegin()
+                    for _i11 in range(_size7):
+                        _key12 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val13 = {}
+                        (_ktype15, _vtype16, _size14) = iprot.readMapBegin()
+                        for _i18 in range(_size14):
+                            _key19 = iprot.readI64()
+                            _val20 = iprot.readI64()
+                            _val13[_key19] = _val20
+                        iprot.readMapEnd()
+                        self.ages_ms[_key12] = _val13
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -85,15 +105,27 @@
         if self.declared is not None:
             oprot.writeFieldBegin('declared', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.declared))
-            for kiter7, viter8 in self.declared.items():
-                oprot.writeString(kiter7.encode('utf-8') if sys.version_info[0] == 2 else kiter7)
-                oprot.writeI64(viter8)
+            for kiter21, viter22 in self.declared.items():
+                oprot.writeString(kiter21.encode('utf-8') if sys.version_info[0] == 2 else kiter21)
+                oprot.writeI64(viter22)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.far is not None:
             oprot.writeFieldBegin('far', TType.BOOL, 3)
             oprot.writeBool(self.far)
             oprot.writeFieldEnd()
+        if self.ages_ms is not None:
+            oprot.writeFieldBegin('ages_ms', TType.MAP, 20)
+            oprot.writeMapBegin(TType.STRING, TType.MAP, len(self.ages_ms))
+            for kiter23, viter24 in self.ages_ms.items():
+                oprot.writeString(kiter23.encode('utf-8') if sys.version_info[0] == 2 else kiter23)
+                oprot.writeMapBegin(TType.I64, TType.I64, len(viter24))
+                for kiter25, viter26 in viter24.items():
+                    oprot.writeI64(kiter25)
+                    oprot.writeI64(viter26)
+                oprot.writeMapEnd()
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -138,6 +170,7 @@
      - yielding
      - entries
      - ready_in_s
+     - ages_ms
 
     """
 
@@ -154,10 +187,11 @@
         'yielding',
         'entries',
         'ready_in_s',
+        'ages_ms',
     )
 
 
-    def __init__(self, server_id=None, running=None, waiting=None, slots=None, model=None, version=None, whole=None, loading=None, pace=None, yielding=None, entries=None, ready_in_s=None,):
+    def __init__(self, server_id=None, running=None, waiting=None, slots=None, model=None, version=None, whole=None, loading=None, pace=None, yielding=None, entries=None, ready_in_s=None, ages_ms=None,):
         self.server_id = server_id
         self.running = running
         self.waiting = waiting
@@ -170,6 +204,7 @@
         self.yielding = yielding
         self.entries = entries
         self.ready_in_s = ready_in_s
+        self.ages_ms = ages_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -240,6 +275,17 @@
                     self.ready_in_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.MAP:
+                    self.ages_ms = {}
+                    (_ktype28, _vtype29, _size27) = iprot.readMapBegin()
+                    for _i31 in range(_size27):
+                        _key32 = iprot.readI64()
+                        _val33 = iprot.readI64()
+                        self.ages_ms[_key32] = _val33
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -298,6 +344,14 @@
             oprot.writeFieldBegin('ready_in_s', TType.DOUBLE, 12)
             oprot.writeDouble(self.ready_in_s)
             oprot.writeFieldEnd()
+        if self.ages_ms is not None:
+            oprot.writeFieldBegin('ages_ms', TType.MAP, 20)
+            oprot.writeMapBegin(TType.I64, TType.I64, len(self.ages_ms))
+            for kiter34, viter35 in self.ages_ms.items():
+                oprot.writeI64(kiter34)
+                oprot.writeI64(viter35)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -351,6 +405,23 @@
     (1, TType.STRING, 'instance_id', 'UTF8', None, ),  # 1
     (2, TType.MAP, 'declared', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 2
     (3, TType.BOOL, 'far', None, False, ),  # 3
+    None,  # 4
+    None,  # 5
+    None,  # 6
+    None,  # 7
+    None,  # 8
+    None,  # 9
+    None,  # 10
+    None,  # 11
+    None,  # 12
+    None,  # 13
+    None,  # 14
+    None,  # 15
+    None,  # 16
+    None,  # 17
+    None,  # 18
+    None,  # 19
+    (20, TType.MAP, 'ages_ms', (TType.STRING, 'UTF8', TType.MAP, (TType.I64, None, TType.I64, None, False), False), None, ),  # 20
 )
 all_structs.append(BackendReport)
 BackendReport.thrift_spec = (
@@ -367,6 +438,14 @@
     (10, TType.BOOL, 'yielding', None, None, ),  # 10
     (11, TType.I32, 'entries', None, None, ),  # 11
     (12, TType.DOUBLE, 'ready_in_s', None, None, ),  # 12
+    None,  # 13
+    None,  # 14
+    None,  # 15
+    None,  # 16
+    None,  # 17
+    None,  # 18
+    None,  # 19
+    (20, TType.MAP, 'ages_ms', (TType.I64, None, TType.I64, None, False), None, ),  # 20
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/clementinegw/wire/reports.thrift
+++ b/src/clementinegw/wire/reports.thrift
@@ -7,9 +7,12 @@
   2: required map<string, i64> declared,
   // It stands in another region, and so is told less often.
   3: optional bool far = false,
+  // By model and version: milliseconds since it was declared, where known.
+  20: optional map<string, map<i64, i64>> ages_ms,
 }
 
-// An agent tells what it has just read from the server beside it.
+// An agent tells what it has just read from the server beside it; without a
+// server's id only what it knows of declared versions.
 struct BackendReport {
   1: required string server_id,
   2: required i32 running,
@@ -26,4 +29,7 @@
   11: required i32 entries,
   // Seconds until it serves again, about; negative when that is not known.
   12: required double ready_in_s,
+  // By version of the model: milliseconds since it was declared. Only where
+  // that is known and the entry has not been told of late.
+  20: optional map<i64, i64> ages_ms,
 }
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -249,6 +249,8 @@
     def __init__(self, *names, do=None):
         self.store = Store()
         self.servers = [Server(name, do) for name in names]
+        # How long the machine has been suspended, in seconds.
+        self.slept_s = 0.0
 
     async def __aenter__(self):
         await self.store.start()
@@ -256,6 +258,14 @@
             await server.start()
             self.store.put("keyed.servers", server.name, server.entry())
         self.store.put("keyed.op", "config", config())
+        await self.start_entry()
+        return self
+
+    def boot_time(self):
+        """Returns seconds that also count while the machine is suspended."""
+        return asyncio.get_running_loop().time() + self.slept_s
+
+    async def start_entry(self):
         instance = instances.Instance(
             name="entry-1",
             place=places.Place("r1", "d1"),
@@ -277,14 +287,13 @@
             roles.Platform(instance, log),
             log,
             self.counters,
-            boot_clock=asyncio.get_running_loop().time,
+            boot_clock=self.boot_time,
         )
         await self.entry.start()
         while not self.entry.ready:
             await asyncio.sleep(0.01)
         host, port = self.entry._server._server.sockets[0].getsockname()
         self.address = (host, port)
-        return self
 
     async def __aexit__(self, *_):
         await self.entry.stop()
--- a/tests/test_direct_agent.py
+++ b/tests/test_direct_agent.py
@@ -138,6 +138,11 @@
         self.besides = [Beside() for _ in range(count)]
         self.topics = (Topic(), Topic())
         self.agents = []
+        # How long the machines have been suspended, in seconds.
+        self.slept_s = 0.0
+
+    def boot_time(self):
+        return asyncio.get_running_loop().time() + self.slept_s
 
     def operators(self):
         return self.topics[0]
@@ -203,7 +208,7 @@
             counters_lib.Counters(),
             random.Random(number),
             asyncio.get_running_loop().clock,
-            asyncio.get_running_loop().time,
+            self.boot_time,
         )
         await agent.start()
         self.agents.append(agent)
