Count a version's time from its naming, whoever learned of it first

Cause: entries and agents counted from the moment at which they learned of a version, by a clock that stands still while the machine is suspended.

Change: `declarations` keeps an estimate, in boot time, of when each version was named; entries and agents tell each other the ages they know, and the earliest one wins. Who finds a version declared at its start and hears from nobody holds it to be due when it is bound again (`settled_ms`, from the instance file). `recalls` takes requests back by the moment that is known now, also after a sleep, and a send is given up when the version fell due while its connection came up. An older version that would be due no sooner than a newer one is dropped. Records that came with a question that could not wait are no longer taken for new because the answer was slow.

--- a/src/clementinegw/direct/_events.py
+++ b/src/clementinegw/direct/_events.py
@@ -40,6 +40,12 @@
 WEIGHTS_DECLARED = events.define(
     906, "weights_declared", _INFO, "Operators named a version of weights."
 )
+WEIGHTS_REDATED = events.define(
+    940,
+    "weights_redated",
+    _INFO,
+    "A version is now known to have been named at another moment.",
+)
 SERVER_LISTED = events.define(
     907, "server_listed", _INFO, "A backend server appeared or changed."
 )
--- a/src/clementinegw/direct/agent.py
+++ b/src/clementinegw/direct/agent.py
@@ -1,7 +1,7 @@
 """The agent of the direct path: weights onto the server beside it."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable
 import random
 from typing import Protocol
 
@@ -13,6 +13,7 @@
 from clementinegw.direct import _events
 from clementinegw.direct import backing
 from clementinegw.direct import bring
+from clementinegw.direct import declarations
 from clementinegw.direct import follow
 from clementinegw.direct import instance as instances
 from clementinegw.direct import keep
@@ -87,12 +88,22 @@
             counters,
             clock or clocks.SystemClock(),
         )
-        self._reporter = reports.Reporter(self._on_declared)
+        self._declared = declarations.Declarations(
+            instance.bounds.weights_ms / 1e3,
+            instance.bounds.settled_ms / 1e3,
+            boot_clock,
+        )
+        self._reporter = reports.Reporter(self._on_declared, self._ages)
         self.histograms = histograms.Histograms()
         self._origin_address: places.Address | None = None
         self._around = keep.Around(instance)
         self._weights = keep.Weights(
-            self._around, self._bringer, log, counters, self.histograms
+            self._around,
+            self._bringer,
+            log,
+            counters,
+            self.histograms,
+            self._declared,
         )
         self._known = asyncio.Event()
 
@@ -113,6 +124,7 @@
         """Takes over a changed instance file; addresses stay as they are."""
         self._instance = instance
         self._around.instance = instance
+        self._declared.due_s = instance.bounds.weights_ms / 1e3
 
     async def drain(self) -> None:
         """Has nothing to finish: what it brought lies with the server."""
@@ -135,7 +147,12 @@
         for record in batch.records:
             if isinstance(record.value, types.Declared):
                 declared = record.value
-                self._on_declared({declared.model: declared.version})
+                self._take_declared(
+                    declared.model,
+                    declared.version,
+                    self._operators.unread_s,
+                    declarations.Source.STORE,
+                )
 
     def _take_configuration(self, configuration: types.Configuration) -> None:
         mine = configuration.services.get(self._instance.service)
@@ -149,13 +166,51 @@
                     self._around.origin = self._platform.origin(address)
         self._tell_known()
 
-    def _on_declared(self, declared: Mapping[str, int]) -> None:
-        version = declared.get(self._around.model, 0)
-        if not self._weights.declare(version):
-            return
-        self._log.write(
-            _events.WEIGHTS_DECLARED, model=self._around.model, version=version
-        )
+    def _on_declared(self, declared: reports.Declared) -> None:
+        """Takes in what an entry knows."""
+        entry = declarations.Source.ENTRY
+        for model, ages_s in declared.ages_s.items():
+            changes = self._declared.told(model, ages_s, entry)
+            self._note_declared(changes)
+        newest = self._declared.newest()
+        for model, version in declared.newest.items():
+            # The entry knows no age, and this process has read of no version:
+            # it may have been named since its own last proof.
+            if version > newest.get(model, 0):
+                age_s = self._operators.age_s
+                self._take_declared(model, version, age_s, entry)
+
+    def _take_declared(
+        self,
+        model: str,
+        version: int,
+        unread_s: float,
+        source: declarations.Source,
+    ) -> None:
+        change = self._declared.read(model, version, unread_s, source)
+        self._note_declared([change] if change else [])
+
+    def _note_declared(self, changes: list[declarations.Change]) -> None:
+        """Logs what changed, and tells the entries at once."""
+        news = [change for change in changes if change.matters]
+        for change in news:
+            if change.model == self._around.model:
+                declarations.note(
+                    self._log,
+                    change,
+                    self._declared.now,
+                    change.declaration.at + self._declared.due_s,
+                )
+        if news:
+            self._reporter.news()
+
+    def _ages(self) -> reports.Report | None:
+        """Returns a report of ages only; None while none is known."""
+        model = self._around.model
+        ages_s = self._declared.ages_s(model)
+        if not ages_s:
+            return None
+        return reports.Report("", 0, 0, 1, model, ages_s=ages_s)
 
     def _on_servers(self, batch: follow.Batch, whole: bool) -> None:
         if whole:
@@ -246,6 +301,7 @@
                 ready_in_s=self._weights.ready_in_s(
                     best is not None and self._weights.whole(best)
                 ),
+                ages_s=self._declared.ages_s(self._around.model),
             )
         )
 
--- a/src/clementinegw/direct/attempt.py
+++ b/src/clementinegw/direct/attempt.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
-import math
 
 from clementinegw.direct import catalog
 from clementinegw.direct import client
@@ -11,6 +10,7 @@
 from clementinegw.direct import events
 from clementinegw.direct import fleet
 from clementinegw.direct import outcomes
+from clementinegw.direct import recalls
 from clementinegw.direct import server as servers
 from clementinegw.direct import types
 
@@ -90,7 +90,7 @@
         backend: fleet.Backend,
         sending: types.Sending,
         elsewhere: Callable[[], bool],
-        take_back_at: float = math.inf,
+        recall: recalls.Recall,
     ) -> outcomes.Attempt:
         """Makes one attempt.
 
@@ -100,22 +100,24 @@
           sending: What it is told besides the request.
           elsewhere: Returns whether another server could take the request
             over now. While none can, a silent server is waited for.
-          take_back_at: When a stream must have begun; monotonic seconds.
+          recall: Takes it back before the server is too old for it.
 
         Raises:
           channel.ChannelClosed: The caller has left.
         """
         backend.unread_tokens += job.facts.prompt_tokens
-        unread = _Unread(backend, job.facts.prompt_tokens)
+        unread = _Unread(backend, job.facts.prompt_tokens, recall)
         try:
             hearing = _Hearing(backend, elsewhere, self._clock)
-            async with asyncio.timeout_at(_when(take_back_at)) as waiting:
-                unread.on_done = lambda: waiting.reschedule(None)
-                return await self._run(job, hearing, sending, unread)
+            async with asyncio.timeout(None) as waiting:
+                recall.watch(waiting)
+                try:
+                    return await self._run(job, hearing, sending, unread)
+                finally:
+                    recall.end()
         except TimeoutError:
             return outcomes.Lost(outcomes.LostReason.OUTDATED)
         finally:
-            unread.on_done = None
             unread.done()
 
     async def _run(
@@ -131,6 +133,10 @@
         except client.ConnectFailed:
             backend.unreachable(self._clock())
             return outcomes.NotRun(outcomes.NotRunReason.UNREACHABLE)
+        if unread.recall.late:
+            # The connection took its time, or the machine was suspended.
+            backend.pool.give_back(connection)
+            return outcomes.NotRun(outcomes.NotRunReason.OUTDATED)
         whole = False
         try:
             outcome = await self._call(
@@ -317,8 +323,10 @@
 class _Unread:
     """The tokens that a server still has to read, until its first event."""
 
-    def __init__(self, backend: fleet.Backend, tokens: int):
-        self.on_done: Callable[[], None] | None = None
+    def __init__(
+        self, backend: fleet.Backend, tokens: int, recall: recalls.Recall
+    ):
+        self.recall = recall
         self._backend = backend
         self._tokens = tokens
 
@@ -326,14 +334,7 @@
         """Counts them as read, once."""
         self._backend.unread_tokens -= self._tokens
         self._tokens = 0
-        if self.on_done is not None:
-            self.on_done()
-            self.on_done = None
-
-
-def _when(at: float) -> float | None:
-    """Returns a time as asyncio takes it: None for never."""
-    return None if math.isinf(at) else at
+        self.recall.end()
 
 
 def _new(event: events.Event, last_event: str | None) -> bool:
--- /dev/null
+++ b/src/clementinegw/direct/declarations.py
@@ -0,0 +1,251 @@
+"""When each version of weights was declared, as far as that can be known.
+
+A bound on a version runs from its declaration. A process that starts, is cut
+off or is suspended learns of one late, alone among its neighbours; counting
+from then it serves the former version seconds too long. So each process keeps
+an estimate of the moment itself, and neighbours tell each other theirs.
+
+A process that learned earlier is nearer to the truth, so the earliest estimate
+wins, in whatever order they come and however often. What is told is an age, and
+ages need no common clock. The way of a datagram makes an estimate late by as
+much, a few milliseconds; nothing makes it early but the guess about records
+that lay unread, by `MOST_UNREAD_S` at most.
+"""
+
+from collections.abc import Callable, Mapping
+import dataclasses
+import enum
+import math
+
+from clementinegw.direct import _events
+from clementinegw.telemetry import logs
+
+# Records that came at once may have lain unread since the last proof, where a
+# connection had gone silent. After an outage of the platform for everybody the
+# time counts anew: all servers would load at once else. So no more than what a
+# silent connection takes to be noticed is taken off, in seconds.
+MOST_UNREAD_S = 1.2
+# A process is up about so long after it was started, in seconds; entries took
+# 0.4 s on one core.
+_START_S = 0.5
+# What is not worth a line, in seconds.
+_MOVED_S = 0.1
+# Versions of a model that are kept. Older ones are of no use: each that was
+# declared since is due soon after.
+_KEPT = 8
+
+
+class Source(enum.StrEnum):
+    """Who told of a version."""
+
+    STORE = "store"
+    AGENT = "agent"
+    ENTRY = "entry"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Declaration:
+    """A version that operators named.
+
+    Attributes:
+      version: Its number.
+      at: When it was named, in boot time, in seconds.
+      known: Whether that is known. Else the process found it declared when it
+        started, and `at` is the moment that makes it due as soon as the
+        process is bound.
+    """
+
+    version: int
+    at: float
+    known: bool = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """What was learned.
+
+    Attributes:
+      model: The model's name.
+      declaration: The estimate now.
+      source: Who told.
+      moved_s: How much later it was thought to be declared before; negative
+        when earlier; None for a version that is new here.
+    """
+
+    model: str
+    declaration: Declaration
+    source: Source
+    moved_s: float | None
+
+    @property
+    def new(self) -> bool:
+        """Whether the version was not known here."""
+        return self.moved_s is None
+
+    @property
+    def matters(self) -> bool:
+        """Whether it is worth a line."""
+        return self.moved_s is None or abs(self.moved_s) > _MOVED_S
+
+
+class Declarations:
+    """The declared versions of every model."""
+
+    def __init__(
+        self, due_s: float, settled_s: float, clock: Callable[[], float]
+    ):
+        """Starts without any, as the process does.
+
+        Args:
+          due_s: How long after its declaration a version must serve.
+          settled_s: How long a process must have run in calm to be bound.
+          clock: Seconds that also count while the machine is suspended.
+        """
+        self.due_s = due_s
+        self._clock = clock
+        self._settled_s = settled_s
+        # Of each model the versions in order.
+        self._models: dict[str, tuple[Declaration, ...]] = {}
+
+    @property
+    def now(self) -> float:
+        """The boot time, in seconds."""
+        return self._clock()
+
+    def read(
+        self,
+        model: str,
+        version: int,
+        unread_s: float,
+        source: Source = Source.STORE,
+    ) -> Change | None:
+        """Takes in a version that was found declared.
+
+        Args:
+          model: The model's name.
+          version: Its number.
+          unread_s: How long it may have been declared before, in seconds;
+            infinite at the first reading.
+          source: Where it was found.
+
+        Returns:
+          What changed; None when nothing did.
+        """
+        if math.isinf(unread_s):
+            # Nobody may be able to tell, as after a loss of all power. It may
+            # be due already; but the process isn't bound yet.
+            free_s = max(0.0, self._settled_s - _START_S)
+            at, known = self._clock() + free_s - self.due_s, False
+        else:
+            at, known = self._clock() - min(unread_s, MOST_UNREAD_S), True
+        return self._learn(model, Declaration(version, at, known), source)
+
+    def told(
+        self, model: str, ages_s: Mapping[int, float], source: Source
+    ) -> list[Change]:
+        """Takes in what a neighbour knows; returns what changed.
+
+        Args:
+          model: The model's name.
+          ages_s: By version, how long ago it was declared, in seconds.
+          source: Who told.
+        """
+        now = self._clock()
+        changes = [
+            self._learn(model, Declaration(version, now - age_s), source)
+            for version, age_s in sorted(ages_s.items())
+            if age_s >= 0
+        ]
+        return [change for change in changes if change is not None]
+
+    def _learn(
+        self, model: str, found: Declaration, source: Source
+    ) -> Change | None:
+        if found.version <= 0:
+            return None
+        versions = {d.version: d for d in self.of(model)}
+        former = versions.get(found.version)
+        if former is not None and not _better(found, former):
+            return None
+        versions[found.version] = found
+        kept = _useful(versions)
+        if found not in kept:
+            return None
+        self._models[model] = kept
+        moved_s = None if former is None else found.at - former.at
+        return Change(model, found, source, moved_s)
+
+    def of(self, model: str) -> tuple[Declaration, ...]:
+        """Returns a model's versions, the newest last."""
+        return self._models.get(model, ())
+
+    def newest(self) -> dict[str, int]:
+        """Returns the newest version of every model."""
+        return {name: found[-1].version for name, found in self._models.items()}
+
+    def ages_s(self, model: str) -> dict[int, float]:
+        """Returns what neighbours are told: ages by version.
+
+        That is the newest one, and those that are not due yet. Ages that are
+        not known would be taken for known ones.
+        """
+        now = self._clock()
+        found = self.of(model)
+        return {
+            d.version: now - d.at
+            for d in found
+            if d.known and (d is found[-1] or now < d.at + self.due_s)
+        }
+
+    def all_ages_s(self) -> dict[str, dict[int, float]]:
+        """Returns what neighbours are told, by model."""
+        found = {model: self.ages_s(model) for model in self._models}
+        return {model: ages for model, ages in found.items() if ages}
+
+
+def note(log: logs.Log, change: Change, now: float, demanded_at: float) -> None:
+    """Writes a line about a change.
+
+    Args:
+      log: Where it goes.
+      change: What was learned.
+      now: Boot seconds.
+      demanded_at: From when on the former version no longer serves.
+    """
+    found = change.declaration
+    event = _events.WEIGHTS_REDATED
+    if change.moved_s is None:
+        event = _events.WEIGHTS_DECLARED
+    log.write(
+        event,
+        model=change.model,
+        version=found.version,
+        source=str(change.source),
+        known=found.known,
+        age_s=round(now - found.at, 3),
+        moved_s=change.moved_s and round(change.moved_s, 3),
+        demanded_in_s=round(demanded_at - now, 3),
+    )
+
+
+def _useful(versions: Mapping[int, Declaration]) -> tuple[Declaration, ...]:
+    """Returns the versions that count, the newest last.
+
+    One that is due no sooner than a newer one is of no use.
+    """
+    kept: list[Declaration] = []
+    least_at = math.inf
+    for version in sorted(versions, reverse=True)[:_KEPT]:
+        found = versions[version]
+        if found.at < least_at:
+            kept.append(found)
+        if found.known:
+            least_at = min(least_at, found.at)
+    return tuple(reversed(kept))
+
+
+def _better(found: Declaration, former: Declaration) -> bool:
+    """Returns whether an estimate takes the place of another one."""
+    if found.known != former.known:
+        return found.known
+    return found.at < former.at
--- a/src/clementinegw/direct/entry.py
+++ b/src/clementinegw/direct/entry.py
@@ -13,6 +13,7 @@
 from clementinegw.direct import balance
 from clementinegw.direct import budget
 from clementinegw.direct import catalog as catalogs
+from clementinegw.direct import declarations
 from clementinegw.direct import dialect as dialects
 from clementinegw.direct import fleet as fleets
 from clementinegw.direct import follow
@@ -107,7 +108,9 @@
             _ROUTES_S,
         )
         self._fleet = fleets.Fleet(log, self._max_connections, rng)
-        self._versions = versions_lib.Versions(bounds.weights_ms / 1e3, clock)
+        self._versions = versions_lib.Versions(
+            bounds.weights_ms / 1e3, boot_clock, bounds.settled_ms / 1e3
+        )
         self._balancer = balance.Balancer(
             self._fleet, instance.place, instance.regions, rng, clock
         )
@@ -193,6 +196,7 @@
             await asyncio.sleep(_HOUSEKEEPING_S)
             self._fleet.settle(self._listing.settled_s)
             self._fleet.prune()
+            self._forwarder.check_clock()
             self._tell_ready()
 
     @mode.Service.task
@@ -200,7 +204,10 @@
         while not self.should_stop:
             await asyncio.sleep(_SUBSCRIBE_S)
             self._asked = self._agents()
-            self._reports.subscribe(self._asked, self._versions.all())
+            self._reports.subscribe(self._asked, self._declared())
+
+    def _declared(self) -> reports.Declared:
+        return reports.Declared(self._versions.all(), self._versions.ages_s())
 
     def _subscribe_new(self) -> None:
         """Asks agents that have just been listed, without delay.
@@ -213,7 +220,7 @@
         fresh = {a: far for a, far in agents.items() if a not in self._asked}
         self._asked = agents
         if fresh:
-            self._reports.subscribe(fresh, self._versions.all())
+            self._reports.subscribe(fresh, self._declared())
 
     def _agents(self) -> dict[places.Address, bool]:
         """Returns where agents listen, and whether in another region."""
@@ -227,6 +234,9 @@
         }
 
     def _on_report(self, host: str, report: reports.Report) -> None:
+        if report.ages_s:
+            changes = self._versions.told(report.model, report.ages_s)
+            self._note_declared(changes)
         backend = self._fleet.find(report.server_id)
         # An address may belong to another server by now: the id decides.
         if backend is None or backend.server.address.host != host:
@@ -280,12 +290,18 @@
                 self._take_declared(record.value)
 
     def _take_declared(self, declared: types.Declared) -> None:
-        if self._versions.declare(declared, self._operators.unread_s):
-            self._log.write(
-                _events.WEIGHTS_DECLARED,
-                model=declared.model,
-                version=declared.version,
-            )
+        unread_s = self._operators.unread_s
+        change = self._versions.declare(declared, unread_s)
+        self._note_declared([change] if change else [])
+
+    def _note_declared(self, changes: list[declarations.Change]) -> None:
+        for change in changes:
+            if not change.matters:
+                continue
+            at = self._versions.demanded_at(change.declaration)
+            declarations.note(self._log, change, self._versions.now, at)
+        if changes:
+            self._forwarder.redate()
 
     def _take_configuration(self, configuration: types.Configuration) -> None:
         catalog = self._knowledge.catalog
--- a/src/clementinegw/direct/follow.py
+++ b/src/clementinegw/direct/follow.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
+import math
 import time
 from typing import Any, Protocol
 
@@ -169,7 +170,10 @@
 
     @property
     def unread_s(self) -> float:
-        """How long the records of the last batch may have lain, in seconds."""
+        """How long the records of the last batch may have lain, in seconds.
+
+        Infinite for the first reading of all.
+        """
         return self._unread_s
 
     @property
@@ -203,6 +207,7 @@
         """Makes one call; returns whether there was anything new."""
         asked_at = self._clock()
         whole = self._offset is None
+        at_once = whole or self._unproved or not self._pace.wait_s
         self._counters.add(f"platform.{self._name}.calls")
         if self._offset is None:
             batch = await self._source.newest()
@@ -210,7 +215,7 @@
             wait_s = 0.0 if self._unproved else self._pace.wait_s
             batch = await self._source.changes(self._offset, wait_s)
         self._offset = batch.end
-        self._unread_s = self._lain_s(asked_at)
+        self._unread_s = self._lain_s(asked_at, at_once)
         self._succeeded(self._proved(batch, whole, asked_at))
         # An answer that waited and then brought news proves the time of its
         # question only. Asked again at once, the knowledge is as young as it
@@ -220,15 +225,22 @@
             self._on_batch(batch, whole)
         return bool(batch.records)
 
-    def _lain_s(self, asked_at: float) -> float:
+    def _lain_s(self, asked_at: float, at_once: bool) -> float:
         """Returns how long the records of an answer may have lain unread.
 
         An answer that waited brings what was added just then. One that came at
         once may bring what was added since the last proof: long ago, where a
-        connection had gone silent meanwhile.
+        connection had gone silent meanwhile. A question that the platform
+        could not keep waiting never waited, however slow its answer was.
+
+        Args:
+          asked_at: When it was asked.
+          at_once: Whether the platform was told to answer at once.
         """
+        if self._proved_at is None:
+            return math.inf
         now = self._clock()
-        if now - asked_at > _AT_ONCE_S or self._proved_at is None:
+        if not at_once and now - asked_at > _AT_ONCE_S:
             return 0.0
         return now - self._proved_at
 
--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
-import math
 import random
 
 from clementinegw.direct import _events
@@ -17,6 +16,7 @@
 from clementinegw.direct import fleet
 from clementinegw.direct import outcomes
 from clementinegw.direct import queue
+from clementinegw.direct import recalls
 from clementinegw.direct import server as servers
 from clementinegw.direct import suspects as suspects_lib
 from clementinegw.direct import types
@@ -83,6 +83,7 @@
         self._log = log
         self._counters = counters
         self._attempts = attempts.Attempts(dialect, clock)
+        self._recalls = recalls.Recalls(versions, clock)
         self._finals = finals.Finals(
             dialect, knowledge, clock, log, counters, histograms
         )
@@ -208,7 +209,7 @@
             backend.server.server_id,
             max(0.001, job.deadline - now - _WAY_BACK_S),
             job.match.customer.name if job.match.customer else "",
-            self._versions.expected(job.facts.model, held, now),
+            self._versions.expected(job.facts.model, held, self._versions.now),
             None,
             job.last_event,
         )
@@ -217,7 +218,9 @@
             backend,
             sending,
             lambda: self._elsewhere(job, backend),
-            self._take_back_at(job, held),
+            self._recalls.new(
+                job.facts.model, held, job.match.route.idempotent
+            ),
         )
         if isinstance(outcome, outcomes.Delivered):
             self._suspects.completed(job.request)
@@ -265,15 +268,9 @@
             return self._unserved(job, Reason.BUSY, self._share(_RETRY_FULL))
         return place
 
-    def _take_back_at(self, job: attempts.Job, held: int) -> float:
-        """Returns when a request is taken back that has not begun."""
-        if not job.match.route.idempotent:
-            return math.inf
-        return self._versions.take_back_at(job.facts.model, held)
-
     def _wanted(self, job: attempts.Job) -> balance.Wanted:
         """Returns what a request needs of a server that it is sent to now."""
-        now = self._clock()
+        now = self._versions.now
         model = job.facts.model
         least = self._versions.demanded(model, now) or 0
         if job.runs:
@@ -314,6 +311,15 @@
         for waiting in self._queues.values():
             waiting.look()
 
+    def redate(self) -> None:
+        """Takes requests back by what is known of versions now."""
+        self._recalls.look()
+        self.look()
+
+    def check_clock(self) -> None:
+        """Takes requests back that a suspended machine left at servers."""
+        self._recalls.check()
+
     def _share(self, span: tuple[float, float]) -> float:
         """Returns a part of the caller's time, spread over a span."""
         return self._rng.uniform(*span)
--- a/src/clementinegw/direct/instance.py
+++ b/src/clementinegw/direct/instance.py
@@ -19,6 +19,8 @@
     Attributes:
       keys_ms: A key that was taken away stops within this, in milliseconds.
       weights_ms: A declared version serves within this, in milliseconds.
+      settled_ms: Bounds hold for a machine once it has run for so long without
+        any trouble, in milliseconds.
       grace_s: What a process has to end, in seconds.
       repeat_ratio: Repeated sends for each request, over all entries.
       repeat_slack: Repeated sends in a window besides those.
@@ -27,6 +29,7 @@
 
     keys_ms: float = 5_000.0
     weights_ms: float = 8_000.0
+    settled_ms: float = 3_000.0
     grace_s: float = 8.0
     repeat_ratio: float = 0.2
     repeat_slack: float = 100.0
--- a/src/clementinegw/direct/keep.py
+++ b/src/clementinegw/direct/keep.py
@@ -1,6 +1,7 @@
 """One server's weights: what to bring, when to yield, when to load."""
 
 import asyncio
+from collections.abc import Sequence
 import dataclasses
 import math
 
@@ -9,6 +10,7 @@
 from clementinegw.direct import ahead
 from clementinegw.direct import backing
 from clementinegw.direct import bring
+from clementinegw.direct import declarations
 from clementinegw.direct import instance as instances
 from clementinegw.direct import plan
 from clementinegw.direct import turns
@@ -87,15 +89,28 @@
         log: logs.Log,
         counters: counters_lib.Counters,
         histograms: histograms_lib.Histograms,
+        declared: declarations.Declarations,
     ):
+        """Knows of no version.
+
+        Args:
+          around: What the agent knows.
+          bringer: Brings pieces.
+          log: Where events go.
+          counters: Counts orders.
+          histograms: Keeps how long orders took.
+          declared: What operators named, in boot time.
+        """
         self._around = around
         self._bringer = bringer
         self._log = log
         self._counters = counters
         self._histograms = histograms
+        # Stalls are counted by a clock that stands still with the machine: no
+        # piece could come. Due times are not.
         self._clock = asyncio.get_running_loop().time
+        self._declared = declared
         self._ahead = ahead.Ahead(bringer, log, counters)
-        self._declared: list[plan.Declaration] = []
         self._digests: dict[int, backing.Digests] = {}
         self._here_at: dict[int, float] = {}
         self._aside: dict[int, float] = {}
@@ -109,16 +124,6 @@
         """Whether the server is about to load and others are preferred."""
         return self._yielding
 
-    def declare(self, version: int) -> bool:
-        """Takes a declaration in; returns whether it is new."""
-        if self._declared and version <= self._declared[-1].version:
-            return False
-        if version <= 0:
-            return False
-        self._declared.append(plan.Declaration(version, self._clock()))
-        del self._declared[:-_VERSIONS_KEPT]
-        return True
-
     def ready_in_s(self, serves: bool) -> float:
         """Returns about when the server serves; negative when unknown."""
         if serves:
@@ -129,14 +134,15 @@
             return -1.0
         return self._bringer.left * self._bring_s() + _LOAD_S
 
-    def _versions(self) -> list[plan.Declaration]:
+    def _versions(self) -> Sequence[plan.Declaration]:
         """Returns what is to be served: declared, or what others have.
 
         Before the first declaration the servers that were there from the
         start hold the first version, and an empty one must get it.
         """
-        if self._declared:
-            return self._declared
+        declared = self._declared.of(self._around.model)
+        if declared:
+            return declared[-_VERSIONS_KEPT:]
         held = [
             h.version
             for server in self._around.servers.values()
@@ -172,7 +178,7 @@
             self._versions(),
             current,
             self._terms(),
-            self._clock(),
+            self._declared.now,
             self._set_aside(),
         )
         assert self._around.origin is not None
@@ -234,8 +240,7 @@
         return stalled | served if stalled else set()
 
     def _terms(self) -> plan.Terms:
-        due_s = self._around.instance.bounds.weights_ms / 1e3
-        return plan.Terms(self._bring_s(), _SWAP_S, due_s)
+        return plan.Terms(self._bring_s(), _SWAP_S, self._declared.due_s)
 
     def _bring_s(self) -> float:
         """Returns how long the links take to bring a version everywhere."""
@@ -258,11 +263,11 @@
                 return
             empty = not any(self.whole(h) for h in self._around.state.held)
             turn = self._turn(version)
-            if not empty and self._clock() < turn.yield_at:
+            if not empty and self._declared.now < turn.yield_at:
                 continue
             self._yielding = not empty
             if not yielded:
-                self._yields_since = self._clock()
+                self._yields_since = self._declared.now
             if self._bringer.holds(self._digests[version]):
                 await self._load(self._digests[version], turn)
                 return
@@ -274,7 +279,7 @@
         state = await self._around.beside.state()
         if state.busy:
             return
-        now = self._clock()
+        now = self._declared.now
         yielded_s = now - self._yields_since
         if state.running and now < self._drained_at(digests.version, turn):
             return
@@ -286,7 +291,7 @@
         self._counters.add("weights.orders")
         self._histograms.add(
             "weights.declared_to_order",
-            self._clock() - self._at(digests.version),
+            self._declared.now - self._at(digests.version),
         )
         self._log.write(
             _events.WEIGHTS_ORDERED,
@@ -295,7 +300,7 @@
             begun=begun,
             running=state.running,
             yielded_s=round(yielded_s, 3),
-            after_s=round(self._clock() - self._at(digests.version), 3),
+            after_s=round(self._declared.now - self._at(digests.version), 3),
             received_bytes=self._counters.value("weights.received_bytes"),
             from_afar_bytes=self._counters.value("weights.cross_domain_bytes"),
             drawn_bytes=self._counters.value("weights.drawn_bytes"),
@@ -304,10 +309,10 @@
 
     def _at(self, version: int) -> float:
         """Returns when a version was declared; now when it never was."""
-        for declared in self._declared:
+        for declared in self._declared.of(self._around.model):
             if declared.version == version:
                 return declared.at
-        return self._clock()
+        return self._declared.now
 
     def _turn(self, version: int) -> turns.Turn:
         """Returns when this server yields and loads for a version."""
@@ -316,7 +321,7 @@
             for server in self._around.servers.values()
             if not server.leaving
         ]
-        now = self._clock()
+        now = self._declared.now
         if self._bringer.holds(self._digests[version]):
             here_at = self._here_at.setdefault(version, now)
         else:
@@ -336,5 +341,4 @@
 
     def _last_at(self, version: int) -> float:
         """Returns when a load must begin so that the server serves in time."""
-        due_s = self._around.instance.bounds.weights_ms / 1e3
-        return self._at(version) + due_s - _LOAD_S
+        return self._at(version) + self._declared.due_s - _LOAD_S
--- a/src/clementinegw/direct/outcomes.py
+++ b/src/clementinegw/direct/outcomes.py
@@ -12,6 +12,7 @@
     UNREACHABLE = "unreachable"
     SHED = "shed"
     WRONG_SERVER = "wrong_server"
+    OUTDATED = "outdated"
 
 
 class LostReason(enum.StrEnum):
--- a/src/clementinegw/direct/plan.py
+++ b/src/clementinegw/direct/plan.py
@@ -3,18 +3,9 @@
 from collections.abc import Collection, Sequence
 import dataclasses
 
+from clementinegw.direct import declarations
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Declaration:
-    """A version that operators named.
-
-    Attributes:
-      version: Its number.
-      at: When it was named, in monotonic seconds.
-    """
-
-    version: int
-    at: float
+Declaration = declarations.Declaration
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -63,7 +54,7 @@
       declared: What was named, by version.
       current: What is under way.
       terms: What a rollout takes.
-      now: Monotonic seconds.
+      now: Boot seconds.
       aside: Versions that stall, and those that are served already.
     """
     if not declared:
--- a/src/clementinegw/direct/reports.py
+++ b/src/clementinegw/direct/reports.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import Callable, Mapping
 import dataclasses
+import math
 
 from clementinegw import exceptions
 from clementinegw import types
@@ -25,6 +26,9 @@
 # So many entries of the own region get every report; with more of them each
 # gets every second one, and so on. A report takes about 150 bytes of the link.
 _NEAR_EACH_TIME = 12
+# How often an entry is told of the ages of declared versions, in seconds: one
+# that was cut off hears of them so long after. They take six bytes and more.
+_AGES_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -32,7 +36,8 @@
     """What an agent tells of the server beside it.
 
     Attributes:
-      server_id: The server's present start; empty when it is not known.
+      server_id: The server's present start; empty when it is not known, or
+        when only ages are told.
       running: Requests that it works on.
       waiting: Requests in its queue.
       slots: Requests that it runs at once.
@@ -45,6 +50,8 @@
       entries: Entries that ask its agent for reports.
       ready_in_s: About when it serves again, in seconds; negative when that is
         not known.
+      ages_s: By version of the model, how long ago it was declared, in
+        seconds; those that are known.
     """
 
     server_id: str
@@ -59,24 +66,46 @@
     yielding: bool = False
     entries: int = 0
     ready_in_s: float = -1.0
+    ages_s: Mapping[int, float] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
+class Declared:
+    """What an entry knows of declared versions.
+
+    Attributes:
+      newest: The newest version of each model.
+      ages_s: By model and version, how long ago it was declared, in seconds;
+        those that are known.
+    """
+
+    newest: Mapping[str, int]
+    ages_s: Mapping[str, Mapping[int, float]]
+
+
+@dataclasses.dataclass(slots=True)
 class _Subscriber:
     until: float
     far: bool
+    ages_at: float = -math.inf
 
 
 class Reporter(asyncio.DatagramProtocol):
     """The agent's side."""
 
-    def __init__(self, on_declared: Callable[[Mapping[str, int]], None]):
+    def __init__(
+        self,
+        on_declared: Callable[[Declared], None],
+        ages: Callable[[], Report | None] = lambda: None,
+    ):
         """Does nothing before it is bound.
 
         Args:
           on_declared: Takes the versions that an entry knows to be declared.
+          ages: Returns a report of ages only; None while none is known.
         """
         self._on_declared = on_declared
+        self._ages = ages
         self._transport: asyncio.DatagramTransport | None = None
         self._subscribers: dict[tuple, _Subscriber] = {}
         self._told = 0
@@ -92,13 +121,15 @@
             message = codec.decode(ttypes.Subscribe, data)
         except exceptions.DecodeError:
             return
-        now = asyncio.get_running_loop().time()
-        if addr in self._subscribers or (
-            len(self._subscribers) < _MOST_SUBSCRIBERS
-        ):
-            until = now + KEEP_S
+        until = asyncio.get_running_loop().time() + KEEP_S
+        known = self._subscribers.get(addr)
+        if known is not None:
+            known.until, known.far = until, bool(message.far)
+        elif len(self._subscribers) < _MOST_SUBSCRIBERS:
             self._subscribers[addr] = _Subscriber(until, bool(message.far))
-        self._on_declared(message.declared)
+        self._on_declared(Declared(message.declared, _ages_s(message.ages_ms)))
+        # An entry that starts must not wait for what it alone can't know.
+        self.tell_ages()
 
     @property
     def entries(self) -> int:
@@ -114,11 +145,36 @@
         self._told += 1
         near = news or not self._told % self._near_every
         far = news or not self._told % _FAR_EVERY
-        data = codec.encode(ttypes.BackendReport(**dataclasses.asdict(report)))
+        short = _encode(dataclasses.replace(report, ages_s={}))
+        full = _encode(report) if report.ages_s else short
         for addr, subscriber in list(self._subscribers.items()):
             if subscriber.until < now:
                 del self._subscribers[addr]
             elif far if subscriber.far else near:
+                with_ages = subscriber.ages_at + _AGES_S <= now
+                if with_ages:
+                    subscriber.ages_at = now
+                self._transport.sendto(full if with_ages else short, addr)
+
+    def news(self) -> None:
+        """Tells of ages at once; a version or its age is new."""
+        for subscriber in self._subscribers.values():
+            subscriber.ages_at = -math.inf
+        self.tell_ages()
+
+    def tell_ages(self) -> None:
+        """Tells of ages whoever has not been told for a while.
+
+        Also while the server beside is silent, and no reports go out.
+        """
+        report = self._ages()
+        if self._transport is None or report is None:
+            return
+        now = asyncio.get_running_loop().time()
+        data = _encode(report)
+        for addr, subscriber in self._subscribers.items():
+            if subscriber.ages_at + 2 * _AGES_S <= now <= subscriber.until:
+                subscriber.ages_at = now
                 self._transport.sendto(data, addr)
 
     @property
@@ -184,11 +240,12 @@
                 message.yielding,
                 message.entries,
                 message.ready_in_s,
+                _seconds(message.ages_ms),
             ),
         )
 
     def subscribe(
-        self, agents: Mapping[types.Address, bool], declared: Mapping[str, int]
+        self, agents: Mapping[types.Address, bool], declared: Declared
     ) -> None:
         """Asks agents for reports.
 
@@ -198,8 +255,12 @@
         """
         if self._transport is None:
             return
+        ages_ms = {m: _milliseconds(a) for m, a in declared.ages_s.items()}
+        newest = dict(declared.newest)
         data = {
-            far: codec.encode(ttypes.Subscribe(self._name, dict(declared), far))
+            far: codec.encode(
+                ttypes.Subscribe(self._name, newest, far, ages_ms or None)
+            )
             for far in (False, True)
         }
         for agent, far in agents.items():
@@ -209,3 +270,27 @@
         """Ends it."""
         if self._transport is not None:
             self._transport.close()
+
+
+def _encode(report: Report) -> bytes:
+    fields = dataclasses.asdict(report)
+    ages_ms = _milliseconds(fields.pop("ages_s"))
+    return codec.encode(ttypes.BackendReport(**fields, ages_ms=ages_ms or None))
+
+
+def _milliseconds(ages_s: Mapping[int, float]) -> dict[int, int]:
+    """Returns ages as they are told.
+
+    Rounded down: what is told over and over must not grow older on its way.
+    """
+    return {version: int(1e3 * age_s) for version, age_s in ages_s.items()}
+
+
+def _seconds(ages_ms: Mapping[int, int] | None) -> dict[int, float]:
+    return {v: age_ms / 1e3 for v, age_ms in (ages_ms or {}).items()}
+
+
+def _ages_s(
+    ages_ms: Mapping[str, Mapping[int, int]] | None,
+) -> dict[str, dict[int, float]]:
+    return {model: _seconds(ages) for model, ages in (ages_ms or {}).items()}
--- a/src/clementinegw/direct/versions.py
+++ b/src/clementinegw/direct/versions.py
@@ -1,9 +1,9 @@
 """Which version of the weights a request must be served with, and from when."""
 
-from collections.abc import Callable
-import dataclasses
+from collections.abc import Callable, Mapping
 import math
 
+from clementinegw.direct import declarations
 from clementinegw.direct import types
 
 # A version is demanded this much before it is due: the time in which a request
@@ -18,66 +18,82 @@
 # A request that has not begun yet is taken back from a server with an older
 # version this much before the newer one is due: some round trips. Seconds.
 _TAKE_BACK_S = 0.15
-# A connection that went silent is noticed within this, in seconds; what was
-# declared meanwhile is due that much earlier. After a longer outage of the
-# platform the time counts anew.
-_MOST_UNREAD_S = 1.2
-
-
-@dataclasses.dataclass(slots=True)
-class _Model:
-    declared: int
-    demanded: int
-    pending: list[tuple[float, int]]
 
 
 class Versions:
-    """The declared versions of every model."""
-
-    def __init__(self, due_s: float, clock: Callable[[], float]):
+    """What is demanded of servers, by the declared versions of every model.
+
+    Times are boot time: a machine that was suspended must find on waking that
+    a version is due.
+    """
+
+    def __init__(
+        self,
+        due_s: float,
+        clock: Callable[[], float],
+        settled_s: float = 0.0,
+    ):
         """Starts without any.
 
         Args:
           due_s: How long after its declaration a version must serve.
-          clock: Monotonic seconds.
+          clock: Seconds that also count while the machine is suspended.
+          settled_s: How long a process must have run in calm to be bound.
         """
-        self.due_s = due_s
         self._clock = clock
-        self._models: dict[str, _Model] = {}
+        self._declared = declarations.Declarations(due_s, settled_s, clock)
+
+    @property
+    def due_s(self) -> float:
+        """How long after its declaration a version must serve."""
+        return self._declared.due_s
+
+    @due_s.setter
+    def due_s(self, due_s: float) -> None:
+        self._declared.due_s = due_s
 
-    def declare(self, declared: types.Declared, unread_s: float = 0.0) -> bool:
-        """Takes a declaration in; returns whether it is new.
+    @property
+    def now(self) -> float:
+        """The boot time, in seconds."""
+        return self._clock()
+
+    def declare(
+        self, declared: types.Declared, unread_s: float = 0.0
+    ) -> declarations.Change | None:
+        """Takes a declaration in; returns what is new; None for nothing.
 
         Args:
           declared: What the operators named.
-          unread_s: How long ago it may have been named, in seconds.
+          unread_s: How long ago it may have been named, in seconds; infinite
+            when the process found it declared at its start.
         """
-        now = self._clock() - min(unread_s, _MOST_UNREAD_S)
-        model = self._models.setdefault(declared.model, _Model(0, 0, []))
-        if declared.version <= model.declared:
-            return False
-        model.declared = declared.version
-        due_at = now + self.due_s - _MARGIN_S
-        model.pending.append((due_at, declared.version))
-        return True
+        return self._declared.read(declared.model, declared.version, unread_s)
+
+    def told(
+        self, model: str, ages_s: Mapping[int, float]
+    ) -> list[declarations.Change]:
+        """Takes in what an agent knows; see `Declarations.told`."""
+        return self._declared.told(model, ages_s, declarations.Source.AGENT)
+
+    def ages_s(self) -> dict[str, dict[int, float]]:
+        """Returns what agents are told, by model and version."""
+        return self._declared.all_ages_s()
 
     def declared(self, model: str) -> int:
         """Returns the newest declared version; 0 when there is none."""
-        found = self._models.get(model)
-        return found.declared if found else 0
+        return self._declared.newest().get(model, 0)
 
     def all(self) -> dict[str, int]:
         """Returns the newest declared version of every model."""
-        return {name: found.declared for name, found in self._models.items()}
+        return self._declared.newest()
+
+    def demanded_at(self, found: declarations.Declaration) -> float:
+        """Returns from when on no former version may begin a request."""
+        return found.at + self.due_s - _MARGIN_S
 
     def demanded(self, model: str, now: float) -> int | None:
         """Returns the least version that may begin a request now."""
-        found = self._models.get(model)
-        if found is None:
-            return None
-        while found.pending and found.pending[0][0] <= now:
-            found.demanded = max(found.demanded, found.pending.pop(0)[1])
-        return found.demanded or None
+        return self._demanded_by(model, now) or None
 
     def preferred(self, model: str, now: float) -> int:
         """Returns the version whose servers go first now; 0 for any.
@@ -85,7 +101,7 @@
         A request may wait at a server, and would begin there on a version that
         is no longer allowed by then.
         """
-        return self._demanded_soon(model, now + _PREFER_S)
+        return self._demanded_by(model, now + _PREFER_S)
 
     def lasting(self, model: str, now: float) -> int:
         """Returns the version whose servers do not load soon; 0 for any.
@@ -93,15 +109,16 @@
         A stream that a load broke off must not be broken off once more by the
         next server's load: it would have used its attempts, and be lost.
         """
-        return self._demanded_soon(model, now + _LASTING_S)
+        return self._demanded_by(model, now + _LASTING_S)
 
-    def _demanded_soon(self, model: str, until: float) -> int:
+    def _demanded_by(self, model: str, until: float) -> int:
         """Returns the newest version that is demanded by then; 0 for none."""
-        found = self._models.get(model)
-        if found is None:
-            return 0
-        near = [v for at, v in found.pending if at <= until]
-        return max(near, default=found.demanded)
+        near = [
+            found.version
+            for found in self._declared.of(model)
+            if self.demanded_at(found) <= until
+        ]
+        return max(near, default=0)
 
     def take_back_at(self, model: str, held: int) -> float:
         """Returns when a request must have begun at a server.
@@ -114,11 +131,13 @@
           held: The version that the server has.
 
         Returns:
-          Monotonic seconds; infinite while no newer version is on its way.
+          Boot seconds; infinite while no newer version is on its way.
         """
-        found = self._models.get(model)
-        pending = found.pending if found else []
-        newer = [at for at, version in pending if version > held]
+        newer = [
+            self.demanded_at(found)
+            for found in self._declared.of(model)
+            if found.version > held
+        ]
         take_back_s = _MARGIN_S - _TAKE_BACK_S
         return min(newer, default=math.inf) + take_back_s
 
@@ -128,12 +147,12 @@
         Args:
           model: The model's name.
           held: The version that the server is known to have; 0 when unknown.
-          now: Monotonic seconds.
+          now: Boot seconds.
         """
         demanded = self.demanded(model, now)
         if demanded is None:
             return None
-        newest = self._models[model].declared
+        newest = self.declared(model)
         if demanded == newest:
             return newest
         # A newer one is on its way: naming the demanded one would turn away
