--- a/src/clementinegw/direct/follow.py
+++ b/src/clementinegw/direct/follow.py
@@ -151,6 +151,7 @@
         self._clock = clock
         self._offset: int | None = None
         self._proved_at: float | None = None
+        self._heard_at: float | None = None
         self._failing_since: float | None = None
         self._unproved = False
         self._unread_s = 0.0
@@ -216,6 +217,8 @@
             batch = await self._source.changes(self._offset, wait_s)
         self._offset = batch.end
         self._unread_s = self._lain_s(asked_at, at_once)
+        waited_s = 0.0 if at_once else self._pace.wait_s
+        self._heard_at = self._heard(batch, asked_at, waited_s)
         self._succeeded(self._proved(batch, whole, asked_at))
         # An answer that waited and then brought news proves the time of its
         # question only. Asked again at once, the knowledge is as young as it
@@ -229,7 +232,7 @@
         """Returns how long the records of an answer may have lain unread.
 
         An answer that waited brings what was added just then. One that came at
-        once may bring what was added since the last proof: long ago, where a
+        once may bring what was added since the last answer: long ago, where a
         connection had gone silent meanwhile. A question that the platform
         could not keep waiting never waited, however slow its answer was.
 
@@ -237,12 +240,22 @@
           asked_at: When it was asked.
           at_once: Whether the platform was told to answer at once.
         """
-        if self._proved_at is None:
+        if self._heard_at is None:
             return math.inf
         now = self._clock()
         if not at_once and now - asked_at > _AT_ONCE_S:
             return 0.0
-        return now - self._proved_at
+        return now - self._heard_at
+
+    def _heard(self, batch: Batch, asked_at: float, waited_s: float) -> float:
+        """Returns up to when an answer brings all that was added.
+
+        Unlike a proof it leans to no side: the earliest guess of all processes
+        counts, and one that is early by a second would cost all of them as
+        much of a version's time.
+        """
+        now = self._clock()
+        return now if batch.records else min(now, asked_at + waited_s)
 
     def _proved(self, batch: Batch, whole: bool, asked_at: float) -> float:
         """Returns up to when an answer proves that nothing else is new.
