--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-import math
 import random
 
 from clementinegw.direct import _events
@@ -16,6 +15,7 @@
 from clementinegw.direct import fleet
 from clementinegw.direct import outcomes
 from clementinegw.direct import placing
+from clementinegw.direct import recalls
 from clementinegw.direct import server as servers
 from clementinegw.direct import suspects as suspects_lib
 from clementinegw.direct import types
@@ -67,6 +67,7 @@
         self._placing = placing.Placing(
             knowledge, balancer, versions, rng, clock
         )
+        self._recalls = recalls.Recalls(versions, clock)
         self._finals = finals.Finals(
             dialect, knowledge, clock, log, counters, histograms
         )
@@ -189,7 +190,7 @@
             backend.server.server_id,
             max(0.001, job.deadline - now - _WAY_BACK_S),
             job.caller,
-            self._versions.expected(job.facts.model, held, now),
+            self._versions.expected(job.facts.model, held, self._versions.now),
             None,
             job.last_event,
         )
@@ -198,7 +199,9 @@
             backend,
             sending,
             lambda: self._placing.elsewhere(job, backend),
-            self._take_back_at(job, held),
+            self._recalls.new(
+                job.facts.model, held, job.match.route.idempotent
+            ),
         )
         if isinstance(outcome, outcomes.Delivered):
             self._suspects.outlived(backend.server.start, now)
@@ -207,16 +210,19 @@
             self._note(job, backend, outcome)
         return outcome
 
-    def _take_back_at(self, job: attempts.Job, held: int) -> float:
-        """Returns when a request is taken back that has not begun."""
-        if not job.match.route.idempotent:
-            return math.inf
-        return self._versions.take_back_at(job.facts.model, held)
-
     def look(self) -> None:
         """Looks for room for those who wait; servers told of their load."""
         self._placing.look()
 
+    def redate(self) -> None:
+        """Takes requests back by what is known of versions now."""
+        self._recalls.look()
+        self.look()
+
+    def check_clock(self) -> None:
+        """Takes requests back that a suspended machine left at servers."""
+        self._recalls.check()
+
     def set_terms(self, terms: budgets.Terms) -> None:
         """Takes over what the operators allow of repeated sends."""
         self._terms = terms
--- a/src/clementinegw/direct/instance.py
+++ b/src/clementinegw/direct/instance.py
@@ -23,6 +23,8 @@
         milliseconds.
       listing_ms: How often a server writes to the list, about, in
         milliseconds; it runs out after some of these without news.
+      settled_ms: Bounds hold for a machine once it has run for so long without
+        any trouble, in milliseconds.
       grace_s: What a process has to end, in seconds.
       repeat_ratio: Repeated sends for each request, over all entries.
       repeat_slack: Repeated sends in a window besides those.
@@ -33,6 +35,7 @@
     weights_ms: float = 8_000.0
     drain_ms: float = 2_000.0
     listing_ms: float = 1_200.0
+    settled_ms: float = 3_000.0
     grace_s: float = 8.0
     repeat_ratio: float = 0.2
     repeat_slack: float = 100.0
--- a/src/clementinegw/direct/outcomes.py
+++ b/src/clementinegw/direct/outcomes.py
@@ -13,6 +13,7 @@
     SHED = "shed"
     WRONG_SERVER = "wrong_server"
     LEFT = "left"
+    OUTDATED = "outdated"
 
 
 class LostReason(enum.StrEnum):
--- a/src/clementinegw/direct/placing.py
+++ b/src/clementinegw/direct/placing.py
@@ -180,7 +180,7 @@
 
     def _wanted(self, job: attempts.Job) -> balance.Wanted:
         """Returns what a request needs of a server that it is sent to now."""
-        now = self._clock()
+        now = self._versions.now
         model = job.facts.model
         least = self._versions.demanded(model, now) or 0
         if job.runs:
--- a/tests/test_direct_agent.py
+++ b/tests/test_direct_agent.py
@@ -12,6 +12,7 @@
 from clementinegw import types as places
 from clementinegw.direct import agent as agents
 from clementinegw.direct import backing
+from clementinegw.direct import declarations
 from clementinegw.direct import follow
 from clementinegw.direct import instance as instances
 from clementinegw.direct import keep
@@ -122,7 +123,8 @@
         self.records = []
 
     async def newest(self):
-        return follow.Batch((), 0)
+        newest = {record.key: record for record in self.records}
+        return follow.Batch(tuple(newest.values()), len(self.records))
 
     async def changes(self, offset, wait_s):
         until = asyncio.get_running_loop().time() + wait_s
@@ -143,6 +145,11 @@
         self.besides = [Beside() for _ in range(count)]
         self.topics = (Topic(), Topic())
         self.agents = []
+        # How long the machines have been suspended, in seconds.
+        self.slept_s = 0.0
+
+    def boot_time(self):
+        return asyncio.get_running_loop().time() + self.slept_s
 
     def operators(self):
         return self.topics[0]
@@ -208,7 +215,7 @@
             counters_lib.Counters(),
             random.Random(number),
             asyncio.get_running_loop().clock,
-            asyncio.get_running_loop().time,
+            self.boot_time,
         )
         await agent.start()
         self.agents.append(agent)
@@ -431,15 +438,19 @@
 
     async def play():
         digests = backing.Digests(MODEL, version, PIECE_BYTES, (b"d",))
+        declared = declarations.Declarations(
+            8.0, 3.0, asyncio.get_running_loop().time
+        )
         weights = keep.Weights(
             keep.Around(None),
             Bringing(digests, failing_s),
             logs.Log(),
             counters_lib.Counters(),
             histograms.Histograms(),
+            declared,
         )
-        weights.declare(2)
-        weights.declare(3)
+        declared.read("", 2, 0.0)
+        declared.read("", 3, 0.0)
         weights._moved_at = asyncio.get_running_loop().time()
         return weights._stalled()
 
--- a/tests/test_direct_silence.py
+++ b/tests/test_direct_silence.py
@@ -62,7 +62,7 @@
     backends = new_fleet("frozen", "well")
     tell(backends.find("frozen"), 10.0)
     tell(backends.find("well"), 10.5)
-    assert chosen(backends, 10.6) == {types.Start("well")}
+    assert chosen(backends, 10.6) == {"well"}
     tell(backends.find("frozen"), 10.6)
     assert chosen(backends, 10.7) == {"frozen", "well"}
 
--- a/tests/test_direct_starts.py
+++ b/tests/test_direct_starts.py
@@ -8,6 +8,7 @@
 
 from clementinegw import types as places
 from clementinegw.direct import backing
+from clementinegw.direct import declarations
 from clementinegw.direct import channel
 from clementinegw.direct import client
 from clementinegw.direct import fleet
@@ -309,14 +310,18 @@
         known = around(named("a", 1), born=1)
         known.engine = types.Engine(("m",), 16, 0.01, 0.0, 1e4, 6, 4, 1, 10)
         known.beside = Beside()
+        declared = declarations.Declarations(
+            8.0, 3.0, asyncio.get_running_loop().time
+        )
         weights = keep.Weights(
             known,
             Bringer(),
             logs.Log(),
             counters.Counters(),
             histograms.Histograms(),
+            declared,
         )
-        weights.declare(2)
+        declared.read("m", 2, 0.0)
         weights._digests[2] = backing.Digests("m", 2, 10, (b"d",))
         await asyncio.sleep(10.0)
         await weights.load_newest()
