--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -25,14 +25,25 @@
     return clocks.run(coroutine, grace_s=GRACE_S)
 
 
+# What a narrow link carries of one connection before it is another's turn.
+_LINK_TURN_BYTES = 8 << 10
+
+
 class Store:
-    """The topics of operators and servers."""
+    """The topics of operators and servers.
 
-    def __init__(self):
+    Attributes:
+      link_bytes_per_s: What the link to all of its callers carries together.
+    """
+
+    def __init__(self, link_bytes_per_s=None):
         self.topics = {"keyed.op": [], "keyed.servers": []}
         self.status = 200
         self.silent = False
         self.calls = 0
+        self.bytes_out = 0
+        self.link_bytes_per_s = link_bytes_per_s
+        self._link = asyncio.Lock()
         self._news = asyncio.Event()
         self._server = servers.Server(self._handle)
 
@@ -62,7 +73,21 @@
             body = self._newest(query["topic"])
         else:
             body = await self._read(query)
-        await responder.answer(200, [], body)
+        self.bytes_out += len(body)
+        if self.link_bytes_per_s is None:
+            await responder.answer(200, [], body)
+        else:
+            await self._send(responder, body)
+
+    async def _send(self, responder, body):
+        """Sends a body over the link that all callers share, in turns."""
+        await responder.begin(200, [])
+        for start in range(0, len(body), _LINK_TURN_BYTES):
+            part = body[start : start + _LINK_TURN_BYTES]
+            async with self._link:
+                await asyncio.sleep(len(part) / self.link_bytes_per_s)
+            await responder.send(part)
+        await responder.end()
 
     def _newest(self, topic):
         newest = {key: value for key, value in self.topics[topic] if value}
