Give a call up at silence, not when its answer is large

Cause: the bound on the whole of an answer threw away what had come and asked for the same bytes again. Change: a call waits for the head, then for each further arrival; a body that trickles below 4 KB/s is given up, because a reader makes one call at a time.

--- a/src/clementinegw/direct/client.py
+++ b/src/clementinegw/direct/client.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 import dataclasses
 
 import h11
@@ -21,6 +21,56 @@
 _MAX_HEAD_BYTES = 64 << 10
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Patience:
+    """How long a call may say nothing.
+
+    A bound on the whole of a large answer would throw away what has come and
+    ask for the same bytes again; on a link that many share it never gets
+    free. So only silence ends a call, and a rate that no sound link has.
+
+    Attributes:
+      first_s: Until the head of the answer, in seconds.
+      silent_s: Between two arrivals of bytes, in seconds.
+      least_bytes_per_s: A body that comes more slowly than this, after
+        `silent_s` of grace, is given up: its connection trickles, and another
+        one may do better.
+    """
+
+    first_s: float
+    silent_s: float
+    least_bytes_per_s: float = 4_096.0
+
+
+class _Watch:
+    """Gives a call up when its patience is over."""
+
+    def __init__(self, patience: Patience):
+        self._patience = patience
+        self._clock = asyncio.get_running_loop().time
+        self._timeout = asyncio.timeout(patience.first_s)
+        self._begun_at = 0.0
+
+    async def __aenter__(self) -> "_Watch":
+        await self._timeout.__aenter__()
+        return self
+
+    async def __aexit__(self, *error) -> None:
+        await self._timeout.__aexit__(*error)
+
+    def begun(self) -> None:
+        """Notes that the head has come."""
+        self._begun_at = self._clock()
+        self.heard(0)
+
+    def heard(self, size: int) -> None:
+        """Notes how many bytes of the body have come so far."""
+        patience = self._patience
+        silent_at = self._clock() + patience.silent_s
+        earned_s = patience.silent_s + size / patience.least_bytes_per_s
+        self._timeout.reschedule(min(silent_at, self._begun_at + earned_s))
+
+
 class ConnectFailed(exceptions.BackendUnreachable):
     """No connection: nothing was handed over."""
 
@@ -133,9 +183,15 @@
             return None
         raise AnswerBroken("not whole")
 
-    async def body(self, limit: int) -> bytes:
+    async def body(
+        self, limit: int, heard: Callable[[int], None] | None = None
+    ) -> bytes:
         """Returns the whole body.
 
+        Args:
+          limit: The most bytes that it may have.
+          heard: Told at each arrival how many bytes have come so far.
+
         Raises:
           AnswerBroken: It is not whole, or larger than `limit` bytes.
         """
@@ -144,6 +200,8 @@
             whole += data
             if len(whole) > limit:
                 raise AnswerBroken("too large")
+            if heard is not None:
+                heard(len(whole))
         return bytes(whole)
 
     def close(self) -> None:
@@ -253,19 +311,34 @@
         headers: Headers,
         body: bytes,
         limit: int,
+        patience: Patience,
     ) -> tuple[int, bytes]:
         """Makes one call and returns status and body.
 
         Raises:
           ConnectFailed: No connection: nothing was sent.
           AnswerBroken: The answer is not whole, or over `limit` bytes.
+          TimeoutError: The patience was over.
         """
+        async with _Watch(patience) as watch:
+            return await self._call(method, target, headers, body, limit, watch)
+
+    async def _call(
+        self,
+        method: str,
+        target: str,
+        headers: Headers,
+        body: bytes,
+        limit: int,
+        watch: _Watch,
+    ) -> tuple[int, bytes]:
         connection, _ = await self.take()
         whole = False
         try:
             await connection.send(method, target, headers, body)
             head = await connection.head()
-            data = await connection.body(limit)
+            watch.begun()
+            data = await connection.body(limit, watch.heard)
             whole = True
             return head.status, data
         finally:
--- a/tests/test_platform_link.py
+++ b/tests/test_platform_link.py
@@ -4,8 +4,10 @@
 
 from adapter import roles
 import platform_site
+import pytest
 
 from clementinegw import types as places
+from clementinegw.direct import client
 from clementinegw.direct import follow
 from clementinegw.direct import instance as instances
 from clementinegw.telemetry import counters as counters_lib
@@ -14,6 +16,7 @@
 _READERS = 8
 # Eight readings of the configuration take five seconds of it.
 _LINK_BYTES_PER_S = 700_000
+_PATIENCE = client.Patience(first_s=1.0, silent_s=0.5, least_bytes_per_s=1_000)
 
 
 def large_config():
@@ -75,9 +78,7 @@
         store.put("keyed.op", "config", large_config())
         size = len(store._newest("keyed.op"))
         taken = []
-        followers = [
-            await following(store, taken) for _ in range(_READERS)
-        ]
+        followers = [await following(store, taken) for _ in range(_READERS)]
         await asyncio.sleep(1.5 * _READERS * size / _LINK_BYTES_PER_S)
         known = sum(follower.known for follower in followers)
         for follower in followers:
@@ -88,3 +89,65 @@
     known, readings = platform_site.run(play())
     assert known == _READERS
     assert readings < 1.2 * _READERS
+
+
+async def _answering(parts, pause_s):
+    """Starts a server that sends its answer in parts; returns its address."""
+
+    async def answer(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        size = sum(len(part) for part in parts)
+        writer.write(
+            f"HTTP/1.1 200 OK\r\nContent-Length: {size}\r\n\r\n".encode()
+        )
+        for part in parts:
+            await asyncio.sleep(pause_s)
+            if writer.is_closing():
+                return
+            writer.write(part)
+        await reader.read()
+        writer.close()
+
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    return server, places.Address(host, port)
+
+
+@pytest.mark.parametrize(
+    ("parts", "pause_s", "gives_up_s"),
+    [
+        pytest.param([b"x" * 1_000] * 20, 0.4, None, id="slow"),
+        pytest.param([b"x" * 1_000] * 20, 0.6, 0.5, id="silent"),
+        pytest.param([b"x" * 10] * 900, 0.1, 0.8, id="trickle"),
+    ],
+)
+def test_a_call_ends_at_silence_and_at_a_trickle(parts, pause_s, gives_up_s):
+    """An answer takes eight seconds, stops, or comes a few bytes at a time.
+
+    The first must be taken whole. The others must be given up soon: a reader
+    makes one call at a time, and would be cut off while the connection lasts.
+    """
+
+    async def play():
+        clock = asyncio.get_running_loop().time
+        server, address = await _answering(parts, pause_s)
+        pool = client.Pool(address, 1, 1.0, 1.0)
+        started = clock()
+        try:
+            headers = [(b"host", b"h")]
+            _, body = await pool.call(
+                "GET", "/", headers, b"", 1 << 20, _PATIENCE
+            )
+            return len(body), None, pool.open
+        except TimeoutError:
+            return 0, clock() - started, pool.open
+        finally:
+            server.close()
+            pool.close()
+
+    size, after_s, kept = platform_site.run(play())
+    if gives_up_s is None:
+        assert (size, after_s, kept) == (20_000, None, 1)
+    else:
+        assert after_s == pytest.approx(gives_up_s, abs=0.3)
+        assert kept == 0
