--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -4,6 +4,7 @@
 import base64
 import contextlib
 import json
+from urllib import parse
 
 from adapter import roles
 import h11
@@ -42,6 +43,9 @@
         self.silent = False
         self.calls = 0
         self.bytes_out = 0
+        self.reads = 0
+        self.members = {}
+        self.generation = 0
         self.link_bytes_per_s = link_bytes_per_s
         self._link = asyncio.Lock()
         self._news = asyncio.Event()
@@ -69,9 +73,15 @@
             return
         path, _, text = request.target.partition("?")
         query = dict(part.split("=") for part in text.split("&"))
-        if path == "/log-newest":
+        if path == "/log-join":
+            body = self._join(json.loads(request.body))
+        elif path == "/log-owners":
+            body = self._owners(parse.unquote(query["group"]))
+        elif path == "/log-newest":
+            self.reads += 1
             body = self._newest(query["topic"])
         else:
+            self.reads += 1
             body = await self._read(query)
         self.bytes_out += len(body)
         if self.link_bytes_per_s is None:
@@ -89,6 +99,19 @@
             await responder.send(part)
         await responder.end()
 
+    def _join(self, call):
+        members = self.members.setdefault(call["group"], [])
+        if call["member"] not in members:
+            members.append(call["member"])
+            self.generation += 1
+        answer = {"generation": self.generation, "ttl_ms": 6000, "parts": []}
+        return json.dumps(answer).encode()
+
+    def _owners(self, group):
+        members = self.members.get(group, [])
+        rows = [["t", n, member, 0] for n, member in enumerate(members)]
+        return json.dumps({"parts": rows}).encode()
+
     def _newest(self, topic):
         newest = {key: value for key, value in self.topics[topic] if value}
         items = [
