Read the store once a failure domain and pass it on

Cause: every process follows the store by itself, so a change crosses the link between regions as often as there are processes behind it. Change: entries of a failure domain join a group of the store; the owner of its first part reads, the others and the agents ask it over their own connections (topics.thrift). Whoever is asked reads the store itself, so nobody waits for somebody who waits for him. An answer carries the age of its proof at the moment it leaves and for how long it held the question; it has the newest value of each key that changed, packed once for all who ask. A reader that is silent, refused by the store or gone is put aside, then the next one is asked, then the store.

--- a/src/clementinegw/direct/_events.py
+++ b/src/clementinegw/direct/_events.py
@@ -113,3 +113,22 @@
     _WARNING,
     "The time to stop was over before all requests had their answers.",
 )
+READER_CHANGED = events.define(
+    940,
+    "reader_changed",
+    _INFO,
+    "A topic is read from another process, or from the store, than before.",
+)
+READERS_CHANGED = events.define(
+    941,
+    "readers_changed",
+    _INFO,
+    "Others read the store for this failure domain than before.",
+)
+READERS_UNKNOWN = events.define(
+    942,
+    "readers_unknown",
+    _WARNING,
+    "The platform does not say who reads for this failure domain.",
+    "None at first: those who were known go on, else each reads by itself.",
+)
--- a/src/clementinegw/direct/agent.py
+++ b/src/clementinegw/direct/agent.py
@@ -16,6 +16,8 @@
 from clementinegw.direct import follow
 from clementinegw.direct import instance as instances
 from clementinegw.direct import keep
+from clementinegw.direct import raw
+from clementinegw.direct import relay
 from clementinegw.direct import reports
 from clementinegw.direct import types
 from clementinegw.telemetry import counters as counters_lib
@@ -36,7 +38,7 @@
 _STEP_S = 0.1
 
 
-class Platform(follow.Platform, Protocol):
+class Platform(raw.Platform, Protocol):
     """What the daemon needs of the platform."""
 
     def beside(self, address: places.Address, model: str) -> backing.Beside:
@@ -68,9 +70,18 @@
         self._counters = counters
         self._backend = instance.backend
         self._clock = asyncio.get_running_loop().time
-        topics = follow.Topics(
+        self._relay = relay.Relay(
+            instance,
+            places.Role.AGENT,
             platform,
             _PACES,
+            log,
+            counters,
+            boot_clock,
+        )
+        topics = follow.Topics(
+            self._relay,
+            _PACES,
             self._on_operators,
             self._on_servers,
             log,
@@ -105,6 +116,7 @@
             local_addr=(self._instance.host, self._instance.peer_ports[0]),
         )
         await self.add_runtime_dependency(self._bringer.transfer)
+        await self.add_runtime_dependency(self._relay)
         await self.add_runtime_dependency(self._operators)
         await self.add_runtime_dependency(self._listing)
         self._log.write(events.PROCESS_STARTED)
--- /dev/null
+++ b/src/clementinegw/direct/choice.py
@@ -0,0 +1,89 @@
+"""Chooses whom to ask about topics: another process, or the store."""
+
+from collections.abc import Callable
+
+from clementinegw import types
+
+# None stands for the store.
+Reader = types.Address | None
+
+# How many other processes are asked before the store. Each that is down takes
+# up to half a second, in which the knowledge grows old.
+_MOST_OTHERS = 3
+# How long a reader that failed is not asked, in seconds: doubled with each
+# failure up to the longest.
+_FIRST_ASIDE_S = 2.0
+_LONGEST_ASIDE_S = 16.0
+
+
+class Choice:
+    """Who is asked next, by what the readers have done so far."""
+
+    def __init__(self, clock: Callable[[], float]):
+        """Begins with the store alone; `me` is set once it is known.
+
+        Args:
+          clock: Steady seconds.
+        """
+        # Where this process answers others; None when it only asks.
+        self.me: types.Address | None = None
+        self._clock = clock
+        self._candidates: tuple[types.Address, ...] = ()
+        self._aside_until: dict[Reader, float] = {}
+        self._failures: dict[Reader, int] = {}
+
+    @property
+    def candidates(self) -> tuple[types.Address, ...]:
+        """Who may read for the failure domain, the first one first."""
+        return self._candidates
+
+    def offer(self, candidates: tuple[types.Address, ...]) -> bool:
+        """Takes the newest candidates; returns whether they are others."""
+        if candidates == self._candidates:
+            return False
+        self._candidates = candidates
+        known = {None, *candidates}
+        for reader in self._aside_until.keys() - known:
+            self.worked(reader)
+        return True
+
+    def order(self, serving: bool) -> list[Reader]:
+        """Returns whom to ask, one after the other.
+
+        Args:
+          serving: Whether others ask this process: it then reads the store
+            itself, so that nobody waits for somebody who waits for him.
+        """
+        now = self._clock()
+        ranked = self._ranked()
+        if serving:
+            ranked.sort(key=lambda reader: reader is not None)
+        fit = [r for r in ranked if self._aside_until.get(r, 0.0) <= now]
+        return fit or [None]
+
+    def is_aside(self, reader: Reader) -> bool:
+        """Whether a reader failed just now."""
+        return self._aside_until.get(reader, 0.0) > self._clock()
+
+    def failed(self, reader: Reader) -> None:
+        """Puts a reader aside for a while."""
+        failures = self._failures.get(reader, 0)
+        aside_s = min(_FIRST_ASIDE_S * 2**failures, _LONGEST_ASIDE_S)
+        self._failures[reader] = min(failures + 1, 8)
+        self._aside_until[reader] = self._clock() + aside_s
+
+    def worked(self, reader: Reader) -> None:
+        """Forgets a reader's failures."""
+        self._failures.pop(reader, None)
+        self._aside_until.pop(reader, None)
+
+    def _ranked(self) -> list[Reader]:
+        ranked: list[Reader] = []
+        for candidate in self._candidates:
+            if candidate == self.me:
+                ranked.append(None)
+            elif len(ranked) - (None in ranked) < _MOST_OTHERS:
+                ranked.append(candidate)
+        if None not in ranked:
+            ranked.append(None)
+        return ranked
--- a/src/clementinegw/direct/entry.py
+++ b/src/clementinegw/direct/entry.py
@@ -18,6 +18,8 @@
 from clementinegw.direct import follow
 from clementinegw.direct import forward
 from clementinegw.direct import instance as instances
+from clementinegw.direct import raw
+from clementinegw.direct import relay
 from clementinegw.direct import reports
 from clementinegw.direct import server as servers
 from clementinegw.direct import types
@@ -51,7 +53,7 @@
 _LEAVE_EARLY_S = 0.4
 
 
-class Platform(follow.Platform, Protocol):
+class Platform(raw.Platform, Protocol):
     """What the daemon needs of the platform."""
 
     def dialect(self) -> dialects.Dialect:
@@ -90,9 +92,18 @@
         self._counters = counters
         self._clock = clock
         bounds = instance.bounds
-        topics = follow.Topics(
+        self._relay = relay.Relay(
+            instance,
+            places.Role.ENTRY,
             platform,
             _PACES,
+            log,
+            counters,
+            boot_clock,
+        )
+        topics = follow.Topics(
+            self._relay,
+            _PACES,
             self._on_operators,
             self._on_servers,
             log,
@@ -152,6 +163,7 @@
             lambda: self._reports,
             local_addr=(self._instance.host, self._instance.peer_ports[1]),
         )
+        await self.add_runtime_dependency(self._relay)
         await self.add_runtime_dependency(self._operators)
         await self.add_runtime_dependency(self._listing)
         self._log.write(events.PROCESS_STARTED)
--- a/src/clementinegw/direct/follow.py
+++ b/src/clementinegw/direct/follow.py
@@ -46,6 +46,22 @@
     value: Any
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Proof:
+    """What a source that reads for several says of an answer's age.
+
+    Attributes:
+      at: Up to when it proves that nothing else is new, in boot seconds.
+      lain_s: How long its records may have lain unread, in seconds.
+      settled_s: How long the platform has answered without failure, in
+        seconds.
+    """
+
+    at: float
+    lain_s: float
+    settled_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Batch:
     """What one call returned.
@@ -53,10 +69,14 @@
     Attributes:
       records: In the order of the log.
       end: The offset to go on from.
+      proof: Its age; None when the time of the call says it.
+      paid: Whether the call is paid for, so that the next one should wait.
     """
 
     records: tuple[Record, ...]
     end: int
+    proof: Proof | None = None
+    paid: bool = True
 
 
 class Source(Protocol):
@@ -101,6 +121,37 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+def proved_at(asked_at: float, now: float, wait_s: float) -> float:
+    """Returns up to when an answer proves that nothing else is new.
+
+    An answer without records was kept back for the whole wait, so it speaks of
+    the end of that wait and not of its beginning.
+
+    Args:
+      asked_at: When the question was asked, in seconds.
+      now: When its answer was there.
+      wait_s: For how long it may have been kept back; 0 for one with records.
+    """
+    return asked_at + min(now - asked_at, wait_s) * _WAIT_SHARE
+
+
+def lain_s(asked_at: float, now: float, proved: float | None) -> float:
+    """Returns how long the records of an answer may have lain unread.
+
+    An answer that waited brings what was added just then. One that came at
+    once may bring what was added since the last proof: long ago, where a
+    connection had gone silent meanwhile.
+
+    Args:
+      asked_at: When the question was asked, in seconds.
+      now: When its answer was there.
+      proved: The time of the last proof; None before any.
+    """
+    if now - asked_at > _AT_ONCE_S or proved is None:
+        return 0.0
+    return now - proved
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Pace:
     """How a topic is read.
@@ -210,43 +261,32 @@
             wait_s = 0.0 if self._unproved else self._pace.wait_s
             batch = await self._source.changes(self._offset, wait_s)
         self._offset = batch.end
-        self._unread_s = self._lain_s(asked_at)
-        self._succeeded(self._proved(batch, whole, asked_at))
+        proof = batch.proof or self._proof(batch, whole, asked_at)
+        self._unread_s = proof.lain_s
+        self._succeeded(proof)
         # An answer that waited and then brought news proves the time of its
         # question only. Asked again at once, the knowledge is as young as it
         # can be; else every change made the process look cut off for a while.
         self._unproved = bool(batch.records) and not self._pace.pause_s
         if whole or batch.records:
             self._on_batch(batch, whole)
-        return bool(batch.records)
-
-    def _lain_s(self, asked_at: float) -> float:
-        """Returns how long the records of an answer may have lain unread.
+        return bool(batch.records) and batch.paid
 
-        An answer that waited brings what was added just then. One that came at
-        once may bring what was added since the last proof: long ago, where a
-        connection had gone silent meanwhile.
-        """
+    def _proof(self, batch: Batch, whole: bool, asked_at: float) -> Proof:
         now = self._clock()
-        if now - asked_at > _AT_ONCE_S or self._proved_at is None:
-            return 0.0
-        return now - self._proved_at
-
-    def _proved(self, batch: Batch, whole: bool, asked_at: float) -> float:
-        """Returns up to when an answer proves that nothing else is new.
-
-        An answer without records was kept back for the whole wait, so it
-        speaks of the end of that wait and not of its beginning.
-        """
+        wait_s = 0.0 if self._unproved else self._pace.wait_s
         if whole or batch.records:
-            return asked_at
-        if self._unproved:
-            return asked_at
-        waited = self._clock() - asked_at
-        return asked_at + min(waited, self._pace.wait_s) * _WAIT_SHARE
-
-    def _succeeded(self, proved_at: float) -> None:
-        self._proved_at = max(proved_at, self._proved_at or proved_at)
+            wait_s = 0.0
+        return Proof(
+            proved_at(asked_at, now, wait_s),
+            lain_s(asked_at, now, self._proved_at),
+            float("inf"),
+        )
+
+    def _succeeded(self, proof: Proof) -> None:
+        self._proved_at = max(proof.at, self._proved_at or proof.at)
+        settled_at = self._clock() - proof.settled_s
+        self._returned_at = max(self._returned_at, settled_at)
         if self._failing_since is not None:
             lasted = self._clock() - self._failing_since
             self._failing_since = None
--- /dev/null
+++ b/src/clementinegw/direct/raw.py
@@ -0,0 +1,101 @@
+"""Topics of the platform's store as bytes, before anything is decoded."""
+
+from collections.abc import Iterable
+import dataclasses
+from typing import Protocol
+
+from clementinegw import types
+from clementinegw.direct import follow
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Item:
+    """One value of a key.
+
+    Attributes:
+      key: The key.
+      value: As the store keeps it; empty when the key is gone.
+      offset: Where it stands in the log. Items of a whole reading have the
+        offset before its end.
+    """
+
+    key: str
+    value: bytes
+    offset: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Batch:
+    """What one call returned.
+
+    Attributes:
+      items: In the order of the log.
+      end: The offset to go on from.
+    """
+
+    items: tuple[Item, ...]
+    end: int
+
+
+class Topic(Protocol):
+    """One topic of the platform's store."""
+
+    async def newest(self) -> Batch:
+        """Returns the newest value of each key.
+
+        Raises:
+          exceptions.PlatformError: No whole answer came.
+        """
+
+    async def changes(self, offset: int, wait_s: float) -> Batch:
+        """Returns what was added from an offset on.
+
+        Args:
+          offset: Where to begin.
+          wait_s: How long the platform may wait for a first record, in seconds.
+
+        Raises:
+          follow.HistoryLost: Those records are deleted.
+          exceptions.PlatformError: No whole answer came.
+        """
+
+    def decoded(self, items: Iterable[Item]) -> tuple[follow.Record, ...]:
+        """Returns the records that can be read."""
+
+
+class Readers(Protocol):
+    """Who reads the store for the processes of a failure domain."""
+
+    async def join(self) -> int:
+        """Offers this process as a reader, or keeps it one.
+
+        Returns:
+          A number that grows with each change among the readers.
+
+        Raises:
+          exceptions.PlatformError: The platform did not answer.
+        """
+
+    async def candidates(self) -> tuple[types.Address, ...]:
+        """Returns where readers listen; the first one should read.
+
+        Raises:
+          exceptions.PlatformError: The platform did not answer.
+        """
+
+
+class Platform(Protocol):
+    """The topics that every process follows, and who reads them."""
+
+    def operators(self) -> Topic:
+        """Returns the operators' declarations."""
+
+    def servers(self) -> Topic:
+        """Returns the list of backend servers."""
+
+    def readers(self, me: types.Address | None) -> Readers:
+        """Returns the readers of this process's failure domain.
+
+        Args:
+          me: Where this process answers others; None when it only asks.
+        """
--- /dev/null
+++ b/src/clementinegw/direct/readers.py
@@ -0,0 +1,116 @@
+"""Keeps up with who reads the store for a failure domain."""
+
+import asyncio
+
+import mode
+
+from clementinegw import exceptions
+from clementinegw.direct import _events
+from clementinegw.direct import choice as choices
+from clementinegw.direct import raw
+from clementinegw.telemetry import counters as counters_lib
+from clementinegw.telemetry import logs
+
+# A reader that has gone is on the list for at most three of these, in seconds.
+_RENEW_S = 2.0
+# Nobody waits longer than this for a list of readers; then the store is read
+# by whoever needs it, in seconds.
+_FIRST_S = 1.5
+# A process that only asks looks again so soon while nobody reads, as at a
+# start of all, and then less and less often; each look is paid for. Seconds.
+_FIRST_LOOK_S = 0.3
+_LONGEST_LOOK_S = 5.0
+# And so seldom once a reader has failed, in seconds.
+_LOOK_S = 2.0
+
+
+class Keeper(mode.Service):
+    """Offers this process as a reader, and knows the others."""
+
+    def __init__(
+        self,
+        readers: raw.Readers,
+        joins: bool,
+        choice: choices.Choice,
+        log: logs.Log,
+        counters: counters_lib.Counters,
+    ):
+        """Does nothing before `start`.
+
+        Args:
+          readers: The platform's list.
+          joins: Whether others may ask this process.
+          choice: Is told of the readers.
+          log: Where events go.
+          counters: Counts failures.
+        """
+        super().__init__()
+        self._readers = readers
+        self._joins = joins
+        self._choice = choice
+        self._log = log
+        self._counters = counters
+        self._generation = 0
+        self._look_s = _FIRST_LOOK_S
+        self._looked = asyncio.Event()
+        self._stale = asyncio.Event()
+
+    async def looked(self) -> None:
+        """Returns once there was a look at the list, or it takes too long."""
+        try:
+            async with asyncio.timeout(_FIRST_S):
+                await self._looked.wait()
+        except TimeoutError:
+            self._counters.add("readers.late")
+
+    def look_again(self) -> None:
+        """Says that a reader failed, so the list may be old."""
+        self._stale.set()
+
+    def offer(self, candidates: tuple) -> None:
+        """Takes the list that another process knows."""
+        if not self._joins and candidates:
+            self._take(candidates)
+
+    @mode.Service.task
+    async def _keep(self) -> None:
+        step = self._join if self._joins else self._ask
+        while not self.should_stop:
+            try:
+                await step()
+            except exceptions.PlatformError as error:
+                self._counters.add("readers.failed")
+                self._log.write(_events.READERS_UNKNOWN, reason=error.message)
+                self._looked.set()
+                await asyncio.sleep(_RENEW_S)
+
+    async def _join(self) -> None:
+        generation = await self._readers.join()
+        if generation != self._generation or self._stale.is_set():
+            self._stale.clear()
+            await self._look()
+            self._generation = generation
+        self._looked.set()
+        await asyncio.sleep(_RENEW_S)
+
+    async def _ask(self) -> None:
+        await self._look()
+        if not self._choice.candidates:
+            await asyncio.sleep(self._look_s)
+            self._look_s = min(2 * self._look_s, _LONGEST_LOOK_S)
+            return
+        self._look_s = _FIRST_LOOK_S
+        self._looked.set()
+        self._stale.clear()
+        await asyncio.sleep(_LOOK_S)
+        await self._stale.wait()
+
+    async def _look(self) -> None:
+        self._counters.add("readers.looks")
+        self._take(await self._readers.candidates())
+
+    def _take(self, candidates: tuple) -> None:
+        if self._choice.offer(candidates):
+            self._log.write(
+                _events.READERS_CHANGED, readers=[str(c) for c in candidates]
+            )
--- /dev/null
+++ b/src/clementinegw/direct/relay.py
@@ -0,0 +1,303 @@
+"""Topics between the processes of a failure domain, over their connections."""
+
+from collections.abc import Callable
+import zlib
+
+import mode
+
+from clementinegw import exceptions
+from clementinegw import types
+from clementinegw.direct import choice as choices
+from clementinegw.direct import follow
+from clementinegw.direct import instance as instances
+from clementinegw.direct import raw
+from clementinegw.direct import readers as readers_lib
+from clementinegw.direct import shared
+from clementinegw.telemetry import counters as counters_lib
+from clementinegw.telemetry import logs
+from clementinegw.wire import auth
+from clementinegw.wire import codec
+from clementinegw.wire import connection as connections
+from clementinegw.wire.gen.topics import ttypes
+
+# The processes of one platform stand in its own network; the key only keeps a
+# stray connection of something else out.
+_KEY = b"clementinegw readers of one platform"
+# A frozen reader is noticed, and the next one asked, before an entry's
+# knowledge is so old that it takes no new callers: after 2.75 s.
+_TIMING = connections.Timing(connect_s=0.5, ping_s=0.7, silent_s=2.1)
+# What a reader may take beyond the wait, before and between its frames.
+_ANSWER_S = 1.5
+# Larger answers are packed; smaller ones do not fill a packet.
+_PACKED_BYTES = 1_024
+_PACK_LEVEL = 1
+_MOST_BYTES = 32 << 20
+# Packed answers that are kept: of the two topics, for those who are one or two
+# changes behind.
+_KEPT_ANSWERS = 6
+
+
+class Relay(mode.Service):
+    """The topics of a platform, read once for a failure domain."""
+
+    def __init__(
+        self,
+        instance: instances.Instance,
+        role: types.Role,
+        platform: raw.Platform,
+        paces: follow.Paces,
+        log: logs.Log,
+        counters: counters_lib.Counters,
+        clock: Callable[[], float] = follow.boot_time,
+    ):
+        """Does nothing before `start`.
+
+        Args:
+          instance: What the process knows of itself.
+          role: An entry answers others; an agent, whose link is narrow, only
+            asks.
+          platform: Has the topics.
+          paces: How often each is read.
+          log: Where events go.
+          counters: Counts questions by where they went and how they ended.
+          clock: Seconds that also count while the machine is suspended.
+        """
+        super().__init__()
+        self._instance = instance
+        self._answers = role is types.Role.ENTRY
+        self._platform = platform
+        self._log = log
+        self._counters = counters
+        self._endpoint = connections.Endpoint(
+            connections.Identity(instance.name, role, instance.place),
+            auth.single(_KEY),
+            log,
+            counters,
+            _TIMING,
+        )
+        self._endpoint.on_call(connections.Kind.TOPIC_ASK, self._on_ask)
+        self._choice = choices.Choice(clock)
+        self._keeper: readers_lib.Keeper | None = None
+        self._packed: dict[tuple[str, int | None, int], tuple[bool, bytes]] = {}
+        topics = {
+            "operators": (platform.operators(), paces.operators),
+            "servers": (platform.servers(), paces.servers),
+        }
+        self._topics = {
+            name: shared.Shared(
+                name,
+                topic,
+                self,
+                self._choice,
+                pace,
+                self._answers,
+                log,
+                counters,
+                clock,
+            )
+            for name, (topic, pace) in topics.items()
+        }
+
+    def operators(self) -> follow.Source:
+        """See `follow.Platform`."""
+        return self._topics["operators"]
+
+    def servers(self) -> follow.Source:
+        """See `follow.Platform`."""
+        return self._topics["servers"]
+
+    async def on_start(self) -> None:
+        """Listens for those who ask, and begins to look for readers."""
+        me = None
+        if self._answers:
+            port = self._instance.peer_ports[0]
+            me = await self._endpoint.listen(
+                types.Address(self._instance.host, port)
+            )
+        self._choice.me = me
+        self._keeper = readers_lib.Keeper(
+            self._platform.readers(me),
+            self._answers,
+            self._choice,
+            self._log,
+            self._counters,
+        )
+        await self.add_runtime_dependency(self._keeper)
+        await self._keeper.looked()
+
+    async def on_shutdown(self) -> None:
+        """Ends all connections: those who ask turn to the next one."""
+        await self._endpoint.close()
+
+    # Asking.
+
+    async def ask(
+        self, reader: types.Address, question: shared.Question
+    ) -> shared.News:
+        """See `shared.Peers`."""
+        assert self._keeper is not None
+        try:
+            news = await self._ask(reader, question)
+        except exceptions.PlatformUnavailable:
+            self._keeper.look_again()
+            raise
+        except (exceptions.ConnectionLost, exceptions.DecodeError) as error:
+            self._keeper.look_again()
+            raise shared.Unable(error.message, "broken") from error
+        except TimeoutError as error:
+            self._keeper.look_again()
+            raise shared.Unable(f"{reader}: no answer", "timeout") from error
+        self._keeper.offer(news.readers)
+        return news
+
+    async def _ask(
+        self, reader: types.Address, question: shared.Question
+    ) -> shared.News:
+        connection = await self._endpoint.connect(reader)
+        exchange = connection.open()
+        try:
+            await exchange.send(connections.Kind.TOPIC_ASK, _asked(question))
+            frame = await exchange.receive(question.wait_s + _ANSWER_S)
+            while frame.kind is connections.Kind.TOPIC_HELD:
+                frame = await exchange.receive(_ANSWER_S)
+        finally:
+            exchange.close()
+        if frame.kind is connections.Kind.TOPIC_NEWS:
+            return _news(codec.decode(ttypes.TopicNews, frame.body))
+        refused = codec.decode(ttypes.TopicRefused, frame.body)
+        if refused.lost:
+            raise follow.HistoryLost(f"{reader}: {refused.reason}")
+        raise shared.Unable(f"{reader}: {refused.reason}", "unable")
+
+    # Answering.
+
+    async def _on_ask(
+        self,
+        connection: connections.Connection,
+        exchange: connections.Exchange,
+        frame: connections.Frame,
+    ) -> None:
+        question = _question(codec.decode(ttypes.TopicAsk, frame.body))
+        try:
+            news = await self._answer(question, exchange)
+        except exceptions.PlatformError as error:
+            lost = isinstance(error, follow.HistoryLost)
+            refused = ttypes.TopicRefused(reason=error.message, lost=lost)
+            await exchange.send(
+                connections.Kind.TOPIC_REFUSED, codec.encode(refused)
+            )
+            return
+        body = codec.encode(self._told(question, news))
+        await exchange.send(connections.Kind.TOPIC_NEWS, body)
+
+    async def _answer(
+        self, question: shared.Question, exchange: connections.Exchange
+    ) -> shared.News:
+        topic = self._topics.get(question.topic)
+        if topic is None:
+            raise shared.Unable(f"no topic {question.topic}")
+
+        async def say() -> None:
+            await exchange.send(connections.Kind.TOPIC_HELD)
+
+        return await topic.answer(question, say)
+
+    def _told(
+        self, question: shared.Question, news: shared.News
+    ) -> ttypes.TopicNews:
+        packed, items = self._packed_items(question, news)
+        return ttypes.TopicNews(
+            end=news.end,
+            age_ms=_ms_up(news.age_s),
+            held_ms=int(news.held_s * 1e3),
+            lain_ms=_ms_up(news.lain_s),
+            settled_ms=int(news.settled_s * 1e3),
+            proof=news.proof,
+            packed=packed,
+            items=items,
+            readers=[str(address) for address in news.readers],
+        )
+
+    def _packed_items(
+        self, question: shared.Question, news: shared.News
+    ) -> tuple[bool, bytes]:
+        """Returns whether the items are packed, and their bytes.
+
+        All who ask for the same are told the same: packed once, a large
+        configuration costs 2 ms a failure domain and not 2 ms an asker.
+        """
+        if not news.items:
+            return False, b""
+        key = (question.topic, question.offset, news.end)
+        if key not in self._packed:
+            while len(self._packed) >= _KEPT_ANSWERS:
+                self._packed.pop(next(iter(self._packed)))
+            self._packed[key] = _pack(news.items)
+        return self._packed[key]
+
+
+def _asked(question: shared.Question) -> bytes:
+    return codec.encode(
+        ttypes.TopicAsk(
+            topic=question.topic,
+            offset=question.offset,
+            proof=question.proof,
+            wait_ms=int(question.wait_s * 1e3),
+        )
+    )
+
+
+def _question(wire: ttypes.TopicAsk) -> shared.Question:
+    return shared.Question(
+        wire.topic, wire.offset, wire.proof, wire.wait_ms / 1e3
+    )
+
+
+def _news(wire: ttypes.TopicNews) -> shared.News:
+    try:
+        readers = tuple(instances.address(text) for text in wire.readers)
+    except ValueError as error:
+        raise exceptions.DecodeError(f"TopicNews: {error}") from error
+    return shared.News(
+        items=_unpack(wire.packed, wire.items),
+        end=wire.end,
+        proof=wire.proof,
+        age_s=wire.age_ms / 1e3,
+        held_s=wire.held_ms / 1e3,
+        lain_s=wire.lain_ms / 1e3,
+        settled_s=wire.settled_ms / 1e3,
+        readers=readers,
+    )
+
+
+def _pack(items: tuple[raw.Item, ...]) -> tuple[bool, bytes]:
+    data = codec.encode(
+        ttypes.TopicItems(
+            items=[
+                ttypes.TopicItem(key=i.key, offset=i.offset, value=i.value)
+                for i in items
+            ]
+        )
+    )
+    if len(data) <= _PACKED_BYTES:
+        return False, data
+    return True, zlib.compress(data, _PACK_LEVEL)
+
+
+def _unpack(packed: bool, data: bytes) -> tuple[raw.Item, ...]:
+    if not data:
+        return ()
+    if packed:
+        unpacking = zlib.decompressobj()
+        try:
+            data = unpacking.decompress(data, _MOST_BYTES)
+        except zlib.error as error:
+            raise exceptions.DecodeError(f"TopicNews: {error}") from error
+        if not unpacking.eof:
+            raise exceptions.DecodeError("TopicNews: cut, or too large")
+    wire = codec.decode(ttypes.TopicItems, data)
+    return tuple(raw.Item(i.key, i.value, i.offset) for i in wire.items)
+
+
+def _ms_up(seconds: float) -> int:
+    return int(seconds * 1e3) + 1
--- /dev/null
+++ b/src/clementinegw/direct/shared.py
@@ -0,0 +1,403 @@
+"""One topic, read from the store by one process of a failure domain.
+
+Each process keeps the newest values, and what it knows of their age, whether
+the store or another process told it. Asked by others it reads the store itself
+and answers from that alone, so nobody waits for somebody who waits for him.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+import dataclasses
+from typing import Protocol
+
+from clementinegw import exceptions
+from clementinegw import types
+from clementinegw.direct import _events
+from clementinegw.direct import choice as choices
+from clementinegw.direct import follow
+from clementinegw.direct import newest as newest_lib
+from clementinegw.direct import raw
+from clementinegw.telemetry import counters as counters_lib
+from clementinegw.telemetry import logs
+
+# How long the store may hold a question of a process that others ask, in
+# seconds. Their knowledge is as old as its own and a twentieth more; an entry
+# refuses unknown routes for good while that is under 1.9 s.
+_SERVING_WAIT_S = 1.6
+# The store is read for this long after the last question of another process.
+_KEEP_UP_S = 3.0
+# How often an asker whose wait is over hears that it is not forgotten.
+_SAY_S = 0.6
+# An answer without news may rest on a proof of this age, in seconds.
+_YOUNG_S = 2.2
+# Failures in a row after which the store counts as out of reach from here. The
+# first one may be a kept connection that had ended.
+_FAILURES = 2
+
+
+class Unable(exceptions.PlatformUnavailable):
+    """The process that was asked cannot answer."""
+
+
+class _Asked(Exception):  # noqa: N818
+    """Another process asks this one, which therefore reads by itself."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Question:
+    """What one process asks another one.
+
+    Attributes:
+      topic: The topic's name.
+      offset: Where the asker is; None when it knows nothing yet.
+      proof: The newest proof of the receiver that the asker has; None when it
+        asks for news only.
+      wait_s: For how long the receiver may wait for something to say.
+    """
+
+    topic: str
+    offset: int | None
+    proof: int | None
+    wait_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class News:
+    """The answer.
+
+    Attributes:
+      items: The newest value of each key that changed; of all keys when the
+        question had no offset.
+      end: The offset to go on from.
+      proof: The number of the proof that nothing else is new.
+      age_s: How old that proof is at the moment of the answer.
+      held_s: How long the question was held.
+      lain_s: How long the oldest of the items may have lain in the store.
+      settled_s: How long the store has answered without failure.
+      readers: Who reads for the failure domain.
+    """
+
+    items: tuple[raw.Item, ...]
+    end: int
+    proof: int
+    age_s: float
+    held_s: float
+    lain_s: float
+    settled_s: float
+    readers: tuple[types.Address, ...] = ()
+
+
+class Peers(Protocol):
+    """Other processes."""
+
+    async def ask(self, reader: types.Address, question: Question) -> News:
+        """Asks one.
+
+        Raises:
+          follow.HistoryLost: It does not know any more what the asker lacks.
+          exceptions.PlatformUnavailable: It cannot answer, or did not.
+        """
+
+
+class Shared:
+    """Reads one topic as a `follow.Source`, and answers others about it."""
+
+    def __init__(
+        self,
+        name: str,
+        topic: raw.Topic,
+        peers: Peers,
+        choice: choices.Choice,
+        pace: follow.Pace,
+        fresh: bool,
+        log: logs.Log,
+        counters: counters_lib.Counters,
+        clock: Callable[[], float],
+    ):
+        """Does nothing before it is asked.
+
+        Args:
+          name: The topic's name between processes, in logs and counters.
+          topic: Reads the store.
+          peers: Asks other processes.
+          choice: Whom to ask; shared by all topics of a process.
+          pace: How long an answer may wait.
+          fresh: Whether a newer proof is worth an answer by itself.
+          log: Where events go.
+          counters: Counts questions by where they went and how they ended.
+          clock: Seconds that also count while the machine is suspended.
+        """
+        self._name = name
+        self._topic = topic
+        self._peers = peers
+        self._choice = choice
+        self._pace = pace
+        self._fresh = fresh
+        self._log = log
+        self._counters = counters
+        self._clock = clock
+        self._newest = newest_lib.Newest()
+        self._proved_at: float | None = None
+        self._proof = 0
+        self._seen: dict[types.Address, int] = {}
+        self._reader: choices.Reader = None
+        self._direct = False
+        self._failures = 0
+        self._settled_at = clock()
+        self._open = 0
+        self._asked_until = 0.0
+        self._asking: asyncio.Future | None = None
+        self._changed = asyncio.Event()
+
+    @property
+    def serving(self) -> bool:
+        """Whether others ask this process."""
+        return bool(self._open) or self._clock() < self._asked_until
+
+    # What the own process asks.
+
+    async def newest(self) -> follow.Batch:
+        """See `follow.Source`."""
+        return await self._read(None, 0.0)
+
+    async def changes(self, offset: int, wait_s: float) -> follow.Batch:
+        """See `follow.Source`."""
+        return await self._read(offset, wait_s)
+
+    async def _read(self, offset: int | None, wait_s: float) -> follow.Batch:
+        try:
+            return await self._read_in_order(offset, wait_s)
+        except _Asked:
+            return await self._read_store(offset, wait_s)
+
+    async def _read_in_order(
+        self, offset: int | None, wait_s: float
+    ) -> follow.Batch:
+        error: exceptions.PlatformError | None = None
+        for reader in self._choice.order(self.serving):
+            try:
+                if reader is None:
+                    batch = await self._read_store(offset, wait_s)
+                else:
+                    batch = await self._read_peer(reader, offset)
+            except follow.HistoryLost:
+                raise
+            except exceptions.PlatformError as failed:
+                error = failed
+                continue
+            self._note_reader(reader, error)
+            return batch
+        assert error is not None
+        raise error
+
+    async def _read_store(
+        self, offset: int | None, wait_s: float
+    ) -> follow.Batch:
+        asked_at = self._clock()
+        if self.serving:
+            # Those who ask wait for a first proof: it must not be held.
+            wait_s = min(wait_s, _SERVING_WAIT_S) if self._direct else 0.0
+        self._count("store", "asked")
+        try:
+            batch = await self._ask_store(offset, wait_s)
+        except exceptions.PlatformError as error:
+            self._store_failed(error)
+            raise
+        now = self._clock()
+        if self._failures:
+            self._settled_at = now
+        self._failures = 0
+        self._choice.worked(None)
+        waited_s = 0.0 if batch.items or offset is None else wait_s
+        proved_at = follow.proved_at(asked_at, now, waited_s)
+        lain_s = follow.lain_s(asked_at, now, self._proved_at)
+        self._direct = True
+        self._take(batch, offset is None, lain_s)
+        return self._told(batch, proved_at, lain_s, paid=True)
+
+    async def _ask_store(self, offset: int | None, wait_s: float) -> raw.Batch:
+        if offset is None:
+            return await self._topic.newest()
+        return await self._topic.changes(offset, wait_s)
+
+    def _store_failed(self, error: exceptions.PlatformError) -> None:
+        self._count("store", "failed")
+        if isinstance(error, follow.HistoryLost):
+            return
+        self._failures += 1
+        slow = getattr(error, "reason", "") == "timeout"
+        if slow or self._failures >= _FAILURES:
+            self._direct = False
+            self._choice.failed(None)
+            self._wake()
+
+    async def _read_peer(
+        self, reader: types.Address, offset: int | None
+    ) -> follow.Batch:
+        asked_at = self._clock()
+        proof = self._seen.get(reader, 0) if self._fresh else None
+        wait_s = 0.0 if offset is None else self._pace.wait_s
+        question = Question(self._name, offset, proof, wait_s)
+        news = await self._ask_peer(reader, question)
+        now = self._clock()
+        self._direct = False
+        self._choice.worked(reader)
+        self._seen = {reader: news.proof}
+        self._settled_at = max(self._settled_at, now - news.settled_s)
+        held_s = follow.proved_at(asked_at, now, news.held_s) - asked_at
+        # By the other process's clock the answer left at `asked_at + held_s`
+        # at the earliest; what is older than that cannot be ruled out.
+        proved_at = asked_at + held_s - news.age_s
+        lain_s = news.lain_s + now - asked_at - held_s
+        if offset is None:
+            lain_s = 0.0 if self._proved_at is None else now - self._proved_at
+        batch = raw.Batch(news.items, news.end)
+        self._take(batch, offset is None, lain_s)
+        return self._told(batch, proved_at, lain_s, paid=False)
+
+    async def _ask_peer(
+        self, reader: types.Address, question: Question
+    ) -> News:
+        self._count("peer", "asked")
+        asking = asyncio.ensure_future(self._peers.ask(reader, question))
+        self._asking = asking
+        try:
+            return await asking
+        except asyncio.CancelledError:
+            task = asyncio.current_task()
+            if task is None or task.cancelling():
+                raise
+            raise _Asked() from None
+        except follow.HistoryLost:
+            self._count("peer", "lost")
+            raise
+        except exceptions.PlatformUnavailable as error:
+            self._count("peer", error.reason or "failed")
+            self._choice.failed(reader)
+            self._seen.pop(reader, None)
+            raise
+        finally:
+            self._asking = None
+
+    def _take(self, batch: raw.Batch, whole: bool, lain_s: float) -> None:
+        now = self._clock()
+        if whole:
+            self._newest.replace(batch, now)
+        else:
+            self._newest.add(batch, now - lain_s)
+
+    def _told(
+        self, batch: raw.Batch, proved_at: float, lain_s: float, paid: bool
+    ) -> follow.Batch:
+        if self._proved_at is None or proved_at > self._proved_at:
+            self._proved_at = proved_at
+            self._proof += 1
+        self._wake()
+        settled_s = self._clock() - self._settled_at
+        return follow.Batch(
+            self._topic.decoded(batch.items),
+            batch.end,
+            follow.Proof(self._proved_at, lain_s, settled_s),
+            paid,
+        )
+
+    def _note_reader(
+        self, reader: choices.Reader, error: exceptions.PlatformError | None
+    ) -> None:
+        if reader == self._reader:
+            return
+        self._log.write(
+            _events.READER_CHANGED,
+            topic=self._name,
+            reader=str(reader or "store"),
+            was=str(self._reader or "store"),
+            reason=error.message if error else "its turn",
+        )
+        self._reader = reader
+
+    def _count(self, where: str, what: str) -> None:
+        self._counters.add(f"topics.{self._name}.{where}.{what}")
+
+    # What others ask.
+
+    async def answer(
+        self, question: Question, say: Callable[[], Awaitable[None]]
+    ) -> News:
+        """Answers another process once there is something to say.
+
+        Args:
+          question: What it asks.
+          say: Tells it from time to time that it is not forgotten.
+
+        Raises:
+          follow.HistoryLost: What it lacks is not known here any more.
+          Unable: The store is out of reach from here.
+        """
+        started = self._clock()
+        self._count("served", "asked")
+        self._open += 1
+        try:
+            self._begin_to_read()
+            while not self._answers(question, started):
+                if self._choice.is_aside(None):
+                    self._count("served", "unable")
+                    raise Unable("the store does not answer here", "unable")
+                await self._next_change()
+                if self._clock() >= started + question.wait_s:
+                    await say()
+            return self._news(question, started)
+        finally:
+            self._open -= 1
+            self._asked_until = self._clock() + _KEEP_UP_S
+
+    def _begin_to_read(self) -> None:
+        if self._asking is not None:
+            self._asking.cancel()
+
+    def _answers(self, question: Question, started: float) -> bool:
+        end = self._newest.end
+        if not self._direct or end is None or self._proved_at is None:
+            return False
+        if question.offset is None or question.offset < end:
+            return True
+        if question.proof is not None:
+            return question.proof != self._proof
+        now = self._clock()
+        return (
+            now >= started + question.wait_s
+            and now - self._proved_at < _YOUNG_S
+        )
+
+    def _news(self, question: Question, started: float) -> News:
+        assert self._proved_at is not None
+        assert self._newest.end is not None
+        now = self._clock()
+        offset = question.offset
+        if offset is None:
+            items, lain_s = self._newest.all(), 0.0
+        else:
+            items = self._newest.since(offset)
+            lain_s = max(0.0, now - self._newest.added_after(offset))
+        return News(
+            items=items,
+            end=max(self._newest.end, offset or 0),
+            proof=self._proof,
+            age_s=now - self._proved_at,
+            held_s=now - started,
+            lain_s=lain_s,
+            settled_s=now - self._settled_at,
+            readers=self._choice.candidates,
+        )
+
+    async def _next_change(self) -> None:
+        changed = self._changed
+        try:
+            async with asyncio.timeout(_SAY_S):
+                await changed.wait()
+        except TimeoutError:
+            # Nothing changed; the asker is told so.
+            return
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
--- a/src/clementinegw/wire/frame.thrift
+++ b/src/clementinegw/wire/frame.thrift
@@ -40,6 +40,12 @@
   CLAIM_ASK = 80,
   CLAIM_REPLY = 81,
   USAGE_SHARE = 82,
+
+  // entry, agent -> entry: topics.thrift
+  TOPIC_ASK = 90,
+  TOPIC_NEWS = 91,
+  TOPIC_HELD = 92,
+  TOPIC_REFUSED = 93,
 }
 
 struct Frame {
--- a/src/clementinegw/wire/gen/frame/ttypes.py
+++ b/src/clementinegw/wire/gen/frame/ttypes.py
@@ -48,6 +48,10 @@
     CLAIM_ASK = 80
     CLAIM_REPLY = 81
     USAGE_SHARE = 82
+    TOPIC_ASK = 90
+    TOPIC_NEWS = 91
+    TOPIC_HELD = 92
+    TOPIC_REFUSED = 93
 
 
 
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -72,7 +72,7 @@
             await responder.answer(self.status, [], b"")
             return
         path, _, text = request.target.partition("?")
-        query = dict(part.split("=") for part in text.split("&"))
+        query = dict(part.split("=") for part in text.split("&") if part)
         if path == "/log-join":
             body = self._join(json.loads(request.body))
         elif path == "/log-owners":
--- a/tests/test_direct_agent.py
+++ b/tests/test_direct_agent.py
@@ -15,6 +15,7 @@
 from clementinegw.direct import follow
 from clementinegw.direct import instance as instances
 from clementinegw.direct import keep
+from clementinegw.direct import raw
 from clementinegw.direct import types
 from clementinegw.telemetry import counters as counters_lib
 from clementinegw.telemetry import histograms
@@ -117,7 +118,7 @@
         self.records = []
 
     async def newest(self):
-        return follow.Batch((), 0)
+        return raw.Batch((), 0)
 
     async def changes(self, offset, wait_s):
         until = asyncio.get_running_loop().time() + wait_s
@@ -125,8 +126,19 @@
             if asyncio.get_running_loop().time() >= until:
                 break
             await asyncio.sleep(0.05)
-        found = tuple(self.records[offset:])
-        return follow.Batch(found, offset + len(found))
+        numbers = range(offset, len(self.records))
+        found = tuple(raw.Item(f"{n}", b"%d" % n, n) for n in numbers)
+        return raw.Batch(found, offset + len(found))
+
+    def decoded(self, items):
+        return tuple(self.records[int(item.value)] for item in items)
+
+
+class NoReaders:
+    """No process answers others: each agent reads by itself."""
+
+    async def candidates(self):
+        return ()
 
 
 class Site:
@@ -230,6 +242,7 @@
     def __init__(self, site):
         self.operators = site.operators
         self.servers = site.servers
+        self.readers = lambda me: NoReaders()
         self.beside = site.beside
         self.origin = site.origin_at
 
--- a/tests/test_platform_link.py
+++ b/tests/test_platform_link.py
@@ -49,11 +49,26 @@
     return roles.Platform(instance, logs.Log())
 
 
+class Alone:
+    """A topic that one process reads for itself."""
+
+    def __init__(self, topic):
+        self._topic = topic
+
+    async def newest(self):
+        batch = await self._topic.newest()
+        return follow.Batch(self._topic.decoded(batch.items), batch.end)
+
+    async def changes(self, offset, wait_s):
+        batch = await self._topic.changes(offset, wait_s)
+        return follow.Batch(self._topic.decoded(batch.items), batch.end)
+
+
 async def following(store, taken):
     """Starts a process's follower of what operators declare."""
     follower = follow.Follower(
         "operators",
-        platform_at(store).operators(),
+        Alone(platform_at(store).operators()),
         follow.Pace(2.0, 0.0),
         lambda batch, whole: taken.append(batch),
         logs.Log(),
--- a/tests/test_platform_relay.py
+++ b/tests/test_platform_relay.py
@@ -4,7 +4,6 @@
 
 from adapter import roles
 import platform_site
-import pytest
 
 from clementinegw import types as places
 from clementinegw.direct import entry as entries
