Move on from a reader before its askers' knowledge is old

Cause: a process that took over asked the store for two seconds before it had a proof; a frozen reader was noticed after its connection's silence only. In the schedules of test_direct_shared the age of those who ask rose to 6.05 s when the reader ended, to 3.65 s when it froze and to 3.39 s when the store went silent for it. Change: the first question after a change of reader is not held; a question for proofs has the reader's word every 1.4 s at the latest; the store holds a serving reader's question for 1.3 s. Figures: the age stays under 2.75 s, at which entries take no callers, in all four cases; in twelve random schedules nobody claims to know more than he knows.

--- a/src/clementinegw/direct/relay.py
+++ b/src/clementinegw/direct/relay.py
@@ -26,8 +26,6 @@
 # A frozen reader is noticed, and the next one asked, before an entry's
 # knowledge is so old that it takes no new callers: after 2.75 s.
 _TIMING = connections.Timing(connect_s=0.5, ping_s=0.7, silent_s=2.1)
-# What a reader may take beyond the wait, before and between its frames.
-_ANSWER_S = 1.5
 # Larger answers are packed; smaller ones do not fill a packet.
 _PACKED_BYTES = 1_024
 _PACK_LEVEL = 1
@@ -35,6 +33,8 @@
 # Packed answers that are kept: of the two topics, for those who are one or two
 # changes behind.
 _KEPT_ANSWERS = 6
+# The topic with the keys and routes, whose age entries answer by.
+_FRESH = "operators"
 
 
 class Relay(mode.Service):
@@ -80,7 +80,7 @@
         self._keeper: readers_lib.Keeper | None = None
         self._packed: dict[tuple[str, int | None, int], tuple[bool, bytes]] = {}
         topics = {
-            "operators": (platform.operators(), paces.operators),
+            _FRESH: (platform.operators(), paces.operators),
             "servers": (platform.servers(), paces.servers),
         }
         self._topics = {
@@ -90,7 +90,8 @@
                 self,
                 self._choice,
                 pace,
-                self._answers,
+                # Nothing that an entry does hangs on the age of the list.
+                self._answers and name == _FRESH,
                 log,
                 counters,
                 clock,
@@ -100,7 +101,7 @@
 
     def operators(self) -> follow.Source:
         """See `follow.Platform`."""
-        return self._topics["operators"]
+        return self._topics[_FRESH]
 
     def servers(self) -> follow.Source:
         """See `follow.Platform`."""
@@ -157,9 +158,10 @@
         exchange = connection.open()
         try:
             await exchange.send(connections.Kind.TOPIC_ASK, _asked(question))
-            frame = await exchange.receive(question.wait_s + _ANSWER_S)
+            patience_s = question.patience_s
+            frame = await exchange.receive(question.wait_s + patience_s)
             while frame.kind is connections.Kind.TOPIC_HELD:
-                frame = await exchange.receive(_ANSWER_S)
+                frame = await exchange.receive(patience_s)
         finally:
             exchange.close()
         if frame.kind is connections.Kind.TOPIC_NEWS:
--- a/src/clementinegw/direct/shared.py
+++ b/src/clementinegw/direct/shared.py
@@ -20,16 +20,25 @@
 from clementinegw.telemetry import counters as counters_lib
 from clementinegw.telemetry import logs
 
-# How long the store may hold a question of a process that others ask, in
-# seconds. Their knowledge is as old as its own and a twentieth more; an entry
-# refuses unknown routes for good while that is under 1.9 s.
-_SERVING_WAIT_S = 1.6
+# How long the store may hold a question of a process that others ask for
+# proofs, in seconds. Their knowledge is as old as its own and a twentieth more;
+# an entry refuses unknown routes for good while that is under 1.9 s. Where the
+# store goes silent for the reader alone, this and the store's 1.2 s of patience
+# are over before entries take no new callers, at 2.75 s.
+_SERVING_WAIT_S = 1.3
+# What a question for proofs waits: a reader that says nothing for this long and
+# `_FRESH_PATIENCE_S` more has stopped, and the next one is asked while the
+# knowledge is young enough. Seconds.
+_FRESH_WAIT_S = 1.4
+_FRESH_PATIENCE_S = 0.5
+# What a reader may take beyond the wait of another question, in seconds.
+_PATIENCE_S = 1.5
 # The store is read for this long after the last question of another process.
 _KEEP_UP_S = 3.0
 # How often an asker whose wait is over hears that it is not forgotten.
-_SAY_S = 0.6
+_SAY_S = 0.3
 # An answer without news may rest on a proof of this age, in seconds.
-_YOUNG_S = 2.2
+_YOUNG_S = 3.0
 # Failures in a row after which the store counts as out of reach from here. The
 # first one may be a kept connection that had ended.
 _FAILURES = 2
@@ -60,6 +69,13 @@
     proof: int | None
     wait_s: float
 
+    @property
+    def patience_s(self) -> float:
+        """How long the receiver may say nothing beyond the wait."""
+        if self.proof is None or self.offset is None:
+            return _PATIENCE_S
+        return _FRESH_PATIENCE_S
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class News:
@@ -194,9 +210,12 @@
         self, offset: int | None, wait_s: float
     ) -> follow.Batch:
         asked_at = self._clock()
-        if self.serving:
-            # Those who ask wait for a first proof: it must not be held.
-            wait_s = min(wait_s, _SERVING_WAIT_S) if self._direct else 0.0
+        if not self._direct:
+            # The former reader's last proof is old by now, and whoever asks
+            # here waits for a first one: it must not be held.
+            wait_s = 0.0
+        elif self.serving and self._fresh:
+            wait_s = min(wait_s, _SERVING_WAIT_S)
         self._count("store", "asked")
         try:
             batch = await self._ask_store(offset, wait_s)
@@ -236,7 +255,9 @@
     ) -> follow.Batch:
         asked_at = self._clock()
         proof = self._seen.get(reader, 0) if self._fresh else None
-        wait_s = 0.0 if offset is None else self._pace.wait_s
+        wait_s = _FRESH_WAIT_S if self._fresh else self._pace.wait_s
+        if offset is None:
+            wait_s = 0.0
         question = Question(self._name, offset, proof, wait_s)
         news = await self._ask_peer(reader, question)
         now = self._clock()
