Pass an outage's length on with the topics it concerned

Cause: a server that vanished during an outage of the store is believed in for a while; who asks a reader sees no failed call of its own. Change: answers carry for how long the store had been away when it came back, as well as since when it answers; questions have a module.

--- a/src/clementinegw/direct/follow.py
+++ b/src/clementinegw/direct/follow.py
@@ -55,11 +55,13 @@
       lain_s: How long its records may have lain unread, in seconds.
       settled_s: How long the platform has answered without failure, in
         seconds.
+      away_s: How long it had given no answer before that, in seconds.
     """
 
     at: float
     lain_s: float
     settled_s: float
+    away_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -205,6 +207,7 @@
         self._unproved = False
         self._unread_s = 0.0
         self._returned_at = clock()
+        self._away_s = 0.0
 
     @property
     def known(self) -> bool:
@@ -230,6 +233,11 @@
             return 0.0
         return self._clock() - self._returned_at
 
+    @property
+    def away_s(self) -> float:
+        """How long the last outage lasted, where the source tells; seconds."""
+        return self._away_s
+
     @mode.Service.task
     async def _run(self) -> None:
         pause_s = _FIRST_PAUSE_S
@@ -287,6 +295,7 @@
         self._proved_at = max(proof.at, self._proved_at or proof.at)
         settled_at = self._clock() - proof.settled_s
         self._returned_at = max(self._returned_at, settled_at)
+        self._away_s = proof.away_s
         if self._failing_since is not None:
             lasted = self._clock() - self._failing_since
             self._failing_since = None
--- /dev/null
+++ b/src/clementinegw/direct/questions.py
@@ -0,0 +1,83 @@
+"""What one process asks another about a topic, and the answer."""
+
+import dataclasses
+from typing import Protocol
+
+from clementinegw import exceptions
+from clementinegw import types
+from clementinegw.direct import raw
+
+# What a receiver may take beyond the wait of a question for proofs, in
+# seconds: the asker's knowledge grows old meanwhile.
+_FRESH_PATIENCE_S = 0.5
+# And of another question.
+_PATIENCE_S = 1.5
+
+
+class Unable(exceptions.PlatformUnavailable):
+    """The process that was asked cannot answer."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Question:
+    """What one process asks another one.
+
+    Attributes:
+      topic: The topic's name.
+      offset: Where the asker is; None when it knows nothing yet.
+      proof: The newest proof of the receiver that the asker has; None when it
+        asks for news only.
+      wait_s: For how long the receiver may wait for something to say.
+    """
+
+    topic: str
+    offset: int | None
+    proof: int | None
+    wait_s: float
+
+    @property
+    def patience_s(self) -> float:
+        """How long the receiver may say nothing beyond the wait."""
+        if self.proof is None or self.offset is None:
+            return _PATIENCE_S
+        return _FRESH_PATIENCE_S
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class News:
+    """The answer.
+
+    Attributes:
+      items: The newest value of each key that changed; of all keys when the
+        question had no offset.
+      end: The offset to go on from.
+      proof: The number of the proof that nothing else is new.
+      age_s: How old that proof is at the moment of the answer.
+      held_s: How long the question was held.
+      lain_s: How long the oldest of the items may have lain in the store.
+      settled_s: How long the store has answered without failure.
+      away_s: How long it had given no answer before that.
+      readers: Who reads for the failure domain.
+    """
+
+    items: tuple[raw.Item, ...]
+    end: int
+    proof: int
+    age_s: float
+    held_s: float
+    lain_s: float
+    settled_s: float
+    away_s: float = 0.0
+    readers: tuple[types.Address, ...] = ()
+
+
+class Peers(Protocol):
+    """Other processes."""
+
+    async def ask(self, reader: types.Address, question: Question) -> News:
+        """Asks one.
+
+        Raises:
+          follow.HistoryLost: It does not know any more what the asker lacks.
+          exceptions.PlatformUnavailable: It cannot answer, or did not.
+        """
--- a/src/clementinegw/direct/relay.py
+++ b/src/clementinegw/direct/relay.py
@@ -10,6 +10,7 @@
 from clementinegw.direct import choice as choices
 from clementinegw.direct import follow
 from clementinegw.direct import instance as instances
+from clementinegw.direct import questions
 from clementinegw.direct import raw
 from clementinegw.direct import readers as readers_lib
 from clementinegw.direct import shared
@@ -133,9 +134,9 @@
     # Asking.
 
     async def ask(
-        self, reader: types.Address, question: shared.Question
-    ) -> shared.News:
-        """See `shared.Peers`."""
+        self, reader: types.Address, question: questions.Question
+    ) -> questions.News:
+        """See `questions.Peers`."""
         assert self._keeper is not None
         try:
             news = await self._ask(reader, question)
@@ -144,16 +145,16 @@
             raise
         except (exceptions.ConnectionLost, exceptions.DecodeError) as error:
             self._keeper.look_again()
-            raise shared.Unable(error.message, "broken") from error
+            raise questions.Unable(error.message, "broken") from error
         except TimeoutError as error:
             self._keeper.look_again()
-            raise shared.Unable(f"{reader}: no answer", "timeout") from error
+            raise questions.Unable(f"{reader}: no answer", "timeout") from error
         self._keeper.offer(news.readers)
         return news
 
     async def _ask(
-        self, reader: types.Address, question: shared.Question
-    ) -> shared.News:
+        self, reader: types.Address, question: questions.Question
+    ) -> questions.News:
         connection = await self._endpoint.connect(reader)
         exchange = connection.open()
         try:
@@ -169,7 +170,7 @@
         refused = codec.decode(ttypes.TopicRefused, frame.body)
         if refused.lost:
             raise follow.HistoryLost(f"{reader}: {refused.reason}")
-        raise shared.Unable(f"{reader}: {refused.reason}", "unable")
+        raise questions.Unable(f"{reader}: {refused.reason}", "unable")
 
     # Answering.
 
@@ -193,11 +194,11 @@
         await exchange.send(connections.Kind.TOPIC_NEWS, body)
 
     async def _answer(
-        self, question: shared.Question, exchange: connections.Exchange
-    ) -> shared.News:
+        self, question: questions.Question, exchange: connections.Exchange
+    ) -> questions.News:
         topic = self._topics.get(question.topic)
         if topic is None:
-            raise shared.Unable(f"no topic {question.topic}")
+            raise questions.Unable(f"no topic {question.topic}")
 
         async def say() -> None:
             await exchange.send(connections.Kind.TOPIC_HELD)
@@ -205,7 +206,7 @@
         return await topic.answer(question, say)
 
     def _told(
-        self, question: shared.Question, news: shared.News
+        self, question: questions.Question, news: questions.News
     ) -> ttypes.TopicNews:
         packed, items = self._packed_items(question, news)
         return ttypes.TopicNews(
@@ -214,6 +215,7 @@
             held_ms=int(news.held_s * 1e3),
             lain_ms=_ms_up(news.lain_s),
             settled_ms=int(news.settled_s * 1e3),
+            away_ms=_ms_up(news.away_s),
             proof=news.proof,
             packed=packed,
             items=items,
@@ -221,7 +223,7 @@
         )
 
     def _packed_items(
-        self, question: shared.Question, news: shared.News
+        self, question: questions.Question, news: questions.News
     ) -> tuple[bool, bytes]:
         """Returns whether the items are packed, and their bytes.
 
@@ -238,7 +240,7 @@
         return self._packed[key]
 
 
-def _asked(question: shared.Question) -> bytes:
+def _asked(question: questions.Question) -> bytes:
     return codec.encode(
         ttypes.TopicAsk(
             topic=question.topic,
@@ -249,18 +251,18 @@
     )
 
 
-def _question(wire: ttypes.TopicAsk) -> shared.Question:
-    return shared.Question(
+def _question(wire: ttypes.TopicAsk) -> questions.Question:
+    return questions.Question(
         wire.topic, wire.offset, wire.proof, wire.wait_ms / 1e3
     )
 
 
-def _news(wire: ttypes.TopicNews) -> shared.News:
+def _news(wire: ttypes.TopicNews) -> questions.News:
     try:
         readers = tuple(instances.address(text) for text in wire.readers)
     except ValueError as error:
         raise exceptions.DecodeError(f"TopicNews: {error}") from error
-    return shared.News(
+    return questions.News(
         items=_unpack(wire.packed, wire.items),
         end=wire.end,
         proof=wire.proof,
@@ -268,6 +270,7 @@
         held_s=wire.held_ms / 1e3,
         lain_s=wire.lain_ms / 1e3,
         settled_s=wire.settled_ms / 1e3,
+        away_s=wire.away_ms / 1e3,
         readers=readers,
     )
 
--- a/src/clementinegw/direct/shared.py
+++ b/src/clementinegw/direct/shared.py
@@ -7,8 +7,6 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-import dataclasses
-from typing import Protocol
 
 from clementinegw import exceptions
 from clementinegw import types
@@ -16,6 +14,7 @@
 from clementinegw.direct import choice as choices
 from clementinegw.direct import follow
 from clementinegw.direct import newest as newest_lib
+from clementinegw.direct import questions
 from clementinegw.direct import raw
 from clementinegw.telemetry import counters as counters_lib
 from clementinegw.telemetry import logs
@@ -26,95 +25,28 @@
 # store goes silent for the reader alone, this and the store's 1.2 s of patience
 # are over before entries take no new callers, at 2.75 s.
 _SERVING_WAIT_S = 1.3
-# What a question for proofs waits: a reader that says nothing for this long and
-# `_FRESH_PATIENCE_S` more has stopped, and the next one is asked while the
-# knowledge is young enough. Seconds.
+# How long a question for proofs may be held, in seconds. A reader that says
+# nothing for this long and half a second more has stopped, and the next one is
+# asked while the knowledge is young enough.
 _FRESH_WAIT_S = 1.4
-_FRESH_PATIENCE_S = 0.5
-# What a reader may take beyond the wait of another question, in seconds.
-_PATIENCE_S = 1.5
 # The store is read for this long after the last question of another process.
 _KEEP_UP_S = 3.0
 # How often an asker whose wait is over hears that it is not forgotten.
 _SAY_S = 0.3
 # An answer without news may rest on a proof of this age, in seconds.
 _YOUNG_S = 3.0
+# A call that failed this much after its wait had hung from its beginning, in
+# seconds; one that failed sooner had met a store that was there until then.
+_HUNG_S = 0.8
 # Failures in a row after which the store counts as out of reach from here. The
 # first one may be a kept connection that had ended.
 _FAILURES = 2
 
 
-class Unable(exceptions.PlatformUnavailable):
-    """The process that was asked cannot answer."""
-
-
 class _Asked(Exception):  # noqa: N818
     """Another process asks this one, which therefore reads by itself."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Question:
-    """What one process asks another one.
-
-    Attributes:
-      topic: The topic's name.
-      offset: Where the asker is; None when it knows nothing yet.
-      proof: The newest proof of the receiver that the asker has; None when it
-        asks for news only.
-      wait_s: For how long the receiver may wait for something to say.
-    """
-
-    topic: str
-    offset: int | None
-    proof: int | None
-    wait_s: float
-
-    @property
-    def patience_s(self) -> float:
-        """How long the receiver may say nothing beyond the wait."""
-        if self.proof is None or self.offset is None:
-            return _PATIENCE_S
-        return _FRESH_PATIENCE_S
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class News:
-    """The answer.
-
-    Attributes:
-      items: The newest value of each key that changed; of all keys when the
-        question had no offset.
-      end: The offset to go on from.
-      proof: The number of the proof that nothing else is new.
-      age_s: How old that proof is at the moment of the answer.
-      held_s: How long the question was held.
-      lain_s: How long the oldest of the items may have lain in the store.
-      settled_s: How long the store has answered without failure.
-      readers: Who reads for the failure domain.
-    """
-
-    items: tuple[raw.Item, ...]
-    end: int
-    proof: int
-    age_s: float
-    held_s: float
-    lain_s: float
-    settled_s: float
-    readers: tuple[types.Address, ...] = ()
-
-
-class Peers(Protocol):
-    """Other processes."""
-
-    async def ask(self, reader: types.Address, question: Question) -> News:
-        """Asks one.
-
-        Raises:
-          follow.HistoryLost: It does not know any more what the asker lacks.
-          exceptions.PlatformUnavailable: It cannot answer, or did not.
-        """
-
-
 class Shared:
     """Reads one topic as a `follow.Source`, and answers others about it."""
 
@@ -122,7 +54,7 @@
         self,
         name: str,
         topic: raw.Topic,
-        peers: Peers,
+        peers: questions.Peers,
         choice: choices.Choice,
         pace: follow.Pace,
         fresh: bool,
@@ -160,6 +92,8 @@
         self._direct = False
         self._failures = 0
         self._settled_at = clock()
+        self._away_s = 0.0
+        self._away_since = 0.0
         self._open = 0
         self._asked_until = 0.0
         self._asking: asyncio.Future | None = None
@@ -220,11 +154,12 @@
         try:
             batch = await self._ask_store(offset, wait_s)
         except exceptions.PlatformError as error:
-            self._store_failed(error)
+            self._store_failed(error, asked_at, wait_s)
             raise
         now = self._clock()
         if self._failures:
             self._settled_at = now
+            self._away_s = now - self._away_since
         self._failures = 0
         self._choice.worked(None)
         waited_s = 0.0 if batch.items or offset is None else wait_s
@@ -239,10 +174,16 @@
             return await self._topic.newest()
         return await self._topic.changes(offset, wait_s)
 
-    def _store_failed(self, error: exceptions.PlatformError) -> None:
+    def _store_failed(
+        self, error: exceptions.PlatformError, asked_at: float, wait_s: float
+    ) -> None:
         self._count("store", "failed")
         if isinstance(error, follow.HistoryLost):
             return
+        if not self._failures:
+            now = self._clock()
+            hung = now - asked_at > wait_s + _HUNG_S
+            self._away_since = asked_at if hung else now
         self._failures += 1
         slow = getattr(error, "reason", "") == "timeout"
         if slow or self._failures >= _FAILURES:
@@ -258,13 +199,15 @@
         wait_s = _FRESH_WAIT_S if self._fresh else self._pace.wait_s
         if offset is None:
             wait_s = 0.0
-        question = Question(self._name, offset, proof, wait_s)
+        question = questions.Question(self._name, offset, proof, wait_s)
         news = await self._ask_peer(reader, question)
         now = self._clock()
         self._direct = False
         self._choice.worked(reader)
         self._seen = {reader: news.proof}
-        self._settled_at = max(self._settled_at, now - news.settled_s)
+        if now - news.settled_s > self._settled_at:
+            self._settled_at = now - news.settled_s
+            self._away_s = news.away_s
         held_s = follow.proved_at(asked_at, now, news.held_s) - asked_at
         # By the other process's clock the answer left at `asked_at + held_s`
         # at the earliest; what is older than that cannot be ruled out.
@@ -277,8 +220,8 @@
         return self._told(batch, proved_at, lain_s, paid=False)
 
     async def _ask_peer(
-        self, reader: types.Address, question: Question
-    ) -> News:
+        self, reader: types.Address, question: questions.Question
+    ) -> questions.News:
         self._count("peer", "asked")
         asking = asyncio.ensure_future(self._peers.ask(reader, question))
         self._asking = asking
@@ -318,7 +261,7 @@
         return follow.Batch(
             self._topic.decoded(batch.items),
             batch.end,
-            follow.Proof(self._proved_at, lain_s, settled_s),
+            follow.Proof(self._proved_at, lain_s, settled_s, self._away_s),
             paid,
         )
 
@@ -342,8 +285,8 @@
     # What others ask.
 
     async def answer(
-        self, question: Question, say: Callable[[], Awaitable[None]]
-    ) -> News:
+        self, question: questions.Question, say: Callable[[], Awaitable[None]]
+    ) -> questions.News:
         """Answers another process once there is something to say.
 
         Args:
@@ -352,7 +295,7 @@
 
         Raises:
           follow.HistoryLost: What it lacks is not known here any more.
-          Unable: The store is out of reach from here.
+          questions.Unable: The store is out of reach from here.
         """
         started = self._clock()
         self._count("served", "asked")
@@ -362,7 +305,9 @@
             while not self._answers(question, started):
                 if self._choice.is_aside(None):
                     self._count("served", "unable")
-                    raise Unable("the store does not answer here", "unable")
+                    raise questions.Unable(
+                        "the store does not answer here", "unable"
+                    )
                 await self._next_change()
                 if self._clock() >= started + question.wait_s:
                     await say()
@@ -375,7 +320,7 @@
         if self._asking is not None:
             self._asking.cancel()
 
-    def _answers(self, question: Question, started: float) -> bool:
+    def _answers(self, question: questions.Question, started: float) -> bool:
         end = self._newest.end
         if not self._direct or end is None or self._proved_at is None:
             return False
@@ -389,7 +334,9 @@
             and now - self._proved_at < _YOUNG_S
         )
 
-    def _news(self, question: Question, started: float) -> News:
+    def _news(
+        self, question: questions.Question, started: float
+    ) -> questions.News:
         assert self._proved_at is not None
         assert self._newest.end is not None
         now = self._clock()
@@ -399,7 +346,7 @@
         else:
             items = self._newest.since(offset)
             lain_s = max(0.0, now - self._newest.added_after(offset))
-        return News(
+        return questions.News(
             items=items,
             end=max(self._newest.end, offset or 0),
             proof=self._proof,
@@ -407,6 +354,7 @@
             held_s=now - started,
             lain_s=lain_s,
             settled_s=now - self._settled_at,
+            away_s=self._away_s,
             readers=self._choice.candidates,
         )
 
--- a/src/clementinegw/wire/gen/topics/ttypes.py
+++ b/src/clementinegw/wire/gen/topics/ttypes.py
@@ -314,6 +314,7 @@
      - packed
      - items
      - readers
+     - away_ms
 
     """
 
@@ -327,10 +328,11 @@
         'packed',
         'items',
         'readers',
+        'away_ms',
     )
 
 
-    def __init__(self, end=None, age_ms=None, held_ms=None, lain_ms=None, settled_ms=None, proof=None, packed=None, items=None, readers=None,):
+    def __init__(self, end=None, age_ms=None, held_ms=None, lain_ms=None, settled_ms=None, proof=None, packed=None, items=None, readers=None, away_ms=None,):
         self.end = end
         self.age_ms = age_ms
         self.held_ms = held_ms
@@ -340,6 +342,7 @@
         self.packed = packed
         self.items = items
         self.readers = readers
+        self.away_ms = away_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -400,6 +403,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.away_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -449,6 +457,10 @@
                 oprot.writeString(iter13.encode('utf-8') if sys.version_info[0] == 2 else iter13)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.away_ms is not None:
+            oprot.writeFieldBegin('away_ms', TType.I64, 10)
+            oprot.writeI64(self.away_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -471,6 +483,8 @@
             raise TProtocolException(message='Required field items is unset!')
         if self.readers is None:
             raise TProtocolException(message='Required field readers is unset!')
+        if self.away_ms is None:
+            raise TProtocolException(message='Required field away_ms is unset!')
         return
 
     def __repr__(self):
@@ -606,6 +620,7 @@
     (7, TType.BOOL, 'packed', None, None, ),  # 7
     (8, TType.STRING, 'items', 'BINARY', None, ),  # 8
     (9, TType.LIST, 'readers', (TType.STRING, 'UTF8', False), None, ),  # 9
+    (10, TType.I64, 'away_ms', None, None, ),  # 10
 )
 all_structs.append(TopicRefused)
 TopicRefused.thrift_spec = (
--- a/src/clementinegw/wire/topics.thrift
+++ b/src/clementinegw/wire/topics.thrift
@@ -41,6 +41,8 @@
   8: required binary items,
   // Who reads, in order, as IP:PORT.
   9: required list<string> readers,
+  // How long the store had given no answer when it last came back.
+  10: required i64 away_ms,
 }
 
 struct TopicRefused {
