Test the relay over sockets: a start of all, a reader that stops, bad bytes

Cause: the schedules of test_direct_shared know no connections. Change: entries on the loopback with the store's stand-in. Figures: eight entries that start at once over a link of 700 KB/s have a configuration of 400 KB in under 3.5 s by under 3.5 readings of it.

--- a/tests/test_platform_relay.py
+++ b/tests/test_platform_relay.py
@@ -1,18 +1,27 @@
 """One process of a failure domain reads the store; the others ask it."""
 
 import asyncio
+import zlib
 
 from adapter import roles
 import platform_site
+import pytest
 
+from clementinegw import exceptions
 from clementinegw import types as places
 from clementinegw.direct import entry as entries
 from clementinegw.direct import instance as instances
+from clementinegw.direct import questions
+from clementinegw.direct import raw
+from clementinegw.direct import relay
 from clementinegw.telemetry import counters as counters_lib
 from clementinegw.telemetry import logs
+from clementinegw.wire import codec
+from clementinegw.wire.gen.topics import ttypes
 
 # One reading of the large configuration takes six tenths of a second of it.
 _LINK_BYTES_PER_S = 700_000
+ADDRESSES = (places.Address("10.0.0.1", 7_000), places.Address("10.0.0.2", 9))
 
 
 class Domain:
@@ -130,3 +139,101 @@
     # One process asks twice in 1.6 s; six of them asked 60 times in all.
     assert reads <= 20
     assert oldest < 2.2
+
+
+def test_after_a_loss_of_power_of_all_the_link_carries_few_readings():
+    """Eight entries start at once and know nothing; the link is narrow.
+
+    Each used to read 400 KB for itself, so that all were ready only after the
+    sum of it. Whoever starts now asks the readers of before, or the first that
+    offers itself.
+    """
+
+    async def play():
+        domain = Domain(8, _LINK_BYTES_PER_S)
+        domain.store.put("keyed.op", "config", large_config(3))
+        size = len(domain.store._newest("keyed.op"))
+        async with domain:
+            took = await domain.until(3, 10.0)
+            await asyncio.sleep(1.0)
+            ready = [entry.ready for entry in domain.entries]
+            return took, ready, domain.store.bytes_out / size
+
+    took, ready, readings = platform_site.run(play())
+    assert all(ready)
+    assert took < 3.5
+    assert readings < 3.5
+
+
+def test_a_reader_that_stops_is_replaced_without_a_gap():
+    async def play():
+        async with Domain(4) as domain:
+            domain.store.put("keyed.op", "config", platform_site.config())
+            await domain.until(1, 5.0)
+            await asyncio.sleep(8.0)
+            reader = domain.entries.pop(0)
+            await reader.stop()
+            oldest = 0.0
+            for _ in range(300):
+                await asyncio.sleep(0.01)
+                ages = [entry._operators.age_s for entry in domain.entries]
+                oldest = max(oldest, *ages)
+            config = platform_site.config(version=2)
+            domain.store.put("keyed.op", "config", config)
+            return await domain.until(2, 5.0), oldest
+
+    took, oldest = platform_site.run(play())
+    assert took < 0.5
+    assert oldest < 2.2
+
+
+def items(count, size=100):
+    return tuple(
+        raw.Item(f"key-{n}", b"v" * size, 2**40 + n) for n in range(count)
+    )
+
+
+@pytest.mark.parametrize("count", [0, 1, 5, 3_000])
+def test_an_answer_comes_out_as_it_went_in(count):
+    news = questions.News(
+        items(count), 2**40 + count, 7, 1.25, 0.5, 0.75, 1e6, 2.5, ADDRESSES
+    )
+    packed, data = relay._pack(news.items) if news.items else (False, b"")
+    assert packed == (count > 5)
+    assert len(data) < 40_000
+    assert relay._unpack(packed, data) == news.items
+
+
+def test_ages_are_told_no_smaller_than_they_are():
+    relayed = relay.Relay.__new__(relay.Relay)
+    relayed._packed = {}
+    question = questions.Question("operators", 3, 2, 1.4)
+    news = questions.News(
+        items(2), 9, 7, 1.2345, 0.5678, 0.3456, 9.8765, 1.2345, ADDRESSES
+    )
+    wire = codec.decode(
+        ttypes.TopicNews, codec.encode(relayed._told(question, news))
+    )
+    told = relay._news(wire)
+    assert told.items == news.items
+    assert (told.end, told.proof, told.readers) == (9, 7, ADDRESSES)
+    assert 0 <= told.age_s - news.age_s <= 0.001
+    assert 0 <= told.lain_s - news.lain_s <= 0.001
+    assert 0 <= told.away_s - news.away_s <= 0.001
+    assert 0 <= news.held_s - told.held_s <= 0.001
+    assert 0 <= news.settled_s - told.settled_s <= 0.001
+
+
+@pytest.mark.parametrize(
+    ("packed", "data"),
+    [
+        (True, b"no zlib"),
+        (True, zlib.compress(b"x" * 5_000)),
+        (True, zlib.compress(bytes(5_000))[:-9]),
+        (True, zlib.compress(bytes(33 << 20))),
+        (False, b"\xff" * 9),
+    ],
+)
+def test_items_that_cannot_be_read_are_an_error_of_the_peer(packed, data):
+    with pytest.raises(exceptions.DecodeError):
+        relay._unpack(packed, data)
