Ask the readers of before again at a start of all

Cause: the list still names who read before a loss of power; who is up first was refused by all that stand first on it, and read everything itself. Change: for its first 1.2 s a process asks the readers again and again before it reads the store.

--- a/src/clementinegw/direct/choice.py
+++ b/src/clementinegw/direct/choice.py
@@ -14,6 +14,11 @@
 # failure up to the longest.
 _FIRST_ASIDE_S = 2.0
 _LONGEST_ASIDE_S = 16.0
+# After a loss of power of all, the readers of before come up within a second of
+# each other. So long, in seconds, a process that starts asks them again and
+# again before it reads the store itself; and each after this pause.
+_START_S = 1.2
+_START_ASIDE_S = 0.15
 
 
 class Choice:
@@ -28,6 +33,7 @@
         # Where this process answers others; None when it only asks.
         self.me: types.Address | None = None
         self._clock = clock
+        self._start_until = clock() + _START_S
         self._candidates: tuple[types.Address, ...] = ()
         self._aside_until: dict[Reader, float] = {}
         self._failures: dict[Reader, int] = {}
@@ -53,13 +59,19 @@
         Args:
           serving: Whether others ask this process: it then reads the store
             itself, so that nobody waits for somebody who waits for him.
+
+        Returns:
+          Nobody when this process has just started, and so may the readers.
         """
         now = self._clock()
         ranked = self._ranked()
         if serving:
             ranked.sort(key=lambda reader: reader is not None)
+        starting = now < self._start_until and ranked[0] is not None
+        if starting:
+            ranked.remove(None)
         fit = [r for r in ranked if self._aside_until.get(r, 0.0) <= now]
-        return fit or [None]
+        return fit if fit or starting else [None]
 
     def is_aside(self, reader: Reader) -> bool:
         """Whether a reader failed just now."""
@@ -67,6 +79,9 @@
 
     def failed(self, reader: Reader) -> None:
         """Puts a reader aside for a while."""
+        if reader is not None and self._clock() < self._start_until:
+            self._aside_until[reader] = self._clock() + _START_ASIDE_S
+            return
         failures = self._failures.get(reader, 0)
         aside_s = min(_FIRST_ASIDE_S * 2**failures, _LONGEST_ASIDE_S)
         self._failures[reader] = min(failures + 1, 8)
--- /dev/null
+++ b/tests/shared_domain.py
@@ -0,0 +1,190 @@
+"""Processes of a failure domain that share topics, without connections."""
+
+import asyncio
+
+from clementinegw import exceptions
+from clementinegw import types as places
+from clementinegw.direct import choice as choices
+from clementinegw.direct import follow
+from clementinegw.direct import questions
+from clementinegw.direct import raw
+from clementinegw.direct import shared
+from clementinegw.telemetry import counters as counters_lib
+from clementinegw.telemetry import logs
+
+_PACE = follow.Pace(2.0, 0.0)
+_LATENCY_S = 0.004
+
+
+def address(number):
+    return places.Address("10.0.0.1", 7_000 + number)
+
+
+class Store:
+    """A topic's log that turns away whom a test says."""
+
+    def __init__(self):
+        self.log = []
+        self.put_at = []
+        self.down = False
+        self.reads = 0
+        self.wholes = 0
+
+    def put(self, key, value):
+        self.log.append((key, value))
+        self.put_at.append(asyncio.get_running_loop().time())
+
+
+class Topic:
+    """The store as one process reaches it."""
+
+    def __init__(self, store):
+        self._store = store
+        self.refused = False
+        self.silent = False
+
+    async def newest(self):
+        self._store.wholes += 1
+        await self._reach(0.0)
+        newest = dict(self._store.log)
+        end = len(self._store.log)
+        items = [raw.Item(k, v, end - 1) for k, v in newest.items() if v]
+        return raw.Batch(tuple(items), end)
+
+    async def changes(self, offset, wait_s):
+        loop = asyncio.get_running_loop()
+        until = loop.time() + wait_s
+        await self._reach(wait_s)
+        while len(self._store.log) <= offset and loop.time() < until:
+            await asyncio.sleep(min(0.02, until - loop.time()))
+            self._check()
+        self._check()
+        found = self._store.log[offset:]
+        items = [raw.Item(k, v, offset + n) for n, (k, v) in enumerate(found)]
+        await asyncio.sleep(_LATENCY_S)
+        return raw.Batch(tuple(items), offset + len(items))
+
+    def decoded(self, items):
+        return tuple(follow.Record(i.key, i.value or None) for i in items)
+
+    async def _reach(self, wait_s):
+        self._store.reads += 1
+        await asyncio.sleep(_LATENCY_S)
+        if self.silent:
+            await asyncio.sleep(wait_s + 1.2)
+            raise exceptions.PlatformUnavailable("silent", "timeout")
+        self._check()
+
+    def _check(self):
+        if self.refused or self._store.down:
+            raise exceptions.PlatformUnavailable("refused", "broken")
+
+
+class Process:
+    """One process: its way to the store and what it knows."""
+
+    def __init__(self, domain, number):
+        clock = asyncio.get_running_loop().time
+        self.topic = Topic(domain.store)
+        self.gone = False
+        self.frozen = False
+        self.known = {}
+        self.unread_s = 0.0
+        self.choice = choices.Choice(clock)
+        self.choice.me = address(number)
+        self.shared = shared.Shared(
+            "t",
+            self.topic,
+            domain,
+            self.choice,
+            _PACE,
+            True,
+            logs.Log(),
+            counters_lib.Counters(),
+            clock,
+        )
+        self.follower = follow.Follower(
+            "t",
+            self.shared,
+            _PACE,
+            self._take,
+            logs.Log(),
+            counters_lib.Counters(),
+            clock,
+        )
+
+    def _take(self, batch, whole):
+        self.unread_s = self.follower.unread_s
+        if whole:
+            self.known = {}
+        for record in batch.records:
+            if record.value is None:
+                self.known.pop(record.key, None)
+            else:
+                self.known[record.key] = record.value
+
+
+class Domain:
+    """Processes that ask each other, over calls that a test may harm."""
+
+    def __init__(self, count):
+        self.store = Store()
+        self.processes = [Process(self, n) for n in range(count)]
+
+    async def __aenter__(self):
+        self.elect(range(len(self.processes)))
+        for process in self.processes:
+            await process.follower.start()
+        return self
+
+    async def __aexit__(self, *_):
+        for process in self.processes:
+            await process.follower.stop()
+
+    def elect(self, order):
+        for process in self.processes:
+            process.choice.offer(tuple(address(n) for n in order))
+
+    async def ask(self, reader, question):
+        process = self.processes[reader.port - 7_000]
+        await asyncio.sleep(_LATENCY_S)
+        if process.gone:
+            raise questions.Unable("gone", "broken")
+
+        clock = asyncio.get_running_loop().time
+        patient_until = clock() + question.wait_s + question.patience_s
+
+        async def say():
+            nonlocal patient_until
+            if not process.frozen:
+                patient_until = clock() + question.patience_s
+
+        answering = asyncio.ensure_future(process.shared.answer(question, say))
+        try:
+            while not answering.done() or process.frozen:
+                await asyncio.sleep(0.01)
+                if process.gone or clock() > patient_until:
+                    raise questions.Unable("silent", "broken")
+            return answering.result()
+        finally:
+            answering.cancel()
+
+    def ages(self):
+        return [process.follower.age_s for process in self.processes]
+
+    def prove(self):
+        """Checks that nobody claims to know what he does not know."""
+        now = asyncio.get_running_loop().time()
+        for process in self.processes:
+            if not process.follower.known:
+                continue
+            proved_at = now - process.follower.age_s
+            state = {}
+            for (key, value), put_at in zip(
+                self.store.log, self.store.put_at, strict=True
+            ):
+                # Later changes of a key may be known already.
+                former = [] if put_at < proved_at else state.get(key, [b""])
+                state[key] = [*former, value]
+            for key, values in state.items():
+                assert process.known.get(key, b"") in values
