--- a/src/clementinegw/direct/declarations.py
+++ b/src/clementinegw/direct/declarations.py
@@ -103,7 +103,7 @@
         """
         self.due_s = due_s
         self._clock = clock
-        self._settled_s = settled_s
+        self._bound_at = clock() + max(0.0, settled_s - _START_S)
         # Of each model the versions in order.
         self._models: dict[str, tuple[Declaration, ...]] = {}
 
@@ -133,9 +133,8 @@
         """
         if math.isinf(unread_s):
             # Nobody may be able to tell, as after a loss of all power. It may
-            # be due already; but the process isn't bound yet.
-            free_s = max(0.0, self._settled_s - _START_S)
-            at, known = self._clock() + free_s - self.due_s, False
+            # be due already; but the process isn't bound from its start on.
+            at, known = self._bound_at - self.due_s, False
         else:
             at, known = self._clock() - min(unread_s, MOST_UNREAD_S), True
         return self._learn(model, Declaration(version, at, known), source)
--- a/src/clementinegw/direct/entry.py
+++ b/src/clementinegw/direct/entry.py
@@ -20,6 +20,8 @@
 from clementinegw.direct import forward
 from clementinegw.direct import instance as instances
 from clementinegw.direct import outage
+from clementinegw.direct import raw
+from clementinegw.direct import relay
 from clementinegw.direct import reports
 from clementinegw.direct import server as servers
 from clementinegw.direct import types
@@ -53,7 +55,7 @@
 _LEAVE_EARLY_S = 0.4
 
 
-class Platform(follow.Platform, Protocol):
+class Platform(raw.Platform, Protocol):
     """What the daemon needs of the platform."""
 
     def dialect(self) -> dialects.Dialect:
@@ -92,10 +94,17 @@
         self._counters = counters
         self._clock = clock
         bounds = instance.bounds
-        watched = outage.Watched(platform, boot_clock)
-        self._watch = watched.listing
+        self._relay = relay.Relay(
+            instance,
+            places.Role.ENTRY,
+            platform,
+            _PACES,
+            log,
+            counters,
+            boot_clock,
+        )
         topics = follow.Topics(
-            watched,
+            self._relay,
             _PACES,
             self._on_operators,
             self._on_servers,
@@ -160,6 +169,7 @@
             lambda: self._reports,
             local_addr=(self._instance.host, self._instance.peer_ports[1]),
         )
+        await self.add_runtime_dependency(self._relay)
         await self.add_runtime_dependency(self._operators)
         await self.add_runtime_dependency(self._listing)
         self._log.write(events.PROCESS_STARTED)
@@ -335,7 +345,7 @@
             batch,
             whole,
             self._listing.settled_s,
-            self._watch.away_s,
+            self._listing.away_s,
             self._clock(),
         )
         self._subscribe_new()
--- a/src/clementinegw/direct/follow.py
+++ b/src/clementinegw/direct/follow.py
@@ -47,6 +47,24 @@
     value: Any
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Proof:
+    """What a source that reads for several says of an answer's age.
+
+    Attributes:
+      at: Up to when it proves that nothing else is new, in boot seconds.
+      lain_s: How long its records may have lain unread, in seconds.
+      settled_s: How long the platform has answered without failure, in
+        seconds.
+      away_s: How long it had given no answer before that, in seconds.
+    """
+
+    at: float
+    lain_s: float
+    settled_s: float
+    away_s: float = 0.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Batch:
     """What one call returned.
@@ -54,10 +72,14 @@
     Attributes:
       records: In the order of the log.
       end: The offset to go on from.
+      proof: Its age; None when the time of the call says it.
+      paid: Whether the call is paid for, so that the next one should wait.
     """
 
     records: tuple[Record, ...]
     end: int
+    proof: Proof | None = None
+    paid: bool = True
 
 
 class Source(Protocol):
@@ -102,6 +124,64 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+def proved_at(asked_at: float, now: float, wait_s: float) -> float:
+    """Returns up to when an answer proves that nothing else is new.
+
+    An answer without records was kept back for the whole wait, so it speaks of
+    the end of that wait and not of its beginning.
+
+    Args:
+      asked_at: When the question was asked, in seconds.
+      now: When its answer was there.
+      wait_s: For how long it may have been kept back; 0 for one with records.
+    """
+    return asked_at + min(now - asked_at, wait_s) * _WAIT_SHARE
+
+
+def lain_s(
+    asked_at: float, now: float, wait_s: float, heard: float | None
+) -> float:
+    """Returns how long the records of an answer may have lain unread.
+
+    An answer that waited brings what was added just then. One that came at
+    once may bring what was added since the last answer: long ago, where a
+    connection had gone silent meanwhile. A question that the platform could
+    not keep waiting never waited, however slow its answer was.
+
+    Args:
+      asked_at: When the question was asked, in seconds.
+      now: When its answer was there.
+      wait_s: For how long it may have been kept back; 0 for a whole reading.
+      heard: Up to when all was known before; None at the first reading.
+
+    Returns:
+      Seconds; infinite at the first reading.
+    """
+    if heard is None:
+        return math.inf
+    if wait_s and now - asked_at > _AT_ONCE_S:
+        return 0.0
+    return now - heard
+
+
+def heard_at(
+    asked_at: float, now: float, wait_s: float, records: bool
+) -> float:
+    """Returns up to when an answer brings all that was added.
+
+    Unlike a proof it leans to no side: the earliest guess of all processes
+    counts, and one that is early by a second would cost all of them as much of
+    a version's time.
+
+    Args:
+      asked_at: When the question was asked, in seconds.
+      now: When its answer was there.
+      wait_s: For how long it may have been kept back.
+      records: Whether it brought any.
+    """
+    return now if records else min(now, asked_at + wait_s)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Pace:
     """How a topic is read.
@@ -156,6 +236,7 @@
         self._unproved = False
         self._unread_s = 0.0
         self._returned_at = clock()
+        self._away_s = 0.0
 
     @property
     def known(self) -> bool:
@@ -184,6 +265,11 @@
             return 0.0
         return self._clock() - self._returned_at
 
+    @property
+    def away_s(self) -> float:
+        """How long the last outage lasted, where the source tells; seconds."""
+        return self._away_s
+
     @mode.Service.task
     async def _run(self) -> None:
         pause_s = _FIRST_PAUSE_S
@@ -208,7 +294,6 @@
         """Makes one call; returns whether there was anything new."""
         asked_at = self._clock()
         whole = self._offset is None
-        at_once = whole or self._unproved or not self._pace.wait_s
         self._counters.add(f"platform.{self._name}.calls")
         if self._offset is None:
             batch = await self._source.newest()
@@ -216,62 +301,36 @@
             wait_s = 0.0 if self._unproved else self._pace.wait_s
             batch = await self._source.changes(self._offset, wait_s)
         self._offset = batch.end
-        self._unread_s = self._lain_s(asked_at, at_once)
-        waited_s = 0.0 if at_once else self._pace.wait_s
-        self._heard_at = self._heard(batch, asked_at, waited_s)
-        self._succeeded(self._proved(batch, whole, asked_at))
+        proof = batch.proof or self._proof(batch, whole, asked_at)
+        self._unread_s = proof.lain_s
+        self._succeeded(proof)
         # An answer that waited and then brought news proves the time of its
         # question only. Asked again at once, the knowledge is as young as it
         # can be; else every change made the process look cut off for a while.
         self._unproved = bool(batch.records) and not self._pace.pause_s
         if whole or batch.records:
             self._on_batch(batch, whole)
-        return bool(batch.records)
-
-    def _lain_s(self, asked_at: float, at_once: bool) -> float:
-        """Returns how long the records of an answer may have lain unread.
+        return bool(batch.records) and batch.paid
 
-        An answer that waited brings what was added just then. One that came at
-        once may bring what was added since the last answer: long ago, where a
-        connection had gone silent meanwhile. A question that the platform
-        could not keep waiting never waited, however slow its answer was.
-
-        Args:
-          asked_at: When it was asked.
-          at_once: Whether the platform was told to answer at once.
-        """
-        if self._heard_at is None:
-            return math.inf
+    def _proof(self, batch: Batch, whole: bool, asked_at: float) -> Proof:
         now = self._clock()
-        if not at_once and now - asked_at > _AT_ONCE_S:
-            return 0.0
-        return now - self._heard_at
-
-    def _heard(self, batch: Batch, asked_at: float, waited_s: float) -> float:
-        """Returns up to when an answer brings all that was added.
-
-        Unlike a proof it leans to no side: the earliest guess of all processes
-        counts, and one that is early by a second would cost all of them as
-        much of a version's time.
-        """
-        now = self._clock()
-        return now if batch.records else min(now, asked_at + waited_s)
-
-    def _proved(self, batch: Batch, whole: bool, asked_at: float) -> float:
-        """Returns up to when an answer proves that nothing else is new.
+        at_once = whole or self._unproved
+        wait_s = 0.0 if at_once else self._pace.wait_s
+        lain = lain_s(asked_at, now, wait_s, self._heard_at)
+        self._heard_at = heard_at(asked_at, now, wait_s, bool(batch.records))
+        if batch.records:
+            wait_s = 0.0
+        return Proof(
+            proved_at(asked_at, now, wait_s),
+            lain,
+            math.inf,
+        )
 
-        An answer without records was kept back for the whole wait, so it
-        speaks of the end of that wait and not of its beginning.
-        """
-        if whole or batch.records:
-            return asked_at
-        if self._unproved:
-            return asked_at
-        waited = self._clock() - asked_at
-        return asked_at + min(waited, self._pace.wait_s) * _WAIT_SHARE
-
-    def _succeeded(self, proved_at: float) -> None:
-        self._proved_at = max(proved_at, self._proved_at or proved_at)
+    def _succeeded(self, proof: Proof) -> None:
+        self._proved_at = max(proof.at, self._proved_at or proof.at)
+        settled_at = self._clock() - proof.settled_s
+        self._returned_at = max(self._returned_at, settled_at)
+        self._away_s = proof.away_s
         if self._failing_since is not None:
             lasted = self._clock() - self._failing_since
             self._failing_since = None
--- a/src/clementinegw/direct/outage.py
+++ b/src/clementinegw/direct/outage.py
@@ -1,12 +1,9 @@
 """How long the platform gave no answer: what its list is worth after that."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 import dataclasses
 import math
 
-from clementinegw import exceptions
-from clementinegw.direct import follow
-
 # What a server that vanished during an outage of the platform is believed to
 # be gone after, counted from the platform's return: listings that ran out
 # meanwhile are back by then. Seconds.
@@ -43,16 +40,20 @@
 
 
 class Watch:
-    """A source that also knows how long it gave no answer.
+    """Knows how long the platform gave no answer.
 
-    A connection that breaks and an answer that is lost look alike to a
-    follower, and neither tells an outage of the platform from a fault of one
-    connection. The time without any answer does: a listing that ran out for
-    want of its server's news takes longer than one such interval.
+    A connection that breaks and an answer that is lost look alike to who asks,
+    and neither tells an outage of the platform from a fault of one connection.
+    The time without any answer does: a listing that ran out for want of its
+    server's news takes longer than one such interval.
     """
 
-    def __init__(self, source: follow.Source, clock: Callable[[], float]):
-        self._source = source
+    def __init__(self, clock: Callable[[], float]):
+        """Has seen no outage.
+
+        Args:
+          clock: Seconds that also count while the machine is suspended.
+        """
         self._clock = clock
         self._since: float | None = None
         self._began_at = 0.0
@@ -64,30 +65,13 @@
         """How long the last outage may have lasted, in seconds."""
         return self._away_s
 
-    async def newest(self) -> follow.Batch:
-        """See `follow.Source`."""
-        return await self._noted(self._source.newest(), 0.0)
-
-    async def changes(self, offset: int, wait_s: float) -> follow.Batch:
-        """See `follow.Source`."""
-        return await self._noted(self._source.changes(offset, wait_s), wait_s)
-
-    async def _noted(
-        self, call: Awaitable[follow.Batch], wait_s: float
-    ) -> follow.Batch:
-        asked_at = self._clock()
-        try:
-            batch = await call
-        except follow.HistoryLost:
-            self._answered()
-            raise
-        except exceptions.ClementineError:
-            self._failed(asked_at, wait_s)
-            raise
-        self._answered()
-        return batch
-
-    def _failed(self, asked_at: float, wait_s: float) -> None:
+    def failed(self, asked_at: float, wait_s: float) -> None:
+        """Notes a call without an answer.
+
+        Args:
+          asked_at: When it was made, in seconds.
+          wait_s: How long the platform might have waited, in seconds.
+        """
         if self._since is not None:
             return
         now = self._clock()
@@ -100,26 +84,11 @@
             self._since = now
         self._began_at = self._since
 
-    def _answered(self) -> None:
+    def answered(self) -> None:
+        """Notes an answer, also one that says that history is lost."""
         if self._since is None:
             return
         now = self._clock()
         self._away_s = now - self._since
         self._since = None
         self._returned_at = now
-
-
-class Watched:
-    """A platform whose list of servers is watched."""
-
-    def __init__(self, platform: follow.Platform, clock: Callable[[], float]):
-        self._platform = platform
-        self.listing = Watch(platform.servers(), clock)
-
-    def operators(self) -> follow.Source:
-        """Returns the operators' declarations."""
-        return self._platform.operators()
-
-    def servers(self) -> follow.Source:
-        """Returns the list of backend servers."""
-        return self.listing
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -4,6 +4,7 @@
 import base64
 import contextlib
 import json
+from urllib import parse
 
 from adapter import roles
 import h11
@@ -25,10 +26,18 @@
     return clocks.run(coroutine, grace_s=GRACE_S)
 
 
+# What a narrow link carries of one connection before it is another's turn.
+_LINK_TURN_BYTES = 8 << 10
+
+
 class Store:
-    """The topics of operators and servers."""
+    """The topics of operators and servers.
 
-    def __init__(self):
+    Attributes:
+      link_bytes_per_s: What the link to all of its callers carries together.
+    """
+
+    def __init__(self, link_bytes_per_s=None):
         self.topics = {"keyed.op": [], "keyed.servers": []}
         self.status = 200
         self.silent = False
@@ -36,6 +45,12 @@
         self.calls = 0
         self.hung = []
         self._first = dict.fromkeys(self.topics, 0)
+        self.bytes_out = 0
+        self.reads = 0
+        self.members = {}
+        self.generation = 0
+        self.link_bytes_per_s = link_bytes_per_s
+        self._link = asyncio.Lock()
         self._news = asyncio.Event()
         self._cut = asyncio.Event()
         self._server = servers.Server(self._handle)
@@ -71,18 +86,51 @@
             await responder.answer(self.status, [], b"")
             return
         path, _, text = request.target.partition("?")
-        query = dict(part.split("=") for part in text.split("&"))
-        if path == "/log-newest":
+        query = dict(part.split("=") for part in text.split("&") if part)
+        if path == "/log-join":
+            body = self._join(json.loads(request.body))
+        elif path == "/log-owners":
+            body = self._owners(parse.unquote(query["group"]))
+        elif path == "/log-newest":
+            self.reads += 1
             body = self._newest(query["topic"])
         elif int(query["from"]) < self._first[query["topic"]]:
             await responder.answer(410, [], b"{}")
             return
         else:
+            self.reads += 1
             body = await self._read(query)
         if body is None:
             responder.abort()
             return
-        await responder.answer(200, [], body)
+        self.bytes_out += len(body)
+        if self.link_bytes_per_s is None:
+            await responder.answer(200, [], body)
+        else:
+            await self._send(responder, body)
+
+    async def _send(self, responder, body):
+        """Sends a body over the link that all callers share, in turns."""
+        await responder.begin(200, [])
+        for start in range(0, len(body), _LINK_TURN_BYTES):
+            part = body[start : start + _LINK_TURN_BYTES]
+            async with self._link:
+                await asyncio.sleep(len(part) / self.link_bytes_per_s)
+            await responder.send(part)
+        await responder.end()
+
+    def _join(self, call):
+        members = self.members.setdefault(call["group"], [])
+        if call["member"] not in members:
+            members.append(call["member"])
+            self.generation += 1
+        answer = {"generation": self.generation, "ttl_ms": 6000, "parts": []}
+        return json.dumps(answer).encode()
+
+    def _owners(self, group):
+        members = self.members.get(group, [])
+        rows = [["t", n, member, 0] for n, member in enumerate(members)]
+        return json.dumps({"parts": rows}).encode()
 
     def _newest(self, topic):
         newest = dict(self.topics[topic])
--- a/tests/test_direct_agent.py
+++ b/tests/test_direct_agent.py
@@ -16,6 +16,7 @@
 from clementinegw.direct import follow
 from clementinegw.direct import instance as instances
 from clementinegw.direct import keep
+from clementinegw.direct import raw
 from clementinegw.direct import types
 from clementinegw.telemetry import counters as counters_lib
 from clementinegw.telemetry import histograms
@@ -116,6 +117,10 @@
         return piece(version, number)
 
 
+def _items(numbers):
+    return tuple(raw.Item(f"{n}", b"%d" % n, n) for n in numbers)
+
+
 class Topic:
     """A topic whose records a test adds."""
 
@@ -123,8 +128,8 @@
         self.records = []
 
     async def newest(self):
-        newest = {record.key: record for record in self.records}
-        return follow.Batch(tuple(newest.values()), len(self.records))
+        newest = {record.key: n for n, record in enumerate(self.records)}
+        return raw.Batch(_items(newest.values()), len(self.records))
 
     async def changes(self, offset, wait_s):
         until = asyncio.get_running_loop().time() + wait_s
@@ -132,8 +137,18 @@
             if asyncio.get_running_loop().time() >= until:
                 break
             await asyncio.sleep(0.05)
-        found = tuple(self.records[offset:])
-        return follow.Batch(found, offset + len(found))
+        found = _items(range(offset, len(self.records)))
+        return raw.Batch(found, offset + len(found))
+
+    def decoded(self, items):
+        return tuple(self.records[int(item.value)] for item in items)
+
+
+class NoReaders:
+    """No process answers others: each agent reads by itself."""
+
+    async def candidates(self):
+        return ()
 
 
 class Site:
@@ -242,6 +257,7 @@
     def __init__(self, site):
         self.operators = site.operators
         self.servers = site.servers
+        self.readers = lambda me: NoReaders()
         self.beside = site.beside
         self.origin = site.origin_at
 
--- a/tests/test_direct_follow.py
+++ b/tests/test_direct_follow.py
@@ -1,7 +1,6 @@
 """How old a process's knowledge is, and what it does when history is lost."""
 
 import asyncio
-import contextlib
 
 import pytest
 
@@ -143,50 +142,41 @@
     Whether a listing may have run out for want of its server's news depends on
     how long the platform may have been away, and no failed call alone tells.
     """
-    faults = {
-        "broke at once": (0.01, exceptions.PlatformUnavailable("broken")),
-        "hung": (3.2, exceptions.PlatformUnavailable("timeout")),
-        "broke while it waited": (1.9, exceptions.PlatformUnavailable("reset")),
-        "the history is gone": (0.01, follow.HistoryLost("gone")),
+    lasted_s = {
+        "broke at once": 0.01,
+        "hung": 3.2,
+        "broke while it waited": 1.9,
+        "the history is gone": 0.01,
     }
-    lasts_s, error = faults[fault]
-
-    class Source:
-        async def newest(self):
-            return follow.Batch((), 0)
-
-        async def changes(self, offset, wait_s):
-            await asyncio.sleep(lasts_s)
-            raise error
+    lasts_s = lasted_s[fault]
+    lost_history = fault == "the history is gone"
 
     async def play():
-        watch = outage.Watch(Source(), asyncio.get_running_loop().time)
-        await watch.newest()
-        with pytest.raises(type(error)):
-            await watch.changes(0, 2.0)
+        clock = asyncio.get_running_loop().time
+        watch = outage.Watch(clock)
+        watch.answered()
+        asked_at = clock()
+        await asyncio.sleep(lasts_s)
+        if lost_history:
+            watch.answered()
+        else:
+            watch.failed(asked_at, 2.0)
         await asyncio.sleep(0.3)
-        await watch.newest()
+        watch.answered()
         assert watch.away_s == pytest.approx(away_s, abs=0.01)
 
     clocks.run(play())
 
 
 def test_an_outage_that_ends_in_fits_is_one():
-    class Source:
-        down = True
-
-        async def newest(self):
-            if self.down:
-                raise exceptions.PlatformUnavailable("down")
-            return follow.Batch((), 0)
-
     async def play():
-        source = Source()
-        watch = outage.Watch(source, asyncio.get_running_loop().time)
+        clock = asyncio.get_running_loop().time
+        watch = outage.Watch(clock)
         for down in (True, False, True, False):
-            source.down = down
-            with contextlib.suppress(exceptions.PlatformUnavailable):
-                await watch.newest()
+            if down:
+                watch.failed(clock(), 0.0)
+            else:
+                watch.answered()
             await asyncio.sleep(1.0)
         assert watch.away_s == pytest.approx(3.0, abs=0.01)
 
--- a/tests/test_direct_starts.py
+++ b/tests/test_direct_starts.py
@@ -8,9 +8,9 @@
 
 from clementinegw import types as places
 from clementinegw.direct import backing
-from clementinegw.direct import declarations
 from clementinegw.direct import channel
 from clementinegw.direct import client
+from clementinegw.direct import declarations
 from clementinegw.direct import fleet
 from clementinegw.direct import follow
 from clementinegw.direct import instance as instances
