--- a/tests/test_direct_agent.py
+++ b/tests/test_direct_agent.py
@@ -145,10 +145,10 @@
 
 
 class NoReaders:
-    """No process answers others: each agent reads by itself."""
+    """A platform without groups: each agent reads by itself, at once."""
 
     async def candidates(self):
-        return ()
+        raise exceptions.PlatformUnavailable("no groups here")
 
 
 class Site:
--- a/tests/test_direct_due.py
+++ b/tests/test_direct_due.py
@@ -30,9 +30,12 @@
         self.store.put("keyed.op", "version/m", version)
 
     async def start_again(self):
+        """Returns when the process started, which may read some time later."""
         await self.entry.stop()
+        started_at = asyncio.get_running_loop().time()
         await self.start_entry()
         await asyncio.sleep(0.1)
+        return started_at
 
     def tell(self, age_s):
         """Lets an agent tell how long ago the version was named."""
@@ -48,15 +51,19 @@
         return answer.status == 200
 
 
+async def until(at):
+    await asyncio.sleep(at - asyncio.get_running_loop().time())
+
+
 async def starts_and_nobody_can_tell():
     """The process isn't bound for three seconds, and for no longer."""
     async with Site("i-1") as site:
         site.name()
         await asyncio.sleep(4.0)
-        await site.start_again()
-        await asyncio.sleep(0.9)
+        started_at = await site.start_again()
+        await until(started_at + 1.9)
         early = await site.serves()
-        await asyncio.sleep(1.9)
+        await until(started_at + 2.9)
         return early, await site.serves()
 
 
