--- a/src/clementinegw/direct/outcomes.py
+++ b/src/clementinegw/direct/outcomes.py
@@ -13,7 +13,7 @@
     SHED = "shed"
     WRONG_SERVER = "wrong_server"
     LEFT = "left"
-    OUTDATED = "outdated"
+    TOO_OLD = "too_old"
 
 
 class LostReason(enum.StrEnum):
