Soak entries that start again while a version of weights is due

Judged: nothing begins on an older version later than it was due, from an entry that has run for 3 s.

--- a/tests/soak/entries.py
+++ b/tests/soak/entries.py
@@ -23,6 +23,10 @@
 class Soak:
     """One seed."""
 
+    kinds = ("safe", "once", "stream")
+    headers = ()
+    bounds = {}
+
     def __init__(self, seed, seconds, code, folder):
         self._rng = random.Random(seed)
         self._seconds = seconds
@@ -38,6 +42,7 @@
         self.servers = []
         self.proxies = []
         self.entries = []
+        self.asked_at = {}
         self.plan = []
 
     @property
@@ -55,15 +60,14 @@
         await self.store.start()
         self.store_proxy = proxies.Proxy(self.store.address.port)
         store_port = await self.store_proxy.start()
-        for number in range(SERVERS):
-            await self._add_server(f"i-{number}")
+        await self._add_servers()
         self._put_config()
         for number in range(ENTRIES):
             entry = processes.Entry(
                 number,
                 self._code,
                 self._folder,
-                {"ratio": RATIO, "slack": SLACK},
+                {"repeat_ratio": RATIO, "repeat_slack": SLACK, **self.bounds},
             )
             self.entries.append(entry)
             await entry.start(store_port)
@@ -108,6 +112,10 @@
 
     # Servers.
 
+    async def _add_servers(self):
+        for number in range(SERVERS):
+            await self._add_server(f"i-{number}")
+
     async def _add_server(self, name):
         server = sites.Server(name)
         server.do = lambda call: self._serve(server, call)
@@ -129,6 +137,8 @@
         if self._rng.random() < self._shed_share:
             call.shed()
             return
+        if not self._accepts(server, call):
+            return
         self.judge.ran(server, call)
         await asyncio.sleep(self._rng.uniform(0.005, 0.05))
         if chance < 0.03:
@@ -141,6 +151,11 @@
         if chance < 0.05:
             call.answer(b"an answer that nobody asked for")
 
+    def _accepts(self, server, call):
+        """Returns whether a server runs a call; else it has answered."""
+        del server, call
+        return True
+
     async def _stream(self, call, cut):
         begin = int(call.headers.get("last-event-id", 0))
         call.begin_stream()
@@ -167,6 +182,7 @@
             try:
                 async with asyncio.timeout(1.0):
                     caller = await sites.Caller(self).__aenter__()
+                    caller.entry = entry
             except (OSError, TimeoutError):
                 await asyncio.sleep(0.1)
                 continue
@@ -179,11 +195,17 @@
     async def _ask(self, caller):
         self._ids += 1
         attempt_id = f"s{self._ids}"
-        kind = self._rng.choice(("safe", "once", "stream"))
+        kind = self._rng.choice(self.kinds)
         key = self._rng.choice(KEYS)
         self.judge.asked(attempt_id, kind, key, self.now)
+        self.asked_at[attempt_id] = caller.entry
         try:
-            caller.send(f"/{kind}/x", key=key, attempt_id=attempt_id)
+            caller.send(
+                f"/{kind}/x",
+                key=key,
+                attempt_id=attempt_id,
+                headers=self.headers,
+            )
             if self._rng.random() < 0.03:
                 await asyncio.sleep(0.02)
                 return False
@@ -196,8 +218,8 @@
 
     # Faults.
 
-    async def _faults(self, store_port):
-        table = {
+    def _table(self, store_port):
+        return {
             "link": self._fault_link,
             "store_link": self._fault_store_link,
             "store": self._fault_store,
@@ -211,6 +233,9 @@
             "cut_and_revoke": self._fault_cut_and_revoke,
             "shed": self._fault_shed,
         }
+
+    async def _faults(self, store_port):
+        table = self._table(store_port)
         running = set()
         while self.now < self._seconds:
             kind = self._rng.choice(sorted(table))
@@ -284,4 +309,8 @@
             {"name": f"of-{key}", "api_keys": [key]} for key in self._keys
         ]
         config = {**sites.config(self._version), "tenants": tenants}
-        self.store.put("keyed.op", "config", config)
+        self.store.put("keyed.op", "config", {**config, **self._more()})
+
+    def _more(self):
+        """Returns what the configuration says besides."""
+        return {}
--- a/tests/soak/process.py
+++ b/tests/soak/process.py
@@ -19,6 +19,7 @@
         self._process = None
         self.number = number
         self.expected_end = False
+        self.started_at = 0.0
         self.ended_by_itself = ""
         self.peak_mb = 0.0
 
@@ -35,6 +36,7 @@
             stdout=log,
             stderr=log,
         )
+        self.started_at = asyncio.get_running_loop().time()
         # Only now: until the new process is there, `look` would take the end
         # of the former one for its own.
         self.expected_end = False
@@ -103,9 +105,9 @@
 
     role = "entry"
 
-    def __init__(self, number, code, folder, repeats):
+    def __init__(self, number, code, folder, bounds):
         super().__init__(number, code, folder)
-        self._repeats = repeats
+        self._bounds = bounds
         self.port = free_port()
 
     def _instance(self, store_port):
@@ -123,8 +125,7 @@
             "bounds": {
                 "keys_ms": 5000,
                 "grace_s": 4,
-                "repeat_ratio": self._repeats["ratio"],
-                "repeat_slack": self._repeats["slack"],
+                **self._bounds,
             },
         }
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -2,7 +2,8 @@
 
 Starts entries as separate processes in front of stand-ins, with a proxy on each
 link, plays a plan of faults drawn from the seed, and judges the promises from
-both ends; with `--subject=weights` agents beside model servers.
+both ends; with `--subject=weights` agents beside model servers; with
+`--subject=versions` entries that start again while a version of weights is due.
 `--guard=NAME` breaks one guard in a copy of the code: the judge must then
 find it.
 """
@@ -23,9 +24,14 @@
 ]
 
 import entries  # noqa: E402
+import versions  # noqa: E402
 import weights  # noqa: E402
 
-SUBJECTS = {"requests": entries.Soak, "weights": weights.Soak}
+SUBJECTS = {
+    "requests": entries.Soak,
+    "versions": versions.Soak,
+    "weights": weights.Soak,
+}
 
 # Each guard as the text that is replaced in a copy of the code.
 GUARDS = {
