--- a/src/clementinegw/direct/server.py
+++ b/src/clementinegw/direct/server.py
@@ -13,12 +13,11 @@
 from clementinegw import types
 from clementinegw.direct import channel as channels
 from clementinegw.direct import client
+from clementinegw.direct import reading
 from clementinegw.direct import types as direct_types
 
 # How long a caller may go without taking any byte of its answer, in seconds.
 _SLOW_CALLER_S = 10.0
-# How long one body may take to arrive, in seconds.
-_BODY_S = 20.0
 # The bodies of all requests at once, in bytes: a share of the memory that a
 # small instance has for this process.
 _BODIES_BYTES = 48 << 20
@@ -26,7 +25,6 @@
 # the caller reads the answer before the connection breaks. Seconds.
 _LINGER_S = 0.3
 _BAD_REQUEST = 400
-_TOO_LARGE = 413
 _HEAD_TOO_LARGE = 431
 _UNAVAILABLE = 503
 
@@ -236,14 +234,6 @@
         self._opened(self)
 
 
-class _Refused(Exception):  # noqa: N818
-    """The request is not taken; the connection ends."""
-
-    def __init__(self, status: int):
-        super().__init__(status)
-        self.status = status
-
-
 class _Session:
     """One caller's connection."""
 
@@ -253,7 +243,7 @@
             h11.SERVER,
             max_incomplete_event_size=server.limits.header_bytes,
         )
-        self._held_bytes = 0
+        self._reader = reading.Reader(channel, self._http, server, self.send)
         self.channel = channel
         self.busy = False
         self.idle = True
@@ -271,7 +261,7 @@
             self.channel.close()
         except channels.ChannelClosed:
             self.channel.abort()
-        except _Refused as refused:
+        except reading.Refused as refused:
             await self._refuse(refused.status)
         except h11.RemoteProtocolError as error:
             await self._refuse(error.error_status_hint or _BAD_REQUEST)
@@ -283,8 +273,7 @@
             self.channel.abort()
             raise
         finally:
-            self._server.release(self._held_bytes)
-            self._held_bytes = 0
+            self._reader.release()
 
     async def send(self, event: h11.Event) -> None:
         """Sends one event of the answer."""
@@ -301,11 +290,11 @@
     async def _serve_one(self, handler: Handler) -> bool:
         limits = self._server.limits
         self.idle = True
-        head = await self._head(limits)
+        head = await self._reader.head(limits)
         self.idle = False
         if head is None:
             return False
-        body = await self._body(limits)
+        body = await self._reader.body(limits)
         request = _whole(head, body)
         responder = Responder(self)
         self.busy = True
@@ -315,8 +304,7 @@
         finally:
             self.busy = False
             self._server.request_ended()
-        self._server.release(self._held_bytes)
-        self._held_bytes = 0
+        self._reader.release()
         if not responder.ended:
             self.channel.abort()
             return False
@@ -328,65 +316,6 @@
         self._http.start_next_cycle()
         return not self.closing
 
-    async def _head(self, limits: direct_types.Limits) -> h11.Request | None:
-        event = self._http.next_event()
-        if event is h11.NEED_DATA:
-            # Nothing of a head has come: the connection is idle until then.
-            if not await self._more(limits.idle_timeout_s):
-                return None
-            deadline = asyncio.get_running_loop().time()
-            deadline += limits.header_timeout_s
-            event = self._http.next_event()
-            while event is h11.NEED_DATA:
-                left = deadline - asyncio.get_running_loop().time()
-                if left <= 0 or not await self._more(left):
-                    return None
-                event = self._http.next_event()
-        if isinstance(event, h11.ConnectionClosed):
-            return None
-        if not isinstance(event, h11.Request):
-            raise _Refused(_BAD_REQUEST)
-        return event
-
-    async def _body(self, limits: direct_types.Limits) -> bytes:
-        if self._http.they_are_waiting_for_100_continue:
-            await self.send(
-                h11.InformationalResponse(status_code=100, headers=[])
-            )
-        body = bytearray()
-        deadline = asyncio.get_running_loop().time() + _BODY_S
-        while True:
-            event = self._http.next_event()
-            if event is h11.NEED_DATA:
-                left = deadline - asyncio.get_running_loop().time()
-                if left <= 0 or not await self._more(left):
-                    raise channels.ChannelClosed(clean=False)
-            elif isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > limits.body_bytes:
-                    raise _Refused(_TOO_LARGE)
-                if not self._server.reserve(len(event.data)):
-                    raise _Refused(_UNAVAILABLE)
-                self._held_bytes += len(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                return bytes(body)
-            else:
-                raise channels.ChannelClosed(clean=False)
-
-    async def _more(self, timeout_s: float) -> bool:
-        """Reads on; False at the end of the connection or the time."""
-        try:
-            async with asyncio.timeout(timeout_s):
-                data = await self.channel.read()
-        except TimeoutError:
-            return False
-        except channels.ChannelClosed as error:
-            if not error.clean:
-                raise
-            data = b""
-        self._http.receive_data(data)
-        return bool(data)
-
     async def _refuse(self, status: int) -> None:
         """Answers what is no proper request and ends the connection."""
         headers: client.Headers = [
