Carry suspicions in the datagrams that go anyway

Cause: what entries saw of requests that crash servers had no carrier. Change: field 40 of Subscribe carries what an entry saw itself in the last five seconds, field 40 of BackendReport what agents put together of it: requests that were at two crashes or more, twice a second to every entry, and what was cleared. Nothing is told where there is nothing, and no byte is taken then; at most twelve suspicions, under 1,200 bytes (asserted).

Tests: two entries that saw one crash each and a third far away refuse together, those beside go free; test_direct_entry: of a request that crashes servers two arrive. tests/test_direct*.py, test_platform*.py and test_wire.py pass.

--- a/src/clementinegw/direct/agent.py
+++ b/src/clementinegw/direct/agent.py
@@ -17,6 +17,7 @@
 from clementinegw.direct import instance as instances
 from clementinegw.direct import keep
 from clementinegw.direct import reports
+from clementinegw.direct import suspects
 from clementinegw.direct import types
 from clementinegw.telemetry import counters as counters_lib
 from clementinegw.telemetry import events
@@ -32,6 +33,9 @@
 # How often the server beside is asked, in seconds. It costs nothing there and
 # bounds the age of what entries balance by.
 _STATE_S = 0.1
+# How often entries are told of requests that crash servers, in seconds: each
+# must know before such a request has come again some times.
+_ACCUSE_S = 0.5
 # Between two steps towards the wanted version, in seconds.
 _STEP_S = 0.1
 
@@ -87,7 +91,11 @@
             counters,
             clock or clocks.SystemClock(),
         )
-        self._reporter = reports.Reporter(self._on_declared)
+        self._suspects = suspects.Suspects()
+        self._accused_at = 0.0
+        self._reporter = reports.Reporter(
+            self._on_declared, on_suspicions=self._on_suspicions
+        )
         self.histograms = histograms.Histograms()
         self._origin_address: places.Address | None = None
         self._around = keep.Around(instance)
@@ -157,6 +165,19 @@
             _events.WEIGHTS_DECLARED, model=self._around.model, version=version
         )
 
+    def _on_suspicions(
+        self, suspicions: tuple[suspects.Suspicion, ...]
+    ) -> None:
+        self._suspects.take(suspicions, self._clock())
+
+    def _suspicions(self) -> tuple[suspects.Suspicion, ...]:
+        """Returns what entries are told this time of bad requests."""
+        now = self._clock()
+        if now - self._accused_at < _ACCUSE_S:
+            return ()
+        self._accused_at = now
+        return self._suspects.proved(now)
+
     def _on_servers(self, batch: follow.Batch, whole: bool) -> None:
         if whole:
             self._around.servers = {}
@@ -246,7 +267,8 @@
                 ready_in_s=self._weights.ready_in_s(
                     best is not None and self._weights.whole(best)
                 ),
-            )
+            ),
+            self._suspicions(),
         )
 
     # Weights.
--- a/src/clementinegw/direct/entry.py
+++ b/src/clementinegw/direct/entry.py
@@ -126,7 +126,11 @@
         )
         self._server = servers.Server(self._forwarder.handle)
         self._health = servers.Server(self._answer_ready)
-        self._reports = reports.Listener(instance.name, self._on_report)
+        self._reports = reports.Listener(
+            instance.name,
+            self._on_report,
+            on_suspicions=self._forwarder.take_suspicions,
+        )
         self._asked: dict[places.Address, bool] = {}
         self._leaving = False
         self._ready = False
@@ -200,7 +204,9 @@
         while not self.should_stop:
             await asyncio.sleep(_SUBSCRIBE_S)
             self._asked = self._agents()
-            self._reports.subscribe(self._asked, self._versions.all())
+            self._reports.subscribe(
+                self._asked, self._versions.all(), self._forwarder.suspicions()
+            )
 
     def _subscribe_new(self) -> None:
         """Asks agents that have just been listed, without delay.
--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -217,6 +217,16 @@
         """Looks for room for those who wait; servers told of their load."""
         self._placing.look()
 
+    def suspicions(self) -> tuple[suspects_lib.Suspicion, ...]:
+        """Returns what was seen here of requests that crash servers."""
+        return self._suspects.told(self._clock())
+
+    def take_suspicions(
+        self, suspicions: tuple[suspects_lib.Suspicion, ...]
+    ) -> None:
+        """Takes in what other entries saw of requests that crash servers."""
+        self._suspects.take(suspicions, self._clock())
+
     def set_terms(self, terms: budgets.Terms) -> None:
         """Takes over what the operators allow of repeated sends."""
         self._terms = terms
--- a/src/clementinegw/direct/reports.py
+++ b/src/clementinegw/direct/reports.py
@@ -11,6 +11,8 @@
 
 from clementinegw import exceptions
 from clementinegw import types
+from clementinegw.direct import suspects
+from clementinegw.direct import suspicions as suspicions_lib
 from clementinegw.wire import codec
 from clementinegw.wire.gen.reports import ttypes
 
@@ -27,6 +29,9 @@
 _NEAR_EACH_TIME = 12
 
 
+OnSuspicions = Callable[[tuple[suspects.Suspicion, ...]], None]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Report:
     """What an agent tells of the server beside it.
@@ -70,13 +75,20 @@
 class Reporter(asyncio.DatagramProtocol):
     """The agent's side."""
 
-    def __init__(self, on_declared: Callable[[Mapping[str, int]], None]):
+    def __init__(
+        self,
+        on_declared: Callable[[Mapping[str, int]], None],
+        *,
+        on_suspicions: OnSuspicions = lambda suspicions: None,
+    ):
         """Does nothing before it is bound.
 
         Args:
           on_declared: Takes the versions that an entry knows to be declared.
+          on_suspicions: Takes what an entry saw of requests that crash servers.
         """
         self._on_declared = on_declared
+        self._on_suspicions = on_suspicions
         self._transport: asyncio.DatagramTransport | None = None
         self._subscribers: dict[tuple, _Subscriber] = {}
         self._told = 0
@@ -99,22 +111,38 @@
             until = now + KEEP_S
             self._subscribers[addr] = _Subscriber(until, bool(message.far))
         self._on_declared(message.declared)
+        if message.suspicions:
+            self._on_suspicions(suspicions_lib.from_wire(message.suspicions))
 
     @property
     def entries(self) -> int:
         """How many have subscribed."""
         return len(self._subscribers)
 
-    def tell(self, report: Report) -> None:
-        """Sends a report to whoever has subscribed."""
+    def tell(
+        self,
+        report: Report,
+        suspicions: tuple[suspects.Suspicion, ...] = (),
+    ) -> None:
+        """Sends a report to whoever has subscribed.
+
+        Args:
+          report: What the server beside is doing.
+          suspicions: Requests that crash servers; they go to all.
+        """
         if self._transport is None:
             return
         now = asyncio.get_running_loop().time()
-        news = self._is_news(report)
+        news = self._is_news(report) or bool(suspicions)
         self._told += 1
         near = news or not self._told % self._near_every
         far = news or not self._told % _FAR_EVERY
-        data = codec.encode(ttypes.BackendReport(**dataclasses.asdict(report)))
+        data = codec.encode(
+            ttypes.BackendReport(
+                **dataclasses.asdict(report),
+                suspicions=suspicions_lib.to_wire(suspicions),
+            )
+        )
         for addr, subscriber in list(self._subscribers.items()):
             if subscriber.until < now:
                 del self._subscribers[addr]
@@ -148,15 +176,23 @@
 class Listener(asyncio.DatagramProtocol):
     """The entry's side."""
 
-    def __init__(self, name: str, on_report: Callable[[str, Report], None]):
+    def __init__(
+        self,
+        name: str,
+        on_report: Callable[[str, Report], None],
+        *,
+        on_suspicions: OnSuspicions = lambda suspicions: None,
+    ):
         """Does nothing before it is bound.
 
         Args:
           name: This entry.
           on_report: Takes the IP address a report came from, and the report.
+          on_suspicions: Takes what entries saw of requests that crash servers.
         """
         self._name = name
         self._on_report = on_report
+        self._on_suspicions = on_suspicions
         self._transport: asyncio.DatagramTransport | None = None
 
     def connection_made(self, transport) -> None:
@@ -169,6 +205,8 @@
             message = codec.decode(ttypes.BackendReport, data)
         except exceptions.DecodeError:
             return
+        if message.suspicions:
+            self._on_suspicions(suspicions_lib.from_wire(message.suspicions))
         self._on_report(
             addr[0],
             Report(
@@ -188,18 +226,29 @@
         )
 
     def subscribe(
-        self, agents: Mapping[types.Address, bool], declared: Mapping[str, int]
+        self,
+        agents: Mapping[types.Address, bool],
+        declared: Mapping[str, int],
+        suspicions: tuple[suspects.Suspicion, ...] = (),
     ) -> None:
         """Asks agents for reports.
 
         Args:
           agents: Whether each stands in another region.
           declared: The versions of weights that are known to be declared.
+          suspicions: What this entry saw of requests that crash servers.
         """
         if self._transport is None:
             return
         data = {
-            far: codec.encode(ttypes.Subscribe(self._name, dict(declared), far))
+            far: codec.encode(
+                ttypes.Subscribe(
+                    self._name,
+                    dict(declared),
+                    far,
+                    suspicions=suspicions_lib.to_wire(suspicions),
+                )
+            )
             for far in (False, True)
         }
         for agent, far in agents.items():
--- a/src/clementinegw/direct/suspects.py
+++ b/src/clementinegw/direct/suspects.py
@@ -12,7 +12,7 @@
 """
 
 import collections
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 import dataclasses
 import hashlib
 import math
@@ -29,6 +29,9 @@
 _MOST_WELL = 1_024
 # What is told at once: a part of a datagram, about a kilobyte.
 MOST_TOLD = 12
+# For how long an entry tells of what it saw, in seconds: some datagrams to each
+# of those who tell all, who remember it.
+_TELL_S = 5.0
 # A crash that is told of is dated back by what its datagram may have taken, in
 # seconds: else a server that has answered since would look crashed again.
 _ON_THE_WAY_S = 0.25
@@ -87,12 +90,14 @@
         crashed_at = (seen.at for seen in self.crashes.values())
         return max(crashed_at, default=self.completed_at)
 
-    def told(self, now: float, own: bool) -> tuple[Crash, ...]:
-        """Returns the crashes to tell."""
+    def recent(
+        self, now: float, within_s: float = _MEMORY_S, own: bool = False
+    ) -> tuple[Crash, ...]:
+        """Returns the crashes of late; only what was seen here with `own`."""
         return tuple(
             Crash(start, max(0.0, now - seen.at))
             for start, seen in self.crashes.items()
-            if (seen.own or not own) and now - seen.at < _MEMORY_S
+            if (seen.own or not own) and now - seen.at < within_s
         )
 
 
@@ -107,11 +112,18 @@
         self._well = collections.OrderedDict()
 
     def crashed(
-        self, request: servers.Request, caller: str, server_id: str, now: float
+        self, request: servers.Request, caller: str, start: str, now: float
     ) -> None:
-        """Counts a connection that broke while a request ran."""
+        """Counts a connection that broke while a request ran.
+
+        Args:
+          request: The request.
+          caller: The customer's name.
+          start: Names the server's start.
+          now: Monotonic seconds.
+        """
         key = _fingerprint(request, caller)
-        self._add(key, _start(server_id), _Seen(now, own=True))
+        self._add(key, _digest(start), _Seen(now, own=True))
         self._bound()
 
     def completed(
@@ -130,24 +142,24 @@
             record.completed_here = True
             self._complete(key, record, now)
 
-    def outlived(self, server_id: str, sent_at: float) -> None:
+    def outlived(self, start: str, sent_at: float) -> None:
         """Takes in that a server answered what was sent to it at a time.
 
         The start was there then, so no crash before that had ended it.
         """
         if not self._at_start:
             return
-        start = _start(server_id)
-        if start not in self._at_start:
+        digest = _digest(start)
+        if digest not in self._at_start:
             return
-        self._well[start] = max(sent_at, self._well.get(start, sent_at))
-        self._well.move_to_end(start)
+        self._well[digest] = max(sent_at, self._well.get(digest, sent_at))
+        self._well.move_to_end(digest)
         while len(self._well) > _MOST_WELL:
             self._well.popitem(last=False)
-        for key in list(self._at_start[start]):
+        for key in list(self._at_start[digest]):
             record = self._records[key]
-            if record.crashes[start].at <= sent_at:
-                self._drop_crash(key, start)
+            if record.crashes[digest].at <= sent_at:
+                self._drop_crash(key, digest)
             if not record.crashes and math.isinf(record.completed_at):
                 self._drop(key)
 
@@ -160,29 +172,55 @@
         record = self._records.get(_fingerprint(request, caller))
         if record is None:
             return False
-        return len(record.told(now, own=False)) >= _CRASHES
+        return len(record.recent(now)) >= _CRASHES
 
-    def told(self, now: float, own: bool = True) -> tuple[Suspicion, ...]:
-        """Returns what to tell others, the newest of it.
+    def told(self, now: float) -> tuple[Suspicion, ...]:
+        """Returns what this process saw itself of late, for those who tell all.
+
+        Told on by all, ages would grow at each step by what a datagram takes.
+        """
+        self._forget(now)
+        return self._listed(
+            lambda record: (
+                record.recent(now, _TELL_S, own=True),
+                record.completed_here,
+            ),
+            now,
+        )
+
+    def proved(self, now: float) -> tuple[Suspicion, ...]:
+        """Returns what is refused, and what was cleared, whoever saw it.
+
+        Each entry tells all agents, so each knows the whole. What was at one
+        crash only is not told on: that is every request beside a bad one.
+        """
+        self._forget(now)
+
+        def chosen(record: _Record) -> tuple[tuple[Crash, ...], bool]:
+            found = record.recent(now)
+            return (found if len(found) >= _CRASHES else (), True)
+
+        return self._listed(chosen, now)
+
+    def _listed(
+        self,
+        chosen: Callable[[_Record], tuple[tuple[Crash, ...], bool]],
+        now: float,
+    ) -> tuple[Suspicion, ...]:
+        """Returns the newest records that have something to be told.
 
         Args:
+          chosen: Returns a record's crashes to tell, and whether to tell that
+            it was completed.
           now: Monotonic seconds.
-          own: Only what this process saw itself. Told on by all, ages would
-            grow at each step by what a datagram takes; who tells for others
-            must be told by none of them.
         """
-        self._forget(now)
         found = []
         for key, record in reversed(self._records.items()):
-            completed = record.completed_here or not own
+            crashes, completed = chosen(record)
             age_s = now - record.completed_at
-            told = Suspicion(
-                key,
-                record.told(now, own),
-                age_s if completed and age_s < _MEMORY_S else None,
-            )
-            if told.crashes or told.completed_age_s is not None:
-                found.append(told)
+            told_s = age_s if completed and age_s < _TELL_S else None
+            if crashes or told_s is not None:
+                found.append(Suspicion(key, crashes, told_s))
             if len(found) == MOST_TOLD:
                 break
         return tuple(found)
@@ -282,6 +320,6 @@
     return digest.digest()
 
 
-def _start(server_id: str) -> bytes:
-    encoded = server_id.encode()
+def _digest(start: str) -> bytes:
+    encoded = start.encode()
     return hashlib.blake2b(encoded, digest_size=_START_BYTES).digest()
--- /dev/null
+++ b/src/clementinegw/direct/suspicions.py
@@ -0,0 +1,51 @@
+"""Suspicions as they travel between entries and agents."""
+
+from collections.abc import Iterable
+
+from clementinegw.direct import suspects
+from clementinegw.wire.gen.reports import ttypes
+
+
+def to_wire(
+    told: Iterable[suspects.Suspicion],
+) -> list[ttypes.Suspicion] | None:
+    """Returns what a datagram carries; None, which takes no byte, for none."""
+    found = [
+        ttypes.Suspicion(
+            suspicion.fingerprint,
+            [
+                ttypes.Crash(crash.start, _milliseconds(crash.age_s))
+                for crash in suspicion.crashes
+            ],
+            None
+            if suspicion.completed_age_s is None
+            else _milliseconds(suspicion.completed_age_s),
+        )
+        for suspicion in told
+    ]
+    return found or None
+
+
+def from_wire(
+    found: list[ttypes.Suspicion] | None,
+) -> tuple[suspects.Suspicion, ...]:
+    """Returns what a datagram carried; what lacks a field is left out."""
+    return tuple(
+        suspects.Suspicion(
+            item.fingerprint,
+            tuple(
+                suspects.Crash(crash.start, crash.age_ms / 1e3)
+                for crash in item.crashes
+                if crash.start is not None and crash.age_ms is not None
+            ),
+            None
+            if item.completed_age_ms is None
+            else item.completed_age_ms / 1e3,
+        )
+        for item in (found or ())[: suspects.MOST_TOLD]
+        if item.fingerprint is not None and item.crashes is not None
+    )
+
+
+def _milliseconds(seconds: float) -> int:
+    return int(seconds * 1e3)
--- a/src/clementinegw/wire/gen/reports/ttypes.py
+++ b/src/clementinegw/wire/gen/reports/ttypes.py
@@ -17,12 +17,202 @@
 all_structs = []
 
 
+class Crash(object):
+    """
+    Attributes:
+     - start
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'start',
+        'age_ms',
+    )
+
+
+    def __init__(self, start=None, age_ms=None,):
+        self.start = start
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.start = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Crash')
+        if self.start is not None:
+            oprot.writeFieldBegin('start', TType.STRING, 1)
+            oprot.writeBinary(self.start)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 2)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.start is None:
+            raise TProtocolException(message='Required field start is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Suspicion(object):
+    """
+    Attributes:
+     - fingerprint
+     - crashes
+     - completed_age_ms
+
+    """
+
+    __slots__ = (
+        'fingerprint',
+        'crashes',
+        'completed_age_ms',
+    )
+
+
+    def __init__(self, fingerprint=None, crashes=None, completed_age_ms=None,):
+        self.fingerprint = fingerprint
+        self.crashes = crashes
+        self.completed_age_ms = completed_age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.crashes = []
+                    (_etype3, _size0) = iprot.readListBegin()
+                    for _i4 in range(_size0):
+                        _elem5 = Crash()
+                        _elem5.read(iprot)
+                        self.crashes.append(_elem5)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.completed_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Suspicion')
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 1)
+            oprot.writeBinary(self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.crashes is not None:
+            oprot.writeFieldBegin('crashes', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.crashes))
+            for iter6 in self.crashes:
+                iter6.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.completed_age_ms is not None:
+            oprot.writeFieldBegin('completed_age_ms', TType.I32, 3)
+            oprot.writeI32(self.completed_age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.fingerprint is None:
+            raise TProtocolException(message='Required field fingerprint is unset!')
+        if self.crashes is None:
+            raise TProtocolException(message='Required field crashes is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Subscribe(object):
     """
     Attributes:
      - instance_id
      - declared
      - far
+     - suspicions
 
     """
 
@@ -30,13 +220,15 @@
         'instance_id',
         'declared',
         'far',
+        'suspicions',
     )
 
 
-    def __init__(self, instance_id=None, declared=None, far=False,):
+    def __init__(self, instance_id=None, declared=None, far=False, suspicions=None,):
         self.instance_id = instance_id
         self.declared = declared
         self.far = far
+        self.suspicions = suspicions
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -55,11 +247,11 @@
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.declared = {}
-                    (_ktype1, _vtype2, _size0) = iprot.readMapBegin()
-                    for _i4 in range(_size0):
-                        _key5 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val6 = iprot.readI64()
-                        self.declared[_key5] = _val6
+                    (_ktype8, _vtype9, _size7) = iprot.readMapBegin()
+                    for _i11 in range(_size7):
+                        _key12 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val13 = iprot.readI64()
+                        self.declared[_key12] = _val13
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -68,6 +260,17 @@
                     self.far = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 40:
+                if ftype == TType.LIST:
+                    self.suspicions = []
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = Suspicion()
+                        _elem19.read(iprot)
+                        self.suspicions.append(_elem19)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -85,15 +288,22 @@
         if self.declared is not None:
             oprot.writeFieldBegin('declared', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.declared))
-            for kiter7, viter8 in self.declared.items():
-                oprot.writeString(kiter7.encode('utf-8') if sys.version_info[0] == 2 else kiter7)
-                oprot.writeI64(viter8)
+            for kiter20, viter21 in self.declared.items():
+                oprot.writeString(kiter20.encode('utf-8') if sys.version_info[0] == 2 else kiter20)
+                oprot.writeI64(viter21)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.far is not None:
             oprot.writeFieldBegin('far', TType.BOOL, 3)
             oprot.writeBool(self.far)
             oprot.writeFieldEnd()
+        if self.suspicions is not None:
+            oprot.writeFieldBegin('suspicions', TType.LIST, 40)
+            oprot.writeListBegin(TType.STRUCT, len(self.suspicions))
+            for iter22 in self.suspicions:
+                iter22.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -138,6 +348,7 @@
      - yielding
      - entries
      - ready_in_s
+     - suspicions
 
     """
 
@@ -154,10 +365,11 @@
         'yielding',
         'entries',
         'ready_in_s',
+        'suspicions',
     )
 
 
-    def __init__(self, server_id=None, running=None, waiting=None, slots=None, model=None, version=None, whole=None, loading=None, pace=None, yielding=None, entries=None, ready_in_s=None,):
+    def __init__(self, server_id=None, running=None, waiting=None, slots=None, model=None, version=None, whole=None, loading=None, pace=None, yielding=None, entries=None, ready_in_s=None, suspicions=None,):
         self.server_id = server_id
         self.running = running
         self.waiting = waiting
@@ -170,6 +382,7 @@
         self.yielding = yielding
         self.entries = entries
         self.ready_in_s = ready_in_s
+        self.suspicions = suspicions
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -240,6 +453,17 @@
                     self.ready_in_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 40:
+                if ftype == TType.LIST:
+                    self.suspicions = []
+                    (_etype26, _size23) = iprot.readListBegin()
+                    for _i27 in range(_size23):
+                        _elem28 = Suspicion()
+                        _elem28.read(iprot)
+                        self.suspicions.append(_elem28)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -298,6 +522,13 @@
             oprot.writeFieldBegin('ready_in_s', TType.DOUBLE, 12)
             oprot.writeDouble(self.ready_in_s)
             oprot.writeFieldEnd()
+        if self.suspicions is not None:
+            oprot.writeFieldBegin('suspicions', TType.LIST, 40)
+            oprot.writeListBegin(TType.STRUCT, len(self.suspicions))
+            for iter29 in self.suspicions:
+                iter29.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -345,12 +576,62 @@
 
     def __ne__(self, other):
         return not (self == other)
+all_structs.append(Crash)
+Crash.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'start', 'BINARY', None, ),  # 1
+    (2, TType.I32, 'age_ms', None, None, ),  # 2
+)
+all_structs.append(Suspicion)
+Suspicion.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'fingerprint', 'BINARY', None, ),  # 1
+    (2, TType.LIST, 'crashes', (TType.STRUCT, [Crash, None], False), None, ),  # 2
+    (3, TType.I32, 'completed_age_ms', None, None, ),  # 3
+)
 all_structs.append(Subscribe)
 Subscribe.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'instance_id', 'UTF8', None, ),  # 1
     (2, TType.MAP, 'declared', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 2
     (3, TType.BOOL, 'far', None, False, ),  # 3
+    None,  # 4
+    None,  # 5
+    None,  # 6
+    None,  # 7
+    None,  # 8
+    None,  # 9
+    None,  # 10
+    None,  # 11
+    None,  # 12
+    None,  # 13
+    None,  # 14
+    None,  # 15
+    None,  # 16
+    None,  # 17
+    None,  # 18
+    None,  # 19
+    None,  # 20
+    None,  # 21
+    None,  # 22
+    None,  # 23
+    None,  # 24
+    None,  # 25
+    None,  # 26
+    None,  # 27
+    None,  # 28
+    None,  # 29
+    None,  # 30
+    None,  # 31
+    None,  # 32
+    None,  # 33
+    None,  # 34
+    None,  # 35
+    None,  # 36
+    None,  # 37
+    None,  # 38
+    None,  # 39
+    (40, TType.LIST, 'suspicions', (TType.STRUCT, [Suspicion, None], False), None, ),  # 40
 )
 all_structs.append(BackendReport)
 BackendReport.thrift_spec = (
@@ -367,6 +648,34 @@
     (10, TType.BOOL, 'yielding', None, None, ),  # 10
     (11, TType.I32, 'entries', None, None, ),  # 11
     (12, TType.DOUBLE, 'ready_in_s', None, None, ),  # 12
+    None,  # 13
+    None,  # 14
+    None,  # 15
+    None,  # 16
+    None,  # 17
+    None,  # 18
+    None,  # 19
+    None,  # 20
+    None,  # 21
+    None,  # 22
+    None,  # 23
+    None,  # 24
+    None,  # 25
+    None,  # 26
+    None,  # 27
+    None,  # 28
+    None,  # 29
+    None,  # 30
+    None,  # 31
+    None,  # 32
+    None,  # 33
+    None,  # 34
+    None,  # 35
+    None,  # 36
+    None,  # 37
+    None,  # 38
+    None,  # 39
+    (40, TType.LIST, 'suspicions', (TType.STRUCT, [Suspicion, None], False), None, ),  # 40
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/clementinegw/wire/reports.thrift
+++ b/src/clementinegw/wire/reports.thrift
@@ -1,5 +1,20 @@
 // Between entries and agents, in datagrams: what a backend server is doing.
 
+// A connection to a server broke while a request ran.
+struct Crash {
+  // Names the server's start.
+  1: required binary start,
+  2: required i32 age_ms,
+}
+
+// What is known of a request that may crash servers.
+struct Suspicion {
+  1: required binary fingerprint,
+  2: required list<Crash> crashes,
+  // Milliseconds since a server ran it to its end; unset when none did.
+  3: optional i32 completed_age_ms,
+}
+
 // An entry asks an agent for reports for a while, and says which versions of
 // weights it knows to be declared.
 struct Subscribe {
@@ -7,6 +22,8 @@
   2: required map<string, i64> declared,
   // It stands in another region, and so is told less often.
   3: optional bool far = false,
+  // What the entry saw itself of late; seldom any.
+  40: optional list<Suspicion> suspicions,
 }
 
 // An agent tells what it has just read from the server beside it.
@@ -26,4 +43,6 @@
   11: required i32 entries,
   // Seconds until it serves again, about; negative when that is not known.
   12: required double ready_in_s,
+  // What entries saw together; seldom any.
+  40: optional list<Suspicion> suspicions,
 }
--- a/tests/test_direct_entry.py
+++ b/tests/test_direct_entry.py
@@ -124,6 +124,33 @@
     assert sites.run(play("/safe/1")) == (502, 2)
 
 
+def test_what_crashes_servers_is_refused_after_the_second():
+    """One request crashed a server after the other, each time it came again.
+
+    Crashes were counted up to three, and at each entry by itself.
+    """
+
+    def crash(call):
+        if call.body == b"bad":
+            call.reset()
+        else:
+            call.answer()
+
+    async def play():
+        async with sites.Site("i-1", "i-2", "i-3", "i-4", do=crash) as site:
+            told = [
+                (await site.ask("/safe/1", body=b"bad", attempt_id=f"b{n}"))
+                for n in range(5)
+            ]
+            crashes = sum(len(s.calls) for s in site.servers)
+            other = await site.ask("/safe/1", body=b"good")
+            return [answer.status for answer in told], crashes, other.status
+
+    statuses, crashes, other = sites.run(play())
+    assert statuses == [502, 503, 503, 503, 503]
+    assert (crashes, other) == (2, 200)
+
+
 def test_a_request_that_no_server_ran_is_told_so_with_a_time():
     async def play():
         async with sites.Site("i-1", do=lambda call: call.shed()) as site:
--- a/tests/test_direct_suspects.py
+++ b/tests/test_direct_suspects.py
@@ -6,8 +6,14 @@
 
 import pytest
 
+from clementinegw import types as places
+from clementinegw.direct import reports
 from clementinegw.direct import server as servers
 from clementinegw.direct import suspects
+from clementinegw.direct import suspicions
+from clementinegw.testing import clock as clocks
+from clementinegw.wire import codec
+from clementinegw.wire.gen.reports import ttypes
 
 
 def asked(body=b"", target="/safe/x"):
@@ -30,8 +36,11 @@
     def refused(self, body, at, caller="c"):
         return self.known.refused(asked(body), caller, self.clock_s + at)
 
-    def told(self, at, own=True):
-        return self.known.told(self.clock_s + at, own)
+    def told(self, at):
+        return self.known.told(self.clock_s + at)
+
+    def proved(self, at):
+        return self.known.proved(self.clock_s + at)
 
     def take(self, told, at):
         self.known.take(told, self.clock_s + at)
@@ -233,13 +242,31 @@
         between.take(one.told(at), at + 0.05)
         between.take(two.told(at), at + 0.05)
         for entry in (one, two):
-            entry.take(between.told(at, own=False), at + 0.05)
+            entry.take(between.proved(at), at + 0.05)
         refused = [entry.refused(b"", at + 0.06) for entry in (one, two)]
         if at < 59.4:
             assert refused == [True, True]
         if at > 60.2:
             assert refused == [False, False]
-    assert between.told(71.0, own=False) == ()
+    assert between.proved(71.0) == ()
+
+
+def test_who_tells_for_all_passes_over_those_beside_a_bad_one():
+    """A request crashed two servers with fifteen others on each.
+
+    Told on for a minute to all entries, all those would take more of a small
+    link than the reports.
+    """
+    one, two, between = Entry(5.0), Entry(8.0), Entry()
+    for number, entry in enumerate((one, two)):
+        for other in range(5):
+            entry.crashed(b"%d %d" % (number, other), f"i-{number}", 1.0)
+        entry.crashed(b"bad", f"i-{number}", 1.0)
+        between.take(entry.told(1.5), 1.6)
+    (told,) = between.proved(1.7)
+    assert len(told.crashes) == 2
+    assert (one.told(6.1), two.told(6.1)) == ((), ())
+    assert len(between.proved(40.0)) == 1
 
 
 def test_what_is_told_and_kept_is_bounded():
@@ -272,4 +299,99 @@
 def test_what_is_malformed_or_too_old_is_not_taken_in(told):
     one = Entry()
     one.take([told], 1.0)
-    assert one.told(1.0, own=False) == ()
+    assert not one.known._records
+
+
+# On the wire.
+
+
+class Wire:
+    """A transport that keeps what is sent."""
+
+    def __init__(self):
+        self.sent = []
+
+    def sendto(self, data, addr):
+        self.sent.append((addr, data))
+
+
+def test_entries_learn_of_each_others_crashes_by_the_datagrams_that_go_anyway():
+    """A request came to one entry after the other, and crashed servers at each.
+
+    Two entries saw one crash each; the agent that both ask for reports puts
+    them together and tells a third one, far away, which gets few reports.
+    """
+
+    async def play():
+        entries = [Entry(0.0), Entry(0.0), Entry(0.0)]
+        hub = suspects.Suspects()
+        reporter = reports.Reporter(
+            lambda declared: None,
+            on_suspicions=lambda found: hub.take(found, 1.0),
+        )
+        agent = Wire()
+        reporter.connection_made(agent)
+        for number, entry in enumerate(entries):
+            if number < 2:
+                entry.crashed(b"bad", f"i-{number}", 0.5)
+                entry.crashed(b"beside %d" % number, f"i-{number}", 0.5)
+            listener = reports.Listener(f"e{number}", lambda host, report: None)
+            wire = Wire()
+            listener.connection_made(wire)
+            address = places.Address("127.0.0.1", 9)
+            listener.subscribe({address: number == 2}, {}, entry.told(1.0))
+            for far, data in wire.sent:
+                del far
+                reporter.datagram_received(data, (number,))
+        report = reports.Report("i-9", 1, 0, 16)
+        for _ in range(2):
+            reporter.tell(report)
+        plain = len(agent.sent[0][1])
+        agent.sent.clear()
+        reporter.tell(report, hub.proved(1.1))
+        for (number,), data in agent.sent:
+            listener = reports.Listener(
+                "e",
+                lambda host, report: None,
+                on_suspicions=lambda found, n=number: entries[n].take(
+                    found, 1.2
+                ),
+            )
+            listener.datagram_received(data, ("127.0.0.1",))
+        bad = [entry.refused(b"bad", 1.3) for entry in entries]
+        beside = [entry.refused(b"beside 0", 1.3) for entry in entries]
+        return bad, beside, len(agent.sent[0][1]) - plain
+
+    bad, beside, more_bytes = clocks.run(play())
+    assert bad == [True] * 3
+    assert beside == [False] * 3
+    assert more_bytes < 64
+
+
+def test_a_datagram_without_suspicions_takes_no_byte_more():
+    bare = ttypes.Subscribe("e", {}, False)
+    none = ttypes.Subscribe("e", {}, False, suspicions=suspicions.to_wire(()))
+    assert codec.encode(none) == codec.encode(bare)
+    most = suspects.Suspicion(
+        b"f" * 16, (suspects.Crash(b"s" * 8, 59.9),) * 4, 59.9
+    )
+    full = suspicions.to_wire((most,) * suspects.MOST_TOLD)
+    data = codec.encode(ttypes.Subscribe("e", {}, False, suspicions=full))
+    assert len(data) < 1_200
+    found = suspicions.from_wire(
+        codec.decode(ttypes.Subscribe, data).suspicions
+    )
+    assert found == (most,) * suspects.MOST_TOLD
+
+
+def test_what_lacks_a_field_or_is_too_many_is_left_out():
+    crash = ttypes.Crash(None, 5)
+    found = [
+        ttypes.Suspicion(None, [], None),
+        ttypes.Suspicion(b"f" * 16, None, None),
+        ttypes.Suspicion(b"f" * 16, [crash], None),
+        *[ttypes.Suspicion(b"f" * 16, [], None)] * 100,
+    ]
+    taken = suspicions.from_wire(found)
+    assert len(taken) == suspects.MOST_TOLD - 2
+    assert {one.crashes for one in taken} == {()}
