Part the tests of suspicions on the wire; shorten the attempt's call

Change: what travels has a test file, the entry of the tests a module; the head of an answer ends a server's rest where it is heard. Behaviour unchanged: tests/test_direct* pass.

--- a/src/clementinegw/direct/attempt.py
+++ b/src/clementinegw/direct/attempt.py
@@ -181,8 +181,7 @@
             _LEAST_SILENCE_S, _SILENT_OBJECTIVES * route.objective_s
         )
         patience = silence_s if route.idempotent else None
-        head = await hearing.hear(connection.head, patience)
-        hearing.reached()
+        head = await hearing.head(connection, patience)
         facts = self._dialect.answer_facts(head)
         connection.keep_s = facts.keep_s
         now = self._clock()
@@ -298,12 +297,20 @@
         self._clock = clock
         self._trying = backend.rest_until > clock()
 
-    def reached(self) -> None:
-        """Ends the rest of a server that this attempt was to try."""
+    async def head(
+        self, connection: client.Connection, silence_s: float | None
+    ) -> client.Head:
+        """Returns an answer's head; ends the rest of a server that was tried.
+
+        Raises:
+          _Silent: See `hear`.
+          client.AnswerBroken: None came.
+        """
+        head = await self.hear(connection.head, silence_s)
         if self._trying:
-            self.backend.rest_until = min(
-                self.backend.rest_until, self._clock()
-            )
+            now = self._clock()
+            self.backend.rest_until = min(self.backend.rest_until, now)
+        return head
 
     def unreachable(self) -> None:
         """Counts a failure to reach the server.
--- a/tests/test_direct_suspects.py
+++ b/tests/test_direct_suspects.py
@@ -5,52 +5,16 @@
 import random
 
 import pytest
+import suspects_entry
 
-from clementinegw import types as places
-from clementinegw.direct import reports
-from clementinegw.direct import server as servers
 from clementinegw.direct import suspects
-from clementinegw.direct import suspicions
-from clementinegw.testing import clock as clocks
-from clementinegw.wire import codec
-from clementinegw.wire.gen.reports import ttypes
-
-
-def asked(body=b"", target="/safe/x"):
-    return servers.Request("POST", target, "h", (), body, 0.0)
-
-
-class Entry:
-    """An entry's knowledge, on a clock of its own."""
-
-    def __init__(self, clock_s=1_000.0):
-        self.known = suspects.Suspects()
-        self.clock_s = clock_s
-
-    def crashed(self, body, start, at):
-        self.known.crashed(asked(body), "c", start, self.clock_s + at)
-
-    def completed(self, body, at):
-        self.known.completed(asked(body), "c", self.clock_s + at)
-
-    def refused(self, body, at, caller="c"):
-        return self.known.refused(asked(body), caller, self.clock_s + at)
-
-    def told(self, at):
-        return self.known.told(self.clock_s + at)
-
-    def proved(self, at):
-        return self.known.proved(self.clock_s + at)
-
-    def take(self, told, at):
-        self.known.take(told, self.clock_s + at)
 
 
 # One entry.
 
 
 def test_what_crashed_two_servers_is_refused():
-    one = Entry()
+    one = suspects_entry.Entry()
     for number in range(2):
         assert not one.refused(b"", 1.0)
         one.crashed(b"", f"i-{number}", 1.0)
@@ -66,7 +30,7 @@
     Sequence: a server loses a few answers in a hundred; in between the same
     question is answered many times. Cause: only broken answers were counted.
     """
-    one = Entry()
+    one = suspects_entry.Entry()
     for number in range(9):
         one.crashed(b"", f"i-{number % 4}", float(number))
         one.completed(b"", number + 0.1)
@@ -74,7 +38,7 @@
 
 
 def test_one_server_that_breaks_everything_accuses_nobody():
-    one = Entry()
+    one = suspects_entry.Entry()
     for number in range(9):
         one.crashed(b"", "i-1", float(number))
     assert not one.refused(b"", 9.0)
@@ -86,7 +50,7 @@
     Refused after two broken answers, the question would never be answered
     again, and so never be cleared.
     """
-    one = Entry()
+    one = suspects_entry.Entry()
     one.crashed(b"", "i-1", 1.0)
     one.crashed(b"", "i-2", 1.1)
     assert one.refused(b"", 1.2)
@@ -100,7 +64,7 @@
 
 def test_those_who_shared_a_server_with_it_go_free():
     """A request crashed two servers with a batch of others on each."""
-    one = Entry()
+    one = suspects_entry.Entry()
     for number in range(2):
         for other in range(15):
             one.crashed(b"%d %d" % (number, other), f"i-{number}", 1.0 + number)
@@ -124,7 +88,11 @@
 
     Each entry counted what it saw itself.
     """
-    one, two, three = Entry(5.0), Entry(70_000.0), Entry(0.0)
+    one, two, three = (
+        suspects_entry.Entry(5.0),
+        suspects_entry.Entry(70_000.0),
+        suspects_entry.Entry(0.0),
+    )
     one.crashed(b"bad", "i-1", 1.0)
     one.crashed(b"innocent", "i-1", 1.0)
     two.crashed(b"bad", "i-2", 2.0)
@@ -137,7 +105,7 @@
 
 
 def test_one_crash_that_two_entries_saw_is_one():
-    one, two = Entry(), Entry()
+    one, two = suspects_entry.Entry(), suspects_entry.Entry()
     one.crashed(b"asked twice", "i-1", 1.0)
     two.crashed(b"asked twice", "i-1", 1.01)
     one.take(two.told(1.1), 1.2)
@@ -145,12 +113,12 @@
 
 
 def test_what_completes_elsewhere_is_cleared():
-    one, two = Entry(5.0), Entry(900.0)
+    one, two = suspects_entry.Entry(5.0), suspects_entry.Entry(900.0)
     one.crashed(b"", "i-1", 1.0)
     one.crashed(b"", "i-2", 1.5)
     two.take(one.told(1.6), 1.7)
     assert two.refused(b"", 1.8)
-    three = Entry(50.0)
+    three = suspects_entry.Entry(50.0)
     three.take(one.told(1.6), 1.7)
     # One that had it under way before it heard.
     three.completed(b"", 2.0)
@@ -168,7 +136,7 @@
 
 
 def test_a_server_known_to_be_well_is_not_accused_from_hearsay():
-    one, two = Entry(), Entry()
+    one, two = suspects_entry.Entry(), suspects_entry.Entry()
     for start in ("i-1", "i-2"):
         one.crashed(b"", start, 1.0)
     told = one.told(1.1)
@@ -186,7 +154,7 @@
         (rng.uniform(0.0, 5.0), rng.choice(("crash", "crash", "complete")))
         for _ in range(12)
     ]
-    tellers = [Entry(rng.uniform(0.0, 1e5)) for _ in range(3)]
+    tellers = [suspects_entry.Entry(rng.uniform(0.0, 1e5)) for _ in range(3)]
     told = []
     for at, kind in sorted(events):
         teller = rng.choice(tellers)
@@ -199,7 +167,7 @@
     last = [(5.0, teller.told(5.0)) for teller in tellers]
     verdicts = []
     for _ in range(4):
-        listener = Entry(rng.uniform(0.0, 1e5))
+        listener = suspects_entry.Entry(rng.uniform(0.0, 1e5))
         some = [one for one in told if rng.random() < 0.6]
         some += [one for one in some if rng.random() < 0.5]
         rng.shuffle(some)
@@ -209,7 +177,7 @@
         verdicts.append(
             tuple(listener.refused(b"%d" % n, 5.1) for n in range(3))
         )
-    plain = Entry()
+    plain = suspects_entry.Entry()
     for _, content in last:
         plain.take(content, 5.0)
     assert set(verdicts) <= {
@@ -234,7 +202,11 @@
 
     Each took the other's word, a little later than it was given, for news.
     """
-    one, between, two = Entry(), Entry(9.0), Entry(77.0)
+    one, between, two = (
+        suspects_entry.Entry(),
+        suspects_entry.Entry(9.0),
+        suspects_entry.Entry(77.0),
+    )
     for start in ("i-1", "i-2"):
         one.crashed(b"", start, 0.0)
     for step in range(700):
@@ -257,7 +229,11 @@
     Told on for a minute to all entries, all those would take more of a small
     link than the reports.
     """
-    one, two, between = Entry(5.0), Entry(8.0), Entry()
+    one, two, between = (
+        suspects_entry.Entry(5.0),
+        suspects_entry.Entry(8.0),
+        suspects_entry.Entry(),
+    )
     for number, entry in enumerate((one, two)):
         for other in range(5):
             entry.crashed(b"%d %d" % (number, other), f"i-{number}", 1.0)
@@ -270,7 +246,7 @@
 
 
 def test_what_is_told_and_kept_is_bounded():
-    one = Entry()
+    one = suspects_entry.Entry()
     for number in range(20_000):
         one.crashed(b"%d" % number, f"i-{number}", number / 1e3)
     assert len(one.told(20.0)) == suspects.MOST_TOLD
@@ -297,101 +273,6 @@
     ],
 )
 def test_what_is_malformed_or_too_old_is_not_taken_in(told):
-    one = Entry()
+    one = suspects_entry.Entry()
     one.take([told], 1.0)
     assert not one.known._records
-
-
-# On the wire.
-
-
-class Wire:
-    """A transport that keeps what is sent."""
-
-    def __init__(self):
-        self.sent = []
-
-    def sendto(self, data, addr):
-        self.sent.append((addr, data))
-
-
-def test_entries_learn_of_each_others_crashes_by_the_datagrams_that_go_anyway():
-    """A request came to one entry after the other, and crashed servers at each.
-
-    Two entries saw one crash each; the agent that both ask for reports puts
-    them together and tells a third one, far away, which gets few reports.
-    """
-
-    async def play():
-        entries = [Entry(0.0), Entry(0.0), Entry(0.0)]
-        hub = suspects.Suspects()
-        reporter = reports.Reporter(
-            lambda declared: None,
-            on_suspicions=lambda found: hub.take(found, 1.0),
-        )
-        agent = Wire()
-        reporter.connection_made(agent)
-        for number, entry in enumerate(entries):
-            if number < 2:
-                entry.crashed(b"bad", f"i-{number}", 0.5)
-                entry.crashed(b"beside %d" % number, f"i-{number}", 0.5)
-            listener = reports.Listener(f"e{number}", lambda host, report: None)
-            wire = Wire()
-            listener.connection_made(wire)
-            address = places.Address("127.0.0.1", 9)
-            listener.subscribe({address: number == 2}, {}, entry.told(1.0))
-            for far, data in wire.sent:
-                del far
-                reporter.datagram_received(data, (number,))
-        report = reports.Report("i-9", 1, 0, 16)
-        for _ in range(2):
-            reporter.tell(report)
-        plain = len(agent.sent[0][1])
-        agent.sent.clear()
-        reporter.tell(report, hub.proved(1.1))
-        for (number,), data in agent.sent:
-            listener = reports.Listener(
-                "e",
-                lambda host, report: None,
-                on_suspicions=lambda found, n=number: entries[n].take(
-                    found, 1.2
-                ),
-            )
-            listener.datagram_received(data, ("127.0.0.1",))
-        bad = [entry.refused(b"bad", 1.3) for entry in entries]
-        beside = [entry.refused(b"beside 0", 1.3) for entry in entries]
-        return bad, beside, len(agent.sent[0][1]) - plain
-
-    bad, beside, more_bytes = clocks.run(play())
-    assert bad == [True] * 3
-    assert beside == [False] * 3
-    assert more_bytes < 64
-
-
-def test_a_datagram_without_suspicions_takes_no_byte_more():
-    bare = ttypes.Subscribe("e", {}, False)
-    none = ttypes.Subscribe("e", {}, False, suspicions=suspicions.to_wire(()))
-    assert codec.encode(none) == codec.encode(bare)
-    most = suspects.Suspicion(
-        b"f" * 16, (suspects.Crash(b"s" * 8, 59.9),) * 4, 59.9
-    )
-    full = suspicions.to_wire((most,) * suspects.MOST_TOLD)
-    data = codec.encode(ttypes.Subscribe("e", {}, False, suspicions=full))
-    assert len(data) < 1_200
-    found = suspicions.from_wire(
-        codec.decode(ttypes.Subscribe, data).suspicions
-    )
-    assert found == (most,) * suspects.MOST_TOLD
-
-
-def test_what_lacks_a_field_or_is_too_many_is_left_out():
-    crash = ttypes.Crash(None, 5)
-    found = [
-        ttypes.Suspicion(None, [], None),
-        ttypes.Suspicion(b"f" * 16, None, None),
-        ttypes.Suspicion(b"f" * 16, [crash], None),
-        *[ttypes.Suspicion(b"f" * 16, [], None)] * 100,
-    ]
-    taken = suspicions.from_wire(found)
-    assert len(taken) == suspects.MOST_TOLD - 2
-    assert {one.crashes for one in taken} == {()}
