--- a/tests/test_direct_suspects.py
+++ b/tests/test_direct_suspects.py
@@ -9,7 +9,6 @@
 
 from clementinegw.direct import suspects
 
-
 # One entry.
 
 
