--- a/tests/test_transfer_links.py
+++ b/tests/test_transfer_links.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from clementinegw import types
+from clementinegw.testing import clock as clocks
 from clementinegw.weights import _transfer_links
 from clementinegw.weights import swarm
 from clementinegw.wire import connection
@@ -73,3 +74,45 @@
     endpoint, _, failed = await run("a2")
     assert failed == []
     assert endpoint.calls == 1
+
+
+class Brief(Endpoint):
+    """Connects, tells of it, and loses the connection at once."""
+
+    def __init__(self):
+        super().__init__(None)
+
+    def on_connected(self, handler):
+        self._connected = handler
+
+    def on_disconnected(self, handler):
+        self._disconnected = handler
+
+    async def connect(self, address):
+        del address
+        self.calls += 1
+        await asyncio.sleep(0.001)
+        kept = Kept("a1")
+        self._connected(kept)
+        asyncio.get_running_loop().call_soon(self._disconnected, kept)
+        return kept
+
+
+def test_a_peer_that_ends_each_connection_is_not_asked_without_pause():
+    """A peer took connections and ended each, and kept an agent's core busy.
+
+    Pauses grew only while none came up: each that did began them anew, and the
+    next one was asked for at once.
+    """
+
+    async def play():
+        endpoint = Brief()
+        links = _transfer_links.Links(endpoint, lambda event: None)
+        links.set_addresses({"a1": types.Address("127.0.0.1", 1)})
+        links.want("a1")
+        links.start()
+        await asyncio.sleep(10.0)
+        await links.stop()
+        return endpoint.calls
+
+    assert clocks.run(play()) <= 10
