Pause before a peer that ended the last connections is asked again

Cause: the pause between calls grew only while no connection came up, and began anew with each that did; one that the peer ended was asked for again at once. Change: after a second connection shorter than the longest pause (5 s) the next is asked for after 0.2 s, then twice as long each time; a peer that started again once is still wanted at once.

--- a/src/clementinegw/weights/_transfer_links.py
+++ b/src/clementinegw/weights/_transfer_links.py
@@ -32,6 +32,10 @@
         self._addresses: Mapping[str, types.Address] = {}
         self._wanted: dict[str, asyncio.Task | None] = {}
         self._up: dict[str, list[connections.Connection]] = {}
+        self._up_since: dict[str, float] = {}
+        # After a connection that lasted shorter than the longest pause: else a
+        # peer that takes connections and ends them is asked without a pause.
+        self._pauses: dict[str, float] = {}
         self._running = False
         endpoint.on_connected(self._connected)
         endpoint.on_disconnected(self._disconnected)
@@ -39,6 +43,8 @@
     def set_addresses(self, addresses: Mapping[str, types.Address]) -> None:
         """Says where peers take connections, by id."""
         self._addresses = addresses
+        kept = self._pauses.items()
+        self._pauses = {n: pause for n, pause in kept if n in addresses}
 
     def start(self) -> None:
         """Begins to connect."""
@@ -80,6 +86,7 @@
             connection.notify(kind, body)
 
     async def _keep(self, peer_id: str) -> None:
+        await asyncio.sleep(self._pauses.get(peer_id, 0.0))
         pause = _FIRST_RETRY_S
         while peer_id not in self._up:
             address = self._addresses.get(peer_id)
@@ -110,6 +117,7 @@
         both = self._up.setdefault(name, [])
         both.append(connection)
         if len(both) == 1:
+            self._up_since[name] = asyncio.get_running_loop().time()
             place = identity.place
             member = drawers.Member(name, place.region, place.failure_domain)
             self._give(swarm.PeerUp(member))
@@ -123,6 +131,17 @@
         if both:
             return
         del self._up[name]
+        self._note_end(name)
         self._give(swarm.PeerDown(name))
         if name in self._wanted:
             self.want(name)
+
+    def _note_end(self, name: str) -> None:
+        lasted_s = asyncio.get_running_loop().time() - self._up_since.pop(name)
+        if lasted_s >= _LONGEST_RETRY_S:
+            self._pauses.pop(name, None)
+            return
+        # None after a first one: a peer that started again is wanted at once.
+        former = self._pauses.get(name)
+        longer = 0.0 if former is None else max(_FIRST_RETRY_S, 2 * former)
+        self._pauses[name] = min(longer, _LONGEST_RETRY_S)
