--- a/src/clementinegw/direct/agent.py
+++ b/src/clementinegw/direct/agent.py
@@ -21,6 +21,7 @@
 from clementinegw.direct import relay
 from clementinegw.direct import reports
 from clementinegw.direct import starts
+from clementinegw.direct import suspects
 from clementinegw.direct import types
 from clementinegw.telemetry import counters as counters_lib
 from clementinegw.telemetry import events
@@ -36,6 +37,9 @@
 # How often the server beside is asked, in seconds. It costs nothing there and
 # bounds the age of what entries balance by.
 _STATE_S = 0.1
+# How often entries are told of requests that crash servers, in seconds: each
+# must know before such a request has come again some times.
+_ACCUSE_S = 0.5
 # Between two steps towards the wanted version, in seconds.
 _STEP_S = 0.1
 
@@ -105,7 +109,11 @@
             instance.bounds.settled_ms / 1e3,
             boot_clock,
         )
-        self._reporter = reports.Reporter(self._on_declared, self._ages)
+        self._suspects = suspects.Suspects()
+        self._accused_at = 0.0
+        self._reporter = reports.Reporter(
+            self._on_declared, self._ages, self._on_suspicions
+        )
         self.histograms = histograms.Histograms()
         self._origin_address: places.Address | None = None
         self._around = keep.Around(instance)
@@ -226,6 +234,19 @@
             return None
         return reports.Report("", 0, 0, 1, model, ages_s=ages_s)
 
+    def _on_suspicions(
+        self, suspicions: tuple[suspects.Suspicion, ...]
+    ) -> None:
+        self._suspects.take(suspicions, self._clock())
+
+    def _suspicions(self) -> tuple[suspects.Suspicion, ...]:
+        """Returns what entries are told this time of bad requests."""
+        now = self._clock()
+        if now - self._accused_at < _ACCUSE_S:
+            return ()
+        self._accused_at = now
+        return self._suspects.proved(now)
+
     def _on_servers(self, batch: follow.Batch, whole: bool) -> None:
         if whole:
             listed = {record.key for record in batch.records}
@@ -330,7 +351,8 @@
                     best is not None and self._weights.whole(best)
                 ),
                 ages_s=self._declared.ages_s(self._around.model),
-            )
+            ),
+            self._suspicions(),
         )
 
     # Weights.
--- a/src/clementinegw/direct/entry.py
+++ b/src/clementinegw/direct/entry.py
@@ -143,7 +143,11 @@
         )
         self._server = servers.Server(self._forwarder.handle)
         self._health = servers.Server(self._answer_ready)
-        self._reports = reports.Listener(instance.name, self._on_report)
+        self._reports = reports.Listener(
+            instance.name,
+            self._on_report,
+            on_suspicions=self._forwarder.take_suspicions,
+        )
         self._asked: dict[places.Address, bool] = {}
         self._leaving = False
         self._ready = False
@@ -220,7 +224,9 @@
         while not self.should_stop:
             await asyncio.sleep(_SUBSCRIBE_S)
             self._asked = self._agents()
-            self._reports.subscribe(self._asked, self._declared())
+            self._reports.subscribe(
+                self._asked, self._declared(), self._forwarder.suspicions()
+            )
 
     def _declared(self) -> reports.Declared:
         return reports.Declared(self._versions.all(), self._versions.ages_s())
--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -204,7 +204,7 @@
             ),
         )
         if isinstance(outcome, outcomes.Delivered):
-            self._suspects.outlived(backend.server.start, now)
+            self._suspects.outlived(backend.server.start.text, now)
             self._suspects.completed(job.request, job.caller, self._clock())
         else:
             self._note(job, backend, outcome)
@@ -223,6 +223,16 @@
         """Takes requests back that a suspended machine left at servers."""
         self._recalls.check()
 
+    def suspicions(self) -> tuple[suspects_lib.Suspicion, ...]:
+        """Returns what was seen here of requests that crash servers."""
+        return self._suspects.told(self._clock())
+
+    def take_suspicions(
+        self, suspicions: tuple[suspects_lib.Suspicion, ...]
+    ) -> None:
+        """Takes in what other entries saw of requests that crash servers."""
+        self._suspects.take(suspicions, self._clock())
+
     def set_terms(self, terms: budgets.Terms) -> None:
         """Takes over what the operators allow of repeated sends."""
         self._terms = terms
@@ -254,7 +264,7 @@
             broken = outcome.reason is outcomes.LostReason.BROKEN
             if broken and not (backend.yielding or backend.loading):
                 self._suspects.crashed(
-                    job.request, job.caller, backend.server.start, now
+                    job.request, job.caller, backend.server.start.text, now
                 )
         self._log.write(
             _events.ATTEMPT_ENDED,
--- a/src/clementinegw/direct/reports.py
+++ b/src/clementinegw/direct/reports.py
@@ -12,6 +12,8 @@
 
 from clementinegw import exceptions
 from clementinegw import types
+from clementinegw.direct import suspects
+from clementinegw.direct import suspicions as suspicions_lib
 from clementinegw.direct import types as servers
 from clementinegw.wire import codec
 from clementinegw.wire.gen.reports import ttypes
@@ -32,6 +34,9 @@
 _AGES_S = 1.0
 
 
+OnSuspicions = Callable[[tuple[suspects.Suspicion, ...]], None]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Report:
     """What an agent tells of the server beside it.
@@ -105,15 +110,18 @@
         self,
         on_declared: Callable[[Declared], None],
         ages: Callable[[], Report | None] = lambda: None,
+        on_suspicions: OnSuspicions = lambda suspicions: None,
     ):
         """Does nothing before it is bound.
 
         Args:
           on_declared: Takes the versions that an entry knows to be declared.
           ages: Returns a report of ages only; None while none is known.
+          on_suspicions: Takes what an entry saw of requests that crash servers.
         """
         self._on_declared = on_declared
         self._ages = ages
+        self._on_suspicions = on_suspicions
         self._transport: asyncio.DatagramTransport | None = None
         self._subscribers: dict[tuple, _Subscriber] = {}
         self._told = 0
@@ -136,6 +144,8 @@
         elif len(self._subscribers) < _MOST_SUBSCRIBERS:
             self._subscribers[addr] = _Subscriber(until, bool(message.far))
         self._on_declared(Declared(message.declared, _ages_s(message.ages_ms)))
+        if message.suspicions:
+            self._on_suspicions(suspicions_lib.from_wire(message.suspicions))
         # An entry that starts must not wait for what it alone can't know.
         self.tell_ages()
 
@@ -144,17 +154,26 @@
         """How many have subscribed."""
         return len(self._subscribers)
 
-    def tell(self, report: Report) -> None:
-        """Sends a report to whoever has subscribed."""
+    def tell(
+        self,
+        report: Report,
+        suspicions: tuple[suspects.Suspicion, ...] = (),
+    ) -> None:
+        """Sends a report to whoever has subscribed.
+
+        Args:
+          report: What the server beside is doing.
+          suspicions: Requests that crash servers; they go to all.
+        """
         if self._transport is None:
             return
         now = asyncio.get_running_loop().time()
-        news = self._is_news(report)
+        news = self._is_news(report) or bool(suspicions)
         self._told += 1
         near = news or not self._told % self._near_every
         far = news or not self._told % _FAR_EVERY
-        short = _encode(dataclasses.replace(report, ages_s={}))
-        full = _encode(report) if report.ages_s else short
+        short = _encode(dataclasses.replace(report, ages_s={}), suspicions)
+        full = _encode(report, suspicions) if report.ages_s else short
         for addr, subscriber in list(self._subscribers.items()):
             if subscriber.until < now:
                 del self._subscribers[addr]
@@ -216,15 +235,23 @@
 class Listener(asyncio.DatagramProtocol):
     """The entry's side."""
 
-    def __init__(self, name: str, on_report: Callable[[str, Report], None]):
+    def __init__(
+        self,
+        name: str,
+        on_report: Callable[[str, Report], None],
+        *,
+        on_suspicions: OnSuspicions = lambda suspicions: None,
+    ):
         """Does nothing before it is bound.
 
         Args:
           name: This entry.
           on_report: Takes the IP address a report came from, and the report.
+          on_suspicions: Takes what entries saw of requests that crash servers.
         """
         self._name = name
         self._on_report = on_report
+        self._on_suspicions = on_suspicions
         self._transport: asyncio.DatagramTransport | None = None
 
     def connection_made(self, transport) -> None:
@@ -237,16 +264,22 @@
             message = codec.decode(ttypes.BackendReport, data)
         except exceptions.DecodeError:
             return
+        if message.suspicions:
+            self._on_suspicions(suspicions_lib.from_wire(message.suspicions))
         self._on_report(addr[0], _report(message))
 
     def subscribe(
-        self, agents: Mapping[types.Address, bool], declared: Declared
+        self,
+        agents: Mapping[types.Address, bool],
+        declared: Declared,
+        suspicions: tuple[suspects.Suspicion, ...] = (),
     ) -> None:
         """Asks agents for reports.
 
         Args:
           agents: Whether each stands in another region.
           declared: The versions of weights that are known to be declared.
+          suspicions: What this entry saw of requests that crash servers.
         """
         if self._transport is None:
             return
@@ -254,7 +287,13 @@
         newest = dict(declared.newest)
         data = {
             far: codec.encode(
-                ttypes.Subscribe(self._name, newest, far, ages_ms or None)
+                ttypes.Subscribe(
+                    self._name,
+                    newest,
+                    far,
+                    ages_ms or None,
+                    suspicions=suspicions_lib.to_wire(suspicions),
+                )
             )
             for far in (False, True)
         }
@@ -267,10 +306,18 @@
             self._transport.close()
 
 
-def _encode(report: Report) -> bytes:
+def _encode(
+    report: Report, suspicions: tuple[suspects.Suspicion, ...] = ()
+) -> bytes:
     fields = dataclasses.asdict(report)
     ages_ms = _milliseconds(fields.pop("ages_s"))
-    return codec.encode(ttypes.BackendReport(**fields, ages_ms=ages_ms or None))
+    return codec.encode(
+        ttypes.BackendReport(
+            **fields,
+            ages_ms=ages_ms or None,
+            suspicions=suspicions_lib.to_wire(suspicions),
+        )
+    )
 
 
 def _report(message: ttypes.BackendReport) -> Report:
--- a/src/clementinegw/wire/gen/reports/ttypes.py
+++ b/src/clementinegw/wire/gen/reports/ttypes.py
@@ -17,6 +17,195 @@
 all_structs = []
 
 
+class Crash(object):
+    """
+    Attributes:
+     - start
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'start',
+        'age_ms',
+    )
+
+
+    def __init__(self, start=None, age_ms=None,):
+        self.start = start
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.start = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Crash')
+        if self.start is not None:
+            oprot.writeFieldBegin('start', TType.STRING, 1)
+            oprot.writeBinary(self.start)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 2)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.start is None:
+            raise TProtocolException(message='Required field start is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Suspicion(object):
+    """
+    Attributes:
+     - fingerprint
+     - crashes
+     - completed_age_ms
+
+    """
+
+    __slots__ = (
+        'fingerprint',
+        'crashes',
+        'completed_age_ms',
+    )
+
+
+    def __init__(self, fingerprint=None, crashes=None, completed_age_ms=None,):
+        self.fingerprint = fingerprint
+        self.crashes = crashes
+        self.completed_age_ms = completed_age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.crashes = []
+                    (_etype3, _size0) = iprot.readListBegin()
+                    for _i4 in range(_size0):
+                        _elem5 = Crash()
+                        _elem5.read(iprot)
+                        self.crashes.append(_elem5)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.completed_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Suspicion')
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 1)
+            oprot.writeBinary(self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.crashes is not None:
+            oprot.writeFieldBegin('crashes', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.crashes))
+            for iter6 in self.crashes:
+                iter6.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.completed_age_ms is not None:
+            oprot.writeFieldBegin('completed_age_ms', TType.I32, 3)
+            oprot.writeI32(self.completed_age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.fingerprint is None:
+            raise TProtocolException(message='Required field fingerprint is unset!')
+        if self.crashes is None:
+            raise TProtocolException(message='Required field crashes is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Subscribe(object):
     """
     Attributes:
@@ -24,6 +213,7 @@
      - declared
      - far
      - ages_ms
+     - suspicions
 
     """
 
@@ -32,14 +222,16 @@
         'declared',
         'far',
         'ages_ms',
+        'suspicions',
     )
 
 
-    def __init__(self, instance_id=None, declared=None, far=False, ages_ms=None,):
+    def __init__(self, instance_id=None, declared=None, far=False, ages_ms=None, suspicions=None,):
         self.instance_id = instance_id
         self.declared = declared
         self.far = far
         self.ages_ms = ages_ms
+        self.suspicions = suspicions
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -58,11 +250,11 @@
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.declared = {}
-                    (_ktype1, _vtype2, _size0) = iprot.readMapBegin()
-                    for _i4 in range(_size0):
-                        _key5 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val6 = iprot.readI64()
-                        self.declared[_key5] = _val6
+                    (_ktype8, _vtype9, _size7) = iprot.readMapBegin()
+                    for _i11 in range(_size7):
+                        _key12 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val13 = iprot.readI64()
+                        self.declared[_key12] = _val13
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -74,20 +266,31 @@
             elif fid == 20:
                 if ftype == TType.MAP:
                     self.ages_ms = {}
-                    (_ktype8, _vtype9, _size7) = iprot.readMapBegin()
-                    for _i11 in range(_size7):
-                        _key12 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val13 = {}
-                        (_ktype15, _vtype16, _size14) = iprot.readMapBegin()
-                        for _i18 in range(_size14):
-                            _key19 = iprot.readI64()
-                            _val20 = iprot.readI64()
-                            _val13[_key19] = _val20
+                    (_ktype15, _vtype16, _size14) = iprot.readMapBegin()
+                    for _i18 in range(_size14):
+                        _key19 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val20 = {}
+                        (_ktype22, _vtype23, _size21) = iprot.readMapBegin()
+                        for _i25 in range(_size21):
+                            _key26 = iprot.readI64()
+                            _val27 = iprot.readI64()
+                            _val20[_key26] = _val27
                         iprot.readMapEnd()
-                        self.ages_ms[_key12] = _val13
+                        self.ages_ms[_key19] = _val20
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 40:
+                if ftype == TType.LIST:
+                    self.suspicions = []
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = Suspicion()
+                        _elem33.read(iprot)
+                        self.suspicions.append(_elem33)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -105,9 +308,9 @@
         if self.declared is not None:
             oprot.writeFieldBegin('declared', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.declared))
-            for kiter21, viter22 in self.declared.items():
-                oprot.writeString(kiter21.encode('utf-8') if sys.version_info[0] == 2 else kiter21)
-                oprot.writeI64(viter22)
+            for kiter34, viter35 in self.declared.items():
+                oprot.writeString(kiter34.encode('utf-8') if sys.version_info[0] == 2 else kiter34)
+                oprot.writeI64(viter35)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.far is not None:
@@ -117,15 +320,22 @@
         if self.ages_ms is not None:
             oprot.writeFieldBegin('ages_ms', TType.MAP, 20)
             oprot.writeMapBegin(TType.STRING, TType.MAP, len(self.ages_ms))
-            for kiter23, viter24 in self.ages_ms.items():
-                oprot.writeString(kiter23.encode('utf-8') if sys.version_info[0] == 2 else kiter23)
-                oprot.writeMapBegin(TType.I64, TType.I64, len(viter24))
-                for kiter25, viter26 in viter24.items():
-                    oprot.writeI64(kiter25)
-                    oprot.writeI64(viter26)
+            for kiter36, viter37 in self.ages_ms.items():
+                oprot.writeString(kiter36.encode('utf-8') if sys.version_info[0] == 2 else kiter36)
+                oprot.writeMapBegin(TType.I64, TType.I64, len(viter37))
+                for kiter38, viter39 in viter37.items():
+                    oprot.writeI64(kiter38)
+                    oprot.writeI64(viter39)
                 oprot.writeMapEnd()
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
+        if self.suspicions is not None:
+            oprot.writeFieldBegin('suspicions', TType.LIST, 40)
+            oprot.writeListBegin(TType.STRUCT, len(self.suspicions))
+            for iter40 in self.suspicions:
+                iter40.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -172,6 +382,7 @@
      - ready_in_s
      - ages_ms
      - born
+     - suspicions
 
     """
 
@@ -190,10 +401,11 @@
         'ready_in_s',
         'ages_ms',
         'born',
+        'suspicions',
     )
 
 
-    def __init__(self, server_id=None, running=None, waiting=None, slots=None, model=None, version=None, whole=None, loading=None, pace=None, yielding=None, entries=None, ready_in_s=None, ages_ms=None, born=None,):
+    def __init__(self, server_id=None, running=None, waiting=None, slots=None, model=None, version=None, whole=None, loading=None, pace=None, yielding=None, entries=None, ready_in_s=None, ages_ms=None, born=None, suspicions=None,):
         self.server_id = server_id
         self.running = running
         self.waiting = waiting
@@ -208,6 +420,7 @@
         self.ready_in_s = ready_in_s
         self.ages_ms = ages_ms
         self.born = born
+        self.suspicions = suspicions
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -281,11 +494,11 @@
             elif fid == 20:
                 if ftype == TType.MAP:
                     self.ages_ms = {}
-                    (_ktype28, _vtype29, _size27) = iprot.readMapBegin()
-                    for _i31 in range(_size27):
-                        _key32 = iprot.readI64()
-                        _val33 = iprot.readI64()
-                        self.ages_ms[_key32] = _val33
+                    (_ktype42, _vtype43, _size41) = iprot.readMapBegin()
+                    for _i45 in range(_size41):
+                        _key46 = iprot.readI64()
+                        _val47 = iprot.readI64()
+                        self.ages_ms[_key46] = _val47
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -294,6 +507,17 @@
                     self.born = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 40:
+                if ftype == TType.LIST:
+                    self.suspicions = []
+                    (_etype51, _size48) = iprot.readListBegin()
+                    for _i52 in range(_size48):
+                        _elem53 = Suspicion()
+                        _elem53.read(iprot)
+                        self.suspicions.append(_elem53)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -355,15 +579,22 @@
         if self.ages_ms is not None:
             oprot.writeFieldBegin('ages_ms', TType.MAP, 20)
             oprot.writeMapBegin(TType.I64, TType.I64, len(self.ages_ms))
-            for kiter34, viter35 in self.ages_ms.items():
-                oprot.writeI64(kiter34)
-                oprot.writeI64(viter35)
+            for kiter54, viter55 in self.ages_ms.items():
+                oprot.writeI64(kiter54)
+                oprot.writeI64(viter55)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.born is not None:
             oprot.writeFieldBegin('born', TType.I64, 30)
             oprot.writeI64(self.born)
             oprot.writeFieldEnd()
+        if self.suspicions is not None:
+            oprot.writeFieldBegin('suspicions', TType.LIST, 40)
+            oprot.writeListBegin(TType.STRUCT, len(self.suspicions))
+            for iter56 in self.suspicions:
+                iter56.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -411,6 +642,19 @@
 
     def __ne__(self, other):
         return not (self == other)
+all_structs.append(Crash)
+Crash.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'start', 'BINARY', None, ),  # 1
+    (2, TType.I32, 'age_ms', None, None, ),  # 2
+)
+all_structs.append(Suspicion)
+Suspicion.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'fingerprint', 'BINARY', None, ),  # 1
+    (2, TType.LIST, 'crashes', (TType.STRUCT, [Crash, None], False), None, ),  # 2
+    (3, TType.I32, 'completed_age_ms', None, None, ),  # 3
+)
 all_structs.append(Subscribe)
 Subscribe.thrift_spec = (
     None,  # 0
@@ -434,6 +678,26 @@
     None,  # 18
     None,  # 19
     (20, TType.MAP, 'ages_ms', (TType.STRING, 'UTF8', TType.MAP, (TType.I64, None, TType.I64, None, False), False), None, ),  # 20
+    None,  # 21
+    None,  # 22
+    None,  # 23
+    None,  # 24
+    None,  # 25
+    None,  # 26
+    None,  # 27
+    None,  # 28
+    None,  # 29
+    None,  # 30
+    None,  # 31
+    None,  # 32
+    None,  # 33
+    None,  # 34
+    None,  # 35
+    None,  # 36
+    None,  # 37
+    None,  # 38
+    None,  # 39
+    (40, TType.LIST, 'suspicions', (TType.STRUCT, [Suspicion, None], False), None, ),  # 40
 )
 all_structs.append(BackendReport)
 BackendReport.thrift_spec = (
@@ -468,6 +732,16 @@
     None,  # 28
     None,  # 29
     (30, TType.I64, 'born', None, None, ),  # 30
+    None,  # 31
+    None,  # 32
+    None,  # 33
+    None,  # 34
+    None,  # 35
+    None,  # 36
+    None,  # 37
+    None,  # 38
+    None,  # 39
+    (40, TType.LIST, 'suspicions', (TType.STRUCT, [Suspicion, None], False), None, ),  # 40
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/clementinegw/wire/reports.thrift
+++ b/src/clementinegw/wire/reports.thrift
@@ -1,5 +1,20 @@
 // Between entries and agents, in datagrams: what a backend server is doing.
 
+// A connection to a server broke while a request ran.
+struct Crash {
+  // Names the server's start.
+  1: required binary start,
+  2: required i32 age_ms,
+}
+
+// What is known of a request that may crash servers.
+struct Suspicion {
+  1: required binary fingerprint,
+  2: required list<Crash> crashes,
+  // Milliseconds since a server ran it to its end; unset when none did.
+  3: optional i32 completed_age_ms,
+}
+
 // An entry asks an agent for reports for a while, and says which versions of
 // weights it knows to be declared.
 struct Subscribe {
@@ -9,6 +24,8 @@
   3: optional bool far = false,
   // By model and version: milliseconds since it was declared, where known.
   20: optional map<string, map<i64, i64>> ages_ms,
+  // What the entry saw itself of late; seldom any.
+  40: optional list<Suspicion> suspicions,
 }
 
 // An agent tells what it has just read from the server beside it; without a
@@ -34,4 +51,6 @@
   20: optional map<i64, i64> ages_ms,
   // When the server started, in Unix milliseconds; 0 where it does not say.
   30: optional i64 born,
+  // What entries saw together; seldom any.
+  40: optional list<Suspicion> suspicions,
 }
--- a/tests/test_direct_starts.py
+++ b/tests/test_direct_starts.py
@@ -184,7 +184,7 @@
     known = suspects.Suspects()
     for born in (1, 2):
         assert not known.refused(Request, "c", 1.0)
-        known.crashed(Request, "c", types.Start("a", born), 1.0)
+        known.crashed(Request, "c", types.Start("a", born).text, 1.0)
     assert known.refused(Request, "c", 1.0)
 
 
--- a/tests/test_direct_suspects.py
+++ b/tests/test_direct_suspects.py
@@ -5,46 +5,15 @@
 import random
 
 import pytest
+import suspects_entry
 
-from clementinegw.direct import server as servers
 from clementinegw.direct import suspects
-from clementinegw.direct import types
-
-
-def asked(body=b"", target="/safe/x"):
-    return servers.Request("POST", target, "h", (), body, 0.0)
-
-
-class Entry:
-    """An entry's knowledge, on a clock of its own."""
-
-    def __init__(self, clock_s=1_000.0):
-        self.known = suspects.Suspects()
-        self.clock_s = clock_s
-
-    def crashed(self, body, start, at):
-        self.known.crashed(
-            asked(body), "c", types.Start(start), self.clock_s + at
-        )
-
-    def completed(self, body, at):
-        self.known.completed(asked(body), "c", self.clock_s + at)
-
-    def refused(self, body, at, caller="c"):
-        return self.known.refused(asked(body), caller, self.clock_s + at)
-
-    def told(self, at, own=True):
-        return self.known.told(self.clock_s + at, own)
-
-    def take(self, told, at):
-        self.known.take(told, self.clock_s + at)
-
 
 # One entry.
 
 
 def test_what_crashed_two_servers_is_refused():
-    one = Entry()
+    one = suspects_entry.Entry()
     for number in range(2):
         assert not one.refused(b"", 1.0)
         one.crashed(b"", f"i-{number}", 1.0)
@@ -60,7 +29,7 @@
     Sequence: a server loses a few answers in a hundred; in between the same
     question is answered many times. Cause: only broken answers were counted.
     """
-    one = Entry()
+    one = suspects_entry.Entry()
     for number in range(9):
         one.crashed(b"", f"i-{number % 4}", float(number))
         one.completed(b"", number + 0.1)
@@ -68,7 +37,7 @@
 
 
 def test_one_server_that_breaks_everything_accuses_nobody():
-    one = Entry()
+    one = suspects_entry.Entry()
     for number in range(9):
         one.crashed(b"", "i-1", float(number))
     assert not one.refused(b"", 9.0)
@@ -80,13 +49,13 @@
     Refused after two broken answers, the question would never be answered
     again, and so never be cleared.
     """
-    one = Entry()
+    one = suspects_entry.Entry()
     one.crashed(b"", "i-1", 1.0)
     one.crashed(b"", "i-2", 1.1)
     assert one.refused(b"", 1.2)
-    one.known.outlived(types.Start("i-1"), one.clock_s + 0.9)
+    one.known.outlived("i-1", one.clock_s + 0.9)
     assert one.refused(b"", 1.2)
-    one.known.outlived(types.Start("i-1"), one.clock_s + 1.05)
+    one.known.outlived("i-1", one.clock_s + 1.05)
     assert not one.refused(b"", 1.2)
     one.crashed(b"", "i-1", 1.3)
     assert one.refused(b"", 1.4)
@@ -94,7 +63,7 @@
 
 def test_those_who_shared_a_server_with_it_go_free():
     """A request crashed two servers with a batch of others on each."""
-    one = Entry()
+    one = suspects_entry.Entry()
     for number in range(2):
         for other in range(15):
             one.crashed(b"%d %d" % (number, other), f"i-{number}", 1.0 + number)
@@ -118,7 +87,11 @@
 
     Each entry counted what it saw itself.
     """
-    one, two, three = Entry(5.0), Entry(70_000.0), Entry(0.0)
+    one, two, three = (
+        suspects_entry.Entry(5.0),
+        suspects_entry.Entry(70_000.0),
+        suspects_entry.Entry(0.0),
+    )
     one.crashed(b"bad", "i-1", 1.0)
     one.crashed(b"innocent", "i-1", 1.0)
     two.crashed(b"bad", "i-2", 2.0)
@@ -131,7 +104,7 @@
 
 
 def test_one_crash_that_two_entries_saw_is_one():
-    one, two = Entry(), Entry()
+    one, two = suspects_entry.Entry(), suspects_entry.Entry()
     one.crashed(b"asked twice", "i-1", 1.0)
     two.crashed(b"asked twice", "i-1", 1.01)
     one.take(two.told(1.1), 1.2)
@@ -139,12 +112,12 @@
 
 
 def test_what_completes_elsewhere_is_cleared():
-    one, two = Entry(5.0), Entry(900.0)
+    one, two = suspects_entry.Entry(5.0), suspects_entry.Entry(900.0)
     one.crashed(b"", "i-1", 1.0)
     one.crashed(b"", "i-2", 1.5)
     two.take(one.told(1.6), 1.7)
     assert two.refused(b"", 1.8)
-    three = Entry(50.0)
+    three = suspects_entry.Entry(50.0)
     three.take(one.told(1.6), 1.7)
     # One that had it under way before it heard.
     three.completed(b"", 2.0)
@@ -162,12 +135,12 @@
 
 
 def test_a_server_known_to_be_well_is_not_accused_from_hearsay():
-    one, two = Entry(), Entry()
+    one, two = suspects_entry.Entry(), suspects_entry.Entry()
     for start in ("i-1", "i-2"):
         one.crashed(b"", start, 1.0)
     told = one.told(1.1)
     two.take(told, 1.2)
-    two.known.outlived(types.Start("i-1"), two.clock_s + 1.15)
+    two.known.outlived("i-1", two.clock_s + 1.15)
     two.take(told, 1.3)
     assert not two.refused(b"", 1.4)
 
@@ -180,7 +153,7 @@
         (rng.uniform(0.0, 5.0), rng.choice(("crash", "crash", "complete")))
         for _ in range(12)
     ]
-    tellers = [Entry(rng.uniform(0.0, 1e5)) for _ in range(3)]
+    tellers = [suspects_entry.Entry(rng.uniform(0.0, 1e5)) for _ in range(3)]
     told = []
     for at, kind in sorted(events):
         teller = rng.choice(tellers)
@@ -193,7 +166,7 @@
     last = [(5.0, teller.told(5.0)) for teller in tellers]
     verdicts = []
     for _ in range(4):
-        listener = Entry(rng.uniform(0.0, 1e5))
+        listener = suspects_entry.Entry(rng.uniform(0.0, 1e5))
         some = [one for one in told if rng.random() < 0.6]
         some += [one for one in some if rng.random() < 0.5]
         rng.shuffle(some)
@@ -203,7 +176,7 @@
         verdicts.append(
             tuple(listener.refused(b"%d" % n, 5.1) for n in range(3))
         )
-    plain = Entry()
+    plain = suspects_entry.Entry()
     for _, content in last:
         plain.take(content, 5.0)
     assert set(verdicts) <= {
@@ -228,7 +201,11 @@
 
     Each took the other's word, a little later than it was given, for news.
     """
-    one, between, two = Entry(), Entry(9.0), Entry(77.0)
+    one, between, two = (
+        suspects_entry.Entry(),
+        suspects_entry.Entry(9.0),
+        suspects_entry.Entry(77.0),
+    )
     for start in ("i-1", "i-2"):
         one.crashed(b"", start, 0.0)
     for step in range(700):
@@ -236,26 +213,46 @@
         between.take(one.told(at), at + 0.05)
         between.take(two.told(at), at + 0.05)
         for entry in (one, two):
-            entry.take(between.told(at, own=False), at + 0.05)
+            entry.take(between.proved(at), at + 0.05)
         refused = [entry.refused(b"", at + 0.06) for entry in (one, two)]
         if at < 59.4:
             assert refused == [True, True]
         if at > 60.2:
             assert refused == [False, False]
-    assert between.told(71.0, own=False) == ()
+    assert between.proved(71.0) == ()
+
+
+def test_who_tells_for_all_passes_over_those_beside_a_bad_one():
+    """A request crashed two servers with fifteen others on each.
+
+    Told on for a minute to all entries, all those would take more of a small
+    link than the reports.
+    """
+    one, two, between = (
+        suspects_entry.Entry(5.0),
+        suspects_entry.Entry(8.0),
+        suspects_entry.Entry(),
+    )
+    for number, entry in enumerate((one, two)):
+        for other in range(5):
+            entry.crashed(b"%d %d" % (number, other), f"i-{number}", 1.0)
+        entry.crashed(b"bad", f"i-{number}", 1.0)
+        between.take(entry.told(1.5), 1.6)
+    (told,) = between.proved(1.7)
+    assert len(told.crashes) == 2
+    assert (one.told(6.1), two.told(6.1)) == ((), ())
+    assert len(between.proved(40.0)) == 1
 
 
 def test_what_is_told_and_kept_is_bounded():
-    one = Entry()
+    one = suspects_entry.Entry()
     for number in range(20_000):
         one.crashed(b"%d" % number, f"i-{number}", number / 1e3)
     assert len(one.told(20.0)) == suspects.MOST_TOLD
     assert len(one.known._records) == 4_096
     assert len(one.known._at_start) == 4_096
     for number in range(2_000):
-        one.known.outlived(
-            types.Start(f"i-{19_999 - number}"), one.clock_s + 30.0
-        )
+        one.known.outlived(f"i-{19_999 - number}", one.clock_s + 30.0)
     assert len(one.known._well) == 1_024
     assert len(one.known._records) == 2_096
 
@@ -275,6 +272,6 @@
     ],
 )
 def test_what_is_malformed_or_too_old_is_not_taken_in(told):
-    one = Entry()
+    one = suspects_entry.Entry()
     one.take([told], 1.0)
-    assert one.told(1.0, own=False) == ()
+    assert not one.known._records
