Show what one unreadable record does to all others

Cause: an answer of the platform is decoded as a whole, keys and all; a record nested without end raises what nobody catches; an entry that became unreadable leaves the last good one in use.

--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -35,6 +35,7 @@
         self.muted = False
         self.calls = 0
         self.hung = []
+        self.odd_items = []
         self._first = dict.fromkeys(self.topics, 0)
         self._news = asyncio.Event()
         self._cut = asyncio.Event()
@@ -48,6 +49,10 @@
 
     def put(self, topic, key, value):
         data = b"" if value is None else json.dumps(value).encode()
+        self.put_raw(topic, key.encode(), data)
+
+    def put_raw(self, topic, key, data):
+        """Puts a record of any bytes."""
         self.topics[topic].append((key, data))
         self._news.set()
         self._news = asyncio.Event()
@@ -87,12 +92,18 @@
     def _newest(self, topic):
         newest = dict(self.topics[topic])
         items = [
-            {"key": k, "value": base64.b64encode(v).decode(), "offset": 0}
+            {
+                "key": k.decode(errors="surrogateescape"),
+                "value": base64.b64encode(v).decode(),
+                "offset": 0,
+            }
             for k, v in newest.items()
             if v
         ]
+        items += self.odd_items
         end = len(self.topics[topic])
-        return json.dumps({"items": items, "end": end}).encode()
+        body = json.dumps({"items": items, "end": end}, ensure_ascii=False)
+        return body.encode(errors="surrogateescape")
 
     async def _read(self, query):
         topic = query["topic"]
@@ -108,7 +119,7 @@
         body = len(records).to_bytes(8, "big")
         body += self._first[topic].to_bytes(8, "big")
         for key, value in records[start:]:
-            content = bytes([len(key)]) + key.encode() + value
+            content = bytes([len(key)]) + key + value
             body += len(content).to_bytes(4, "big") + content
         return body
 
