Let a record that cannot be read harm itself only

Cause: answers of the store were decoded as a whole. A key that is no text, or a value that is no base64, spoilt all others, at each reading again; a record nested without end raised what nobody catches; fields of an entry could be missing, and an unknown state counted as ready; an id that no header can carry made requests look lost that nobody had sent; an entry that became unreadable left its last good one in use.

Change: each record is decoded by itself; one that is there and cannot be read says so, with a reason. It names no server any more; of operators' records the last good one stays. Fields, states, addresses and numbers are checked at the border, also in the server's own report. A record is told of once until it can be read, and counted each time. The test of layers lists all fields of an entry now, as the platform does: without slots, state and sequence it is refused.

--- a/src/clementinegw/direct/_events.py
+++ b/src/clementinegw/direct/_events.py
@@ -34,7 +34,8 @@
     905,
     "record_malformed",
     _WARNING,
-    "A record of the platform cannot be read; the last good one stays.",
+    "A record of the platform cannot be read: a server's names none any more,"
+    " of operators' the last good one stays. Told once until it can be read.",
     "Look at `reason` and at who wrote the record.",
 )
 WEIGHTS_DECLARED = events.define(
--- a/src/clementinegw/direct/agent.py
+++ b/src/clementinegw/direct/agent.py
@@ -223,6 +223,7 @@
             self._around.state = await beside.state()
         except exceptions.BackendError as error:
             self._around.state = None
+            self._counters.add("direct.state.failed")
             if former is not None:
                 self._log.write(_events.SERVER_SILENT, reason=error.message)
             return
--- a/src/clementinegw/direct/fleet.py
+++ b/src/clementinegw/direct/fleet.py
@@ -285,7 +285,8 @@
         """Takes records in.
 
         Args:
-          batch: The records; a value of None says that a server is gone.
+          batch: The records; a value of None says that a server is gone, one
+            that is unreadable names none.
           whole: Whether servers that it leaves out are gone.
           settled_s: How long the platform has answered without failure.
           away_s: How long it gave no answer before that.
@@ -301,8 +302,11 @@
         for record in batch.records:
             if record.value is None:
                 self._vanished(record.key, now, left_s)
-            else:
+            elif isinstance(record.value, types.Server):
                 self._seen(record.key, record.value)
+            elif record.key in self._backends:
+                # What the platform lists there now is no server to send to.
+                self._drop(record.key)
         if whole:
             for key in set(self._backends) - listed:
                 self._vanished(key, now, left_s)
--- a/src/clementinegw/direct/run.py
+++ b/src/clementinegw/direct/run.py
@@ -20,7 +20,9 @@
 _LOOK_S = 3.0
 _METRICS_PATH = "/metrics"
 
-MakePlatform = Callable[[instances.Instance, logs.Log], Any]
+MakePlatform = Callable[
+    [instances.Instance, logs.Log, counters_lib.Counters], Any
+]
 
 
 async def run(
@@ -46,7 +48,7 @@
     out = output.configure()
     log = logs.Log(instance=instance.name)
     counters = counters_lib.Counters()
-    platform = make_platform(instance, log)
+    platform = make_platform(instance, log, counters)
     daemon = _ROLES[args[0]](instance, platform, log, counters)
     pages = servers.Server(_Pages(counters, daemon.histograms, out).answer)
     await pages.listen(_metrics_address(instance, args[0]))
--- a/src/clementinegw/direct/types.py
+++ b/src/clementinegw/direct/types.py
@@ -288,6 +288,17 @@
         return max(whole, default=0)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unreadable:
+    """A record that is there and cannot be read.
+
+    Attributes:
+      reason: What is wrong with it.
+    """
+
+    reason: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Load:
     """What a server says of its own work.
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -324,7 +324,7 @@
         self.counters = counters_lib.Counters()
         self.entry = entries.Entry(
             instance,
-            roles.Platform(instance, log),
+            roles.Platform(instance, log, self.counters),
             log,
             self.counters,
             boot_clock=asyncio.get_running_loop().time,
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -209,6 +209,9 @@
         "service": "s",
         "address": "10.0.0.1:80",
         "zone": "z",
+        "slots": 16,
+        "state": "ready",
+        "sequence": 1,
         "models": [{"name": "m", "version": 2, "adapters": []}],
         "layers": layers,
     }
--- a/tests/test_platform_foreign.py
+++ b/tests/test_platform_foreign.py
@@ -3,7 +3,18 @@
 import asyncio
 import json
 
+from adapter import records
+from adapter import store as stores
+from adapter import weights
 import platform_site
+import pytest
+
+from clementinegw import exceptions
+from clementinegw import types as places
+from clementinegw.direct import _events
+from clementinegw.direct import types
+from clementinegw.telemetry import counters as counters_lib
+from clementinegw.telemetry import logs
 
 TOPIC = "keyed.servers"
 ENTRY = {
@@ -59,6 +70,39 @@
 }
 
 
+@pytest.mark.parametrize("name", UNREADABLE)
+def test_an_entry_that_cannot_be_read_is_refused_with_a_reason(name):
+    with pytest.raises((ValueError, RecursionError)):
+        records.server_record("i-1", UNREADABLE[name])
+
+
+@pytest.mark.parametrize("key", ["", "a b", "a\r\nx: y", "ä", "a" * 300])
+def test_an_id_that_no_header_can_carry_is_refused(key):
+    """Requests were counted as lost that nobody had sent.
+
+    The id of the server goes into a header of each request.
+    """
+    with pytest.raises(ValueError, match="id"):
+        records.server_record(key, changed())
+
+
+def test_an_entry_may_say_more_than_we_know():
+    found = records.server_record("i-1", changed(born=178, odd={"x": [1]}))
+    assert (found.service, found.born, found.sequence) == ("plain", 178, 1)
+
+
+class Log(logs.Log):
+    """Keeps what is written."""
+
+    def __init__(self):
+        super().__init__()
+        self.lines = []
+
+    def write(self, event, **fields):
+        if event is _events.RECORD_MALFORMED:
+            self.lines.append(fields)
+
+
 def test_entries_of_other_writers_harm_nobody_else():
     """No server was known any more, and the process ended.
 
@@ -123,3 +167,85 @@
             assert not site.entry.crashed
 
     platform_site.run(play())
+
+
+def test_a_record_that_cannot_be_read_is_told_once():
+    """The log of each process filled with one line a heartbeat.
+
+    Whoever writes a record that cannot be read writes it again and again.
+    """
+
+    async def play():
+        store = platform_site.Store()
+        await store.start()
+        log, counters = Log(), counters_lib.Counters()
+        topic = stores.Topic(
+            stores.Store(store.address),
+            TOPIC,
+            records.server_record,
+            log,
+            counters,
+        )
+        offset = 0
+        for value in (b"{", b"[", changed(), b"[", None):
+            for _ in range(3):
+                store.put_raw(TOPIC, b"i-1", value or b"")
+                batch = await topic.changes(offset, 0.0)
+                offset = batch.end
+        for _ in range(3):
+            store.put_raw(TOPIC, b"i-2", b"7")
+            batch = await topic.newest()
+        await store.stop()
+        assert [record.key for record in batch.records] == ["i-2"]
+        assert isinstance(batch.records[0].value, types.Unreadable)
+        return log.lines, counters.value("platform.records.unreadable")
+
+    lines, counted = platform_site.run(play())
+    assert [line["key"] for line in lines] == ["'i-1'", "'i-1'", "'i-2'"]
+    assert all(line["reason"] for line in lines)
+    assert counted == 12
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"\xff",
+        b"[]",
+        b'{"active":"3"}',
+        b'{"active":-1}',
+        b'{"active":99999999999}',
+        b'{"sequence":null}',
+        b'{"born":"x"}',
+        b'{"models":[{"version":1}]}',
+        b'{"models":[{"name":"m","version":99999999999999999999}]}',
+        b'{"x":' * 9_000 + b"1" + b"}" * 9_000,
+    ],
+)
+def test_a_report_that_cannot_be_read_is_no_answer(body):
+    """An agent ended over what the server beside it had said of itself."""
+
+    async def play():
+        server = platform_site.Server("a", lambda call: call.answer(body))
+        await server.start()
+        host, port = server.address.split(":")
+        beside = weights.Beside(places.Address(host, int(port)), "m")
+        with pytest.raises(exceptions.BackendError):
+            await beside.state()
+        await server.stop()
+
+    platform_site.run(play())
+
+
+def test_a_report_tells_which_start_speaks():
+    async def play():
+        body = b'{"models":[],"sequence":3,"born":1780000000123,"odd":{}}'
+        server = platform_site.Server("a", lambda call: call.answer(body))
+        await server.start()
+        host, port = server.address.split(":")
+        beside = weights.Beside(places.Address(host, int(port)), "m")
+        state = await beside.state()
+        await server.stop()
+        return state.sequence, state.born
+
+    assert platform_site.run(play()) == (3, 1_780_000_000_123)
