--- a/src/clementinegw/direct/balance.py
+++ b/src/clementinegw/direct/balance.py
@@ -143,12 +143,19 @@
         requests += backend.unread_tokens / _TOKENS_A_REQUEST
         load = requests / max(1, backend.server.slots) * backend.pace
         load *= 1.0 + _DOUBT_WEIGHT * backend.doubt
-        distance = fleet.region_of(
+        distance = region_of(
             self._regions, self._place, backend.server.failure_domain
         )
         return load + _DISTANCE[distance] + self._rng.random() * _SPREAD
 
 
+def region_of(regions: dict[str, str], place: places.Place, domain: str) -> int:
+    """Returns 0 for the same failure domain, 1 the same region, 2 another."""
+    if domain == place.failure_domain:
+        return 0
+    return 1 if regions.get(domain) == place.region else 2
+
+
 def draw_service(route: types.Route, rng: random.Random) -> str:
     """Returns the service for one request of a route, by weight."""
     if len(route.targets) == 1:
--- a/src/clementinegw/direct/entry.py
+++ b/src/clementinegw/direct/entry.py
@@ -245,7 +245,7 @@
 
     def _is_far(self, server: types.Server) -> bool:
         """Returns whether a server stands in another region."""
-        distance = fleets.region_of(
+        distance = balance.region_of(
             self._instance.regions,
             self._instance.place,
             server.failure_domain,
--- a/src/clementinegw/direct/fleet.py
+++ b/src/clementinegw/direct/fleet.py
@@ -4,7 +4,6 @@
 import math
 import random
 
-from clementinegw import types as places
 from clementinegw.direct import _events
 from clementinegw.direct import client
 from clementinegw.direct import follow
@@ -398,10 +397,3 @@
             leaving=server.leaving,
             held=[(h.version, h.layers) for h in server.held],
         )
-
-
-def region_of(regions: dict[str, str], place: places.Place, domain: str) -> int:
-    """Returns 0 for the same failure domain, 1 the same region, 2 another."""
-    if domain == place.failure_domain:
-        return 0
-    return 1 if regions.get(domain) == place.region else 2
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -7,6 +7,7 @@
 import sys
 
 from adapter import headers
+from adapter import pages
 from adapter import records
 import pytest
 
@@ -223,7 +224,7 @@
 def test_a_log_answer_that_is_cut_is_refused(cut):
     content = b"\x01kvalue"
     body = bytes(16) + len(content).to_bytes(4, "big") + content
-    assert records.log_records(body)[0] == [("k", b"value")]
+    assert pages.log_records(body)[0] == [("k", b"value")]
     if cut < len(body) - 16 or len(body) - cut < 16:
         with pytest.raises(ValueError, match="log"):
-            records.log_records(body[:-cut])
+            pages.log_records(body[:-cut])
