Show that a hanging poll outlasts the time to be in touch again

Cause: a question that is lost right before a cut heals is waited for 3.2 s; the machine counts as in touch after 3 s, and is bound by all that was acknowledged two seconds before. Idle connections that the cut broke are asked one after the other, 1.2 s each.

Conclusion: not only for servers: the same poll brings the configuration.

--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -35,6 +35,8 @@
         self.muted = False
         self.calls = 0
         self.hung = []
+        self.sessions = set()
+        self.dead = set()
         self.odd_items = []
         self._first = dict.fromkeys(self.topics, 0)
         self._news = asyncio.Event()
@@ -68,7 +70,8 @@
 
     async def _handle(self, request, responder):
         self.calls += 1
-        if self.silent:
+        self.sessions.add(responder._session)
+        if self.silent or responder._session in self.dead:
             self.hung.append(request.target)
             await responder.gone
             return
--- a/tests/test_platform_drain.py
+++ b/tests/test_platform_drain.py
@@ -2,11 +2,16 @@
 
 import asyncio
 
+from adapter import store as stores
 import platform_site
+import pytest
 
+from clementinegw import exceptions
 from clementinegw.direct import client
 
 DRAIN_S = 2.0
+# A machine that is back counts as in touch after this, in seconds.
+IN_TOUCH_S = 3.0
 TOPIC = "keyed.servers"
 
 
@@ -194,3 +199,57 @@
             assert len(stays.calls) == 1
 
     platform_site.run(play())
+
+
+def test_a_poll_that_hangs_over_the_end_of_a_cut_is_given_up_in_time():
+    """A request reached a server 3.2 s after that had said it leaves.
+
+    The machine was cut off from the store for a moment. It had asked for news
+    right before it was back, that question was lost, and it waited for its
+    answer for 3.2 s: longer than the three seconds after which a machine that
+    is back counts as in touch. A server said meanwhile that it leaves.
+    """
+
+    async def play():
+        async with platform_site.Site("a", "b") as site:
+            await asyncio.sleep(3.0)
+            asking = asyncio.ensure_future(keep_asking(site, 12.0))
+            site.store.silent = True
+            while not any(TOPIC in target for target in site.store.hung):
+                await asyncio.sleep(0.01)
+            back_at = asyncio.get_running_loop().time()
+            site.store.silent = False
+            put(site, site.servers[0], state="draining", sequence=2)
+            assert set(await asking) == {200}
+            assert site.servers[0].last_call_at < back_at + IN_TOUCH_S
+
+    platform_site.run(play())
+
+
+def test_a_connection_from_before_a_fault_is_not_asked_again():
+    """A process heard of nothing for 1.2 s more after each of its connections.
+
+    A cut had broken all of them. Those that lay idle meanwhile were asked one
+    after the other, and each was waited for.
+    """
+
+    async def play():
+        store = platform_site.Store()
+        await store.start()
+        caller = stores.Store(store.address)
+        query = {"topic": "keyed.op", "part": 0}
+
+        async def ask():
+            return await caller.get("/log-newest", query)
+
+        await asyncio.gather(ask(), ask())
+        store.dead = set(store.sessions)
+        with pytest.raises(exceptions.PlatformUnavailable):
+            await ask()
+        began = asyncio.get_running_loop().time()
+        assert (await ask())[0] == 200
+        assert asyncio.get_running_loop().time() < began + 0.1
+        caller.close()
+        await store.stop()
+
+    platform_site.run(play())
