Give a lost question up before the process counts as in touch

Cause: a long poll was waited for 1.2 s beyond its 2 s, and after it idle connections from before the fault were tried, 1.2 s each.

--- a/src/clementinegw/direct/client.py
+++ b/src/clementinegw/direct/client.py
@@ -303,6 +303,10 @@
     def close(self) -> None:
         """Closes all idle connections, and the others as they come back."""
         self._closed = True
+        self.renew()
+
+    def renew(self) -> None:
+        """Closes all idle connections: what broke one may have broken all."""
         for connection in self._idle:
             self._drop(connection)
         self._idle = []
--- a/src/clementinegw/direct/outage.py
+++ b/src/clementinegw/direct/outage.py
@@ -16,8 +16,8 @@
 # connection that comes up slowly.
 _BACK_SHARE = 0.65
 # A call that failed this much after its wait was over had hung, in seconds: a
-# platform that is there answers within a quarter of that when it is slow.
-_HUNG_S = 0.8
+# platform that is there answers within half of that when it is slow.
+_HUNG_S = 0.4
 # A failure so soon after an answer belongs to the outage before it, in
 # seconds: an outage may end in fits.
 _SAME_S = 3.0
