Show that a cut of one machine keeps servers that left in use

Cause: what left the list while a machine was cut off from the store is held as if it had run out in an outage of the store.

Conclusion: the share of the list that is gone tells the two apart.

--- a/tests/test_platform_drain.py
+++ b/tests/test_platform_drain.py
@@ -253,3 +253,35 @@
         await store.stop()
 
     platform_site.run(play())
+
+
+def test_a_few_that_left_while_a_machine_was_cut_off_are_believed_gone():
+    """A request reached a server that was gone for seconds.
+
+    The machine was cut off from the store, which was well, and two servers
+    ended without a word meanwhile. Their removal was held as if their listings
+    had run out in an outage: 2.2 s from when it was read, while the machine
+    counted as in touch 3 s after the cut had healed.
+    """
+
+    async def play():
+        async with platform_site.Site("a", "b", "c", "d", "e") as site:
+            # Without keys, which are not served so long without news.
+            open_to_all = platform_site.config(2, tenants=[])
+            site.store.put("keyed.op", "config", open_to_all)
+            await asyncio.sleep(3.0)
+            asking = asyncio.ensure_future(keep_asking(site, 15.0))
+            site.store.silent = True
+            await asyncio.sleep(8.0)
+            for server in site.servers[:2]:
+                site.store.put(TOPIC, server.name, None)
+            site.store.hung.clear()
+            while not any(TOPIC in target for target in site.store.hung):
+                await asyncio.sleep(0.01)
+            back_at = asyncio.get_running_loop().time()
+            site.store.silent = False
+            assert set(await asking) == {200}
+            last_at = max(s.last_call_at for s in site.servers[:2])
+            assert last_at < back_at + IN_TOUCH_S
+
+    platform_site.run(play())
