--- a/src/clementinegw/direct/fleet.py
+++ b/src/clementinegw/direct/fleet.py
@@ -4,7 +4,6 @@
 import math
 import random
 
-from clementinegw import types as places
 from clementinegw.direct import _events
 from clementinegw.direct import client
 from clementinegw.direct import follow
@@ -285,7 +284,8 @@
         """Takes records in.
 
         Args:
-          batch: The records; a value of None says that a server is gone.
+          batch: The records; a value of None says that a server is gone, one
+            that is unreadable names none.
           whole: Whether servers that it leaves out are gone.
           settled_s: How long the platform has answered without failure.
           away_s: How long it gave no answer before that.
@@ -301,8 +301,11 @@
         for record in batch.records:
             if record.value is None:
                 self._vanished(record.key, now, left_s)
-            else:
+            elif isinstance(record.value, types.Server):
                 self._seen(record.key, record.value)
+            elif record.key in self._backends:
+                # What the platform lists there now is no server to send to.
+                self._drop(record.key)
         if whole:
             for key in set(self._backends) - listed:
                 self._vanished(key, now, left_s)
@@ -394,10 +397,3 @@
             leaving=server.leaving,
             held=[(h.version, h.layers) for h in server.held],
         )
-
-
-def region_of(regions: dict[str, str], place: places.Place, domain: str) -> int:
-    """Returns 0 for the same failure domain, 1 the same region, 2 another."""
-    if domain == place.failure_domain:
-        return 0
-    return 1 if regions.get(domain) == place.region else 2
--- a/src/clementinegw/direct/relay.py
+++ b/src/clementinegw/direct/relay.py
@@ -31,6 +31,8 @@
 _PACKED_BYTES = 1_024
 _PACK_LEVEL = 1
 _MOST_BYTES = 32 << 20
+# Keys of other writers may be no text; their bytes come back as they were.
+_KEY_ERRORS = "surrogateescape"
 # Packed answers that are kept: of the two topics, for those who are one or two
 # changes behind.
 _KEPT_ANSWERS = 6
@@ -279,7 +281,11 @@
     data = codec.encode(
         ttypes.TopicItems(
             items=[
-                ttypes.TopicItem(key=i.key, offset=i.offset, value=i.value)
+                ttypes.TopicItem(
+                    key=i.key.encode(errors=_KEY_ERRORS),
+                    offset=i.offset,
+                    value=i.value,
+                )
                 for i in items
             ]
         )
@@ -301,7 +307,10 @@
         if not unpacking.eof:
             raise exceptions.DecodeError("TopicNews: cut, or too large")
     wire = codec.decode(ttypes.TopicItems, data)
-    return tuple(raw.Item(i.key, i.value, i.offset) for i in wire.items)
+    return tuple(
+        raw.Item(i.key.decode(errors=_KEY_ERRORS), i.value, i.offset)
+        for i in wire.items
+    )
 
 
 def _ms_up(seconds: float) -> int:
--- a/src/clementinegw/wire/gen/topics/ttypes.py
+++ b/src/clementinegw/wire/gen/topics/ttypes.py
@@ -157,7 +157,7 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.key = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.key = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
@@ -182,7 +182,7 @@
         oprot.writeStructBegin('TopicItem')
         if self.key is not None:
             oprot.writeFieldBegin('key', TType.STRING, 1)
-            oprot.writeString(self.key.encode('utf-8') if sys.version_info[0] == 2 else self.key)
+            oprot.writeBinary(self.key)
             oprot.writeFieldEnd()
         if self.offset is not None:
             oprot.writeFieldBegin('offset', TType.I64, 2)
@@ -597,7 +597,7 @@
 all_structs.append(TopicItem)
 TopicItem.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'key', 'UTF8', None, ),  # 1
+    (1, TType.STRING, 'key', 'BINARY', None, ),  # 1
     (2, TType.I64, 'offset', None, None, ),  # 2
     (3, TType.STRING, 'value', 'BINARY', None, ),  # 3
 )
--- a/src/clementinegw/wire/topics.thrift
+++ b/src/clementinegw/wire/topics.thrift
@@ -14,7 +14,8 @@
 }
 
 struct TopicItem {
-  1: required string key,
+  // A text as a rule; of other writers' keys the bytes as they are.
+  1: required binary key,
   2: required i64 offset,
   // Empty when the key is gone.
   3: required binary value,
--- a/tests/test_platform_link.py
+++ b/tests/test_platform_link.py
@@ -46,7 +46,7 @@
         link_bytes_per_s=1e6,
         bounds=instances.Bounds(),
     )
-    return roles.Platform(instance, logs.Log())
+    return roles.Platform(instance, logs.Log(), counters_lib.Counters())
 
 
 class Alone:
--- a/tests/test_platform_relay.py
+++ b/tests/test_platform_relay.py
@@ -62,7 +62,7 @@
         log = logs.Log()
         return entries.Entry(
             instance,
-            roles.Platform(instance, log),
+            roles.Platform(instance, log, counters_lib.Counters()),
             log,
             counters_lib.Counters(),
             boot_clock=asyncio.get_running_loop().time,
