Ask only engines for a version of weights

Cause: the version of the model that a caller names was compared with what a plain server holds, none. Change: only a service with engines has versions. Before: 502 with no server asked, and 50 choices without a pause for a request that may not be repeated. After: answered by the first choice, for both.

--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -185,12 +185,16 @@
         if job.sends and not self._budget(job.service).allow(self._clock()):
             return self._placing.unserved(job, Reason.NO_BUDGET)
         now = self._clock()
-        held = backend.held(self._placing.layers(job.service))
+        layers = self._placing.layers(job.service)
+        # A plain service holds no version: a model that a caller names there
+        # would make each of its servers too old for ever.
+        model = job.facts.model if layers else ""
+        held = backend.held(layers)
         sending = types.Sending(
             backend.server.server_id,
             max(0.001, job.deadline - now - _WAY_BACK_S),
             job.caller,
-            self._versions.expected(job.facts.model, held, self._versions.now),
+            self._versions.expected(model, held, self._versions.now),
             None,
             job.last_event,
         )
@@ -199,9 +203,7 @@
             backend,
             sending,
             lambda: self._placing.elsewhere(job, backend),
-            self._recalls.new(
-                job.facts.model, held, job.match.route.idempotent
-            ),
+            self._recalls.new(model, held, job.match.route.idempotent),
         )
         if isinstance(outcome, outcomes.Delivered):
             self._suspects.outlived(backend.server.start.text, now)
