Show that a part of what was added is taken for all of it

Cause: an answer of the store has a megabyte at most; its age was counted as if nothing had been left out. The stand-in now bounds its answers as asked.

--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -169,9 +169,14 @@
                         return None
         body = len(records).to_bytes(8, "big")
         body += self._first[topic].to_bytes(8, "big")
+        most = 1_024 * int(query.get("max_kb", 1_024))
         for key, value in records[start:]:
             content = bytes([len(key)]) + key + value
-            body += len(content).to_bytes(4, "big") + content
+            record = len(content).to_bytes(4, "big") + content
+            # One record is always there, however large.
+            if len(body) > 16 and len(body) + len(record) > most:
+                break
+            body += record
         return body
 
     async def _wake(self, cut):
