Take no answer that leaves records out for a proof

Cause: with more than a megabyte added since the last answer, as two large configurations during a cut, the first part set the knowledge's age to zero, and a key that the second part takes away was served while that was fetched, however long ago it was taken away. Change: such an answer proves nothing, and what comes after it may have lain as long as it.

--- a/src/clementinegw/direct/raw.py
+++ b/src/clementinegw/direct/raw.py
@@ -31,10 +31,13 @@
     Attributes:
       items: In the order of the log.
       end: The offset to go on from.
+      more: Whether more was there than one answer holds. Then it proves
+        nothing of what it leaves out.
     """
 
     items: tuple[Item, ...]
     end: int
+    more: bool = False
 
 
 class Topic(Protocol):
--- a/src/clementinegw/direct/shared.py
+++ b/src/clementinegw/direct/shared.py
@@ -167,8 +167,11 @@
         waited_s = 0.0 if offset is None else wait_s
         lain_s = follow.lain_s(asked_at, now, waited_s, self._heard_at)
         news = bool(batch.items)
-        self._heard_at = follow.heard_at(asked_at, now, waited_s, news)
-        proved_at = follow.proved_at(asked_at, now, 0.0 if news else waited_s)
+        proved_at = -math.inf
+        if not batch.more:
+            self._heard_at = follow.heard_at(asked_at, now, waited_s, news)
+            held_s = 0.0 if news else waited_s
+            proved_at = follow.proved_at(asked_at, now, held_s)
         self._direct = True
         self._take(batch, offset is None, lain_s)
         return self._told(batch, proved_at, lain_s, paid=True)
