Show that a version read twice seems to be named anew

Cause: a whole reading after lost history has a bound on how long its records lay unread, which was believed also of what the first reading had brought.

--- a/tests/test_direct_declarations.py
+++ b/tests/test_direct_declarations.py
@@ -333,3 +333,25 @@
     found = unread(calm)
     assert len(found) == 3
     assert found[-1] < 0.2
+
+
+def test_what_was_found_at_the_start_is_not_named_anew_by_reading_it_again():
+    """An entry served the former version for seven seconds more.
+
+    All had lost power, so nobody could tell when the version was named, and
+    each demanded it as soon as it was bound. Then the store dropped its history
+    and everything was read anew: the same version seemed to be named just now.
+    """
+    now = [100.0]
+    known = declarations.Declarations(8.0, 3.0, lambda: now[0])
+    known.read("m", 2, FIRST)
+    (found,) = known.of("m")
+    now[0] = 110.0
+    assert known.read("m", 2, 2.0) is None
+    assert known.of("m") == (found,)
+    # A neighbour that did not start then may still tell.
+    known.told("m", {2: 30.0}, AGENT)
+    assert known.of("m")[0].at == 80.0
+    # What comes after the first reading was named since.
+    known.read("m", 3, 0.5)
+    assert known.of("m")[-1] == declarations.Declaration(3, 109.5)
