Let a version that was found at the start stay of unknown age

Cause: after lost history, or where a record is written again, its second reading dated it to at most 1.2 s ago; what is known takes the place of what is assumed, so the former version was allowed for seven seconds more and neighbours were told so. Change: reading it again says nothing.

--- a/src/clementinegw/direct/declarations.py
+++ b/src/clementinegw/direct/declarations.py
@@ -131,13 +131,18 @@
         Returns:
           What changed; None when nothing did.
         """
+        known = {d.version: d.known for d in self.of(model)}
+        if not math.isinf(unread_s) and not known.get(version, True):
+            # Read once more, as after lost history: it was there at the start.
+            return None
         if math.isinf(unread_s):
             # Nobody may be able to tell, as after a loss of all power. It may
             # be due already; but the process isn't bound from its start on.
-            at, known = self._bound_at - self.due_s, False
+            found = Declaration(version, self._bound_at - self.due_s, False)
         else:
-            at, known = self._clock() - min(unread_s, MOST_UNREAD_S), True
-        return self._learn(model, Declaration(version, at, known), source)
+            at = self._clock() - min(unread_s, MOST_UNREAD_S)
+            found = Declaration(version, at)
+        return self._learn(model, found, source)
 
     def told(
         self, model: str, ages_s: Mapping[int, float], source: Source
