Hold a removal only where most of the list is gone

Cause: whether listings ran out or servers left was told from the failed calls of this process alone; those of a machine that is cut off look like an outage.

Change: after the platform was away, less than half of the list that is gone is believed at once; more is held as before, now for nine tenths of the time to drain, since the return is known to 2.7 s. What one batch says of a server counts in its order.

Conclusion: where less than half of the listings run out in an outage, those servers get nothing until they are listed again, about 2 s; where over half leave without a word during a cut of one machine, requests may still come too late.

--- a/src/clementinegw/direct/entry.py
+++ b/src/clementinegw/direct/entry.py
@@ -167,7 +167,7 @@
         bounds = instance.bounds
         self._knowledge.revoke_s = bounds.keys_ms / 1e3 * _KEYS_SHARE
         self._versions.due_s = bounds.weights_ms / 1e3
-        self._fleet.terms = _fleet_terms(bounds)
+        self._fleet.ran_out.terms = _fleet_terms(bounds)
         self._forwarder.set_terms(_terms(bounds))
 
     async def drain(self) -> None:
--- a/src/clementinegw/direct/fleet.py
+++ b/src/clementinegw/direct/fleet.py
@@ -234,7 +234,7 @@
           terms: How long a server that is no longer listed is believed in;
             None for as long as an outage may need.
         """
-        self.terms = terms or outage.Terms()
+        self.ran_out = outage.RanOut(terms or outage.Terms())
         self._log = log
         self._rng = rng
         self._max_connections = max_connections
@@ -291,24 +291,21 @@
           away_s: How long it gave no answer before that.
           now: Monotonic seconds.
         """
-        left_s = self.terms.back_s - settled_s
-        # A listing outlives more than one interval without news. What was gone
-        # after a shorter silence, of one connection perhaps, was taken out by
-        # its server; held all the same, it got requests after its last time.
-        if away_s < self.terms.listing_s:
+        last = {record.key: record.value for record in batch.records}
+        gone = {key for key, value in last.items() if value is None}
+        if whole:
+            gone |= set(self._backends) - set(last)
+        left_s = self.ran_out.terms.back_s - settled_s
+        if not self.ran_out.seems(gone, set(self._backends), left_s, away_s):
             left_s = 0.0
-        listed = {record.key for record in batch.records}
         for record in batch.records:
-            if record.value is None:
-                self._vanished(record.key, now, left_s)
-            elif isinstance(record.value, types.Server):
+            if isinstance(record.value, types.Server):
                 self._seen(record.key, record.value)
-            elif record.key in self._backends:
+            elif record.value is not None and record.key in self._backends:
                 # What the platform lists there now is no server to send to.
                 self._drop(record.key)
-        if whole:
-            for key in set(self._backends) - listed:
-                self._vanished(key, now, left_s)
+        for key in gone & set(self._backends):
+            self._vanished(key, now, left_s)
         self._index()
 
     def settle(self, settled_s: float, now: float = 0.0) -> None:
@@ -318,7 +315,7 @@
           settled_s: How long the platform has answered without failure.
           now: Monotonic seconds.
         """
-        settled = settled_s >= self.terms.back_s
+        settled = settled_s >= self.ran_out.terms.back_s
         for key, backend in list(self._backends.items()):
             if backend.missing and (settled or now >= backend.missing_until):
                 self._drop(key)
@@ -361,9 +358,7 @@
         return client.Pool(server.address, most, _CONNECT_S, _IDLE_S)
 
     def _vanished(self, key: str, now: float, left_s: float) -> None:
-        backend = self._backends.get(key)
-        if backend is None:
-            return
+        backend = self._backends[key]
         # A listing that ran out while the platform was away says nothing of
         # the server; without it all servers would be given up at once.
         if left_s <= 0.0:
--- a/src/clementinegw/direct/outage.py
+++ b/src/clementinegw/direct/outage.py
@@ -14,7 +14,11 @@
 # The part of the time to drain that this may take. The rest is for a return
 # that was noticed late, for the pause between two readings, and for a
 # connection that comes up slowly.
-_BACK_SHARE = 0.65
+_BACK_SHARE = 0.9
+# Where so large a part of the list is gone after the platform was away, the
+# listings ran out; a few that are gone have left, and got requests for seconds
+# after a cut of this machine alone.
+_MANY = 0.5
 # A call that failed this much after its wait was over had hung, in seconds: a
 # platform that is there answers within half of that when it is slow.
 _HUNG_S = 0.4
@@ -42,6 +46,36 @@
         return min(_BACK_AFTER_S, _BACK_SHARE * self.drain_s)
 
 
+class RanOut:
+    """Tells listings that ran out in an outage from servers that left."""
+
+    def __init__(self, terms: Terms):
+        self.terms = terms
+        self._gone: set[str] = set()
+
+    def seems(
+        self, gone: set[str], known: set[str], left_s: float, away_s: float
+    ) -> bool:
+        """Returns whether servers are still to be believed in.
+
+        Args:
+          gone: The ids that are no longer listed.
+          known: All ids that were.
+          left_s: How long listings may still be missing after an outage.
+          away_s: How long the platform gave no answer.
+        """
+        if left_s <= 0.0:
+            self._gone.clear()
+            return False
+        # A listing outlives more than one interval without news. What was gone
+        # after a shorter silence, of one connection perhaps, was taken out by
+        # its server; held all the same, it got requests after its last time.
+        if away_s < self.terms.listing_s:
+            return False
+        self._gone |= gone & known
+        return len(self._gone) >= _MANY * len(known | self._gone)
+
+
 class Watch:
     """A source that also knows how long it gave no answer.
 
--- a/tests/test_direct_decisions.py
+++ b/tests/test_direct_decisions.py
@@ -279,6 +279,30 @@
     assert [b.server.server_id for b in servers.of("engine")] == ["b"]
 
 
+def test_what_one_batch_says_of_a_server_counts_in_its_order():
+    servers = new_fleet()
+    servers.apply(batch(("a", server("a")), ("a", None)), False, 60.0)
+    assert servers.of("engine") == []
+    again = batch(("a", None), ("a", server("a", sequence=2)))
+    servers.apply(again, False, 60.0)
+    assert len(servers.of("engine")) == 1
+    spoilt = batch(("a", types.Unreadable("x")), ("b", server("b")))
+    servers.apply(spoilt, False, 60.0)
+    assert [b.server.server_id for b in servers.of("engine")] == ["b"]
+
+
+def test_listings_that_run_out_one_by_one_after_an_outage_are_held():
+    servers = new_fleet()
+    names = [f"i-{number}" for number in range(10)]
+    listed = batch(*[(name, server(name)) for name in names])
+    servers.apply(listed, True, 60.0)
+    for name in names:
+        servers.apply(batch((name, None)), False, 0.3)
+    assert len(servers.of("engine")) == 6
+    servers.settle(3.0)
+    assert servers.of("engine") == []
+
+
 def test_records_of_one_start_are_ordered_and_leaving_is_for_good():
     backends = new_fleet()
     listed = (
