Tell ten entries of a region at half the rate, ping each second

By cProfile they were 0.447 of the 1.305 s that an entry's callbacks ran. Agents exchanged 796 pings and answers a second.

Change: from nine near entries on each gets every second report, as fourteen did already; agents ping after 1.0 s of silence in place of 0.7, still once before they give a peer up at 2.1 s.

--- a/src/clementinegw/direct/bring.py
+++ b/src/clementinegw/direct/bring.py
@@ -43,7 +43,9 @@
 # All agents of a deployment stand in the platform's own network; the key only
 # keeps a stray connection of something else out.
 _KEY = b"clementinegw agents of one platform"
-_TIMING = connections.Timing(connect_s=1.0, ping_s=0.7, silent_s=2.1)
+# A sign of life is asked for once before a peer is given up. With 0.7 s in
+# place of 1.0 s, 31 agents exchanged 800 of these frames a second.
+_TIMING = connections.Timing(connect_s=1.0, ping_s=1.0, silent_s=2.1)
 
 
 def digest_of(data: bytes) -> bytes:
--- a/src/clementinegw/direct/reports.py
+++ b/src/clementinegw/direct/reports.py
@@ -23,8 +23,9 @@
 # reports took a tenth of a machine's link; servers far away get few requests.
 _FAR_EVERY = 4
 # So many entries of the own region get every report; with more of them each
-# gets every second one, and so on. A report takes about 150 bytes of the link.
-_NEAR_EACH_TIME = 12
+# gets every second one, and so on. A report takes 58 bytes and its headers,
+# and taking them in was a third of what an entry before 31 agents ran.
+_NEAR_EACH_TIME = 8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_direct_silence.py
+++ b/tests/test_direct_silence.py
@@ -104,7 +104,8 @@
 
 
 @pytest.mark.parametrize(
-    ("near", "far", "sent"), [(8, 0, 320), (8, 16, 480), (14, 29, 570)]
+    ("near", "far", "sent"),
+    [(8, 0, 320), (8, 16, 480), (10, 31, 510), (14, 29, 570)],
 )
 def test_reports_grow_less_than_the_entries(near, far, sent):
     """Symptom: connections to servers do not come up while weights come.
