--- a/src/clementinegw/direct/agent.py
+++ b/src/clementinegw/direct/agent.py
@@ -29,11 +29,11 @@
     operators=follow.Pace(wait_s=6.0, pause_s=0.0),
     servers=follow.Pace(wait_s=10.0, pause_s=3.0),
 )
-# How often the server beside is asked, in seconds. It costs nothing there and
-# bounds the age of what entries balance by.
-_STATE_S = 0.1
-# Between two steps towards the wanted version, in seconds.
-_STEP_S = 0.1
+# How often the server beside is asked, and a step is taken towards the wanted
+# version, in seconds. A question costs nothing there and bounds the age of what
+# entries balance by. All wake up at the same moments: on their own, each of the
+# three cost a question to the kernel of its own.
+_TICK_S = 0.1
 
 
 class Platform(follow.Platform, Protocol):
@@ -202,7 +202,7 @@
     @mode.Service.task
     async def _watch_server(self) -> None:
         while not self.should_stop:
-            await asyncio.sleep(_STATE_S)
+            await self._tick()
             if self._around.beside is not None:
                 await self._look(self._around.beside)
 
@@ -277,4 +277,11 @@
                 step=step.__name__,
                 error=f"{type(error).__name__}: {error}",
             )
-        await asyncio.sleep(_STEP_S)
+        await self._tick()
+
+    async def _tick(self) -> None:
+        """Sleeps until the next moment at which all parts wake up."""
+        left_s = _TICK_S - self._clock() % _TICK_S
+        if left_s < _TICK_S / 2:
+            left_s += _TICK_S
+        await asyncio.sleep(left_s)
