--- a/src/clementinegw/direct/balance.py
+++ b/src/clementinegw/direct/balance.py
@@ -136,7 +136,11 @@
 
         In seconds; 0 where one does not rest, or there is none at all.
         """
-        return self._rests.over_in_s(self.candidates(wanted), self._clock())
+        now = self._clock()
+        # Asked for each request that waits; as a rule nobody rests.
+        if all(b.rest_until <= now for b in self._servers.of(wanted.service)):
+            return 0.0
+        return self._rests.over_in_s(self.candidates(wanted), now)
 
     def _reachable(
         self, backends: list[fleet.Backend], wanted: Wanted, now: float
--- a/src/clementinegw/direct/bring.py
+++ b/src/clementinegw/direct/bring.py
@@ -43,7 +43,9 @@
 # All agents of a deployment stand in the platform's own network; the key only
 # keeps a stray connection of something else out.
 _KEY = b"clementinegw agents of one platform"
-_TIMING = connections.Timing(connect_s=1.0, ping_s=0.7, silent_s=2.1)
+# A sign of life is asked for once before a peer is given up. With 0.7 s in
+# place of 1.0 s, 31 agents exchanged 800 of these frames a second.
+_TIMING = connections.Timing(connect_s=1.0, ping_s=1.0, silent_s=2.1)
 
 
 def digest_of(data: bytes) -> bytes:
@@ -90,7 +92,7 @@
     async def get(
         self, name: str, offset: int = 0, length: int | None = None
     ) -> bytes:
-        """See `platform.store.BlobStore`."""
+        """See `platform.blobs.BlobStore`."""
         del offset, length
         number = self._numbers.get(name)
         if self._origin is None or self._digests is None or number is None:
@@ -108,11 +110,11 @@
         return data
 
     async def put(self, name: str, data: bytes) -> None:
-        """See `platform.store.BlobStore`; nothing is published here."""
+        """See `platform.blobs.BlobStore`; nothing is published here."""
         raise exceptions.PlatformRefused("the origin takes nothing")
 
     async def size(self, name: str) -> int:
-        """See `platform.store.BlobStore`."""
+        """See `platform.blobs.BlobStore`."""
         return len(await self.get(name))
 
 
