Tell a caller "not run" when its request was taken back unsent

Cause: a request that was taken back before a version was due counted as lost, also while its connection was still coming up: its caller was told 502 instead of 503 with a time to come back. The test is red without the change (502).

--- a/src/clementinegw/direct/attempt.py
+++ b/src/clementinegw/direct/attempt.py
@@ -105,6 +105,7 @@
         Raises:
           channel.ChannelClosed: The caller has left.
         """
+        sends = job.sends
         backend.unread_tokens += job.facts.prompt_tokens
         unread = _Unread(backend, job.facts.prompt_tokens, recall)
         try:
@@ -116,6 +117,8 @@
                 finally:
                     recall.end()
         except TimeoutError:
+            if job.sends == sends:
+                return outcomes.NotRun(outcomes.NotRunReason.TOO_OLD)
             return outcomes.Lost(outcomes.LostReason.OUTDATED)
         finally:
             unread.done()
--- a/tests/test_direct_declarations.py
+++ b/tests/test_direct_declarations.py
@@ -185,6 +185,17 @@
 # Before a send.
 
 
+def name_a_version(site):
+    """Names version 2 while the server has 1."""
+    engine = {"slots": 8, "step_ms": 7.0, "models": [{"name": "m"}]}
+    service = {"name": "plain", "engine": engine}
+    change = sites.config(2, services=[service])
+    site.store.put("keyed.op", "config", change)
+    site.hold(site.servers[0], 1)
+    version = {"model": "m", "version": 2}
+    site.store.put("keyed.op", "version/m", version)
+
+
 def test_a_send_is_given_up_when_the_machine_slept_before_it(monkeypatch):
     """Symptom: a request begins on a former version long after the due time.
 
@@ -195,13 +206,7 @@
 
     async def play():
         async with sites.Site("i-1") as site:
-            engine = {"slots": 8, "step_ms": 7.0, "models": [{"name": "m"}]}
-            service = {"name": "plain", "engine": engine}
-            change = sites.config(2, services=[service])
-            site.store.put("keyed.op", "config", change)
-            site.hold(site.servers[0], 1)
-            version = {"model": "m", "version": 2}
-            site.store.put("keyed.op", "version/m", version)
+            name_a_version(site)
             await asyncio.sleep(4.0)
             connect = client.connect
 
@@ -217,6 +222,28 @@
     assert sites.run(play()) == (503, 0, 1)
 
 
+def test_a_request_that_waits_for_its_connection_is_told_not_run(monkeypatch):
+    """Symptom: a caller is told that its request may have run; it never left.
+
+    Sequence: a connection does not come up while a version falls due, and the
+    request is taken back. Cause: what is taken back was taken for sent.
+    """
+
+    async def never(address, timeout_s):
+        del address, timeout_s
+        await asyncio.sleep(10.0)
+
+    async def play():
+        async with sites.Site("i-1") as site:
+            name_a_version(site)
+            await asyncio.sleep(7.0)
+            monkeypatch.setattr(client, "connect", never)
+            answer = await site.ask(headers=["X-Clementinegw-Model: m"])
+            return answer.status, "retry-after" in answer.headers
+
+    assert sites.run(play()) == (503, True)
+
+
 # How long records lay unread.
 
 
