Bound how long a reader may say nothing by the time to drain

Change: silence ends a connection between processes after half of the time to drain at most, 2.1 s as before where that is longer; proofs are read and passed on after four tenths of it at most. With 3 s to drain the waits are 1.2 and 1.35 s instead of 1.3 and 1.4, with 4 s unchanged. What it costs on a site with 2 s was not measured.

--- a/src/clementinegw/direct/relay.py
+++ b/src/clementinegw/direct/relay.py
@@ -26,7 +26,12 @@
 _KEY = b"clementinegw readers of one platform"
 # A frozen reader is noticed, and the next one asked, before an entry's
 # knowledge is so old that it takes no new callers: after 2.75 s.
-_TIMING = connections.Timing(connect_s=0.5, ping_s=0.7, silent_s=2.1)
+_SILENT_S = 2.1
+# Nor may it take more than this part of the time in which a server that leaves
+# gets its last request: who asks is in touch with the platform and bound.
+_SILENT_SHARE = 0.5
+_PINGS = 3
+_CONNECT_S = 0.5
 # Larger answers are packed; smaller ones do not fill a packet.
 _PACKED_BYTES = 1_024
 _PACK_LEVEL = 1
@@ -71,12 +76,13 @@
         self._platform = platform
         self._log = log
         self._counters = counters
+        bound_s = instance.bounds.drain_ms / 1e3
         self._endpoint = connections.Endpoint(
             connections.Identity(instance.name, role, instance.place),
             auth.single(_KEY),
             log,
             counters,
-            _TIMING,
+            _timing(bound_s),
         )
         self._endpoint.on_call(connections.Kind.TOPIC_ASK, self._on_ask)
         self._choice = choices.Choice(clock)
@@ -98,6 +104,7 @@
                 log,
                 counters,
                 clock,
+                bound_s,
             )
             for name, (topic, pace) in topics.items()
         }
@@ -242,6 +249,11 @@
         return self._packed[key]
 
 
+def _timing(bound_s: float) -> connections.Timing:
+    silent_s = min(_SILENT_S, _SILENT_SHARE * bound_s)
+    return connections.Timing(_CONNECT_S, silent_s / _PINGS, silent_s)
+
+
 def _asked(question: questions.Question) -> bytes:
     return codec.encode(
         ttypes.TopicAsk(
--- a/src/clementinegw/direct/shared.py
+++ b/src/clementinegw/direct/shared.py
@@ -31,6 +31,8 @@
 # nothing for this long and half a second more has stopped, and the next one is
 # asked while the knowledge is young enough.
 _FRESH_WAIT_S = 1.4
+# And both at most, as a part of the time in which a change must be known.
+_SERVING_SHARE, _FRESH_SHARE = 0.4, 0.45
 # The store is read for this long after the last question of another process.
 _KEEP_UP_S = 3.0
 # How often an asker whose wait is over hears that it is not forgotten.
@@ -60,6 +62,7 @@
         log: logs.Log,
         counters: counters_lib.Counters,
         clock: Callable[[], float],
+        bound_s: float = math.inf,
     ):
         """Does nothing before it is asked.
 
@@ -73,7 +76,11 @@
           log: Where events go.
           counters: Counts questions by where they went and how they ended.
           clock: Seconds that also count while the machine is suspended.
+          bound_s: Within which a change must be known everywhere, in seconds,
+            also where a reader falls out.
         """
+        self._serving_wait_s = min(_SERVING_WAIT_S, _SERVING_SHARE * bound_s)
+        self._fresh_wait_s = min(_FRESH_WAIT_S, _FRESH_SHARE * bound_s)
         self._name = name
         self._topic = topic
         self._peers = peers
@@ -150,7 +157,7 @@
             # here waits for a first one: it must not be held.
             wait_s = 0.0
         elif self.serving and self._fresh:
-            wait_s = min(wait_s, _SERVING_WAIT_S)
+            wait_s = min(wait_s, self._serving_wait_s)
         self._count("store", "asked")
         try:
             batch = await self._ask_store(offset, wait_s)
@@ -201,7 +208,7 @@
     ) -> follow.Batch:
         asked_at = self._clock()
         proof = self._seen.get(reader, 0) if self._fresh else None
-        wait_s = _FRESH_WAIT_S if self._fresh else self._pace.wait_s
+        wait_s = self._fresh_wait_s if self._fresh else self._pace.wait_s
         if offset is None:
             wait_s = 0.0
         question = questions.Question(self._name, offset, proof, wait_s)
