Take a large answer of another process however long it comes

Change: an answer that is coming, at 4 KB/s at least, is waited for, and the sender hears from the asker meanwhile.

--- a/src/clementinegw/direct/relay.py
+++ b/src/clementinegw/direct/relay.py
@@ -1,5 +1,6 @@
 """Topics between the processes of a failure domain, over their connections."""
 
+import asyncio
 from collections.abc import Callable
 import zlib
 
@@ -36,6 +37,10 @@
 _PACKED_BYTES = 1_024
 _PACK_LEVEL = 1
 _MOST_BYTES = 32 << 20
+# Whether a large answer is coming is looked at this often, in seconds; signs of
+# life alone come at a tenth of this rate.
+_LOOK_S = 0.25
+_LEAST_BYTES_PER_S = 4_096
 # Keys of other writers may be no text; their bytes come back as they were.
 _KEY_ERRORS = "surrogateescape"
 # Packed answers that are kept: of the two topics, for those who are one or two
@@ -169,9 +174,11 @@
         try:
             await exchange.send(connections.Kind.TOPIC_ASK, _asked(question))
             patience_s = question.patience_s
-            frame = await exchange.receive(question.wait_s + patience_s)
+            frame = await _heard(
+                connection, exchange, question.wait_s + patience_s
+            )
             while frame.kind is connections.Kind.TOPIC_HELD:
-                frame = await exchange.receive(patience_s)
+                frame = await _heard(connection, exchange, patience_s)
         finally:
             exchange.close()
         if frame.kind is connections.Kind.TOPIC_NEWS:
@@ -254,6 +261,35 @@
     return connections.Timing(_CONNECT_S, silent_s / _PINGS, silent_s)
 
 
+async def _heard(
+    connection: connections.Connection,
+    exchange: connections.Exchange,
+    patience_s: float,
+) -> connections.Frame:
+    """Returns the next frame of an answer, however long a large one takes.
+
+    Thrown away while it comes, it would be asked for again, by all who share
+    the link, and the link would never get free.
+
+    Raises:
+      TimeoutError: The patience was over and nothing large was coming.
+    """
+    loop = asyncio.get_running_loop()
+    until = loop.time() + patience_s
+    while True:
+        had = connection.bytes_in
+        look_s = min(_LOOK_S, until - loop.time())
+        try:
+            return await exchange.receive(max(0.0, look_s))
+        except TimeoutError:
+            if connection.bytes_in - had > _LOOK_S * _LEAST_BYTES_PER_S:
+                until = max(until, loop.time() + patience_s)
+                # Else the sender hears nothing for as long, and gives up.
+                connection.notify(connections.Kind.PING)
+            elif loop.time() >= until:
+                raise
+
+
 def _asked(question: questions.Question) -> bytes:
     return codec.encode(
         ttypes.TopicAsk(
