--- /dev/null
+++ b/tests/test_direct_unsent.py
@@ -0,0 +1,36 @@
+"""Requests that are taken back before anything of them was sent."""
+
+import asyncio
+
+import test_direct_due
+
+from clementinegw.direct import client
+from clementinegw.testing import clock as clocks
+
+
+def test_what_was_taken_back_before_it_was_sent_has_not_run(monkeypatch):
+    """A caller was told that its request may have run, though none had it.
+
+    Its connection to the server was still coming up as the server's weights
+    became too old, and counted as an attempt.
+    """
+    connect = client.connect
+    slow = []
+
+    async def slowly(address, timeout_s):
+        if str(address) in slow:
+            await asyncio.sleep(0.24)
+        return await connect(address, timeout_s)
+
+    monkeypatch.setattr(client, "connect", slowly)
+
+    async def play():
+        async with test_direct_due.Site("i-1") as site:
+            (server,) = site.servers
+            slow.append(server.address)
+            site.name()
+            await asyncio.sleep(7.65)
+            answer = await site.ask(headers=test_direct_due.MODEL)
+            return answer.status, len(server.calls)
+
+    assert clocks.run(play(), grace_s=0.002) == (503, 0)
