--- a/src/clementinegw/direct/attempt.py
+++ b/src/clementinegw/direct/attempt.py
@@ -114,6 +114,7 @@
         """
         backend.unread_tokens += job.facts.prompt_tokens
         unread = _Unread(backend, job.facts.prompt_tokens, recall)
+        sends = job.sends
         try:
             hearing = _Hearing(backend, elsewhere, self._clock)
             async with asyncio.timeout(None) as waiting:
@@ -123,6 +124,9 @@
                 finally:
                     recall.end()
         except TimeoutError:
+            if job.sends == sends:
+                # Its connection was still coming up: nobody may have run it.
+                return outcomes.NotRun(outcomes.NotRunReason.TOO_OLD)
             return outcomes.Lost(outcomes.LostReason.OUTDATED)
         finally:
             unread.done()
