--- a/src/clementinegw/direct/attempt.py
+++ b/src/clementinegw/direct/attempt.py
@@ -125,6 +125,7 @@
                     recall.end()
         except TimeoutError:
             if job.sends == sends:
+                # Its connection was still coming up: nobody may have run it.
                 return outcomes.NotRun(outcomes.NotRunReason.TOO_OLD)
             return outcomes.Lost(outcomes.LostReason.OUTDATED)
         finally:
--- a/src/clementinegw/direct/relay.py
+++ b/src/clementinegw/direct/relay.py
@@ -1,5 +1,6 @@
 """Topics between the processes of a failure domain, over their connections."""
 
+import asyncio
 from collections.abc import Callable
 import zlib
 
@@ -26,11 +27,20 @@
 _KEY = b"clementinegw readers of one platform"
 # A frozen reader is noticed, and the next one asked, before an entry's
 # knowledge is so old that it takes no new callers: after 2.75 s.
-_TIMING = connections.Timing(connect_s=0.5, ping_s=0.7, silent_s=2.1)
+_SILENT_S = 2.1
+# Nor may it take more than this part of the time in which a server that leaves
+# gets its last request: who asks is in touch with the platform and bound.
+_SILENT_SHARE = 0.5
+_PINGS = 3
+_CONNECT_S = 0.5
 # Larger answers are packed; smaller ones do not fill a packet.
 _PACKED_BYTES = 1_024
 _PACK_LEVEL = 1
 _MOST_BYTES = 32 << 20
+# Whether a large answer is coming is looked at this often, in seconds; signs of
+# life alone come at a tenth of this rate.
+_LOOK_S = 0.25
+_LEAST_BYTES_PER_S = 4_096
 # Keys of other writers may be no text; their bytes come back as they were.
 _KEY_ERRORS = "surrogateescape"
 # Packed answers that are kept: of the two topics, for those who are one or two
@@ -71,12 +81,13 @@
         self._platform = platform
         self._log = log
         self._counters = counters
+        bound_s = instance.bounds.drain_ms / 1e3
         self._endpoint = connections.Endpoint(
             connections.Identity(instance.name, role, instance.place),
             auth.single(_KEY),
             log,
             counters,
-            _TIMING,
+            _timing(bound_s),
         )
         self._endpoint.on_call(connections.Kind.TOPIC_ASK, self._on_ask)
         self._choice = choices.Choice(clock)
@@ -98,6 +109,7 @@
                 log,
                 counters,
                 clock,
+                bound_s,
             )
             for name, (topic, pace) in topics.items()
         }
@@ -162,9 +174,11 @@
         try:
             await exchange.send(connections.Kind.TOPIC_ASK, _asked(question))
             patience_s = question.patience_s
-            frame = await exchange.receive(question.wait_s + patience_s)
+            frame = await _heard(
+                connection, exchange, question.wait_s + patience_s
+            )
             while frame.kind is connections.Kind.TOPIC_HELD:
-                frame = await exchange.receive(patience_s)
+                frame = await _heard(connection, exchange, patience_s)
         finally:
             exchange.close()
         if frame.kind is connections.Kind.TOPIC_NEWS:
@@ -242,6 +256,40 @@
         return self._packed[key]
 
 
+def _timing(bound_s: float) -> connections.Timing:
+    silent_s = min(_SILENT_S, _SILENT_SHARE * bound_s)
+    return connections.Timing(_CONNECT_S, silent_s / _PINGS, silent_s)
+
+
+async def _heard(
+    connection: connections.Connection,
+    exchange: connections.Exchange,
+    patience_s: float,
+) -> connections.Frame:
+    """Returns the next frame of an answer, however long a large one takes.
+
+    Thrown away while it comes, it would be asked for again, by all who share
+    the link, and the link would never get free.
+
+    Raises:
+      TimeoutError: The patience was over and nothing large was coming.
+    """
+    loop = asyncio.get_running_loop()
+    until = loop.time() + patience_s
+    while True:
+        had = connection.bytes_in
+        look_s = min(_LOOK_S, until - loop.time())
+        try:
+            return await exchange.receive(max(0.0, look_s))
+        except TimeoutError:
+            if connection.bytes_in - had > _LOOK_S * _LEAST_BYTES_PER_S:
+                until = max(until, loop.time() + patience_s)
+                # Else the sender hears nothing for as long, and gives up.
+                connection.notify(connections.Kind.PING)
+            elif loop.time() >= until:
+                raise
+
+
 def _asked(question: questions.Question) -> bytes:
     return codec.encode(
         ttypes.TopicAsk(
