--- a/tests/test_direct_agent.py
+++ b/tests/test_direct_agent.py
@@ -50,6 +50,7 @@
         self.whole = []
         self.rot = False
         self.restart = False
+        self.restart_with = 0
         self.lose_answer = False
 
     async def state(self):
@@ -59,7 +60,14 @@
         return backing.State(held, busy, self.sequence, 0, 0, 1.0)
 
     async def staged(self):
-        return frozenset(self.staged_pieces)
+        found = frozenset(self.staged_pieces)
+        wanted = [piece(self.restart_with, n) for n in range(PIECES)]
+        if wanted == [self.staged_pieces.get(n) for n in range(PIECES)]:
+            self.restart_with = 0
+            self.staged_pieces.clear()
+            self.sequence = 0
+            self.held = ()
+        return found
 
     async def read_staged(self, number):
         return self.staged_pieces.get(number)
@@ -313,6 +321,24 @@
     assert run(play()) == [True]
 
 
+def test_a_server_that_starts_again_right_before_the_order_refuses_it():
+    """A server loaded a version of which every piece was missing.
+
+    It started again between the last look at what lies staged and the order,
+    which named the orders that the new start had accepted.
+    """
+
+    async def play():
+        async with Site(1) as site:
+            await site.until_all_hold(1)
+            site.besides[0].restart_with = 2
+            site.declare(2)
+            await site.until_all_hold(2)
+            return site.besides[0].whole
+
+    assert run(play()) == [True, True]
+
+
 def test_what_the_origin_spoils_is_never_staged():
     async def play():
         async with Site(1) as site:
