Name the orders that a start had accepted before pieces were staged

Cause: an order names the orders that the server has accepted, read after the last look at what lies staged; a server that started again in between took it, with nothing staged. Change: they are read before pieces are staged, so a start since then refuses (it has accepted none), and the state is compared again right before the order. test_a_server_that_starts_again_right_before_the_order_refuses _it was red and passes; tests/test_direct_agent, _decisions and test_platform* pass. Left: a start that had accepted no order either is told apart by nothing in the order; there the look at what lies staged, one call before, must do.

--- a/src/clementinegw/direct/keep.py
+++ b/src/clementinegw/direct/keep.py
@@ -269,10 +269,11 @@
 
     async def _load(self, digests: backing.Digests, turn: turns.Turn) -> None:
         assert self._around.beside is not None
+        former = await self._around.beside.state()
         if not await self._bringer.stage(self._around.beside, digests):
             return
         state = await self._around.beside.state()
-        if state.busy:
+        if state.busy or state.sequence != former.sequence:
             return
         now = self._clock()
         yielded_s = now - self._yields_since
@@ -280,8 +281,10 @@
             return
         # Streams last for seconds; what is left of them goes on at another
         # server, which takes a quarter of a second.
+        # The orders counted are those before pieces were staged: a start since
+        # then has accepted none, and refuses to load without them.
         begun = await self._around.beside.load(
-            self._around.model, digests.version, state.sequence, cut=True
+            self._around.model, digests.version, former.sequence, cut=True
         )
         self._counters.add("weights.orders")
         self._histograms.add(
