--- a/src/clementinegw/direct/follow.py
+++ b/src/clementinegw/direct/follow.py
@@ -16,18 +16,14 @@
 
 from clementinegw import exceptions
 from clementinegw.direct import _events
+from clementinegw.direct import proofs
 from clementinegw.telemetry import counters as counters_lib
 from clementinegw.telemetry import logs
 
 # The first pause after a failed call and the longest one, in seconds. Short
 # beside the two seconds in which a change must be in force.
 _FIRST_PAUSE_S = 0.1
-# The part of a wait that counts as served by the platform's clock; the two
-# clocks need not agree to the last percent.
-_WAIT_SHARE = 0.95
 _LONGEST_PAUSE_S = 0.8
-# An answer that took longer had waited for its records, in seconds.
-_AT_ONCE_S = 0.05
 
 
 class HistoryLost(exceptions.PlatformError):
@@ -47,24 +43,6 @@
     value: Any
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Proof:
-    """What a source that reads for several says of an answer's age.
-
-    Attributes:
-      at: Up to when it proves that nothing else is new, in boot seconds.
-      lain_s: How long its records may have lain unread, in seconds.
-      settled_s: How long the platform has answered without failure, in
-        seconds.
-      away_s: How long it had given no answer before that, in seconds.
-    """
-
-    at: float
-    lain_s: float
-    settled_s: float
-    away_s: float = 0.0
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Batch:
     """What one call returned.
@@ -78,7 +56,7 @@
 
     records: tuple[Record, ...]
     end: int
-    proof: Proof | None = None
+    proof: proofs.Proof | None = None
     paid: bool = True
 
 
@@ -124,64 +102,6 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
-def proved_at(asked_at: float, now: float, wait_s: float) -> float:
-    """Returns up to when an answer proves that nothing else is new.
-
-    An answer without records was kept back for the whole wait, so it speaks of
-    the end of that wait and not of its beginning.
-
-    Args:
-      asked_at: When the question was asked, in seconds.
-      now: When its answer was there.
-      wait_s: For how long it may have been kept back; 0 for one with records.
-    """
-    return asked_at + min(now - asked_at, wait_s) * _WAIT_SHARE
-
-
-def lain_s(
-    asked_at: float, now: float, wait_s: float, heard: float | None
-) -> float:
-    """Returns how long the records of an answer may have lain unread.
-
-    An answer that waited brings what was added just then. One that came at
-    once may bring what was added since the last answer: long ago, where a
-    connection had gone silent meanwhile. A question that the platform could
-    not keep waiting never waited, however slow its answer was.
-
-    Args:
-      asked_at: When the question was asked, in seconds.
-      now: When its answer was there.
-      wait_s: For how long it may have been kept back; 0 for a whole reading.
-      heard: Up to when all was known before; None at the first reading.
-
-    Returns:
-      Seconds; infinite at the first reading.
-    """
-    if heard is None:
-        return math.inf
-    if wait_s and now - asked_at > _AT_ONCE_S:
-        return 0.0
-    return now - heard
-
-
-def heard_at(
-    asked_at: float, now: float, wait_s: float, records: bool
-) -> float:
-    """Returns up to when an answer brings all that was added.
-
-    Unlike a proof it leans to no side: the earliest guess of all processes
-    counts, and one that is early by a second would cost all of them as much of
-    a version's time.
-
-    Args:
-      asked_at: When the question was asked, in seconds.
-      now: When its answer was there.
-      wait_s: For how long it may have been kept back.
-      records: Whether it brought any.
-    """
-    return now if records else min(now, asked_at + wait_s)
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Pace:
     """How a topic is read.
@@ -312,21 +232,25 @@
             self._on_batch(batch, whole)
         return bool(batch.records) and batch.paid
 
-    def _proof(self, batch: Batch, whole: bool, asked_at: float) -> Proof:
+    def _proof(
+        self, batch: Batch, whole: bool, asked_at: float
+    ) -> proofs.Proof:
         now = self._clock()
         at_once = whole or self._unproved
         wait_s = 0.0 if at_once else self._pace.wait_s
-        lain = lain_s(asked_at, now, wait_s, self._heard_at)
-        self._heard_at = heard_at(asked_at, now, wait_s, bool(batch.records))
+        lain = proofs.lain_s(asked_at, now, wait_s, self._heard_at)
+        self._heard_at = proofs.heard_at(
+            asked_at, now, wait_s, bool(batch.records)
+        )
         if batch.records:
             wait_s = 0.0
-        return Proof(
-            proved_at(asked_at, now, wait_s),
+        return proofs.Proof(
+            proofs.proved_at(asked_at, now, wait_s),
             lain,
             math.inf,
         )
 
-    def _succeeded(self, proof: Proof) -> None:
+    def _succeeded(self, proof: proofs.Proof) -> None:
         self._proved_at = max(proof.at, self._proved_at or proof.at)
         settled_at = self._clock() - proof.settled_s
         self._returned_at = max(self._returned_at, settled_at)
--- a/src/clementinegw/direct/keep.py
+++ b/src/clementinegw/direct/keep.py
@@ -300,12 +300,13 @@
 
     async def _load(self, digests: backing.Digests, turn: turns.Turn) -> None:
         assert self._around.beside is not None
-        former = self._around.state
+        decided = self._around.state
+        former = await self._around.beside.state()
         if not await self._bringer.stage(self._around.beside, digests):
             return
         state = await self._around.beside.state()
         # Another start may not have what lies staged, nor what was decided on.
-        if state.busy or former is None or state.born != former.born:
+        if state.busy or not _one_start(decided, former, state):
             return
         now = self._declared.now
         yielded_s = now - self._yields_since
@@ -313,8 +314,10 @@
             return
         # Streams last for seconds; what is left of them goes on at another
         # server, which takes a quarter of a second.
+        # The orders counted are those before pieces were staged: a start since
+        # then has accepted none, and refuses to load without them.
         begun = await self._around.beside.load(
-            self._around.model, digests.version, state.sequence, cut=True
+            self._around.model, digests.version, former.sequence, cut=True
         )
         self._counters.add("weights.orders")
         self._histograms.add(
@@ -370,3 +373,8 @@
     def _last_at(self, version: int) -> float:
         """Returns when a load must begin so that the server serves in time."""
         return self._at(version) + self._declared.due_s - _LOAD_S
+
+
+def _one_start(*states: backing.State | None) -> bool:
+    """Returns whether states are of one start that took no order meanwhile."""
+    return len({s and (s.born, s.sequence) for s in states}) == 1
--- a/src/clementinegw/direct/shared.py
+++ b/src/clementinegw/direct/shared.py
@@ -16,6 +16,7 @@
 from clementinegw.direct import follow
 from clementinegw.direct import newest as newest_lib
 from clementinegw.direct import outage
+from clementinegw.direct import proofs
 from clementinegw.direct import questions
 from clementinegw.direct import raw
 from clementinegw.telemetry import counters as counters_lib
@@ -172,13 +173,13 @@
         self._failures = 0
         self._choice.worked(None)
         waited_s = 0.0 if offset is None else wait_s
-        lain_s = follow.lain_s(asked_at, now, waited_s, self._heard_at)
+        lain_s = proofs.lain_s(asked_at, now, waited_s, self._heard_at)
         news = bool(batch.items)
         proved_at = -math.inf
         if not batch.more:
-            self._heard_at = follow.heard_at(asked_at, now, waited_s, news)
+            self._heard_at = proofs.heard_at(asked_at, now, waited_s, news)
             held_s = 0.0 if news else waited_s
-            proved_at = follow.proved_at(asked_at, now, held_s)
+            proved_at = proofs.proved_at(asked_at, now, held_s)
         self._direct = True
         self._take(batch, offset is None, lain_s)
         return self._told(batch, proved_at, lain_s, paid=True)
@@ -220,7 +221,7 @@
         if now - news.settled_s > self._settled_at:
             self._settled_at = now - news.settled_s
             self._away_s = news.away_s
-        held_s = follow.proved_at(asked_at, now, news.held_s) - asked_at
+        held_s = proofs.proved_at(asked_at, now, news.held_s) - asked_at
         # By the other process's clock the answer left at `asked_at + held_s`
         # at the earliest; what is older than that cannot be ruled out.
         proved_at = asked_at + held_s - news.age_s
@@ -285,7 +286,7 @@
         return follow.Batch(
             self._topic.decoded(batch.items),
             batch.end,
-            follow.Proof(self._proved_at, lain_s, settled_s, self._away_s),
+            proofs.Proof(self._proved_at, lain_s, settled_s, self._away_s),
             paid,
         )
 
--- a/tests/test_platform_link.py
+++ b/tests/test_platform_link.py
@@ -10,13 +10,16 @@
 from clementinegw.direct import client
 from clementinegw.direct import follow
 from clementinegw.direct import instance as instances
+from clementinegw.direct import patience as patience_lib
 from clementinegw.telemetry import counters as counters_lib
 from clementinegw.telemetry import logs
 
 _READERS = 8
 # Eight readings of the configuration take five seconds of it.
 _LINK_BYTES_PER_S = 700_000
-_PATIENCE = client.Patience(first_s=1.0, silent_s=0.5, least_bytes_per_s=1_000)
+_PATIENCE = patience_lib.Patience(
+    first_s=1.0, silent_s=0.5, least_bytes_per_s=1_000
+)
 
 
 def large_config():
