--- a/src/clementinegw/direct/follow.py
+++ b/src/clementinegw/direct/follow.py
@@ -153,6 +153,7 @@
         self._proved_at: float | None = None
         self._heard_at: float | None = None
         self._failing_since: float | None = None
+        self._failing_by = ""
         self._unproved = False
         self._unread_s = 0.0
         self._returned_at = clock()
@@ -270,11 +271,20 @@
         # The first answer after an outage must not wait for news: until it
         # comes the process refuses what it could serve.
         self._unproved = True
-        if self._failing_since is None:
-            self._failing_since = self._clock()
+        now = self._clock()
+        since = now if self._failing_since is None else self._failing_since
+        # Another reason may tell what the first one does not, as a reader that
+        # is gone before a store that is silent.
+        by = getattr(error, "reason", "")
+        if self._failing_since is None or by != self._failing_by:
             self._log.write(
-                _events.TOPIC_LOST, topic=self._name, reason=error.message
+                _events.TOPIC_LOST,
+                topic=self._name,
+                reason=error.message,
+                for_s=round(now - since, 3),
             )
+        self._failing_since = since
+        self._failing_by = by
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
