Show that answers in vain are asked for without a pause

The platform that says over and over that history is lost, or answers at once though asked to wait, is asked about 5,000 times in ten virtual seconds.

--- a/tests/test_direct_follow.py
+++ b/tests/test_direct_follow.py
@@ -181,3 +181,35 @@
         assert watch.away_s == pytest.approx(3.0, abs=0.01)
 
     clocks.run(play())
+
+
+@pytest.mark.parametrize("fault", ["history is lost", "nothing, at once"])
+def test_answers_in_vain_are_not_asked_for_without_a_pause(fault):
+    """A process asked the platform five hundred times a second.
+
+    The platform said over and over that the history was lost, or answered at
+    once and without records though it was asked to wait. Only failed calls were
+    followed by a pause.
+    """
+    calls = []
+
+    class Source:
+        async def newest(self):
+            calls.append("newest")
+            await asyncio.sleep(0.002)
+            return follow.Batch((), 5)
+
+        async def changes(self, offset, wait_s):
+            calls.append("changes")
+            await asyncio.sleep(0.002)
+            if fault == "history is lost":
+                raise follow.HistoryLost("gone")
+            return follow.Batch((), offset)
+
+    async def play():
+        follower = await following(Source(), follow.Pace(2.0, 0.0), [])
+        await asyncio.sleep(10.0)
+        await follower.stop()
+
+    clocks.run(play())
+    assert len(calls) < 50
