Pause behind answers in vain

Cause: only failed calls were followed by a pause. Change: so are, from the fourth in a row on, answers that say that history is lost, and such as bring nothing at once though they may wait.

--- a/src/clementinegw/direct/follow.py
+++ b/src/clementinegw/direct/follow.py
@@ -24,6 +24,12 @@
 # beside the two seconds in which a change must be in force.
 _FIRST_PAUSE_S = 0.1
 _LONGEST_PAUSE_S = 0.8
+# Answers in a row that bring nothing and come at once, though the platform may
+# wait, or say that history is lost. So many are usual: a whole reading, a proof
+# behind news. More would be asked for as quickly as the platform answers.
+_MOST_IN_VAIN = 4
+# An answer that came sooner did not wait, in seconds.
+_AT_ONCE_S = 0.05
 
 
 class HistoryLost(exceptions.PlatformError):
@@ -194,22 +200,29 @@
     @mode.Service.task
     async def _run(self) -> None:
         pause_s = _FIRST_PAUSE_S
+        in_vain = 0
         while not self.should_stop:
+            asked_at = self._clock()
             try:
                 news = await self._read()
             except HistoryLost:
                 self._counters.add(f"platform.{self._name}.history_lost")
                 self._log.write(_events.HISTORY_LOST, topic=self._name)
                 self._offset = None
-                continue
+                in_vain += 1
             except exceptions.ClementineError as error:
                 self._failed(error)
-                await asyncio.sleep(pause_s)
-                pause_s = min(2 * pause_s, _LONGEST_PAUSE_S)
+                in_vain = _MOST_IN_VAIN
+            else:
+                at_once = self._clock() - asked_at < _AT_ONCE_S
+                in_vain = in_vain + 1 if at_once and not news else 0
+                if news or not self._pace.wait_s:
+                    await asyncio.sleep(self._pace.pause_s)
+            if in_vain < _MOST_IN_VAIN:
+                pause_s = _FIRST_PAUSE_S
                 continue
-            pause_s = _FIRST_PAUSE_S
-            if news or not self._pace.wait_s:
-                await asyncio.sleep(self._pace.pause_s)
+            await asyncio.sleep(pause_s)
+            pause_s = min(2 * pause_s, _LONGEST_PAUSE_S)
 
     async def _read(self) -> bool:
         """Makes one call; returns whether there was anything new."""
