Show three beliefs that outlive their facts

A reader that stood still answers from before; a request without a model's name is held to no version; customers without any key let everybody in.

--- a/tests/test_direct_due.py
+++ b/tests/test_direct_due.py
@@ -161,6 +161,24 @@
     assert found == dict.fromkeys(found, (True, False))
 
 
+def test_a_request_that_names_no_model_is_held_to_the_version_too():
+    """A request began on a former version long after the next one was due.
+
+    It named no model, so no version of one was demanded for it; its service has
+    engines for one model only.
+    """
+
+    async def play():
+        async with Site("i-1") as site:
+            site.name()
+            await asyncio.sleep(7.0)
+            early = (await site.ask()).status
+            await asyncio.sleep(1.2)
+            return early, (await site.ask()).status
+
+    assert sites.run(play()) == (200, 503)
+
+
 # Agents.
 
 
--- a/tests/test_direct_entry.py
+++ b/tests/test_direct_entry.py
@@ -541,3 +541,22 @@
 
     sites.run(play())
     assert len(refusals) <= 8
+
+
+def test_customers_without_any_key_let_nobody_in():
+    """A key that had been taken away was served, and so were callers without.
+
+    Operators took away the last key of the last customer. Whether keys are
+    asked for was told from whether there are any.
+    """
+
+    async def play():
+        async with sites.Site("a") as site:
+            assert (await site.ask()).status == 200
+            customers = [{"name": "one", "api_keys": []}]
+            change = sites.config(2, tenants=customers)
+            site.store.put("keyed.op", "config", change)
+            await asyncio.sleep(1.0)
+            return (await site.ask()).status, (await site.ask(key="")).status
+
+    assert sites.run(play()) == (401, 401)
--- a/tests/test_direct_shared.py
+++ b/tests/test_direct_shared.py
@@ -6,6 +6,7 @@
 import pytest
 import shared_domain
 
+from clementinegw.direct import questions
 from clementinegw.testing import clock as clocks
 
 
@@ -251,3 +252,30 @@
     for process in domain.processes:
         process.gone = process.frozen = False
         process.topic.refused = process.topic.silent = False
+
+
+def test_a_reader_that_stood_still_answers_nobody_from_before():
+    """A process that started was told of a server that was gone for long.
+
+    Its reader had been suspended. On waking it answered the question for
+    everything from what it had read before, whatever its age.
+    """
+
+    async def play():
+        async with shared_domain.Domain(2) as domain:
+            domain.store.put("a", b"1")
+            await asyncio.sleep(3.0)
+            reader = domain.processes[0]
+            await reader.follower.stop()
+            domain.store.put("a", b"")
+            await asyncio.sleep(10.0)
+            question = questions.Question("t", None, None, 0.0)
+
+            async def say():
+                """Says nothing: the asker waits."""
+
+            with pytest.raises(TimeoutError):
+                async with asyncio.timeout(1.0):
+                    await reader.shared.answer(question, say)
+
+    clocks.run(play())
