Hold every belief to its fact: age of whole answers, models, keys

Cause: a reader answered a question for everything from knowledge of any age; the version that a request needs was looked up by the model that its caller names, if any; whether keys are asked for was told from whether there are any. Change: whole answers rest on a young proof; the model is the service's where none is named; the configuration says that there are customers.

--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -185,11 +185,8 @@
         if job.sends and not self._budget(job.service).allow(self._clock()):
             return self._placing.unserved(job, Reason.NO_BUDGET)
         now = self._clock()
-        layers = self._placing.layers(job.service)
-        # A plain service holds no version: a model that a caller names there
-        # would make each of its servers too old for ever.
-        model = job.facts.model if layers else ""
-        held = backend.held(layers)
+        model = self._placing.model(job)
+        held = backend.held(self._placing.layers(job.service))
         sending = types.Sending(
             backend.server.server_id,
             max(0.001, job.deadline - now - _WAY_BACK_S),
--- a/src/clementinegw/direct/placing.py
+++ b/src/clementinegw/direct/placing.py
@@ -124,6 +124,18 @@
         engine = self._knowledge.engine(service)
         return engine.layers if engine else 0
 
+    def model(self, job: attempts.Job) -> str:
+        """Returns the model whose versions a request is held to.
+
+        Empty for a plain service, which holds none: a model that a caller names
+        there would make each of its servers too old for ever. A request that
+        names none is for the model of its service.
+        """
+        engine = self._knowledge.engine(job.service)
+        if engine is None or not engine.models:
+            return ""
+        return job.facts.model or engine.models[0]
+
     def unserved(self, job: attempts.Job, reason: Reason) -> outcomes.Refusal:
         """Returns the answer to a request without one."""
         return self._refusal(job, reason, self._share(_RETRY_SHARES[reason]))
@@ -181,7 +193,7 @@
     def _wanted(self, job: attempts.Job) -> balance.Wanted:
         """Returns what a request needs of a server that it is sent to now."""
         now = self._versions.now
-        model = job.facts.model
+        model = self.model(job)
         least = self._versions.demanded(model, now) or 0
         if job.runs:
             least = max(least, self._versions.lasting(model, now))
--- a/src/clementinegw/direct/shared.py
+++ b/src/clementinegw/direct/shared.py
@@ -38,7 +38,8 @@
 _KEEP_UP_S = 3.0
 # How often an asker whose wait is over hears that it is not forgotten.
 _SAY_S = 0.3
-# An answer without news may rest on a proof of this age, in seconds.
+# A whole answer, and one without news, may rest on a proof of this age, in
+# seconds.
 _YOUNG_S = 3.0
 # Failures in a row after which the store counts as out of reach from here. The
 # first one may be a kept connection that had ended.
@@ -349,15 +350,16 @@
         end = self._newest.end
         if not self._direct or end is None or self._proved_at is None:
             return False
-        if question.offset is None or question.offset < end:
+        now = self._clock()
+        young = now - self._proved_at < _YOUNG_S
+        if question.offset is None:
+            # A process that was suspended would tell of what is gone since.
+            return young
+        if question.offset < end:
             return True
         if question.proof is not None:
             return question.proof != self._proof
-        now = self._clock()
-        return (
-            now >= started + question.wait_s
-            and now - self._proved_at < _YOUNG_S
-        )
+        return young and now >= started + question.wait_s
 
     def _news(
         self, question: questions.Question, started: float
--- a/src/clementinegw/direct/types.py
+++ b/src/clementinegw/direct/types.py
@@ -177,8 +177,10 @@
       version: Grows with each change.
       routes: Every route.
       services: Every service by name.
-      customers: Every customer by API key; empty where keys are not used.
+      customers: Every customer by API key.
       limits: What bounds callers.
+      keyed: Whether callers need a key: there are customers, if none of them
+        has a key any more.
     """
 
     version: int
@@ -186,6 +188,7 @@
     services: Mapping[str, Service]
     customers: Mapping[str, Customer]
     limits: Limits = Limits()
+    keyed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
