--- a/tests/test_direct_entry.py
+++ b/tests/test_direct_entry.py
@@ -5,7 +5,9 @@
 import platform_site as sites
 import pytest
 
+from clementinegw import exceptions
 from clementinegw.direct import client
+from clementinegw.direct import outcomes
 
 
 def test_an_answer_comes_back_as_the_server_gave_it():
@@ -560,3 +562,34 @@
             return (await site.ask()).status, (await site.ask(key="")).status
 
     assert sites.run(play()) == (401, 401)
+
+
+@pytest.mark.parametrize(
+    "reason", [outcomes.NotRunReason.LEFT, outcomes.NotRunReason.TOO_OLD]
+)
+def test_a_request_that_is_given_up_before_it_is_sent_is_not_tried_for_ever(
+    reason,
+):
+    """A request chose servers over and over, without a pause, until its end.
+
+    Each time it was given up right before it was sent, which counted towards no
+    limit.
+    """
+
+    async def play():
+        async with sites.Site("a") as site:
+            tries = []
+
+            async def give_up(*_):
+                tries.append(reason)
+                if len(tries) > 50:
+                    raise exceptions.InvariantError("over and over")
+                return outcomes.NotRun(reason)
+
+            site.entry._forwarder._attempts.run = give_up
+            answer = await site.ask()
+            return answer.status, len(tries)
+
+    status, tries = sites.run(play())
+    assert status == 503
+    assert tries <= 4
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -35,3 +35,11 @@
     assert broken == []
     assert loads > 0
     assert faults > 0
+
+
+def test_versions_are_kept_to_by_entries_that_start_again():
+    """Entries are killed or stopped while a version is due; see the soak."""
+    broken, requests, faults = run.play(1, seconds=6.0, subject="versions")
+    assert broken == []
+    assert requests > 0
+    assert faults > 0
