Bound what is given up unsent

Cause: an attempt that ends right before its send counted towards no limit. Change: four of them end a request with 503, not run.

--- a/src/clementinegw/direct/attempt.py
+++ b/src/clementinegw/direct/attempt.py
@@ -48,6 +48,7 @@
       spent_s: How long its caller has been at it before, in seconds.
       sends: Times that it was handed to a server.
       runs: Times that it may have begun to run.
+      unsent: Times that it was given up right before it was handed over.
       last_event: The last event that the caller has got in this answer.
       first_answer_at: When the caller got the first part of its answer.
       waited_s: How long it waited for room in the entry, in seconds.
@@ -65,6 +66,7 @@
     spent_s: float = 0.0
     sends: int = 0
     runs: int = 0
+    unsent: int = 0
     last_event: str | None = None
     first_answer_at: float | None = None
     waited_s: float = 0.0
--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -29,6 +29,9 @@
 # Refusals before a server has run a request are repeated this often at most:
 # each is an arrival that the retry budget pays for.
 _MOST_SENDS = 4
+# What ends an attempt right before its request is sent. Nobody pays for such a
+# one, so only its number keeps a request from choosing servers without a pause.
+_UNSENT = frozenset({outcomes.NotRunReason.LEFT, outcomes.NotRunReason.TOO_OLD})
 # A server that said it is full is passed over for this long, in seconds.
 _FULL_S = 0.15
 # One that is another start than the list says, for this long, in seconds.
@@ -284,7 +287,8 @@
         if _unreached(outcome):
             return self._placing.may_try(job)
         if isinstance(outcome, outcomes.NotRun):
-            return True
+            job.unsent += outcome.reason in _UNSENT
+            return job.unsent < _MOST_SENDS
         if isinstance(outcome, outcomes.Failed) and outcome.head.status < 500:
             return False
         route = job.match.route
