--- a/tests/soak/entries.py
+++ b/tests/soak/entries.py
@@ -103,8 +103,8 @@
         """Waits until it has been calm for a while; returns since when.
 
         Callers, servers and the store are this process: while it stands still,
-        nobody is answered. Seen with seed 1 on a machine of 16 cores at a load
-        of 38: no request for 2.04 s, and a call to the store given up meanwhile.
+        nobody is answered. Seen with seed 1 at a load of 38 on 16 cores: no
+        request for 2.04 s, and a call to the store given up meanwhile.
         """
         calm_at = self.now
         while self.now < calm_at + CALM_S:
