--- a/tests/test_direct_follow.py
+++ b/tests/test_direct_follow.py
@@ -213,3 +213,30 @@
 
     clocks.run(play())
     assert len(calls) < 50
+
+
+def test_news_of_another_process_are_not_taken_for_answers_in_vain():
+    """Processes heard of versions and servers late, where a reader passes them on.
+
+    Its answers cost nothing, so no pause follows them; they were taken for
+    answers that bring nothing, and after four in a row a pause of up to 0.8 s
+    followed each. Agents heard 0.2 s late of a version, and began late.
+    """
+
+    class Reader:
+        async def newest(self):
+            return follow.Batch((), 0)
+
+        async def changes(self, offset, wait_s):
+            await asyncio.sleep(0.01)
+            record = follow.Record(str(offset), offset)
+            return follow.Batch((record,), offset + 1, paid=False)
+
+    async def play():
+        taken = []
+        follower = await following(Reader(), follow.Pace(2.0, 0.0), taken)
+        await asyncio.sleep(1.0)
+        await follower.stop()
+        return len(taken)
+
+    assert clocks.run(play()) > 80
