Take what a reader passes on for news

Cause: the pause behind answers in vain looked at whether a call is paid for, and answers of a reader are not. Change: it looks at whether records came. The test was red; 409 tests of the direct path and the adapter pass.

--- a/src/clementinegw/direct/follow.py
+++ b/src/clementinegw/direct/follow.py
@@ -162,6 +162,7 @@
         self._failing_by = ""
         self._unproved = False
         self._unread_s = 0.0
+        self._brought = False
         self._returned_at = clock()
         self._away_s = 0.0
 
@@ -215,7 +216,8 @@
                 in_vain = _MOST_IN_VAIN
             else:
                 at_once = self._clock() - asked_at < _AT_ONCE_S
-                in_vain = in_vain + 1 if at_once and not news else 0
+                vain = at_once and not self._brought
+                in_vain = in_vain + 1 if vain else 0
                 if news or not self._pace.wait_s:
                     await asyncio.sleep(self._pace.pause_s)
             if in_vain < _MOST_IN_VAIN:
@@ -235,6 +237,7 @@
             wait_s = 0.0 if self._unproved else self._pace.wait_s
             batch = await self._source.changes(self._offset, wait_s)
         self._offset = batch.end
+        self._brought = bool(batch.records)
         proof = batch.proof or self._proof(batch, whole, asked_at)
         self._unread_s = proof.lain_s
         self._succeeded(proof)
--- a/tests/test_direct_follow.py
+++ b/tests/test_direct_follow.py
@@ -216,7 +216,7 @@
 
 
 def test_news_of_another_process_are_not_taken_for_answers_in_vain():
-    """Processes heard of versions and servers late, where a reader passes them on.
+    """Processes heard late of versions and servers that a reader passed on.
 
     Its answers cost nothing, so no pause follows them; they were taken for
     answers that bring nothing, and after four in a row a pause of up to 0.8 s
