Hold callers only for servers that will come, and then long enough

Cause: an agent beside a server with a whole version told that it is ready at once, also where that version may begin nothing any more; and a moment that was past counted as now. So behind a due time every caller was held for 1.5 s and turned away, 500 of them in one outage of the origin.

Change: agents tell of the version that is on its way, and of none while no piece comes; a server that is overdue is not waited for; who has a server coming waits for up to 0.4 of its time (0.27), half of it with the wait for room.

--- a/src/clementinegw/direct/balance.py
+++ b/src/clementinegw/direct/balance.py
@@ -23,6 +23,10 @@
 # send to the server that the last reports showed emptiest, until the next ones
 # come; with 0.03 in its place 6 in 100 answers were late, with 0.4 under 1.
 _SPREAD = 0.4
+# A server that serves this much later than its agent told is not waited for, in
+# seconds: the longest time between two reports and half as much. An agent that
+# froze would else promise its server for ever.
+_OVERDUE_S = 0.6
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -72,14 +76,14 @@
     def ready_in_s(self, service: str) -> float:
         """Returns about when a server of a service serves, in seconds.
 
-        Infinite where no agent tells.
+        Infinite where no agent tells, or what it told has not come true.
         """
         now = self._clock()
         at = min(
             (
                 backend.ready_at
                 for backend in self._servers.of(service)
-                if not backend.left
+                if not backend.left and backend.ready_at > now - _OVERDUE_S
             ),
             default=float("inf"),
         )
--- a/src/clementinegw/direct/fleet.py
+++ b/src/clementinegw/direct/fleet.py
@@ -125,6 +125,7 @@
         self.loading = report.loading
         self.yielding = report.yielding
         self.entries = report.entries
+        self.ready_at = math.inf
         if report.ready_in_s >= 0.0:
             self.ready_at = now + report.ready_in_s
         reads = span_s / reading_s if reading_s else math.inf
--- a/src/clementinegw/direct/keep.py
+++ b/src/clementinegw/direct/keep.py
@@ -27,7 +27,8 @@
 _TURNS = turns.Terms(groups=3, step_s=0.8, drain_s=1.0, least_drain_s=0.3)
 # How long a server takes to load and to be known to serve again, in seconds.
 _LOAD_S = 0.6
-_SWAP_S = _TURNS.drain_s + _LOAD_S
+# The same where there is no time left to wait for requests that run.
+_SWAP_S = _TURNS.least_drain_s + _LOAD_S
 # How much longer than at the links' limit a version takes to come.
 _BRING_FACTOR = 1.22
 _VERSIONS_KEPT = 3
@@ -151,15 +152,36 @@
         self._yielding = False
 
     def ready_in_s(self, serves: bool) -> float:
-        """Returns about when the server serves; negative when unknown."""
-        if serves:
+        """Returns about when the server serves; negative when unknown.
+
+        Of a version that is on its way, if there is one: callers who may begin
+        on the present one find a server without asking. Told to be ready at
+        once all the same, callers were held for 1.5 s and then turned away,
+        500 of them while the origin was down.
+
+        Args:
+          serves: Whether it has all layers of any version now.
+        """
+        digests = self._bringer.digests
+        if serves and (digests is None or self._serves(digests.version)):
             return 0.0
         if self._around.state is not None and self._around.state.busy:
             return _LOAD_S
-        if self._bringer.digests is None:
+        if digests is None or self._halted:
             return -1.0
         return self._bringer.left * self._bring_s() + _LOAD_S
 
+    @property
+    def _halted(self) -> bool:
+        """Whether pieces are missing and none comes."""
+        if self._bringer.left <= 0:
+            return False
+        quiet_s = self._clock() - self._moved_at
+        return (
+            quiet_s > _STALL_S
+            or self._bringer.origin_failing_s > _ORIGIN_FAILS_S
+        )
+
     def _versions(self) -> Sequence[plan.Declaration]:
         """Returns what is to be served: declared, or what others have.
 
--- a/src/clementinegw/direct/placing.py
+++ b/src/clementinegw/direct/placing.py
@@ -37,7 +37,10 @@
 # that do not come up, as a part of its time.
 _LATE_SHARE = 0.3
 # A request whose server will serve within this part of its time waits for it.
-_SOON_SHARE = 0.27
+_SOON_SHARE = 0.4
+# The longest that one waits for such a server and for room there, as a part of
+# its time: beyond it the answer itself would not be whole in time.
+_LONGEST_SHARE = 0.5
 # When to come back, as a part of the caller's time: when servers have no room,
 # and when none serves.
 # Callers wait for a third of their time at most; what is refused twice is lost.
@@ -102,6 +105,7 @@
             # Turned away, it would come back before the server does, and be
             # lost; a server that is nearly there still serves it, if late.
             until = self._clock() + ready_in_s + _SOON_SHARE * time_s
+            until = min(until, arrived + _LONGEST_SHARE * time_s)
         began = self._clock()
         place = await self._queue(job.service).place(
             lambda: self._wanted(job),
--- a/tests/test_direct_agent.py
+++ b/tests/test_direct_agent.py
@@ -499,6 +499,38 @@
     assert run(play()) == given_up
 
 
+@pytest.mark.parametrize(
+    ("failing_s", "quiet_s", "known"),
+    [(0.0, 0.0, True), (0.6, 0.0, False), (0.0, 1.5, False)],
+)
+def test_an_agent_promises_no_server_while_no_piece_comes(
+    failing_s, quiet_s, known
+):
+    """Symptom: callers wait for 1.5 s and are turned away all the same.
+
+    Sequence: the server holds all layers of a version that may begin nothing
+    any more; the next one is on its way, and its origin is down. Cause: the
+    agent told that the server was ready at once, as it held a whole version.
+    """
+
+    async def play():
+        clock = asyncio.get_running_loop().time
+        digests = backing.Digests(MODEL, 3, PIECE_BYTES, (b"d",))
+        weights = keep.Weights(
+            keep.Around(None),
+            Bringing(digests, failing_s),
+            logs.Log(),
+            counters_lib.Counters(),
+            histograms.Histograms(),
+            declarations.Declarations(8.0, 3.0, clock),
+        )
+        weights._moved_at = clock() - quiet_s
+        return weights.ready_in_s(serves=True)
+
+    found = run(play())
+    assert (found > 0.0) == known
+
+
 def test_a_server_that_starts_again_under_its_id_is_loaded_again():
     """A server stayed empty after it had come back under its former id.
 
--- a/tests/test_direct_starts.py
+++ b/tests/test_direct_starts.py
@@ -8,6 +8,7 @@
 
 from clementinegw import types as places
 from clementinegw.direct import backing
+from clementinegw.direct import balance
 from clementinegw.direct import channel
 from clementinegw.direct import client
 from clementinegw.direct import declarations
@@ -83,6 +84,28 @@
     return {k: v for k, v in vars(backend).items() if k not in apart}
 
 
+@pytest.mark.parametrize(
+    ("asked_at", "told", "found"),
+    [(10.0, 2.0, 2.0), (12.4, 2.0, 0.0), (13.0, 2.0, math.inf)],
+)
+def test_a_server_that_is_overdue_is_not_waited_for(asked_at, told, found):
+    """Symptom: callers wait for a server that does not come.
+
+    Sequence: an agent tells when its server will serve, and freezes. Cause: a
+    moment that was past counted as now.
+    """
+    backends = new_fleet()
+    listed(backends, server(1)).take_report(report(ready_in_s=told), 10.0)
+    balancer = balance.Balancer(
+        backends,
+        places.Place("r1", "d1"),
+        {},
+        random.Random(1),
+        lambda: asked_at,
+    )
+    assert balancer.ready_in_s("engine") == pytest.approx(found)
+
+
 def test_nothing_learned_of_one_start_speaks_of_the_next():
     """A server that had just started was passed over, or sent what it lacks.
 
