Ask other agents what a version consists of while the origin is down

Every agent beside them knew the digests.

Change: agents tell each other (descriptions); what is known is not asked again. Red before: test_an_agent_that_starts_while_the_origin_is_down_serves_all_the_same.

--- a/src/clementinegw/direct/ahead.py
+++ b/src/clementinegw/direct/ahead.py
@@ -65,7 +65,7 @@
     ) -> None:
         drawn = 0
         try:
-            digests = await origin.digests(model, version)
+            digests = await self._bringer.describe(origin, model, version)
             for number in self._bringer.own_part(digests):
                 if self._stopping:
                     break
--- a/src/clementinegw/direct/bring.py
+++ b/src/clementinegw/direct/bring.py
@@ -8,6 +8,7 @@
 from clementinegw import types
 from clementinegw.direct import _events
 from clementinegw.direct import backing
+from clementinegw.direct import descriptions
 from clementinegw.telemetry import counters as counters_lib
 from clementinegw.telemetry import logs
 from clementinegw.weights import manifest as manifests
@@ -53,22 +54,6 @@
     return hashlib.sha256(data).digest()
 
 
-def manifest_of(digests: backing.Digests) -> manifests.Manifest:
-    """Returns the product's manifest of a version."""
-    size = digests.chunk_bytes * len(digests.digests)
-    return manifests.Manifest(
-        model=digests.model,
-        version=str(digests.version),
-        chunk_bytes=digests.chunk_bytes,
-        total_bytes=size,
-        files=(manifests.File("weights", size),),
-        chunks=tuple(
-            manifests.Chunk(digest, digests.chunk_bytes)
-            for digest in digests.digests
-        ),
-    )
-
-
 class _OriginBlobs:
     """The origin as the exchange asks it: a piece by its digest."""
 
@@ -163,6 +148,9 @@
             part_bytes=_PART_BYTES,
         )
         self._digests: backing.Digests | None = None
+        self._descriptions = descriptions.Descriptions(
+            self._endpoint, rng, counters
+        )
 
     @property
     def digests(self) -> backing.Digests | None:
@@ -183,6 +171,29 @@
         since = self._origin.failing_since
         return 0.0 if since is None else self._clock.now() - since
 
+    async def describe(
+        self, origin: backing.Origin, model: str, version: int
+    ) -> backing.Digests:
+        """Returns what a version consists of, by the origin or other agents.
+
+        Raises:
+          exceptions.PlatformError: Nobody told.
+        """
+        known = self._descriptions.find(model, version)
+        if known is not None:
+            return known
+        try:
+            found = await origin.digests(model, version)
+        except exceptions.PlatformError:
+            told = await self._descriptions.ask(model, version)
+            if told is None:
+                raise
+            found = told
+        if found.version != version or not found.digests:
+            raise exceptions.PlatformUnavailable("another manifest")
+        self._descriptions.keep(found)
+        return found
+
     def holds(self, digests: backing.Digests) -> bool:
         """Returns whether every piece of a version is here."""
         return all(self._store.holds(digest) for digest in digests.digests)
@@ -206,11 +217,11 @@
         self._digests = digests
         self._origin.failing_since = None
         self._origin.set(origin, digests)
-        self.transfer.set_target(manifest_of(digests))
+        self.transfer.set_target(descriptions.manifest_of(digests))
 
     def own_part(self, digests: backing.Digests) -> list[int]:
         """Returns the pieces that this agent draws first, and does not hold."""
-        firsts = self.transfer.first_draws(manifest_of(digests))
+        firsts = self.transfer.first_draws(descriptions.manifest_of(digests))
         return [n for n in firsts if not self._store.holds(digests.digests[n])]
 
     async def draw(
--- a/src/clementinegw/direct/keep.py
+++ b/src/clementinegw/direct/keep.py
@@ -5,7 +5,6 @@
 import dataclasses
 import math
 
-from clementinegw import exceptions
 from clementinegw.direct import _events
 from clementinegw.direct import ahead
 from clementinegw.direct import backing
@@ -242,11 +241,9 @@
         await self._ahead.settle()
         found = self._digests.get(version)
         if found is None:
-            found = await self._around.origin.digests(
-                self._around.model, version
+            found = await self._bringer.describe(
+                self._around.origin, self._around.model, version
             )
-        if found.version != version or not found.digests:
-            raise exceptions.PlatformUnavailable("another manifest")
         self._digests[version] = found
         for old in sorted(self._digests)[:-_VERSIONS_KEPT]:
             del self._digests[old]
--- a/tests/test_direct_agent.py
+++ b/tests/test_direct_agent.py
@@ -13,6 +13,7 @@
 from clementinegw.direct import agent as agents
 from clementinegw.direct import backing
 from clementinegw.direct import declarations
+from clementinegw.direct import descriptions
 from clementinegw.direct import follow
 from clementinegw.direct import instance as instances
 from clementinegw.direct import keep
@@ -457,6 +458,53 @@
     assert all(all(whole) for whole in wholes)
 
 
+def test_an_agent_that_starts_while_the_origin_is_down_serves_all_the_same():
+    """Symptom: servers that were replaced serve seconds after all others.
+
+    Sequence: a version is with all agents; the origin goes down, and one server
+    is replaced, its agent with it. Cause: what the version consists of was
+    asked of the origin alone, though every other agent knows it.
+    """
+
+    async def play():
+        async with Site() as site:
+            await site.until_all_hold(1)
+            site.declare(2)
+            await site.until_all_hold(2)
+            site.origin.down = True
+            await site.agents.pop(0).stop()
+            beside = site.besides[0]
+            beside.staged_pieces.clear()
+            beside.held, beside.sequence = (), 0
+            await site.start(0, f"{NETWORK}.11")
+            return await site.until_all_hold(2, most_s=6.0)
+
+    assert run(play()) < 5.0
+
+
+def test_what_another_agent_tells_of_a_version_is_checked():
+    """An unreadable or another version's description names nothing."""
+    digests = backing.Digests(MODEL, 2, PIECE_BYTES, (digest(b"p"),))
+    body = descriptions.manifest_of(digests).encode()
+    found = descriptions.Descriptions(
+        Endpoint(), random.Random(1), counters_lib.Counters()
+    )
+    assert found.read(body, MODEL, 2) == digests
+    assert found.read(body, MODEL, 3) is None
+    assert found.read(b"{" + body, MODEL, 2) is None
+    assert found.read(b"", MODEL, 2) is None
+
+
+class Endpoint:
+    """Takes handlers; nobody is connected."""
+
+    def on_call(self, kind, handler):
+        del kind, handler
+
+    def connections(self):
+        return []
+
+
 @dataclasses.dataclass
 class Bringing:
     """What is brought, as `keep.Weights` asks it."""
