Take the first and the longest wait for an event from the engine's figures

In passes of a full engine, as the operators publish them, in place of 0.2 and 0.3 s: 0.19 and 0.29 s where those were measured.

--- a/src/clementinegw/direct/placing.py
+++ b/src/clementinegw/direct/placing.py
@@ -11,6 +11,7 @@
 from clementinegw.direct import foresight
 from clementinegw.direct import outcomes
 from clementinegw.direct import queue
+from clementinegw.direct import types
 from clementinegw.direct import versions as versions_lib
 
 Reason = outcomes.RefusalReason
@@ -25,10 +26,11 @@
     most_busy=3.0, most_busy_late=2.0, least_busy_late=1.0
 )
 # What is believed of the time to a first event before any has come, and the
-# longest that is believed, in seconds: the pass under way and the first of its
-# own take that long at an engine that is half full, and at one that is full.
-_FIRST_EVENT_S = 0.2
-_MOST_FIRST_EVENT_S = 0.3
+# longest that is believed, in passes of a full engine: the pass under way, its
+# own and what is read beside take that long at one that is half full, and at
+# one that is full (0.19 and 0.29 s with passes of 48 ms).
+_FIRST_EVENT_PASSES = 4.0
+_MOST_FIRST_EVENT_PASSES = 6.0
 # A new request counts as one that can be on time for at least this part of its
 # objective: a large prompt would else be late from the start whenever engines
 # are full, and be passed over for all smaller ones.
@@ -139,6 +141,19 @@
         tried = {backend.server.start, *job.tried}
         return self._balancer.choose(wanted, tried) is not None
 
+    def began(self, job: attempts.Job) -> None:
+        """Learns from the first event of a request's answer.
+
+        Args:
+          job: The request; its place was found by `choose`.
+        """
+        engine = self._knowledge.engine(job.service)
+        if engine is None or job.first_answer_at is None:
+            return
+        reading_s = job.facts.prompt_tokens / engine.prefill_tokens_per_s
+        took_s = job.first_answer_at - job.placed_at - reading_s
+        self._foresight(job.service, engine).took(took_s)
+
     def layers(self, service: str) -> int:
         """Returns the layers of a service's model; 0 for a plain one."""
         engine = self._knowledge.engine(service)
@@ -207,30 +222,22 @@
         engine = self._knowledge.engine(job.service)
         if engine is None:
             return at
-        at -= self._foresight(job.service).usual_s
+        at -= self._foresight(job.service, engine).usual_s
         at -= job.facts.prompt_tokens / engine.prefill_tokens_per_s
         if job.spent_s or job.sends:
             return at
         fresh_s = _FRESH_SHARE * job.match.route.objective_s
         return max(at, job.request.arrived_at + fresh_s)
 
-    def began(self, job: attempts.Job) -> None:
-        """Learns from the first event of a request's answer.
-
-        Args:
-          job: The request; its place was found by `choose`.
-        """
-        engine = self._knowledge.engine(job.service)
-        if engine is None or job.first_answer_at is None:
-            return
-        reading_s = job.facts.prompt_tokens / engine.prefill_tokens_per_s
-        took_s = job.first_answer_at - job.placed_at - reading_s
-        self._foresight(job.service).took(took_s)
-
-    def _foresight(self, service: str) -> foresight.Foresight:
+    def _foresight(
+        self, service: str, engine: types.Engine
+    ) -> foresight.Foresight:
         found = self._foresights.get(service)
         if found is None:
-            found = foresight.Foresight(_FIRST_EVENT_S, _MOST_FIRST_EVENT_S)
+            pass_s = engine.pass_s
+            found = foresight.Foresight(
+                _FIRST_EVENT_PASSES * pass_s, _MOST_FIRST_EVENT_PASSES * pass_s
+            )
             self._foresights[service] = found
         return found
 
--- a/src/clementinegw/direct/types.py
+++ b/src/clementinegw/direct/types.py
@@ -106,6 +106,12 @@
     usual_answer: float = 0.0
     warm_s: float = 0.0
 
+    @property
+    def pass_s(self) -> float:
+        """From one event of a stream to the next where all slots are taken."""
+        step_s = self.step_s + self.slots * self.step_per_request_s
+        return self.steps_per_pass * step_s
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Origin:
