--- a/tests/test_direct_overload.py
+++ b/tests/test_direct_overload.py
@@ -65,6 +65,26 @@
     assert sum(c.served for c in largest) / len(largest) >= 0.75 * served
 
 
+def test_callers_are_served_behind_a_gap_without_a_server():
+    """Symptom: callers are held for 1.5 s and turned away, then once more.
+
+    Sequence: a version falls due before the next one is here; for 3.5 s no
+    server may begin anything. Cause: callers were held whether a server was
+    coming or not, and no longer where one was.
+    """
+
+    async def run():
+        site = overload_site.Site(engines=14)
+        site.gap = (5.0, 8.5)
+        await site.play(16.0, lambda now: 0.9)
+        await asyncio.sleep(AFTER_S)
+        site.stop()
+        return site
+
+    found = clocks.run(run()).came(0.0, 16.0)
+    assert sum(c.served for c in found) / len(found) >= 0.97
+
+
 # What part late requests may take.
 
 
