Say what the estimate of the first event really rests on

The comments named one answer in four and fifty answers, of an earlier quantile of 0.7; with 0.9 it is one in ten, about ten long answers and a hundred short ones. Comments only; found by reading the change once more.

--- a/src/clementinegw/direct/foresight.py
+++ b/src/clementinegw/direct/foresight.py
@@ -9,11 +9,11 @@
 """
 
 # Learned is what this part of the answers stays below: a request that is held
-# to be on time should be so as a rule, and one in four that is not costs less
-# than the many which would not be tried at all with a higher part.
+# to be on time should be so as a rule.
 _QUANTILE = 0.9
-# By how much one answer moves the estimate, in seconds: some fifty answers move
-# it from an idle engine's time to a full one's, a second or two of one entry's.
+# What an answer moves the estimate by, in seconds, times the part above when it
+# was longer and times the rest when it was shorter. Some ten long answers move
+# it to a full engine's time, a second of one entry's; a hundred short ones back.
 _STEP_S = 0.01
 
 
