--- a/src/clementinegw/direct/foresight.py
+++ b/src/clementinegw/direct/foresight.py
@@ -13,7 +13,7 @@
 _QUANTILE = 0.9
 # What an answer moves the estimate by, in seconds, times the part above when it
 # was longer and times the rest when it was shorter. Some ten long answers move
-# it to a full engine's time, a second of one entry's; a hundred short ones back.
+# it to a full engine's time, a hundred short ones back.
 _STEP_S = 0.01
 
 
