Let an entry of a large fleet follow some servers, not all

Cause: each of 99 entries was told of the load of each of 102 servers and shared each server's free slots with 98 others. Reports grew with entries times servers whatever the traffic (263 a second and agent, 271 a second and entry), and a share of a free slot was so small that requests waited for the next report though servers had room.

Change: an entry follows the servers of its region (24 at most) and eight or more of others, by rendezvous hashing of names; where few servers may begin a request, all entries follow those. Of the rest it is told what changes, and renews the subscription a third as often. A server's slots are shared by those who follow it; the repeat budget by all entries as before. Fleets of up to 24 servers are followed whole, as before.

--- a/src/clementinegw/direct/agent.py
+++ b/src/clementinegw/direct/agent.py
@@ -348,6 +348,7 @@
                 pace=state.pace,
                 yielding=self._weights.yielding,
                 entries=self._reporter.entries,
+                followers=self._reporter.followers,
                 ready_in_s=self._weights.ready_in_s(
                     best is not None and self._weights.whole(best)
                 ),
--- a/src/clementinegw/direct/fleet.py
+++ b/src/clementinegw/direct/fleet.py
@@ -1,6 +1,6 @@
 """The backend servers as this entry knows them, and what it saw of each."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 import math
 import random
 
@@ -74,6 +74,7 @@
         self.loading = False
         self.yielding = False
         self.entries = 0
+        self.followed = True
         self.ready_at = math.inf
         self._share = 1.0
         self._rng = rng
@@ -83,6 +84,7 @@
         self._others = 0.0
         self._reported_at = -math.inf
         self._told_at = -math.inf
+        self._awaited_until = -math.inf
         self._span_s = 0.0
 
     @property
@@ -90,8 +92,19 @@
         """Whether this start gets nothing more: it leaves, or is over."""
         return self.gone or self.replaced or self.server.leaving
 
+    def follow(self, followed: bool, now: float) -> None:
+        """Says whether this entry is told of its load, and may send to it."""
+        if followed and not self.followed:
+            # What was heard while it was not followed says nothing of silence,
+            # and nothing of free slots.
+            self._told_at = -math.inf
+            self._awaited_until = now + _REPORT_FRESH_S
+        self.followed = followed
+
     def silent(self, now: float) -> bool:
         """Returns whether the server and the agent beside it fell silent."""
+        if not self.followed:
+            return False
         quiet_s = max(_QUIET_S, _QUIET_SPANS * self._span_s)
         if not quiet_s < now - self._told_at < _LONG_QUIET_S:
             return False
@@ -139,10 +152,14 @@
 
         While no agent tells, each entry has one prompt read there at a time:
         nine servers that came back after a loss of power got 109 requests in a
-        quarter of a second, and all of them were late.
+        quarter of a second, and all of them were late. From the moment at which
+        a server is followed its first report is awaited: many entries may have
+        begun with it at the same time.
         """
+        if not self.followed:
+            return False
         if now - self._told_at > _REPORT_FRESH_S or not self.entries:
-            return not self.unread_tokens
+            return now >= self._awaited_until and not self.unread_tokens
         return self._share >= 1.0
 
     def take(self) -> None:
@@ -167,7 +184,7 @@
             free * _OVERBOOKING,
             reads * _READING_OVERBOOKING - report.waiting,
         )
-        part = max(0.0, room / max(1, report.entries))
+        part = max(0.0, room / max(1, report.followers or report.entries))
         whole = int(part)
         more = self._rng.random() < part - whole
         self._share = float(whole + more)
@@ -251,6 +268,10 @@
         """Returns the backend servers of a service."""
         return self._of_service.get(service, [])
 
+    def services(self) -> Iterable[str]:
+        """Returns the services that have any backend server."""
+        return self._of_service.keys()
+
     def find(self, server_id: str) -> Backend | None:
         """Returns a backend server by its id."""
         return self._backends.get(server_id)
@@ -309,6 +330,11 @@
             self._vanished(key, now, left_s)
         self._index()
 
+    def follow(self, server_ids: Collection[str], now: float) -> None:
+        """Says which servers this entry is told of, and may send to."""
+        for key, backend in self._backends.items():
+            backend.follow(key in server_ids, now)
+
     def settle(self, settled_s: float, now: float = 0.0) -> None:
         """Drops what is still missing once the platform is back for good.
 
--- a/src/clementinegw/direct/reports.py
+++ b/src/clementinegw/direct/reports.py
@@ -21,6 +21,9 @@
 # A subscription that is not renewed ends after this, in seconds; entries
 # renew it more often by some times.
 KEEP_S = 4.0
+# The same for an entry that is told of changes only, and renews it a third as
+# often: with a hundred entries these were most of what an agent was sent.
+_KEEP_CHANGES_S = 12.0
 _MOST_SUBSCRIBERS = 512
 # Of so many reports an entry in another region gets one, unless the server's
 # weights have changed. Bytes between regions are paid for, and with 43 entries
@@ -55,6 +58,8 @@
       pace: How many times slower than usual it works.
       yielding: Whether it is about to load, so that others are preferred.
       entries: Entries that ask its agent for reports.
+      followers: Those of them that send requests to the server; 0 when that is
+        not known.
       ready_in_s: About when it serves again, in seconds; negative when that is
         not known.
       born: Which start of the server it is of; see `direct.types.Start`.
@@ -73,6 +78,7 @@
     pace: float = 1.0
     yielding: bool = False
     entries: int = 0
+    followers: int = 0
     ready_in_s: float = -1.0
     born: int = 0
     ages_s: Mapping[int, float] = dataclasses.field(default_factory=dict)
@@ -97,11 +103,41 @@
     ages_s: Mapping[str, Mapping[int, float]]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Asking:
+    """What an entry asks an agent for.
+
+    Attributes:
+      far: Whether it stands in another region.
+      changes_only: Whether it sends no requests to the server beside, and is
+        told of what changes only, not of the load.
+    """
+
+    far: bool
+    changes_only: bool = False
+
+
 @dataclasses.dataclass(slots=True)
 class _Subscriber:
+    asking: Asking
     until: float
-    far: bool
     ages_at: float = -math.inf
+    # Its first report does not wait for its turn: it sends nothing until then.
+    new: bool = True
+
+    @property
+    def ages_every_s(self) -> float:
+        """How often it is told of ages where no report does, in seconds.
+
+        Who is told of changes only hears of ages from the agents it follows.
+        """
+        return _KEEP_CHANGES_S if self.asking.changes_only else 2 * _AGES_S
+
+    def renew(self, asking: Asking, now: float) -> None:
+        self.new = self.new or asking != self.asking
+        self.asking = asking
+        keep_s = _KEEP_CHANGES_S if asking.changes_only else KEEP_S
+        self.until = now + keep_s
 
 
 class Reporter(asyncio.DatagramProtocol):
@@ -138,12 +174,12 @@
             message = codec.decode(ttypes.Subscribe, data)
         except exceptions.DecodeError:
             return
-        until = asyncio.get_running_loop().time() + KEEP_S
+        asking = Asking(bool(message.far), bool(message.changes_only))
         known = self._subscribers.get(addr)
+        if known is None and len(self._subscribers) < _MOST_SUBSCRIBERS:
+            known = self._subscribers[addr] = _Subscriber(asking, 0.0)
         if known is not None:
-            known.until, known.far = until, bool(message.far)
-        elif len(self._subscribers) < _MOST_SUBSCRIBERS:
-            self._subscribers[addr] = _Subscriber(until, bool(message.far))
+            known.renew(asking, asyncio.get_running_loop().time())
         self._on_declared(Declared(message.declared, _ages_s(message.ages_ms)))
         if message.suspicions:
             self._on_suspicions(suspicions_lib.from_wire(message.suspicions))
@@ -155,6 +191,13 @@
         """How many have subscribed."""
         return len(self._subscribers)
 
+    @property
+    def followers(self) -> int:
+        """How many of them send requests to the server beside."""
+        return sum(
+            not s.asking.changes_only for s in self._subscribers.values()
+        )
+
     def tell(
         self,
         report: Report,
@@ -169,20 +212,43 @@
         if self._transport is None:
             return
         now = asyncio.get_running_loop().time()
+        self._forget(now)
         news = self._is_news(report) or bool(suspicions)
-        self._told += 1
-        near = news or not self._told % self._near_every
-        far = news or not self._told % _FAR_EVERY
+        told = self._whose_turn(news)
+        if not told:
+            return
         short = _encode(dataclasses.replace(report, ages_s={}), suspicions)
         full = _encode(report, suspicions) if report.ages_s else short
-        for addr, subscriber in list(self._subscribers.items()):
-            if subscriber.until < now:
-                del self._subscribers[addr]
-            elif far if subscriber.far else near:
-                with_ages = subscriber.ages_at + _AGES_S <= now
-                if with_ages:
-                    subscriber.ages_at = now
-                self._transport.sendto(full if with_ages else short, addr)
+        for addr, subscriber in told:
+            with_ages = subscriber.ages_at + _AGES_S <= now
+            if with_ages:
+                subscriber.ages_at = now
+            self._transport.sendto(full if with_ages else short, addr)
+
+    def _forget(self, now: float) -> None:
+        """Drops who has not renewed a subscription."""
+        over = [a for a, s in self._subscribers.items() if s.until < now]
+        for addr in over:
+            del self._subscribers[addr]
+
+    def _whose_turn(self, news: bool) -> list[tuple[tuple, _Subscriber]]:
+        """Returns who is told this time.
+
+        Args:
+          news: Whether all are.
+        """
+        self._told += 1
+        near = not self._told % self._near_every
+        far = not self._told % _FAR_EVERY
+        found = []
+        for addr, subscriber in self._subscribers.items():
+            asking = subscriber.asking
+            turn = far if asking.far else near
+            due = subscriber.new or (turn and not asking.changes_only)
+            if news or due:
+                subscriber.new = False
+                found.append((addr, subscriber))
+        return found
 
     def news(self) -> None:
         """Tells of ages at once; a version or its age is new."""
@@ -199,7 +265,9 @@
         late = {
             addr: subscriber
             for addr, subscriber in self._subscribers.items()
-            if subscriber.ages_at + 2 * _AGES_S <= now <= subscriber.until
+            if subscriber.ages_at + subscriber.ages_every_s
+            <= now
+            <= subscriber.until
         }
         report = self._ages() if late else None
         if self._transport is None or report is None:
@@ -211,7 +279,10 @@
 
     @property
     def _near_every(self) -> int:
-        near = sum(1 for s in self._subscribers.values() if not s.far)
+        near = sum(
+            not s.asking.far and not s.asking.changes_only
+            for s in self._subscribers.values()
+        )
         return min(_FAR_EVERY, 1 + near // (_NEAR_EACH_TIME + 1))
 
     def _is_news(self, report: Report) -> bool:
@@ -271,14 +342,14 @@
 
     def subscribe(
         self,
-        agents: Mapping[types.Address, bool],
+        agents: Mapping[types.Address, Asking],
         declared: Declared,
         suspicions: tuple[suspects.Suspicion, ...] = (),
     ) -> None:
         """Asks agents for reports.
 
         Args:
-          agents: Whether each stands in another region.
+          agents: What each is asked for.
           declared: The versions of weights that are known to be declared.
           suspicions: What this entry saw of requests that crash servers.
         """
@@ -287,19 +358,20 @@
         ages_ms = {m: _milliseconds(a) for m, a in declared.ages_s.items()}
         newest = dict(declared.newest)
         data = {
-            far: codec.encode(
+            asking: codec.encode(
                 ttypes.Subscribe(
                     self._name,
                     newest,
-                    far,
-                    ages_ms or None,
+                    asking.far,
+                    asking.changes_only or None,
+                    ages_ms=ages_ms or None,
                     suspicions=suspicions_lib.to_wire(suspicions),
                 )
             )
-            for far in (False, True)
+            for asking in set(agents.values())
         }
-        for agent, far in agents.items():
-            self._transport.sendto(data[far], (agent.host, agent.port))
+        for agent, asking in agents.items():
+            self._transport.sendto(data[asking], (agent.host, agent.port))
 
     def close(self) -> None:
         """Ends it."""
@@ -310,11 +382,23 @@
 def _encode(
     report: Report, suspicions: tuple[suspects.Suspicion, ...] = ()
 ) -> bytes:
-    fields = dataclasses.asdict(report)
-    ages_ms = _milliseconds(fields.pop("ages_s"))
+    ages_ms = _milliseconds(report.ages_s)
     return codec.encode(
         ttypes.BackendReport(
-            **fields,
+            report.server_id,
+            report.running,
+            report.waiting,
+            report.slots,
+            report.model,
+            report.version,
+            report.whole,
+            report.loading,
+            report.pace,
+            report.yielding,
+            report.entries,
+            report.ready_in_s,
+            report.followers or None,
+            born=report.born,
             ages_ms=ages_ms or None,
             suspicions=suspicions_lib.to_wire(suspicions),
         )
@@ -334,6 +418,7 @@
         message.pace,
         message.yielding,
         message.entries,
+        message.followers or 0,
         message.ready_in_s,
         message.born or 0,
         _seconds(message.ages_ms),
--- a/src/clementinegw/wire/gen/reports/ttypes.py
+++ b/src/clementinegw/wire/gen/reports/ttypes.py
@@ -212,6 +212,7 @@
      - instance_id
      - declared
      - far
+     - changes_only
      - ages_ms
      - suspicions
 
@@ -221,15 +222,17 @@
         'instance_id',
         'declared',
         'far',
+        'changes_only',
         'ages_ms',
         'suspicions',
     )
 
 
-    def __init__(self, instance_id=None, declared=None, far=False, ages_ms=None, suspicions=None,):
+    def __init__(self, instance_id=None, declared=None, far=False, changes_only=False, ages_ms=None, suspicions=None,):
         self.instance_id = instance_id
         self.declared = declared
         self.far = far
+        self.changes_only = changes_only
         self.ages_ms = ages_ms
         self.suspicions = suspicions
 
@@ -263,6 +266,11 @@
                     self.far = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.changes_only = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             elif fid == 20:
                 if ftype == TType.MAP:
                     self.ages_ms = {}
@@ -317,6 +325,10 @@
             oprot.writeFieldBegin('far', TType.BOOL, 3)
             oprot.writeBool(self.far)
             oprot.writeFieldEnd()
+        if self.changes_only is not None:
+            oprot.writeFieldBegin('changes_only', TType.BOOL, 4)
+            oprot.writeBool(self.changes_only)
+            oprot.writeFieldEnd()
         if self.ages_ms is not None:
             oprot.writeFieldBegin('ages_ms', TType.MAP, 20)
             oprot.writeMapBegin(TType.STRING, TType.MAP, len(self.ages_ms))
@@ -380,6 +392,7 @@
      - yielding
      - entries
      - ready_in_s
+     - followers
      - ages_ms
      - born
      - suspicions
@@ -399,13 +412,14 @@
         'yielding',
         'entries',
         'ready_in_s',
+        'followers',
         'ages_ms',
         'born',
         'suspicions',
     )
 
 
-    def __init__(self, server_id=None, running=None, waiting=None, slots=None, model=None, version=None, whole=None, loading=None, pace=None, yielding=None, entries=None, ready_in_s=None, ages_ms=None, born=None, suspicions=None,):
+    def __init__(self, server_id=None, running=None, waiting=None, slots=None, model=None, version=None, whole=None, loading=None, pace=None, yielding=None, entries=None, ready_in_s=None, followers=None, ages_ms=None, born=None, suspicions=None,):
         self.server_id = server_id
         self.running = running
         self.waiting = waiting
@@ -418,6 +432,7 @@
         self.yielding = yielding
         self.entries = entries
         self.ready_in_s = ready_in_s
+        self.followers = followers
         self.ages_ms = ages_ms
         self.born = born
         self.suspicions = suspicions
@@ -491,6 +506,11 @@
                     self.ready_in_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I32:
+                    self.followers = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             elif fid == 20:
                 if ftype == TType.MAP:
                     self.ages_ms = {}
@@ -576,6 +596,10 @@
             oprot.writeFieldBegin('ready_in_s', TType.DOUBLE, 12)
             oprot.writeDouble(self.ready_in_s)
             oprot.writeFieldEnd()
+        if self.followers is not None:
+            oprot.writeFieldBegin('followers', TType.I32, 13)
+            oprot.writeI32(self.followers)
+            oprot.writeFieldEnd()
         if self.ages_ms is not None:
             oprot.writeFieldBegin('ages_ms', TType.MAP, 20)
             oprot.writeMapBegin(TType.I64, TType.I64, len(self.ages_ms))
@@ -661,7 +685,7 @@
     (1, TType.STRING, 'instance_id', 'UTF8', None, ),  # 1
     (2, TType.MAP, 'declared', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 2
     (3, TType.BOOL, 'far', None, False, ),  # 3
-    None,  # 4
+    (4, TType.BOOL, 'changes_only', None, False, ),  # 4
     None,  # 5
     None,  # 6
     None,  # 7
@@ -714,7 +738,7 @@
     (10, TType.BOOL, 'yielding', None, None, ),  # 10
     (11, TType.I32, 'entries', None, None, ),  # 11
     (12, TType.DOUBLE, 'ready_in_s', None, None, ),  # 12
-    None,  # 13
+    (13, TType.I32, 'followers', None, None, ),  # 13
     None,  # 14
     None,  # 15
     None,  # 16
--- a/src/clementinegw/wire/reports.thrift
+++ b/src/clementinegw/wire/reports.thrift
@@ -22,6 +22,8 @@
   2: required map<string, i64> declared,
   // It stands in another region, and so is told less often.
   3: optional bool far = false,
+  // It sends no requests there: it is told of what changes, not of the load.
+  4: optional bool changes_only = false,
   // By model and version: milliseconds since it was declared, where known.
   20: optional map<string, map<i64, i64>> ages_ms,
   // What the entry saw itself of late; seldom any.
@@ -46,6 +48,8 @@
   11: required i32 entries,
   // Seconds until it serves again, about; negative when that is not known.
   12: required double ready_in_s,
+  // Those of them that send requests to the server; all where unset.
+  13: optional i32 followers,
   // By version of the model: milliseconds since it was declared. Only where
   // that is known and the entry has not been told of late.
   20: optional map<i64, i64> ages_ms,
--- a/tests/overload_site.py
+++ b/tests/overload_site.py
@@ -20,6 +20,7 @@
 from clementinegw.direct import catalog
 from clementinegw.direct import fleet as fleets
 from clementinegw.direct import follow
+from clementinegw.direct import following
 from clementinegw.direct import placing
 from clementinegw.direct import queue
 from clementinegw.direct import reports
@@ -32,7 +33,8 @@
 REPORT_S = 0.1
 # An entry in another region gets one report of so many.
 FAR_EVERY = 4
-REGIONS = {f"d{n}": f"r{n}" for n in range(3)}
+MOST_DOMAINS = 5
+REGIONS = {f"d{n}": f"r{n}" for n in range(MOST_DOMAINS)}
 DEADLINE_S = 6.0
 # A caller leaves when nothing has come for so long.
 PATIENCE_S = 3.2
@@ -91,7 +93,8 @@
         rng = random.Random(seed)
         clock = asyncio.get_running_loop().time
         self.fleet = fleets.Fleet(logs.Log(), lambda service: 274, rng)
-        self.place = places.Place(f"r{number % 3}", f"d{number % 3}")
+        self.name = f"entry-{number}"
+        self.place = site.place(number)
         balancer = balance.Balancer(self.fleet, self.place, REGIONS, rng, clock)
         knowledge = admit.Knowledge(
             catalog.Catalog(site.configuration), lambda: 0.0, 5.0, 3.0
@@ -110,11 +113,43 @@
         batch = follow.Batch(tuple(records), len(records))
         self.fleet.apply(batch, True, 10.0)
 
+    def follow(self):
+        """Follows some servers only, as the daemon does."""
+        candidates = [
+            following.Candidate(
+                backend.server.server_id,
+                backend.server.failure_domain == self.place.failure_domain,
+                True,
+            )
+            for backend in self.fleet.of(SERVICE)
+        ]
+        self.fleet.follow(following.followed(self.name, candidates), 0.0)
+
 
 class Site:
     """Engines, entries and callers."""
 
-    def __init__(self, engines, entries=8, seed=1, terms=None):
+    def __init__(
+        self,
+        engines,
+        entries=8,
+        seed=1,
+        terms=None,
+        *,
+        domains=3,
+        follow_all=True,
+    ):
+        """Starts the engines.
+
+        Args:
+          engines: How many there are, spread evenly over the domains.
+          entries: How many entries there are, spread likewise.
+          seed: Of callers and of the entries' draws.
+          terms: How requests wait for engines; None for the product's.
+          domains: How many failure domains, each a region of its own.
+          follow_all: Whether each entry follows all engines.
+        """
+        self._domains = domains
         self.figures = engine_model.Figures()
         self.engines = {
             n: engine_model.Engine(self.figures) for n in range(engines)
@@ -126,7 +161,11 @@
         self.entries = [
             Entry(self, n, seed * 100 + n, terms) for n in range(entries)
         ]
+        if not follow_all:
+            for entry in self.entries:
+                entry.follow()
         self.callers = []
+        self.begun = dict.fromkeys(self.engines, 0)
         # When no engine may begin anything, in seconds from the start.
         self.gap = (math.inf, math.inf)
         self._tasks = set()
@@ -140,12 +179,17 @@
         """Seconds since the start."""
         return self._clock() - self._began
 
+    def place(self, number):
+        """Returns where the entry or engine of a number stands."""
+        domain = number % self._domains
+        return places.Place(f"r{domain}", f"d{domain}")
+
     def server(self, number):
         return types.Server(
             f"s{number}",
             SERVICE,
             places.Address("127.0.0.1", 1_000 + number),
-            f"d{number % 3}",
+            self.place(number).failure_domain,
             self.figures.slots,
             held=(types.Held("m", 1, 1),),
         )
@@ -233,7 +277,9 @@
     async def _run(self, caller, entry, job, place, left_s):
         backend = place.backend
         backend.unread_tokens += caller.prompt
-        engine = self.engines[int(backend.server.server_id[1:])]
+        number = int(backend.server.server_id[1:])
+        engine = self.engines[number]
+        self.begun[number] += 1
         heard = asyncio.Event()
         ended = asyncio.Event()
         last = [self.now]
@@ -276,6 +322,11 @@
         told = self.rng.randrange(FAR_EVERY)
         while True:
             engine = self.engines[number]
+            told_to = [
+                entry
+                for entry in self.entries
+                if entry.fleet.find(f"s{number}").followed
+            ]
             report = reports.Report(
                 f"s{number}",
                 engine.running,
@@ -285,13 +336,14 @@
                 1,
                 not self.gap[0] <= self.now < self.gap[1],
                 entries=len(self.entries),
+                followers=len(told_to),
                 ready_in_s=max(0.0, self.gap[1] - self.now)
                 if self.gap[0] <= self.now < self.gap[1]
                 else 0.0,
             )
             told += 1
-            for entry in self.entries:
-                near = entry.place.failure_domain == f"d{number % 3}"
+            for entry in told_to:
+                near = entry.place == self.place(number)
                 if near or not told % FAR_EVERY:
                     loop.call_later(TRIP_S, self._take, entry, number, report)
             await asyncio.sleep(REPORT_S)
--- a/tests/test_direct_suspicions.py
+++ b/tests/test_direct_suspicions.py
@@ -19,7 +19,9 @@
     listener = reports.Listener(f"e{number}", lambda host, report: None)
     listener.connection_made(wire)
     listener.subscribe(
-        {ADDRESS: far}, reports.Declared({}, {}), entry.told(1.0)
+        {ADDRESS: reports.Asking(far)},
+        reports.Declared({}, {}),
+        entry.told(1.0),
     )
     return wire.sent[0][1]
 
