Draw anew at once what an agent drew that is over; spread a version's pieces first

All agents left version 2 at 20.1 s while its last pieces were still with the origin, and what the killed agent had drawn alone was drawn by nobody: while other pieces appeared no drawer was taken for dead. Neither version could be completed; for 5.7 s no server could begin anything.

Change: a connection that its other end closed tells that the process is over; the next in rank draws its pieces after the settling time. A newer version takes over only once each piece of the one before lies with some agent, while the origin answers and for no longer than bringing takes; nothing is drawn ahead until then either. A version that was named a moment ago is drawn without waiting for what neighbours hold.

--- a/src/clementinegw/direct/bring.py
+++ b/src/clementinegw/direct/bring.py
@@ -1,5 +1,6 @@
 """Brings a version's pieces to an agent and to the server beside it."""
 
+import asyncio
 import hashlib
 import random
 
@@ -11,6 +12,7 @@
 from clementinegw.direct import descriptions
 from clementinegw.telemetry import counters as counters_lib
 from clementinegw.telemetry import logs
+from clementinegw.weights import drawers
 from clementinegw.weights import manifest as manifests
 from clementinegw.weights import pacing as pacing_lib
 from clementinegw.weights import store as stores
@@ -41,6 +43,13 @@
 # Draws are spread as if the origin's link were this many of a machine's. The
 # sooner all pieces are out, the less an origin that is cut off can hold back.
 _ORIGIN_LINKS = 3.0
+# Up to so many agents each ask the origin what a version consists of: less than
+# half of the connections that an origin takes.
+_ALL_ASK = 16
+# In a larger fleet the others ask those who do so first, so often and for so
+# long: the answer is there after two trips, and some kilobytes. Seconds.
+_ASK_AGAIN_S = 0.05
+_TOLD_S = 0.4
 # All agents of a deployment stand in the platform's own network; the key only
 # keeps a stray connection of something else out.
 _KEY = b"clementinegw agents of one platform"
@@ -165,6 +174,11 @@
             return 1.0
         return 1.0 - progress.held / progress.total
 
+    @property
+    def spread(self) -> bool:
+        """Whether each piece of that version lies with some agent."""
+        return self.transfer.spread
+
     @property
     def origin_failing_s(self) -> float:
         """How long the origin has given no piece to this agent, in seconds."""
@@ -182,6 +196,9 @@
         known = self._descriptions.find(model, version)
         if known is not None:
             return known
+        found = await self._told_by_others(model, version)
+        if found is not None:
+            return found
         try:
             found = await origin.digests(model, version)
         except exceptions.PlatformError:
@@ -194,6 +211,33 @@
         self._descriptions.keep(found)
         return found
 
+    async def _told_by_others(
+        self, model: str, version: int
+    ) -> backing.Digests | None:
+        """Returns a version as those know it that ask the origin first.
+
+        None where this agent is one of them, or none has told soon.
+        """
+        first = self._first_to_ask(model, version)
+        if not first or self._me.instance_id in first:
+            return None
+        until = self._clock.now() + _TOLD_S
+        while self._clock.now() < until:
+            told = await self._descriptions.ask(model, version, first)
+            if told is not None:
+                self._descriptions.keep(told)
+                return told
+            await asyncio.sleep(_ASK_AGAIN_S)
+        return None
+
+    def _first_to_ask(self, model: str, version: int) -> tuple[str, ...]:
+        """Returns who asks the origin; nobody in a fleet where all do."""
+        fleet = self.transfer.fleet
+        if len(fleet) <= _ALL_ASK:
+            return ()
+        name = f"{model}/{version}".encode()
+        return fleet.ranked(name, drawers.DrawPolicy.FLEET, "")
+
     def holds(self, digests: backing.Digests) -> bool:
         """Returns whether every piece of a version is here."""
         return all(self._store.holds(digest) for digest in digests.digests)
@@ -210,14 +254,25 @@
         """Says which other agents there are."""
         self.transfer.set_fleet(others)
 
-    def want(self, origin: backing.Origin, digests: backing.Digests) -> None:
-        """Brings a version; one that was wanted before is abandoned."""
+    def want(
+        self,
+        origin: backing.Origin,
+        digests: backing.Digests,
+        is_new: bool = False,
+    ) -> None:
+        """Brings a version; one that was wanted before is abandoned.
+
+        Args:
+          origin: Where its pieces are drawn.
+          digests: What it consists of.
+          is_new: Whether it was declared only now: nobody has any piece.
+        """
         if digests == self._digests:
             return
         self._digests = digests
         self._origin.failing_since = None
         self._origin.set(origin, digests)
-        self.transfer.set_target(descriptions.manifest_of(digests))
+        self.transfer.set_target(descriptions.manifest_of(digests), is_new)
 
     def own_part(self, digests: backing.Digests) -> list[int]:
         """Returns the pieces that this agent draws first, and does not hold."""
--- a/src/clementinegw/direct/descriptions.py
+++ b/src/clementinegw/direct/descriptions.py
@@ -1,11 +1,16 @@
-"""What versions consist of, told between agents while the origin is away.
+"""What versions consist of, told between agents.
 
 The digests of a version come from the origin. An agent that starts while the
 origin is down got them only when it was back, and then had all pieces still to
 take: six servers that were replaced then served four seconds after the others,
 though every agent beside them held nine tenths of the pieces.
+
+In a large fleet a few agents ask the origin, and the others ask these. Asked by
+102 agents at the same moment, an origin that takes 48 connections reset the
+rest, and draws among them.
 """
 
+from collections.abc import Collection
 import random
 
 from clementinegw import exceptions
@@ -57,10 +62,17 @@
         """Returns a version that this agent knows."""
         return self._known.get(_name(model, version))
 
-    async def ask(self, model: str, version: int) -> backing.Digests | None:
+    async def ask(
+        self, model: str, version: int, first: Collection[str] = ()
+    ) -> backing.Digests | None:
         """Returns a version as another agent knows it; None when none does.
 
         Wrong digests do no harm beyond delay: no piece would match them.
+
+        Args:
+          model: The model's name.
+          version: The version.
+          first: The ids of agents that are asked before all others.
         """
         agents = [
             connection
@@ -68,7 +80,9 @@
             if connection.peer.role is types.Role.AGENT
         ]
         body = codec.encode(ttypes.ManifestGet(digest=_name(model, version)))
-        for agent in self._rng.sample(agents, min(_MOST_ASKED, len(agents))):
+        self._rng.shuffle(agents)
+        agents.sort(key=lambda agent: agent.peer.instance_id not in first)
+        for agent in agents[:_MOST_ASKED]:
             try:
                 frame = await connections.call(
                     agent, connections.Kind.MANIFEST_GET, body, _ANSWER_S
--- a/src/clementinegw/direct/keep.py
+++ b/src/clementinegw/direct/keep.py
@@ -43,6 +43,11 @@
 _ASIDE_S = 4.0
 
 
+# A version that was declared so short a time ago lies with no agent yet: the
+# first pieces are drawn a tenth of a second later. Seconds.
+_NEW_S = 0.3
+
+
 @dataclasses.dataclass(slots=True)
 class Around:
     """What an agent knows of its surroundings.
@@ -229,9 +234,11 @@
             self._set_aside(),
         )
         assert self._around.origin is not None
+        if digests is not None and self._must_spread(digests.version, version):
+            return
         if digests is not None and digests.version == version:
             newest = self._versions()[-1].version
-            if newest > version:
+            if newest > version and self._bringer.spread:
                 self._ahead.begin(
                     self._around.origin, self._around.model, newest
                 )
@@ -257,7 +264,27 @@
             staged=staged,
         )
         self._moved_at = self._clock()
-        self._bringer.want(self._around.origin, found)
+        is_new = any(
+            declared.version == version
+            and self._declared.now - declared.at < _NEW_S
+            for declared in self._declared.of(self._around.model)
+        )
+        self._bringer.want(self._around.origin, found, is_new)
+
+    def _must_spread(self, version: int, newer: int) -> bool:
+        """Returns whether a version's last pieces go before a newer version.
+
+        Left a moment before, it is of no use to anybody if the origin is cut
+        off before the newer one is out. With versions two seconds apart and an
+        origin that was gone 0.4 s after the second one, neither came: no server
+        could begin anything for 5.7 s.
+        """
+        if newer <= version or not self._bringer.left or self._bringer.spread:
+            return False
+        if self._bringer.origin_failing_s > _ORIGIN_FAILS_S:
+            return False
+        since_s = self._declared.now - self._at(version)
+        return since_s < self._bring_s()
 
     def _stalled(self) -> bool:
         """Returns whether no piece has come for a while."""
--- a/src/clementinegw/weights/_swarm_draws.py
+++ b/src/clementinegw/weights/_swarm_draws.py
@@ -48,6 +48,7 @@
         chunks: tuple[manifests.Chunk, ...],
         now: float,
         absent: Mapping[str, float],
+        ended: Mapping[str, float],
     ):
         """Computes the duties.
 
@@ -58,12 +59,14 @@
           chunks: The manifest's chunks.
           now: When the rollout started here, in monotonic seconds.
           absent: When each agent that is out of sight vanished, by id.
+          ended: When each agent whose process is over ended, by id.
         """
         self._limits = limits
         self._began = now
         self._fresh_at = now
         self._failed_at = -math.inf
         self._absent = absent
+        self._ended = ended
         self._late: set[str] = set()
         self._retry_at = 0.0
         self._backoff = limits.settle_s
@@ -114,7 +117,8 @@
         deadline = self._limits.draw_deadline_s
         turn = self._began + duty.start
         before = [name for name in duty.before if name not in self._late]
-        silent = sum(1 for name in before if name not in self._absent)
+        out_of_sight = self._absent.keys() | self._ended.keys()
+        silent = sum(1 for name in before if name not in out_of_sight)
         if silent:
             quiet_from = max(turn, self._fresh_at, self._failed_at)
             if self._failed_at > self._fresh_at:
@@ -124,6 +128,12 @@
         if gone:
             # It may have drawn the chunk before it vanished.
             turn = max(turn, max(gone) + deadline)
+        ended = [self._ended[name] for name in before if name in self._ended]
+        if ended:
+            # Whoever has what it drew last has told so by then, and one that
+            # lost its connections alone is back. With a deadline in place of
+            # this the origin was gone before anybody drew the pieces anew.
+            turn = max(turn, max(ended) + self._limits.settle_s)
         return max(turn, self._retry_at)
 
     def appeared(self, wanted: int, fresh_at: float) -> None:
--- a/src/clementinegw/weights/_swarm_machine.py
+++ b/src/clementinegw/weights/_swarm_machine.py
@@ -46,7 +46,11 @@
         self._formers: dict[str, targets.Target] = {}
         self._requests = requests.Requests(limits, 0)
         self._uploads = uploads.Uploads(limits, rng)
-        self._draws = draws.Draws(limits, me, self._view.fleet, (), 0.0, {})
+        # Agents whose processes are over, and since when.
+        self._ended: dict[str, float] = {}
+        self._draws = draws.Draws(
+            limits, me, self._view.fleet, (), 0.0, {}, self._ended
+        )
         self._next_draw_at = _NEVER
         self._settle_at = 0.0
         self._arrived_at = 0.0
@@ -86,6 +90,11 @@
         """Whether there is a target and all its chunks are held."""
         return self._target.complete
 
+    @property
+    def spread(self) -> bool:
+        """Whether each chunk of the target lies here or with a neighbour."""
+        return not self._peers.held_by_none(self._target.missing)
+
     @property
     def outstanding(self) -> int:
         """How many requests are open."""
@@ -153,12 +162,18 @@
         self._peers.retarget(event.digest, len(event.chunks), now)
         self._choose_neighbours()
         self._plan(now)
+        if event.is_new:
+            # What neighbours would tell is known. Each moment counts while
+            # the origin has the only copy.
+            self._settle_at = now
         for peer in self._peers.all():
             self._tell_all(peer)
         if self.complete:
             self._out.append(types_.Completed(self._target.digest))
 
     def _on_fleet_changed(self, event: types_.FleetChanged, now: float) -> None:
+        for name in [n for n in self._ended if n not in event.fleet]:
+            del self._ended[name]
         if self._view.update(event.fleet, now):
             self._choose_neighbours()
             self._plan(now)
@@ -173,12 +188,17 @@
 
     def _on_peer_down(self, event: types_.PeerDown, now: float) -> None:
         self._cancel_all_of(event.peer_id, types_.CancelReason.PEER_GONE)
+        if event.by_peer:
+            self._ended[event.peer_id] = now
         self._peers.remove(event.peer_id)
         self._uploads.forget(event.peer_id)
 
     def _on_peer_holds(self, event: types_.PeerHolds, now: float) -> None:
         bits = int.from_bytes(event.bits, "little")
         self._peers.holds(event.peer_id, event.digest, bits, now)
+        if event.digest == self._target.digest:
+            # It is at work again, and draws its chunks itself.
+            self._ended.pop(event.peer_id, None)
         former = self._formers.get(event.digest)
         if former is not None:
             # It wants what this agent wanted before. Nobody else may hold the
@@ -406,6 +426,7 @@
             self._target.chunks,
             self._target.began,
             self._view.absent,
+            self._ended,
         )
         self._arrived_at = now
         self._drawn_at = now
--- a/src/clementinegw/weights/_swarm_types.py
+++ b/src/clementinegw/weights/_swarm_types.py
@@ -100,11 +100,13 @@
       digest: The manifest's digest.
       chunks: The manifest's chunks.
       held: Those in the store already, as a `bitset`.
+      is_new: Whether it was named only now, so that nobody holds any of it.
     """
 
     digest: str
     chunks: tuple[manifests.Chunk, ...]
     held: bytes
+    is_new: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -123,9 +125,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerDown:
-    """The connection to a peer ended."""
+    """The connection to a peer ended.
+
+    Attributes:
+      peer_id: The peer.
+      by_peer: Whether its end of the connection closed: as a rule its process
+        is over. A cut or a machine without power closes nothing.
+    """
 
     peer_id: str
+    by_peer: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/clementinegw/weights/transfer.py
+++ b/src/clementinegw/weights/transfer.py
@@ -128,6 +128,11 @@
         """Whether every chunk of the target is verified and stored."""
         return self._swarm.complete
 
+    @property
+    def spread(self) -> bool:
+        """Whether each chunk of the target lies here or with a neighbour."""
+        return self._swarm.spread
+
     @property
     def counters(self) -> counters_lib.Counters:
         """Refusals, retries and bytes."""
@@ -137,6 +142,11 @@
         """Registers what is told the digest of each manifest that is whole."""
         self._done.append(callback)
 
+    @property
+    def fleet(self) -> drawers.Fleet:
+        """The agents that take part, this one among them."""
+        return self._fleet
+
     def set_fleet(self, instances: Iterable[types.Instance]) -> None:
         """Says which agents take part; this one may be left out."""
         others = {i.instance_id: i for i in instances}
@@ -160,8 +170,15 @@
         """Waits until the link has room for bytes outside the exchange."""
         await self._context.pacing.down.take(count, math.inf)
 
-    def set_target(self, manifest: manifests.Manifest) -> None:
-        """Says which version is wanted now; an earlier one is abandoned."""
+    def set_target(
+        self, manifest: manifests.Manifest, is_new: bool = False
+    ) -> None:
+        """Says which version is wanted now; an earlier one is abandoned.
+
+        Args:
+          manifest: What the version consists of.
+          is_new: Whether it was named only now, so that nobody holds any of it.
+        """
         if manifest.digest == self._swarm.digest:
             return
         self._context.manifest = manifest
@@ -171,7 +188,9 @@
             digest=manifest.digest,
             version=manifest.version,
         )
-        self._give(swarm.TargetSet(manifest.digest, manifest.chunks, held))
+        self._give(
+            swarm.TargetSet(manifest.digest, manifest.chunks, held, is_new)
+        )
 
     def recheck(self) -> None:
         """Fetches anew what the store has lost since it arrived.
--- a/src/clementinegw/wire/_link.py
+++ b/src/clementinegw/wire/_link.py
@@ -55,6 +55,8 @@
         self._buffer = bytearray()
         self._resumed: asyncio.Future | None = None
         self._closed = False
+        self._ended_here = False
+        self._ended_by_peer = False
         self._made_at = 0.0
         self._heard_at = 0.0
         self.bytes_in = 0
@@ -65,6 +67,11 @@
         """Whether the connection has ended."""
         return self._closed
 
+    @property
+    def ended_by_peer(self) -> bool:
+        """Whether the other end closed or reset the connection."""
+        return self._ended_by_peer
+
     @property
     def heard_at(self) -> float:
         """Loop time in seconds at which the last bytes came."""
@@ -78,6 +85,9 @@
     def connection_lost(self, exc) -> None:
         """Called by asyncio."""
         self._closed = True
+        # Other errors come from the path: no route, no acknowledgement.
+        by_peer = exc is None or isinstance(exc, ConnectionResetError)
+        self._ended_by_peer = by_peer and not self._ended_here
         self.resume_writing()
         self._on_lost(self)
 
@@ -127,11 +137,13 @@
 
     def close(self) -> None:
         """Ends the connection once what was queued has been sent."""
+        self._ended_here = True
         if self._transport is not None:
             self._transport.close()
 
     def abort(self) -> None:
         """Ends the connection at once."""
+        self._ended_here = True
         if self._transport is not None:
             self._transport.abort()
 
@@ -180,6 +192,11 @@
         """Whether the connection has ended."""
         return self._link.closed
 
+    @property
+    def ended_by_peer(self) -> bool:
+        """Whether the other end closed or reset the connection."""
+        return self._link.ended_by_peer
+
     @property
     def open_calls(self) -> int:
         """How many calls are open on it."""
--- a/tests/swarm_network.py
+++ b/tests/swarm_network.py
@@ -171,7 +171,7 @@
         agent = self.agents[name]
         agent.alive = False
         for pair in [p for p in self._links if name in p]:
-            self._break(pair)
+            self._break(pair, by_peer=True)
 
     def cut(self, domain, is_cut):
         """Separates a domain from the others and the origin, or heals it."""
@@ -215,13 +215,13 @@
         same = a.member.failure_domain == b.member.failure_domain
         return same or not (a.domain_cut or b.domain_cut)
 
-    def _break(self, pair):
+    def _break(self, pair, by_peer=False):
         self._links.discard(pair)
         one, other = pair
         self.agents[one].sessions.pop(other, None)
         self.agents[other].sessions.pop(one, None)
-        self.give(self.agents[one], swarm.PeerDown(other))
-        self.give(self.agents[other], swarm.PeerDown(one))
+        self.give(self.agents[one], swarm.PeerDown(other, by_peer))
+        self.give(self.agents[other], swarm.PeerDown(one, by_peer))
 
     def _tick(self, agent, wake):
         if self._wakes.get(agent.member.instance_id) == wake:
--- a/tests/test_swarm.py
+++ b/tests/test_swarm.py
@@ -81,6 +81,28 @@
     assert max(times) - min(times) <= net.limits.draw_deadline_s
 
 
+@pytest.mark.parametrize("when", [0.3, 0.5, 0.7, 0.9])
+def test_what_an_agent_drew_alone_is_drawn_again_once_it_is_over(when):
+    """Symptom: no server ever has a version of which all but a piece came.
+
+    Sequence: an agent draws pieces; its process ends before it has passed them
+    on; 0.2 copies' time after the last draw the origin is gone. Cause: while
+    other pieces still appeared, nobody took the first drawer for dead.
+    """
+    net = swarm_network.Network(16, 2, CHUNKS)
+    fleet = drawers.DrawPolicy.FLEET
+    copy_s = net.total / net.origin_rate
+    victim = net.fleet.ranked(CHUNKS[-1].digest, fleet, "")[0]
+    net.target("v1", CHUNKS)
+    net.run(when * copy_s)
+    net.kill(victim)
+    net.run(1.3 * copy_s)
+    net.origin_down = True
+    net.run(LONG, net.all_complete("v1"))
+    assert net.all_complete("v1")()
+    assert net.origin_bytes <= 1.2 * net.total
+
+
 def test_an_origin_that_was_down_is_not_drawn_from_twice():
     # Symptom: when the origin came back it sent many copies at once, and its
     # link was full. Sequence: it is down for longer than the deadline of the
