Take what an entry asks agents for out of the daemon

Change: direct/subscriptions.py chooses and asks; what changed is found by comparing which servers may begin a request, each 0.2 s, in place of a mark set with each report. A line following_changed and the gauge direct.servers.followed tell operators what an entry follows.

--- a/src/clementinegw/direct/_events.py
+++ b/src/clementinegw/direct/_events.py
@@ -145,3 +145,9 @@
     "The platform does not say who reads for this failure domain.",
     "None at first: those who were known go on, else each reads by itself.",
 )
+FOLLOWING_CHANGED = events.define(
+    943,
+    "following_changed",
+    _INFO,
+    "The entry follows other servers than before, and sends to these only.",
+)
--- a/src/clementinegw/direct/entry.py
+++ b/src/clementinegw/direct/entry.py
@@ -17,7 +17,6 @@
 from clementinegw.direct import dialect as dialects
 from clementinegw.direct import fleet as fleets
 from clementinegw.direct import follow
-from clementinegw.direct import following
 from clementinegw.direct import forward
 from clementinegw.direct import instance as instances
 from clementinegw.direct import outage
@@ -25,6 +24,7 @@
 from clementinegw.direct import relay
 from clementinegw.direct import reports
 from clementinegw.direct import server as servers
+from clementinegw.direct import subscriptions
 from clementinegw.direct import types
 from clementinegw.direct import versions as versions_lib
 from clementinegw.telemetry import counters as counters_lib
@@ -48,10 +48,8 @@
 # seconds.
 _ROUTES_S = 1.9
 _HOUSEKEEPING_S = 0.2
-# How often agents are asked for reports, in seconds, and in how many of these
-# rounds one of which only changes are asked for is asked once.
+# How often agents are asked for reports, in seconds.
 _SUBSCRIBE_S = 1.0
-_CHANGES_ROUNDS = 3
 # After SIGTERM the process still takes connections until the balancer has
 # asked twice, in seconds; and the rest before it must end.
 _TAKE_ON_S = 2.4
@@ -151,10 +149,17 @@
             self._on_report,
             on_suspicions=self._forwarder.take_suspicions,
         )
-        self._asked: dict[places.Address, reports.Asking] = {}
-        self._rounds = 0
-        # Set when something changed that the choice of servers hangs on.
-        self._unsettled = False
+        self._subscriptions = subscriptions.Subscriptions(
+            instance,
+            self._knowledge,
+            self._fleet,
+            self._versions,
+            self._reports,
+            self._forwarder.suspicions,
+            clock,
+            log,
+            counters,
+        )
         self._leaving = False
         self._ready = False
 
@@ -223,96 +228,14 @@
             self._fleet.settle(self._listing.settled_s, self._clock())
             self._fleet.prune()
             self._forwarder.check_clock()
-            if self._unsettled:
-                self._subscribe_new()
+            self._subscriptions.look()
             self._tell_ready()
 
     @mode.Service.task
     async def _subscribe(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(_SUBSCRIBE_S)
-            self._subscribe_all()
-
-    def _subscribe_all(self) -> None:
-        self._follow()
-        self._asked = self._agents()
-        self._rounds += 1
-        suspicions = self._forwarder.suspicions()
-        asked = {
-            agent: asking
-            for number, (agent, asking) in enumerate(self._asked.items())
-            # What crashes servers is told to all agents at once.
-            if suspicions
-            or not asking.changes_only
-            or (number + self._rounds) % _CHANGES_ROUNDS == 0
-        }
-        self._reports.subscribe(asked, self._declared(), suspicions)
-
-    def _follow(self) -> None:
-        """Chooses the servers that this entry sends to."""
-        self._unsettled = False
-        now = self._clock()
-        found: set[str] = set()
-        for service in self._fleet.services():
-            backends = self._fleet.of(service)
-            if self._knowledge.engine(service) is None:
-                # Nobody tells of these; there are a few of them.
-                found.update(b.server.server_id for b in backends)
-            else:
-                found |= following.followed(
-                    self._instance.name, self._candidates(service, backends)
-                )
-        self._fleet.follow(found, now)
-
-    def _candidates(
-        self, service: str, backends: list[fleets.Backend]
-    ) -> list[following.Candidate]:
-        engine = self._knowledge.engine(service)
-        assert engine is not None
-        model = engine.models[0] if engine.models else ""
-        least = self._versions.preferred(model, self._versions.now)
-        return [
-            following.Candidate(
-                backend.server.server_id,
-                not self._is_far(backend.server),
-                backend.serves(max(1, least), engine.layers)
-                and not (backend.loading or backend.yielding),
-            )
-            for backend in backends
-            if not backend.left
-        ]
-
-    def _declared(self) -> reports.Declared:
-        return reports.Declared(self._versions.all(), self._versions.ages_s())
-
-    def _subscribe_new(self) -> None:
-        """Asks agents that it has just come to need, without delay.
-
-        An agent tells each entry its share of the free slots. After a loss of
-        power it heard of the first entries only for a second, and each of them
-        took half of the slots.
-        """
-        self._follow()
-        agents = self._agents()
-        fresh = {
-            agent: asking
-            for agent, asking in agents.items()
-            if self._asked.get(agent) != asking
-        }
-        self._asked = agents
-        if fresh:
-            self._reports.subscribe(fresh, self._declared())
-
-    def _agents(self) -> dict[places.Address, reports.Asking]:
-        """Returns where agents listen, and what each is asked for."""
-        port = self._instance.peer_ports[0]
-        return {
-            places.Address(backend.server.address.host, port): reports.Asking(
-                self._is_far(backend.server), not backend.followed
-            )
-            for backend in self._fleet.all()
-            if self._knowledge.engine(backend.server.service) is not None
-        }
+            self._subscriptions.ask_all()
 
     def _on_report(self, host: str, report: reports.Report) -> None:
         if report.ages_s:
@@ -321,24 +244,13 @@
         backend = self._fleet.reported(report, host)
         if backend is None:
             return
-        before = _standing(backend)
         backend.take_report(
             report,
             self._clock(),
             self._reading_s(backend.server.service),
         )
-        self._unsettled |= _standing(backend) != before
         self._forwarder.look_at(backend)
 
-    def _is_far(self, server: types.Server) -> bool:
-        """Returns whether a server stands in another region."""
-        distance = balance.region_of(
-            self._instance.regions,
-            self._instance.place,
-            server.failure_domain,
-        )
-        return distance > 1
-
     def _reading_s(self, service: str) -> float:
         """Returns how long a usual prompt is read; 0 when that is unknown."""
         engine = self._knowledge.engine(service)
@@ -415,18 +327,13 @@
             self._listing.away_s,
             self._clock(),
         )
-        self._subscribe_new()
+        self._subscriptions.ask_new()
 
     def _max_connections(self, service: str) -> int:
         known = self._knowledge.service(service)
         return known.max_connections if known else 32
 
 
-def _standing(backend: fleets.Backend) -> tuple[object, ...]:
-    """Returns what decides whether requests may begin at a server."""
-    return backend.version, backend.empty, backend.loading, backend.yielding
-
-
 def _fleet_terms(bounds: instances.Bounds) -> outage.Terms:
     return outage.Terms(bounds.drain_ms / 1e3, bounds.listing_ms / 1e3)
 
--- /dev/null
+++ b/src/clementinegw/direct/subscriptions.py
@@ -0,0 +1,179 @@
+"""What an entry asks agents for: all of what it follows, else changes."""
+
+from collections.abc import Callable
+
+from clementinegw import types as places
+from clementinegw.direct import _events
+from clementinegw.direct import admit
+from clementinegw.direct import balance
+from clementinegw.direct import fleet as fleets
+from clementinegw.direct import following
+from clementinegw.direct import instance as instances
+from clementinegw.direct import reports
+from clementinegw.direct import suspects
+from clementinegw.direct import types
+from clementinegw.direct import versions as versions_lib
+from clementinegw.telemetry import counters as counters_lib
+from clementinegw.telemetry import logs
+
+# In how many rounds an agent that is asked for changes only is asked once: it
+# keeps such a subscription for twelve of them.
+_CHANGES_ROUNDS = 3
+
+
+class Subscriptions:
+    """One entry's subscriptions to reports."""
+
+    def __init__(
+        self,
+        instance: instances.Instance,
+        knowledge: admit.Knowledge,
+        fleet: fleets.Fleet,
+        versions: versions_lib.Versions,
+        listener: reports.Listener,
+        suspicions: Callable[[], tuple[suspects.Suspicion, ...]],
+        clock: Callable[[], float],
+        log: logs.Log,
+        counters: counters_lib.Counters,
+    ):
+        """Asks nobody before `ask_new` or `ask_all`.
+
+        Args:
+          instance: What the entry knows of itself.
+          knowledge: Which services run engines.
+          fleet: The servers; it is told which of them are followed.
+          versions: Which weights may serve.
+          listener: Sends the subscriptions.
+          suspicions: Returns what was seen of requests that crash servers.
+          clock: Monotonic seconds.
+          log: Where changes of what is followed go.
+          counters: Keeps how many servers are followed.
+        """
+        self._instance = instance
+        self._knowledge = knowledge
+        self._fleet = fleet
+        self._versions = versions
+        self._listener = listener
+        self._suspicions = suspicions
+        self._clock = clock
+        self._log = log
+        self._counters = counters
+        self._asked: dict[places.Address, reports.Asking] = {}
+        self._followed: set[str] = set()
+        self._standing: dict[str, bool] = {}
+        self._rounds = 0
+
+    def ask_all(self) -> None:
+        """Renews what is due; called about once a second."""
+        self._follow()
+        self._asked = self._agents()
+        self._rounds += 1
+        suspicions = self._suspicions()
+        asked = {
+            agent: asking
+            for number, (agent, asking) in enumerate(self._asked.items())
+            # What crashes servers is told to all agents at once.
+            if suspicions
+            or not asking.changes_only
+            or (number + self._rounds) % _CHANGES_ROUNDS == 0
+        }
+        self._listener.subscribe(asked, self._declared(), suspicions)
+
+    def ask_new(self) -> None:
+        """Asks agents that the entry has just come to need, without delay.
+
+        An agent tells each entry its share of the free slots. After a loss of
+        power it heard of the first entries only for a second, and each of them
+        took half of the slots.
+        """
+        self._follow()
+        agents = self._agents()
+        fresh = {
+            agent: asking
+            for agent, asking in agents.items()
+            if self._asked.get(agent) != asking
+        }
+        self._asked = agents
+        if fresh:
+            self._listener.subscribe(fresh, self._declared())
+
+    def look(self) -> None:
+        """Asks anew where other servers may begin a request than before."""
+        if self._find_standing() != self._standing:
+            self.ask_new()
+
+    def _declared(self) -> reports.Declared:
+        return reports.Declared(self._versions.all(), self._versions.ages_s())
+
+    def _follow(self) -> None:
+        """Chooses the servers that the entry sends to."""
+        self._standing = self._find_standing()
+        found: set[str] = set()
+        for service in self._fleet.services():
+            backends = [b for b in self._fleet.of(service) if not b.left]
+            if self._knowledge.engine(service) is None:
+                # Nobody tells of these; there are a few of them.
+                found.update(b.server.server_id for b in backends)
+            else:
+                found |= following.followed(
+                    self._instance.name, [self._candidate(b) for b in backends]
+                )
+        self._fleet.follow(found, self._clock())
+        if found != self._followed:
+            self._followed = found
+            self._tell(found)
+
+    def _tell(self, found: set[str]) -> None:
+        self._counters.gauge("direct.servers.followed", len(found))
+        self._log.write(
+            _events.FOLLOWING_CHANGED,
+            followed=len(found),
+            listed=sum(1 for _ in self._fleet.all()),
+            serving=sum(self._standing.values()),
+        )
+
+    def _candidate(self, backend: fleets.Backend) -> following.Candidate:
+        server_id = backend.server.server_id
+        return following.Candidate(
+            server_id,
+            not self._is_far(backend.server),
+            self._standing.get(server_id, False),
+        )
+
+    def _find_standing(self) -> dict[str, bool]:
+        """Returns for each model server whether a request may begin there."""
+        found: dict[str, bool] = {}
+        for service in self._fleet.services():
+            engine = self._knowledge.engine(service)
+            if engine is None:
+                continue
+            model = engine.models[0] if engine.models else ""
+            least = self._versions.preferred(model, self._versions.now)
+            for backend in self._fleet.of(service):
+                found[backend.server.server_id] = (
+                    backend.serves(max(1, least), engine.layers)
+                    and not backend.left
+                    and not backend.loading
+                    and not backend.yielding
+                )
+        return found
+
+    def _agents(self) -> dict[places.Address, reports.Asking]:
+        """Returns where agents listen, and what each is asked for."""
+        port = self._instance.peer_ports[0]
+        return {
+            places.Address(backend.server.address.host, port): reports.Asking(
+                self._is_far(backend.server), not backend.followed
+            )
+            for backend in self._fleet.all()
+            if self._knowledge.engine(backend.server.service) is not None
+        }
+
+    def _is_far(self, server: types.Server) -> bool:
+        """Returns whether a server stands in another region."""
+        distance = balance.region_of(
+            self._instance.regions,
+            self._instance.place,
+            server.failure_domain,
+        )
+        return distance > 1
--- a/tests/overload_site.py
+++ b/tests/overload_site.py
@@ -188,7 +188,7 @@
         return types.Server(
             f"s{number}",
             SERVICE,
-            places.Address("127.0.0.1", 1_000 + number),
+            places.Address(f"10.0.{number // 250}.{number % 250}", 1_000),
             self.place(number).failure_domain,
             self.figures.slots,
             held=(types.Held("m", 1, 1),),
--- a/tests/test_direct_following.py
+++ b/tests/test_direct_following.py
@@ -4,12 +4,20 @@
 import collections
 import functools
 import statistics
+import types
 
 import overload_site
 import pytest
 
+from clementinegw.direct import admit
+from clementinegw.direct import catalog
 from clementinegw.direct import following
 from clementinegw.direct import reports
+from clementinegw.direct import subscriptions
+from clementinegw.direct import types as direct_types
+from clementinegw.direct import versions
+from clementinegw.telemetry import counters
+from clementinegw.telemetry import logs
 from clementinegw.testing import clock as clocks
 from clementinegw.wire import codec
 from clementinegw.wire.gen.reports import ttypes
@@ -197,3 +205,64 @@
         return shares
 
     assert clocks.run(run()) == [False, False, True, True]
+
+
+class Asked:
+    """Stands for the listener: keeps what agents were asked for."""
+
+    def __init__(self):
+        self.rounds = []
+
+    def subscribe(self, agents, declared, suspicions=()):
+        del declared, suspicions
+        self.rounds.append(dict(agents))
+
+
+def test_an_entry_follows_a_server_as_soon_as_only_that_one_may_serve():
+    """Symptom: callers are turned away for a second behind a due time.
+
+    Sequence: a version is due, and the first server that has it stands in
+    another region, where the entry does not follow it. Cause: what is followed
+    was chosen anew once a second, and agents asked then.
+    """
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        site = overload_site.Site(engines=60, entries=1, domains=DOMAINS)
+        entry = site.entries[0]
+        listener = Asked()
+        known = versions.Versions(8.0, loop.time)
+        asking = subscriptions.Subscriptions(
+            types.SimpleNamespace(
+                name="e",
+                place=entry.place,
+                regions=overload_site.REGIONS,
+                peer_ports=(7_700, 7_715),
+            ),
+            admit.Knowledge(
+                catalog.Catalog(site.configuration), lambda: 0.0, 5.0, 3.0
+            ),
+            entry.fleet,
+            known,
+            listener,
+            lambda: (),
+            loop.time,
+            logs.Log(),
+            counters.Counters(),
+        )
+        asking.ask_all()
+        left_out = next(b for b in entry.fleet.all() if not b.followed)
+        known.declare(direct_types.Declared("m", 2))
+        await asyncio.sleep(8.0)
+        asking.look()
+        before = left_out.followed
+        left_out.take_report(
+            reports.Report("x", 0, 0, 8, "m", 2, True), loop.time()
+        )
+        asking.look()
+        site.stop()
+        return before, left_out.followed, listener.rounds
+
+    before, after, rounds = clocks.run(run())
+    assert (before, after) == (False, True)
+    assert [asking.changes_only for asking in rounds[-1].values()] == [False]
