--- a/src/clementinegw/direct/bring.py
+++ b/src/clementinegw/direct/bring.py
@@ -57,6 +57,10 @@
 # All agents of a deployment stand in the platform's own network; the key only
 # keeps a stray connection of something else out.
 _KEY = b"clementinegw agents of one platform"
+# Copies that may enter a failure domain besides the first one, by agents that
+# help out. With 1.0, 7.2 copies crossed between five domains of 20 agents in
+# place of 5.4, and versions came 0.07 s sooner (virtual).
+_HELPED_COPIES = 0.4
 # How often agents tell each other of new pieces, in seconds. With 0.05 versions
 # came no sooner (virtual, 42 and 102 agents), and a fifth more was told.
 _ADVERT_S = 0.1
@@ -376,7 +380,7 @@
         link_bytes_per_s=link_bytes_per_s,
         stall_floor_s=1.2,
         aside_s=3.0,
-        cross_copies=1.0,
+        cross_copies=_HELPED_COPIES,
         advert_s=_ADVERT_S,
         far_advert_s=_FAR_ADVERT_S,
     )
