Wait for a version's last pieces for as long as the newer one has time to spare

Change: the older version's last pieces go first while the time that the origin takes for them is less than what the newer one has to spare before the first due time.

--- a/src/clementinegw/direct/bring.py
+++ b/src/clementinegw/direct/bring.py
@@ -171,6 +171,7 @@
             counters=counters,
             part_bytes=_PART_BYTES,
         )
+        self.origin_bytes_per_s = _ORIGIN_LINKS * link_bytes_per_s
         self._digests: backing.Digests | None = None
         self._descriptions = descriptions.Descriptions(
             self._endpoint, rng, counters
@@ -269,6 +270,7 @@
     def set_origin_rate(self, bytes_per_s: float) -> None:
         """Says how fast the origin's link is; 0 where nobody knows."""
         if bytes_per_s > 0:
+            self.origin_bytes_per_s = bytes_per_s
             self.transfer.set_origin_rate(_ORIGIN_AHEAD * bytes_per_s)
 
     def set_fleet(self, others: list[types.Instance]) -> None:
--- a/src/clementinegw/direct/keep.py
+++ b/src/clementinegw/direct/keep.py
@@ -43,10 +43,6 @@
 _ASIDE_S = 4.0
 
 
-# The part of a version's pieces that is waited for before a newer one is drawn:
-# what the origin sends in about half a second. With nothing out yet the older
-# one held the newer up for 3.5 s, and neither came in time.
-_LAST_PART = 0.25
 # A version that was declared so short a time ago lies with no agent yet: the
 # first pieces are drawn a tenth of a second later. Seconds.
 _NEW_S = 0.3
@@ -266,6 +262,9 @@
             version=version,
             pieces=len(found.digests),
             staged=staged,
+            was=digests.version if digests is not None else 0,
+            was_left=round(self._bringer.left, 3),
+            was_unspread=round(self._bringer.unspread, 3),
         )
         self._moved_at = self._clock()
         is_new = any(
@@ -283,12 +282,25 @@
         origin that was gone 0.4 s after the second one, neither came: no server
         could begin anything for 5.7 s.
         """
-        if newer <= version or not 0 < self._bringer.unspread <= _LAST_PART:
+        if newer <= version or not self._bringer.unspread:
             return False
         if self._bringer.origin_failing_s > _ORIGIN_FAILS_S:
             return False
-        since_s = self._declared.now - self._at(version)
-        return since_s < self._bring_s()
+        now = self._declared.now
+        older = plan.Declaration(version, self._at(version))
+        spare_s = plan.spare_dropped_s(older, self._terms(), now)
+        # Not where the newer one would come late by it: with nothing out yet,
+        # the older one held it up for 3.5 s, and neither came in time.
+        return now - older.at < self._bring_s() and (
+            self._bringer.unspread * self._copy_s() <= spare_s
+        )
+
+    def _copy_s(self) -> float:
+        """Returns how long the origin takes to send a version once."""
+        if self._around.engine is None:
+            return math.inf
+        size = self._around.engine.chunks * self._around.engine.chunk_bytes
+        return size / self._bringer.origin_bytes_per_s
 
     def _stalled(self) -> bool:
         """Returns whether no piece has come for a while."""
--- a/src/clementinegw/direct/plan.py
+++ b/src/clementinegw/direct/plan.py
@@ -81,7 +81,7 @@
         # Links seldom bring what they could: what has time to spare goes first.
         # With a version at three quarters left for one that was to come 1.7 s
         # in time, that one came 1.8 s late.
-        dropped_s = -_spare_dropped_s(older[0], terms, now)
+        dropped_s = -spare_dropped_s(older[0], terms, now)
         ended_s = -_spare_ended_s(older[0], newest, current, terms, now)
     return current.version if ended_s < dropped_s else newest.version
 
@@ -126,7 +126,7 @@
     return usual
 
 
-def _spare_dropped_s(older: Declaration, terms: Terms, now: float) -> float:
+def spare_dropped_s(older: Declaration, terms: Terms, now: float) -> float:
     """Returns how long before the first due time the newest one serves.
 
     Negative where it comes later; where the older one is dropped.
@@ -154,7 +154,7 @@
 
 def _gap_dropped_s(older: Declaration, terms: Terms, now: float) -> float:
     """Returns how long nothing may begin where the older one is dropped."""
-    return max(0.0, -_spare_dropped_s(older, terms, now))
+    return max(0.0, -spare_dropped_s(older, terms, now))
 
 
 def _gap_ended_s(
--- a/src/clementinegw/weights/_swarm_events.py
+++ b/src/clementinegw/weights/_swarm_events.py
@@ -36,3 +36,9 @@
     "The weight store or the origin did not give a chunk; it is asked again.",
     "Look at the store when `weights.draw_failed` keeps growing.",
 )
+PEER_LOST = events.define(
+    455,
+    "peer_lost",
+    events.Level.INFO,
+    "The connection to another agent ended; `by_peer` where its end closed it.",
+)
--- a/src/clementinegw/weights/transfer.py
+++ b/src/clementinegw/weights/transfer.py
@@ -115,7 +115,7 @@
         )
         self._fleet = drawers.Fleet([self._me])
         self._draw_policy = limits.draw_policy
-        self._links = links.Links(endpoint, self._give)
+        self._links = links.Links(endpoint, self._on_link)
         self._receiver = receive.Receiver(self._context, self._links, origin)
         self._sender = send.Sender(self._context, endpoint)
         endpoint.on_notice(connections.Kind.CHUNKS_HELD, self._on_held)
@@ -262,6 +262,13 @@
         await self._receiver.stop()
         await self._links.stop()
 
+    def _on_link(self, event: swarm.Event) -> None:
+        if isinstance(event, swarm.PeerDown):
+            self._events.write(
+                events.PEER_LOST, peer=event.peer_id, by_peer=event.by_peer
+            )
+        self._give(event)
+
     def _give(self, event: swarm.Event) -> None:
         now = self._clock.now()
         for action in self._swarm.handle(event, now):
--- a/tests/test_direct_agent.py
+++ b/tests/test_direct_agent.py
@@ -554,6 +554,7 @@
     origin_failing_s: float
     left: float = 0.9
     unspread: float = 1.0
+    origin_bytes_per_s: float = 2_000.0
 
 
 @pytest.mark.parametrize(
@@ -592,13 +593,13 @@
 @pytest.mark.parametrize(
     ("unspread", "failing_s", "since_s", "waits"),
     [
-        (0.1, 0.0, 2.0, True),
-        (0.0, 0.0, 2.0, False),
-        # Both were named while the platform was down, and are known at once:
-        # waiting for all of the older one would make the newer one late.
+        (0.1, 0.0, 0.5, True),
+        (0.0, 0.0, 0.5, False),
+        # Waiting for all of the older one would make the newer one late.
+        (0.5, 0.0, 0.5, False),
         (1.0, 0.0, 0.1, False),
         # An origin that is gone sends the last pieces to nobody.
-        (0.1, 0.6, 2.0, False),
+        (0.1, 0.6, 0.5, False),
         # Nor does one that has not sent them for as long as a version takes.
         (0.1, 0.0, 7.0, False),
     ],
