--- a/src/clementinegw/direct/keep.py
+++ b/src/clementinegw/direct/keep.py
@@ -275,24 +275,14 @@
         self._bringer.want(self._around.origin, found, is_new)
 
     def _must_spread(self, version: int, newer: int) -> bool:
-        """Returns whether a version's last pieces go before a newer version.
-
-        Left a moment before, it is of no use to anybody if the origin is cut
-        off before the newer one is out. With versions two seconds apart and an
-        origin that was gone 0.4 s after the second one, neither came: no server
-        could begin anything for 5.7 s.
-        """
-        if newer <= version or not self._bringer.unspread:
-            return False
-        if self._bringer.origin_failing_s > _ORIGIN_FAILS_S:
+        """Returns whether a version's last pieces go before a newer version."""
+        if newer <= version or self._bringer.origin_failing_s > _ORIGIN_FAILS_S:
             return False
-        now = self._declared.now
-        older = plan.Declaration(version, self._at(version))
-        spare_s = plan.spare_dropped_s(older, self._terms(), now)
-        # Not where the newer one would come late by it: with nothing out yet,
-        # the older one held it up for 3.5 s, and neither came in time.
-        return now - older.at < self._bring_s() and (
-            self._bringer.unspread * self._copy_s() <= spare_s
+        return plan.spreads_first(
+            plan.Declaration(version, self._at(version)),
+            self._bringer.unspread * self._copy_s(),
+            self._terms(),
+            self._declared.now,
         )
 
     def _copy_s(self) -> float:
--- a/src/clementinegw/direct/plan.py
+++ b/src/clementinegw/direct/plan.py
@@ -81,11 +81,35 @@
         # Links seldom bring what they could: what has time to spare goes first.
         # With a version at three quarters left for one that was to come 1.7 s
         # in time, that one came 1.8 s late.
-        dropped_s = -spare_dropped_s(older[0], terms, now)
+        dropped_s = -_spare_dropped_s(older[0], terms, now)
         ended_s = -_spare_ended_s(older[0], newest, current, terms, now)
     return current.version if ended_s < dropped_s else newest.version
 
 
+def spreads_first(
+    older: Declaration, unspread_s: float, terms: Terms, now: float
+) -> bool:
+    """Returns whether an older version's last pieces go before the newest.
+
+    Left a moment before, it is of no use to anybody if the origin is cut off
+    before the newest one is out. With versions two seconds apart and an origin
+    that was gone 0.4 s after the second one, neither came: no server could begin
+    anything for 5.7 s.
+
+    Args:
+      older: The version under way.
+      unspread_s: How long the origin takes to send what no agent has of it.
+      terms: What a rollout takes.
+      now: Boot seconds.
+    """
+    # An origin that has not sent them for as long as a version takes will not.
+    if not unspread_s or now - older.at >= terms.bring_s:
+        return False
+    # Not where the newest one would come late by it: with nothing out yet, the
+    # older one held it up for 3.5 s, and neither came in time.
+    return unspread_s <= _spare_dropped_s(older, terms, now)
+
+
 def _useful(
     declared: Sequence[Declaration],
     current: Progress | None,
@@ -126,7 +150,7 @@
     return usual
 
 
-def spare_dropped_s(older: Declaration, terms: Terms, now: float) -> float:
+def _spare_dropped_s(older: Declaration, terms: Terms, now: float) -> float:
     """Returns how long before the first due time the newest one serves.
 
     Negative where it comes later; where the older one is dropped.
@@ -154,7 +178,7 @@
 
 def _gap_dropped_s(older: Declaration, terms: Terms, now: float) -> float:
     """Returns how long nothing may begin where the older one is dropped."""
-    return max(0.0, -spare_dropped_s(older, terms, now))
+    return max(0.0, -_spare_dropped_s(older, terms, now))
 
 
 def _gap_ended_s(
