--- a/src/clementinegw/direct/plan.py
+++ b/src/clementinegw/direct/plan.py
@@ -93,8 +93,8 @@
 
     Left a moment before, it is of no use to anybody if the origin is cut off
     before the newest one is out. With versions two seconds apart and an origin
-    that was gone 0.4 s after the second one, neither came: no server could begin
-    anything for 5.7 s.
+    that was gone 0.4 s after the second one, neither came: no server could
+    begin anything for 5.7 s.
 
     Args:
       older: The version under way.
