Give each soak a loopback address of its own

Cause: an entry's port for callers was taken from those free at that moment, and bound later; soaks run beside each other on one address, so another entry's page that says whether it is ready can stand there first, and an empty 200 is what that page answers. Change: entries of a soak listen on an address that belongs to the soak's process. No check changes.

--- a/tests/soak/entries.py
+++ b/tests/soak/entries.py
@@ -196,7 +196,7 @@
         """Keeps a connection for as long as its process serves it."""
         while True:
             entry = self._rng.choice(self.entries)
-            self.address = ("127.0.0.1", entry.port)
+            self.address = (processes.HOST, entry.port)
             try:
                 async with asyncio.timeout(1.0):
                     caller = await sites.Caller(self).__aenter__()
--- a/tests/soak/process.py
+++ b/tests/soak/process.py
@@ -2,11 +2,17 @@
 
 import asyncio
 import json
+import os
 import pathlib
 import signal
 import socket
 import sys
 
+# A port that was free a moment ago may be taken by whoever asks next. Soaks run
+# beside each other: on one address, callers of one reached the page of another
+# that says whether an entry is ready, and took 232 empty answers for their own.
+HOST = f"127.{1 + os.getpid() // 256 % 200}.{os.getpid() % 256}.200"
+
 
 class Process:
     """One program, started and ended by its process id."""
@@ -111,17 +117,16 @@
         self.port = free_port()
 
     def _instance(self, store_port):
-        host = "127.0.0.1"
         first = free_port()
         return {
             "name": f"entry-{self.number}",
             "place": {"region": "r1", "failure_domain": "d1"},
             "regions": {"d1": "r1"},
-            "host": host,
+            "host": HOST,
             "peer_ports": [first, free_port()],
-            "callers_address": f"{host}:{self.port}",
-            "ready_address": f"{host}:{free_port()}",
-            "store_address": f"{host}:{store_port}",
+            "callers_address": f"{HOST}:{self.port}",
+            "ready_address": f"{HOST}:{free_port()}",
+            "store_address": f"127.0.0.1:{store_port}",
             "bounds": {
                 "keys_ms": 5000,
                 "grace_s": 4,
@@ -159,5 +164,5 @@
 
 def free_port():
     with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
+        sock.bind((HOST, 0))
         return sock.getsockname()[1]
