--- a/src/clementinegw/direct/readers.py
+++ b/src/clementinegw/direct/readers.py
@@ -22,13 +22,6 @@
 _LONGEST_LOOK_S = 5.0
 # And so seldom once a reader has failed, in seconds.
 _LOOK_S = 2.0
-# So many of a failure domain stay on the list: three are asked at most, and one
-# may go. Each renewal is paid for; with 20 entries of a domain on it, renewals
-# grew with entries, and nobody ever asked 16 of them.
-_MOST_LISTED = 4
-# Who is not needed looks so often whether that still holds, in seconds, besides
-# when a reader fails.
-_RESERVE_LOOK_S = 10.0
 
 
 class Keeper(mode.Service):
@@ -58,7 +51,6 @@
         self._log = log
         self._counters = counters
         self._generation = 0
-        self._needed = True
         self._look_s = _FIRST_LOOK_S
         self._looked = asyncio.Event()
         self._stale = asyncio.Event()
@@ -93,9 +85,6 @@
                 await asyncio.sleep(_RENEW_S)
 
     async def _join(self) -> None:
-        if not self._needed:
-            await self._wait_in_reserve()
-            return
         generation = await self._readers.join()
         if generation != self._generation or self._stale.is_set():
             self._stale.clear()
@@ -104,19 +93,6 @@
         self._looked.set()
         await asyncio.sleep(_RENEW_S)
 
-    async def _wait_in_reserve(self) -> None:
-        """Leaves reading to others until one of them fails, or for a while.
-
-        What is not renewed runs out by itself.
-        """
-        try:
-            async with asyncio.timeout(_RESERVE_LOOK_S):
-                await self._stale.wait()
-        except TimeoutError:
-            pass
-        self._stale.clear()
-        await self._look()
-
     async def _ask(self) -> None:
         await self._look()
         if not self._choice.candidates:
@@ -131,10 +107,7 @@
 
     async def _look(self) -> None:
         self._counters.add("readers.looks")
-        candidates = await self._readers.candidates()
-        self._take(candidates)
-        first = candidates[:_MOST_LISTED]
-        self._needed = len(first) < _MOST_LISTED or self._choice.me in first
+        self._take(await self._readers.candidates())
 
     def _take(self, candidates: tuple) -> None:
         if self._choice.offer(candidates):
