Say once what the change said twice; behaviour as it was

Cause, from reading the change again: the queue asked whether any share is left and each choice asked it again, over all servers; plan.py computed twice when both versions serve; a test built an agent's instance twice. Change: the queue alone asks; _serve_at and instance_of serve both places.

--- a/src/clementinegw/direct/balance.py
+++ b/src/clementinegw/direct/balance.py
@@ -114,8 +114,6 @@
           wanted: What the request needs.
           tried: Starts of servers that have had it.
         """
-        if not self.has_room(wanted.service):
-            return None
         now = self._clock()
         fitting = self.candidates(wanted)
         if tried:
@@ -138,8 +136,8 @@
     def has_room(self, service: str) -> bool:
         """Returns whether this entry has a share left at any server.
 
-        It is asked before each choice, since it looks at nothing else of a
-        server: in an overload almost every look ends here.
+        Whoever chooses for many asks this first, since it looks at nothing else
+        of a server: in an overload almost every look ends here.
         """
         now = self._clock()
         return any(b.has_share(now) for b in self._servers.of(service))
--- a/src/clementinegw/direct/plan.py
+++ b/src/clementinegw/direct/plan.py
@@ -170,10 +170,18 @@
 
     Where the older one is ended.
     """
+    older_at, newest_at = _serve_at(current, terms, now)
+    older_s = older.at + terms.due_s - older_at
+    return min(older_s, newest.at + terms.due_s - newest_at)
+
+
+def _serve_at(
+    current: Progress, terms: Terms, now: float
+) -> tuple[float, float]:
+    """Returns when both versions serve where the older one is ended."""
     ended_at = now + current.left * terms.bring_s
-    older_s = older.at + terms.due_s - (ended_at + terms.swap_s)
     newest_at = ended_at + terms.bring_s + terms.swap_s
-    return min(older_s, newest.at + terms.due_s - newest_at)
+    return ended_at + terms.swap_s, newest_at
 
 
 def _gap_dropped_s(older: Declaration, terms: Terms, now: float) -> float:
@@ -196,9 +204,7 @@
     each, and the older one dropped because it would be late by a moment, no
     server could begin anything for 4.6 s.
     """
-    ended_at = now + current.left * terms.bring_s
-    older_at = ended_at + terms.swap_s
-    newest_at = ended_at + terms.bring_s + terms.swap_s
+    older_at, newest_at = _serve_at(current, terms, now)
     older_due = older.at + terms.due_s
     newest_due = newest.at + terms.due_s
     # What the older one serves between its arrival and the newest one's time.
--- a/tests/test_direct_agent.py
+++ b/tests/test_direct_agent.py
@@ -220,19 +220,8 @@
         return self
 
     async def start(self, number, host):
-        instance = instances.Instance(
-            name=f"agent-{number}",
-            place=places.Place(f"r{number}", f"d{number}"),
-            regions={f"d{n}": f"r{n}" for n in range(len(self.besides))},
-            host=host,
-            peer_ports=(PORT, PORT + 1),
-            store=places.Address("127.0.0.1", 1),
-            callers=None,
-            ready=None,
-            backend=places.Address(host, 1),
-            service="engine",
-            link_bytes_per_s=self.link_bytes_per_s,
-            bounds=instances.Bounds(),
+        instance = instance_of(
+            self.link_bytes_per_s, number, host, len(self.besides)
         )
         platform = Platform(self)
         agent = agents.Agent(
@@ -265,13 +254,12 @@
         raise AssertionError(f"version {version} is not everywhere")
 
 
-def instance_of(link_bytes_per_s):
-    """Returns the instance of an agent of which only the link matters."""
-    host = f"{NETWORK}.11"
+def instance_of(link_bytes_per_s, number=0, host=f"{NETWORK}.11", domains=1):
+    """Returns the instance of an agent, one of as many as there are domains."""
     return instances.Instance(
-        name="agent-0",
-        place=places.Place("r0", "d0"),
-        regions={"d0": "r0"},
+        name=f"agent-{number}",
+        place=places.Place(f"r{number}", f"d{number}"),
+        regions={f"d{n}": f"r{n}" for n in range(domains)},
         host=host,
         peer_ports=(PORT, PORT + 1),
         store=places.Address("127.0.0.1", 1),
