Take a caller that is less patient than others for new

Cause: an entry held every caller whose time was over 0.1 s shorter than the longest seen on its route for one that had come back.

Change: who has at least 0.85 of the longest time is new; nobody that is told to come back comes with more.

Tests: two new ones of admit.CallersTime and one of the lasting overload at 0.85.

--- a/src/clementinegw/direct/admit.py
+++ b/src/clementinegw/direct/admit.py
@@ -12,9 +12,10 @@
 
 # When to come back while the process learns what it needs, in seconds.
 _RETRY_SOON_S = 0.3
-# What a caller's time may differ by between two requests of a route without
-# the later one being taken for one that came back, in seconds.
-_SAME_TIME_S = 0.1
+# The least part of its time after which a caller that was turned away comes
+# back. Callers of a route differ in patience by up to as much, so one whose
+# time is shorter by less is new.
+LEAST_RETURN_SHARE = 0.15
 _UNAVAILABLE = 503
 
 
@@ -79,7 +80,9 @@
     """How long callers of each route wait at first.
 
     A caller that was refused comes back with less time. Taken for a new one,
-    it would be preferred to those that can still be on time, and late itself.
+    it would be preferred to those that can still be on time, and late itself. A
+    new one that is less patient than others must not be taken for one that came
+    back: it would wait behind all others for a third of its time, and in vain.
     """
 
     def __init__(self) -> None:
@@ -92,7 +95,7 @@
         usual_s = max(self._usual_s.get(route, 0.0), timeout_s)
         self._usual_s[route] = usual_s
         spent_s = usual_s - timeout_s
-        return spent_s if spent_s > _SAME_TIME_S else 0.0
+        return spent_s if spent_s > LEAST_RETURN_SHARE * usual_s else 0.0
 
 
 def later(reason: Reason, retry_after_s: float) -> outcomes.Refusal:
--- a/src/clementinegw/direct/finals.py
+++ b/src/clementinegw/direct/finals.py
@@ -85,6 +85,7 @@
             reason=refusal.reason.value,
             sends=job.sends if job else 0,
             runs=job.runs if job else 0,
+            spent_ms=round(job.spent_s * 1e3) if job else 0,
             age_s=round(min(self._knowledge.age_s(), 9_999.0), 3),
             after_ms=round((self._clock() - request.arrived_at) * 1000, 1),
         )
@@ -129,6 +130,7 @@
             sends=job.sends,
             server=job.server_id,
             busy=round(job.busy, 2),
+            spent_ms=round(job.spent_s * 1e3),
             waited_ms=round(job.waited_s * 1e3),
             first_ms=None if first is None else round((first - arrived) * 1e3),
             total_ms=round((now - arrived) * 1e3),
--- a/src/clementinegw/direct/placing.py
+++ b/src/clementinegw/direct/placing.py
@@ -46,7 +46,7 @@
 # When to come back, as a part of the caller's time: when servers have no room,
 # and when none serves.
 # Callers wait for a third of their time at most; what is refused twice is lost.
-_RETRY_FULL = (0.15, 0.3)
+_RETRY_FULL = (admit.LEAST_RETURN_SHARE, 0.3)
 _RETRY_NONE = (0.27, 0.33)
 # What crashes servers does so again: its caller gets no second chance.
 _RETRY_NEVER = (1.0, 1.0)
--- a/src/clementinegw/testing/engine_model.py
+++ b/src/clementinegw/testing/engine_model.py
@@ -103,7 +103,13 @@
             await self._pass()
 
     async def _pass(self) -> None:
-        """Reads prompts between the steps of one event of each stream."""
+        """Reads prompts between the steps of one event of each stream.
+
+        Who is admitted is settled as a pass begins: what comes meanwhile waits
+        for the next one.
+        """
+        while self._waiting and self.running < self._figures.slots:
+            self._running.append(self._waiting.pop(0))
         writers = [w for w in self._running if not w.prompt_tokens]
         steps = self._figures.steps_per_pass if writers else 1
         for _ in range(steps):
@@ -115,8 +121,6 @@
 
     def _read(self) -> float:
         """Reads prompts in the order of arrival; returns the time it takes."""
-        while self._waiting and self.running < self._figures.slots:
-            self._running.append(self._waiting.pop(0))
         left = self._figures.prefill_tokens_per_step
         for work in self._running:
             part = min(left, work.prompt_tokens)
--- a/tests/overload_site.py
+++ b/tests/overload_site.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 from collections.abc import Callable
 import dataclasses
 import math
@@ -31,11 +32,15 @@
 
 SERVICE = "engine"
 REPORT_S = 0.1
+# What a server tells of its load is so many reports old.
+LAG_REPORTS = 2
 # An entry in another region gets one report of so many.
 FAR_EVERY = 4
 MOST_DOMAINS = 5
 REGIONS = {f"d{n}": f"r{n}" for n in range(MOST_DOMAINS)}
 DEADLINE_S = 6.0
+# Callers differ in patience by up to this part of it.
+PATIENCE_SPREAD = 0.15
 # A caller leaves when nothing has come for so long.
 PATIENCE_S = 3.2
 LARGEST_GAP_S = 0.4
@@ -68,6 +73,7 @@
     arrived_at: float
     prompt: int
     events: int
+    deadline_s: float = DEADLINE_S
     first_at: float = math.inf
     ended_at: float = math.inf
     gap_s: float = 0.0
@@ -138,6 +144,8 @@
         *,
         domains=3,
         follow_all=True,
+        figures=None,
+        kinds=KINDS,
     ):
         """Starts the engines.
 
@@ -148,13 +156,16 @@
           terms: How requests wait for engines; None for the product's.
           domains: How many failure domains, each a region of its own.
           follow_all: Whether each entry follows all engines.
+          figures: What the engines' work takes; None for the usual engine.
+          kinds: What is asked for.
         """
         self._domains = domains
-        self.figures = engine_model.Figures()
+        self.figures = figures or engine_model.Figures()
+        self.kinds = kinds
         self.engines = {
             n: engine_model.Engine(self.figures) for n in range(engines)
         }
-        self.configuration = _configuration(self.figures)
+        self.configuration = _configuration(self.figures, kinds)
         self.rng = random.Random(seed)
         # Apart, so that the same callers come whatever is decided.
         self._arrivals = random.Random(seed)
@@ -196,7 +207,7 @@
 
     async def play(self, seconds, strength: Callable[[float], float]):
         """Lets callers come; `strength` says how many times the usual."""
-        total = sum(kind.per_s for kind in KINDS)
+        total = sum(kind.per_s for kind in self.kinds)
         while self.now < seconds:
             rate = total * strength(self.now)
             await asyncio.sleep(self._arrivals.expovariate(rate))
@@ -215,9 +226,15 @@
     def part_in_time(self, since, until):
         """Answers in time of who came then, as a part of what engines can."""
         found = self.came(since, until)
+        can = self.part_that_engines_can(since, until)
+        return sum(c.in_time for c in found) / len(found) / can
+
+    def part_that_engines_can(self, since, until):
+        """What engines can serve, as a part of who came then; 1 at most."""
+        found = self.came(since, until)
         engine_s = statistics.fmean(self._engine_s(c) for c in found)
         can = len(self.engines) / engine_s * (until - since)
-        return sum(c.in_time for c in found) / min(len(found), can)
+        return min(1.0, can / len(found))
 
     def _engine_s(self, caller):
         """Returns the time of a full engine that one request takes."""
@@ -227,23 +244,30 @@
         return reading_s + caller.events * event_s / figures.slots
 
     def _caller(self):
-        weights = [kind.per_s for kind in KINDS]
-        kind = self._arrivals.choices(KINDS, weights)[0]
+        weights = [kind.per_s for kind in self.kinds]
+        kind = self._arrivals.choices(self.kinds, weights)[0]
         prompt = _drawn(self._arrivals, kind.prompt, 1.0, 3 * kind.prompt)
         events = _drawn(self._arrivals, kind.events, 0.8, 2.5 * kind.events)
-        caller = Caller(kind, self.now, max(1, prompt), max(1, events))
+        patience = 1.0 - self._arrivals.uniform(0.0, PATIENCE_SPREAD)
+        caller = Caller(
+            kind,
+            self.now,
+            max(1, prompt),
+            max(1, events),
+            patience * DEADLINE_S,
+        )
         self.callers.append(caller)
         return caller
 
     async def _call(self, caller):
         entry = self.rng.choice(self.entries)
-        wait_s = await self._ask(caller, entry, DEADLINE_S)
+        wait_s = await self._ask(caller, entry, caller.deadline_s)
         if wait_s is None:
             return
         caller.refusals += 1
-        left_s = DEADLINE_S - (self.now - caller.arrived_at)
+        left_s = caller.deadline_s - (self.now - caller.arrived_at)
         await asyncio.sleep(min(wait_s, left_s / 3))
-        left_s = DEADLINE_S - (self.now - caller.arrived_at)
+        left_s = caller.deadline_s - (self.now - caller.arrived_at)
         again = self.rng.choice([e for e in self.entries if e is not entry])
         if await self._ask(caller, again, left_s) is not None:
             caller.refusals += 1
@@ -320,8 +344,12 @@
         loop = asyncio.get_running_loop()
         await asyncio.sleep(self.rng.random() * REPORT_S)
         told = self.rng.randrange(FAR_EVERY)
+        # What an agent asks its server is answered as of a while ago.
+        seen = collections.deque([(0, 0)] * LAG_REPORTS, maxlen=LAG_REPORTS)
         while True:
             engine = self.engines[number]
+            running, waiting = seen[0]
+            seen.append((engine.running, engine.waiting))
             told_to = [
                 entry
                 for entry in self.entries
@@ -329,8 +357,8 @@
             ]
             report = reports.Report(
                 f"s{number}",
-                engine.running,
-                engine.waiting,
+                running,
+                waiting,
                 self.figures.slots,
                 "m",
                 1,
@@ -349,8 +377,8 @@
             await asyncio.sleep(REPORT_S)
 
     def _take(self, entry, number, report):
-        reading_s = sum(k.prompt * k.per_s for k in KINDS) / sum(
-            k.per_s for k in KINDS
+        reading_s = sum(k.prompt * k.per_s for k in self.kinds) / sum(
+            k.per_s for k in self.kinds
         )
         reading_s /= self.figures.prefill_tokens_per_s
         backend = entry.fleet.find(f"s{number}")
@@ -384,7 +412,7 @@
     )
 
 
-def _configuration(figures):
+def _configuration(figures, kinds):
     engine = types.Engine(
         ("m",),
         figures.slots,
@@ -400,5 +428,5 @@
     )
     service = types.Service(SERVICE, 274, engine)
     return types.Configuration(
-        1, tuple(_route(kind) for kind in KINDS), {SERVICE: service}, {}
+        1, tuple(_route(kind) for kind in kinds), {SERVICE: service}, {}
     )
--- a/tests/test_direct_overload.py
+++ b/tests/test_direct_overload.py
@@ -6,10 +6,12 @@
 import overload_site
 import pytest
 
+from clementinegw.direct import admit
 from clementinegw.direct import foresight
 from clementinegw.direct import queue
 from clementinegw.direct import spare
 from clementinegw.testing import clock as clocks
+from clementinegw.testing import engine_model
 
 # Late requests might take a fixed part of the slots once.
 FORMER = queue.Terms(most_busy=1.0, most_busy_late=0.9, least_busy_late=0.9)
@@ -17,6 +19,33 @@
 TEN_S_LATER = (20.0, 25.0)
 # Requests under way at the end are waited for.
 AFTER_S = 7.0
+# Engines, kinds of request and how many come a second: 1.7 times what ten such
+# engines can serve.
+LOADS = {
+    "drafts": (
+        engine_model.Figures(
+            slots=12,
+            step_s=7.4e-3,
+            steps_per_pass=7,
+            prefill_tokens_per_s=31_900.0,
+        ),
+        (
+            overload_site.Kind("large", 112.0, 1_330.0, 18.0, 0.406),
+            overload_site.Kind("middle", 135.0, 827.0, 18.0, 0.406),
+            overload_site.Kind("small", 86.9, 647.0, 10.0, 0.405),
+        ),
+        182.0,
+    ),
+    "notices": (
+        engine_model.Figures(slots=12),
+        (
+            overload_site.Kind("large", 136.0, 1_330.0, 22.0, 0.506),
+            overload_site.Kind("middle", 100.0, 827.0, 22.0, 0.406),
+            overload_site.Kind("small", 96.7, 647.0, 14.0, 0.405),
+        ),
+        145.0,
+    ),
+}
 
 
 def strength(now):
@@ -85,6 +114,53 @@
     assert sum(c.served for c in found) / len(found) >= 0.97
 
 
+LASTING = (4.0, 20.0)
+# Engines are full, and callers that were turned away are back, from here on.
+SETTLED = 7.0
+
+
+@functools.cache
+def play_lasting(figures, kinds, entries, per_s):
+    async def run():
+        site = overload_site.Site(
+            engines=10, entries=entries, figures=figures, kinds=kinds
+        )
+        usual = sum(kind.per_s for kind in kinds)
+        factor = per_s / usual
+        await site.play(
+            LASTING[1], lambda now: factor * (0.5 if now < LASTING[0] else 1.0)
+        )
+        await asyncio.sleep(AFTER_S)
+        site.stop()
+        return site
+
+    return clocks.run(run())
+
+
+@pytest.mark.parametrize("load", ["drafts", "notices"])
+def test_engines_for_six_tenths_of_the_load_serve_what_they_can_in_time(load):
+    """Symptom: in an overload that lasts a fifth is in time, half is late.
+
+    Sequence: servers that were to be added do not come; from then on engines
+    can serve six tenths of what comes. Cause: callers that are less patient
+    than others were taken for ones that came back, waited behind all others,
+    were turned away, and took as late ones the slots that new ones needed; and
+    slots that were free were given out twice, so that prompts were read for
+    those that came just too late.
+    """
+    figures, kinds, per_s = LOADS[load]
+    site = play_lasting(figures, kinds, 10, per_s)
+    assert site.part_that_engines_can(SETTLED, LASTING[1]) < 0.65
+    assert site.part_in_time(SETTLED, LASTING[1]) >= 0.85
+    found = site.came(SETTLED, LASTING[1])
+    served = sum(c.served for c in found) / len(found)
+    groups = [[c for c in found if c.kind is kind] for kind in kinds]
+    found.sort(key=lambda c: c.prompt)
+    groups.append(found[-len(found) // 10 :])
+    for group in groups:
+        assert sum(c.served for c in group) / len(group) >= served / 2
+
+
 # What part late requests may take.
 
 
@@ -129,3 +205,26 @@
     for _ in range(200):
         found.took(5.0)
     assert found.usual_s == 0.3
+
+
+# Who is new, and who came back.
+
+
+def test_callers_that_are_less_patient_than_others_are_new():
+    """Symptom: two thirds of all callers wait for 1.7 s and are turned away.
+
+    Sequence: callers of one route give between 5.1 and 6.0 s; each one that
+    gave 0.1 s less than the most patient one so far was taken for one that had
+    been turned away before. Cause: its patience, not a refusal, made the
+    difference.
+    """
+    found = admit.CallersTime()
+    assert found.spent_s("r", 6.0) == 0.0
+    assert found.spent_s("r", 5.12) == 0.0
+
+
+def test_callers_that_were_turned_away_have_spent_time():
+    found = admit.CallersTime()
+    found.spent_s("r", 6.0)
+    least_s = admit.LEAST_RETURN_SHARE * 6.0
+    assert found.spent_s("r", 6.0 - least_s - 0.01) > least_s
