Give out free slots and reading time once, not one and a half times or twice

Cause: an entry took a share of twice the free slots and one and a half times the prompts that an engine reads until the next report, as not every entry has a request for its part. In an overload each has one, and what is sent beyond is read for nothing.

Three tests held the factors 2 and 1.5 themselves; their bounds now hold the same widths around 1: (4, 99) is (2, 99), 0.15 to 0.35 is 0.075 to 0.175, 3.3 to 7.0 is 2.2 to 4.7.

--- a/src/clementinegw/direct/fleet.py
+++ b/src/clementinegw/direct/fleet.py
@@ -41,13 +41,6 @@
 _LONG_QUIET_S = 6.0
 # How much the newest interval counts for the usual one.
 _NEWEST_SPAN = 0.3
-# Free slots are given out this often: not every entry has a request for its
-# part, and the next report corrects what was too much.
-_OVERBOOKING = 2.0
-# The same for the prompts that an engine reads from one report to the next. A
-# server that has just loaded shows all its slots free, and got 16 requests in
-# 0.15 s, the last of which waited 0.6 s for their prompts to be read.
-_READING_OVERBOOKING = 1.5
 # The longest time between two reports that counts, in seconds.
 _LONGEST_SPAN_S = 0.5
 
@@ -177,13 +170,14 @@
 
         All entries see the same free slots at the same moment. With each
         taking what it wants, a server that has one slot free gets a request
-        from every entry, and all but one of them are late.
+        from every entry, and all but one of them are late. What is free, and
+        what the engine can read until the next report, is given out once: in an
+        overload a second one is read for nothing, and late.
         """
         free = report.slots - report.running - report.waiting
-        room = min(
-            free * _OVERBOOKING,
-            reads * _READING_OVERBOOKING - report.waiting,
-        )
+        # A server that has just loaded shows all its slots free; the last of 16
+        # requests would wait for the prompts of all others.
+        room = min(free, reads - report.waiting)
         part = max(0.0, room / max(1, report.followers or report.entries))
         whole = int(part)
         more = self._rng.random() < part - whole
