Bring the newest of two versions that became known together, and change versions once

Twenty-odd agents had begun 2, whose pieces then went first until 32.4 s, though it is due when 3 is; the origin sent both at half its rate. From 33.5 s on a failure domain was cut off, and 36 agents changed between 2 and 3 up to ten times a second (401 weights_wanted, 60 usual): what 2 lacked was forgotten as it was left, so it counted as whole, and as too late once taken up. Version 3 was whole at 25 of 35 agents at 40.1 s, 13.6 s after its naming was known; links need 5.2 s.

Change: last pieces of an older version go first only where it serves alone for longer than they take; what a version lacked as it was left is kept.

--- a/src/clementinegw/direct/keep.py
+++ b/src/clementinegw/direct/keep.py
@@ -141,6 +141,7 @@
         self._digests: dict[int, backing.Digests] = {}
         self._here_at: dict[int, float] = {}
         self._aside: dict[int, float] = {}
+        self._left_behind: dict[int, float] = {}
         self._last_left = 1.0
         self._moved_at = 0.0
         self._yielding = False
@@ -232,6 +233,7 @@
             self._terms(),
             self._declared.now,
             self._set_aside(),
+            self._left_behind,
         )
         assert self._around.origin is not None
         if digests is not None and self._must_spread(digests.version, version):
@@ -267,6 +269,10 @@
             was_unspread=round(self._bringer.unspread, 3),
         )
         self._moved_at = self._clock()
+        if digests is not None:
+            self._left_behind[digests.version] = self._bringer.left
+            for old in sorted(self._left_behind)[:-_VERSIONS_KEPT]:
+                del self._left_behind[old]
         is_new = any(
             declared.version == version
             and self._declared.now - declared.at < _NEW_S
@@ -280,6 +286,7 @@
             return False
         return plan.spreads_first(
             plan.Declaration(version, self._at(version)),
+            plan.Declaration(newer, self._at(newer)),
             self._bringer.unspread * self._copy_s(),
             self._terms(),
             self._declared.now,
--- a/src/clementinegw/direct/plan.py
+++ b/src/clementinegw/direct/plan.py
@@ -1,12 +1,15 @@
 """Which of several declared versions to bring next."""
 
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Mapping, Sequence
 import dataclasses
+import types as builtin_types
 
 from clementinegw.direct import declarations
 
 Declaration = declarations.Declaration
 
+_NOTHING_LEFT: Mapping[int, float] = builtin_types.MappingProxyType({})
+
 # By how much an agent's own progress may differ from what links usually bring
 # by then and be taken for it: single pieces and their order make 0.1 to 0.2.
 _FAR_APART = 0.35
@@ -46,6 +49,7 @@
     terms: Terms,
     now: float,
     aside: Collection[int] = (),
+    left_behind: Mapping[int, float] = _NOTHING_LEFT,
 ) -> int:
     """Returns the version to bring; 0 when none is declared.
 
@@ -59,13 +63,15 @@
       terms: What a rollout takes.
       now: Boot seconds.
       aside: Versions that stall, and those that are served already.
+      left_behind: The part that was missing of versions that were under way
+        before, when another one took over.
     """
     if not declared:
         return 0
     # The origin may be cut off right after a newer version was named. The
     # pieces of the one before lie with all agents; without it nothing could
     # serve from its due time on. Where all stall, the newest is tried again.
-    useful = _useful(declared, current, terms, now)
+    useful = _useful(declared, current, left_behind, terms, now)
     declared = [d for d in useful if d.version not in aside] or useful[-1:]
     newest = declared[-1]
     older = [d for d in declared if current and d.version == current.version]
@@ -87,7 +93,11 @@
 
 
 def spreads_first(
-    older: Declaration, unspread_s: float, terms: Terms, now: float
+    older: Declaration,
+    newest: Declaration,
+    unspread_s: float,
+    terms: Terms,
+    now: float,
 ) -> bool:
     """Returns whether an older version's last pieces go before the newest.
 
@@ -98,6 +108,7 @@
 
     Args:
       older: The version under way.
+      newest: The one that it would hold up.
       unspread_s: How long the origin takes to send what no agent has of it.
       terms: What a rollout takes.
       now: Boot seconds.
@@ -105,6 +116,11 @@
     # An origin that has not sent them for as long as a version takes will not.
     if not unspread_s or now - older.at >= terms.bring_s:
         return False
+    # It serves alone from its own due time to the newest one's. Of two that
+    # were named while the platform was away, and became known together, the
+    # older one serves nobody, and would hold the newest one up.
+    if unspread_s > newest.at - older.at:
+        return False
     # Not where the newest one would come late by it: with nothing out yet, the
     # older one held it up for 3.5 s, and neither came in time.
     return unspread_s <= _spare_dropped_s(older, terms, now)
@@ -113,6 +129,7 @@
 def _useful(
     declared: Sequence[Declaration],
     current: Progress | None,
+    left_behind: Mapping[int, float],
     terms: Terms,
     now: float,
 ) -> list[Declaration]:
@@ -124,9 +141,12 @@
     """
     found = []
     for version, newer in zip(declared, declared[1:], strict=False):
-        # What lies here of one that is not under way is not known.
-        under_way = current is not None and current.version == version.version
-        left = current.left if current is not None and under_way else 0.0
+        # What lies here of one that was never under way is not known. One that
+        # was left counts by what it lacked then: held to be whole, it would be
+        # taken up at once, and left at the next look.
+        left = left_behind.get(version.version, 0.0)
+        if current is not None and current.version == version.version:
+            left = current.left
         serves_at = now + left * terms.bring_s + terms.swap_s
         if serves_at < newer.at + terms.due_s:
             found.append(version)
--- a/tests/test_direct_decisions.py
+++ b/tests/test_direct_decisions.py
@@ -167,6 +167,43 @@
     assert plan.choose(both, plan.Progress(2, 0.6), usual, now=2.1) == 3
 
 
+def test_a_version_that_cannot_come_is_not_taken_up_again_and_again():
+    """Symptom: agents change versions ten times a second, for four seconds.
+
+    Sequence: versions 2 and 3 became known together; a failure domain is cut
+    off with next to nothing of either, and 3 stalls. Left, version 2 counted as
+    whole and was taken up; taken up, it could not come in time, and was left.
+    Cause: what was missing of a version was forgotten as it was left.
+    """
+    usual = plan.Terms(bring_s=6.3, swap_s=0.9, due_s=13.4)
+    both = [plan.Declaration(2, 0.0), plan.Declaration(3, 0.1)]
+    lefts = {2: 0.95, 3: 1.0}
+    version, changes = 2, 0
+    for look in range(40):
+        current = plan.Progress(version, lefts[version])
+        behind = {v: left for v, left in lefts.items() if v != version}
+        now = 7.0 + look / 10
+        chosen = plan.choose(both, current, usual, now, {3}, behind)
+        changes += chosen != version
+        version = chosen
+    assert changes <= 1
+
+
+def test_pieces_of_a_version_that_serves_nobody_hold_up_no_other():
+    """Symptom: half of the agents have nothing of a version when it is due.
+
+    Sequence: versions 2 and 3 are named while the platform is away, and known
+    together; some agents learn of 2 a moment before, and bring it until the
+    time of a whole version is over. Cause: last pieces went first, though the
+    older version is due when the newest one is.
+    """
+    usual = plan.Terms(bring_s=6.3, swap_s=0.9, due_s=13.4)
+    first = plan.Declaration(2, 0.0)
+    together, later = plan.Declaration(3, 0.1), plan.Declaration(3, 2.0)
+    assert not plan.spreads_first(first, together, 4.3, usual, now=1.3)
+    assert plan.spreads_first(first, later, 0.5, usual, now=3.0)
+
+
 @pytest.mark.parametrize("current", [None, plan.Progress(1, 0.0)])
 def test_the_only_declared_version_is_brought(current):
     assert plan.choose([FIRST], current, TERMS, now=1.0) == 2
