Count a reader as overdue also where its timer ends a hair early

Cause: the time since it was asked was compared with the very time after which others are asked; in virtual time it came out 1e-12 s shorter, so the slow reader was not put aside, was asked again, and told nobody that its store is out of reach. Change: a millisecond of grace.

--- a/src/clementinegw/direct/race.py
+++ b/src/clementinegw/direct/race.py
@@ -15,6 +15,8 @@
 
 _Whom = TypeVar("_Whom")
 _Answer = TypeVar("_Answer")
+# By how much a timer may seem to end early, in seconds.
+_CLOCK_S = 0.001
 # For how long bytes of a large answer speak for its coming, in seconds.
 _HELD_S = 0.4
 
@@ -110,7 +112,8 @@
                 waited = await self._wait(wait_s)
                 won = self._answered()
                 if won is not None:
-                    overdue = self._overdue(loop.time() - pace.overdue_s)
+                    since = loop.time() - pace.overdue_s + _CLOCK_S
+                    overdue = self._overdue(since)
                     return dataclasses.replace(won, overdue=overdue)
                 if not self._running:
                     self._begin_next()
