--- a/src/clementinegw/direct/balance.py
+++ b/src/clementinegw/direct/balance.py
@@ -12,9 +12,6 @@
 # What a server's load, as a part of its slots, counts for in another failure
 # domain and in another region. Bytes between places are paid for, and what is
 # known of a server far away is four times as old; but a full server costs more.
-# With 0.35 for another region half of all requests went there at 0.85 of what
-# engines can, and 0.89 were in time; with 0.6 a third, and 0.92; with 0.9 0.90
-# (virtual, three seeds, 8 entries before 14 engines in three regions).
 _DISTANCE = (0.0, 0.15, 0.6)
 # How much a doubted server's load seems larger: one that fails half of its
 # requests gets a few only, and still enough to show that it is well again.
@@ -24,7 +21,7 @@
 _TOKENS_A_REQUEST = 1_000.0
 # A draw is added to each load, as a part of the slots. Without it all entries
 # send to the server that the last reports showed emptiest, until the next ones
-# come; with 0.03 in its place 6 in 100 answers were late, with 0.4 under 1.
+# come.
 _SPREAD = 0.4
 # A server that serves this much later than its agent told is not waited for, in
 # seconds: the longest time between two reports and half as much. An agent that
--- a/src/clementinegw/direct/bring.py
+++ b/src/clementinegw/direct/bring.py
@@ -25,9 +25,8 @@
 # way, and one more that was named meanwhile.
 _VERSIONS_KEPT = 3
 _LEAST_STORE_BYTES = 8 << 20
-# The part of the machine's link that pieces may take; the rest is for the
-# live answers of the server beside and for reports: 8 and 4 parts in 100 with
-# 43 entries. With 0.9 connections did not come up within 0.25 s there.
+# The part of the machine's link that pieces may take; the rest is for the live
+# answers of the server beside, for new connections to it, and for reports.
 _LINK_SHARE = 0.87
 # What is asked for at once: at a small machine's link a live event waits for
 # about two of them, well under what makes a stream late. Bytes.
@@ -37,14 +36,14 @@
 # each leaves two fifths of the link idle.
 _ASKS_A_PEER = 2
 # Agents of the own failure domain that each is connected to: all of a dozen.
-# An agent sees only what its neighbours hold; with eight of fourteen it took
-# from other regions what was near, 5.7 copies of a version in place of 2.0.
+# An agent sees only what its neighbours hold, and takes from other regions what
+# is near but out of its sight.
 _LOCAL_NEIGHBOURS = 16
 # Draws are spread as if the origin's link were this many of a machine's while
 # its rate is not known, and then by this many times that rate. The sooner all
 # pieces are out, the less an origin that is cut off can hold back; but those
 # asked for sooner than its link carries them all come late, and new connections
-# did not come up within 0.6 s behind them.
+# do not come up behind them.
 _ORIGIN_LINKS = 3.0
 _ORIGIN_AHEAD = 1.1
 # Up to so many agents each ask the origin what a version consists of: less than
@@ -58,18 +57,14 @@
 # keeps a stray connection of something else out.
 _KEY = b"clementinegw agents of one platform"
 # Copies that may enter a failure domain besides the first one, by agents that
-# help out. With 1.0, 7.2 copies crossed between five domains of 20 agents in
-# place of 5.4, and versions came 0.07 s sooner (virtual).
+# help out: bytes between places are paid for.
 _HELPED_COPIES = 0.4
-# How often agents tell each other of new pieces, in seconds. With 0.05 versions
-# came no sooner (virtual, 42 and 102 agents), and a fifth more was told.
+# How often agents tell each other of new pieces, in seconds.
 _ADVERT_S = 0.1
 # How often agents elsewhere are told that only help a chunk into their failure
 # domain, in seconds: they wait for the first of their own for longer than that.
-# Told at once, 42 agents took in 160 of these messages a second each.
 _FAR_ADVERT_S = 0.3
-# A sign of life is asked for once before a peer is given up. With 0.7 s in
-# place of 1.0 s, 31 agents exchanged 800 of these frames a second.
+# A sign of life is asked for once before a peer is given up.
 _TIMING = connections.Timing(connect_s=1.0, ping_s=1.0, silent_s=2.1)
 
 
--- a/src/clementinegw/direct/declarations.py
+++ b/src/clementinegw/direct/declarations.py
@@ -25,8 +25,7 @@
 # time counts anew: all servers would load at once else. So no more than what a
 # silent connection takes to be noticed is taken off, in seconds.
 MOST_UNREAD_S = 1.2
-# A process is up about so long after it was started, in seconds; entries took
-# 0.4 s on one core.
+# A process is up about so long after it was started, in seconds.
 _START_S = 0.5
 # What is not worth a line, in seconds.
 _MOVED_S = 0.1
--- a/src/clementinegw/direct/fleet.py
+++ b/src/clementinegw/direct/fleet.py
@@ -32,8 +32,8 @@
 _REPORT_FRESH_S = 0.5
 # A server whose agent has told nothing for this long, and as many of its usual
 # intervals, and that has sent nothing itself since, is taken for frozen or cut
-# off. Found out from requests alone, each entry loses some of them to it, for
-# 0.8 s each. Lost datagrams come one or two in a row. After a while only
+# off. Found out from requests alone, each entry loses some of them to it. Lost
+# datagrams come one or two in a row. After a while only
 # requests tell: an agent may be gone for long beside a server that is well.
 # Seconds.
 _QUIET_S = 0.4
--- a/src/clementinegw/direct/foresight.py
+++ b/src/clementinegw/direct/foresight.py
@@ -1,11 +1,10 @@
 """How long a service takes to begin an answer, learned from its answers.
 
 The load that this answers: engines that are full. There a prompt waits for the
-pass under way and for the prompts before it: 0.25 s at the median, 0.31 to
-0.5 s for three in ten, where engines that are half full take 0.15 s. A constant
-holds for one kind of engine at one load; what is sent by one that is too short
-comes just too late, and by one that is too long is not sent at all. On the
-engine that 0.2 s was measured on, learning it gains nothing beyond noise.
+pass under way and for the prompts before it, twice as long as at one that is
+half full. A constant holds for one kind of engine at one load; what is sent by
+one that is too short comes just too late, and by one that is too long is not
+sent at all.
 """
 
 # Learned is what this part of the answers stays below: a request that is held
--- a/src/clementinegw/direct/placing.py
+++ b/src/clementinegw/direct/placing.py
@@ -28,7 +28,7 @@
 # What is believed of the time to a first event before any has come, and the
 # longest that is believed, in passes of a full engine: the pass under way, its
 # own and what is read beside take that long at one that is half full, and at
-# one that is full (0.19 and 0.29 s with passes of 48 ms).
+# one that is full.
 _FIRST_EVENT_PASSES = 4.0
 _MOST_FIRST_EVENT_PASSES = 6.0
 # A new request counts as one that can be on time for at least this part of its
--- a/src/clementinegw/direct/plan.py
+++ b/src/clementinegw/direct/plan.py
@@ -85,8 +85,6 @@
     ended_s = _gap_ended_s(older[0], newest, current, terms, now)
     if ended_s == dropped_s:
         # Links seldom bring what they could: what has time to spare goes first.
-        # With a version at three quarters left for one that was to come 1.7 s
-        # in time, that one came 1.8 s late.
         dropped_s = -_spare_dropped_s(older[0], terms, now)
         ended_s = -_spare_ended_s(older[0], newest, current, terms, now)
     return current.version if ended_s < dropped_s else newest.version
@@ -102,9 +100,7 @@
     """Returns whether an older version's last pieces go before the newest.
 
     Left a moment before, it is of no use to anybody if the origin is cut off
-    before the newest one is out. With versions two seconds apart and an origin
-    that was gone 0.4 s after the second one, neither came: no server could
-    begin anything for 5.7 s.
+    before the newest one is out: neither comes, and nothing may begin.
 
     Args:
       older: The version under way.
@@ -121,8 +117,7 @@
     # older one serves nobody, and would hold the newest one up.
     if unspread_s > newest.at - older.at:
         return False
-    # Not where the newest one would come late by it: with nothing out yet, the
-    # older one held it up for 3.5 s, and neither came in time.
+    # Not where the newest one would come late by it, and neither be in time.
     return unspread_s <= _spare_dropped_s(older, terms, now)
 
 
@@ -135,9 +130,8 @@
 ) -> list[Declaration]:
     """Returns the versions that can serve before a newer one is due.
 
-    With an origin that was away for six seconds, agents ended the version that
-    had almost come, 2.4 s after it was of any use, and the newest came four
-    seconds later than it could have.
+    One that is ended behind that time is of no use, and the newest comes later
+    than it could.
     """
     found = []
     for version, newer in zip(declared, declared[1:], strict=False):
@@ -159,9 +153,9 @@
     """Returns the part that is missing, as all agents will count it.
 
     Agents that are a few pieces apart must not decide otherwise: half of them
-    dropped a version that the others ended, and that then took 7.7 s over links
-    that carry it in 5.2 s. All know when it was named; an agent's own count
-    goes first only where it is far behind or ahead.
+    would drop a version that the others end, which then takes longer. All know
+    when it was named; an agent's own count goes first only where it is far
+    behind or ahead.
     """
     usual = 1.0 - (now - older.at) / terms.bring_s
     usual = min(1.0, max(0.0, usual))
@@ -220,9 +214,8 @@
 
     Two gaps: from the older one's due time until it serves, and from the
     newest one's until that does. An older one that comes late still ends the
-    first gap. With versions named four seconds apart, links that take 5.2 s for
-    each, and the older one dropped because it would be late by a moment, no
-    server could begin anything for 4.6 s.
+    first gap: dropped because it would be late by a moment, it leaves a longer
+    one.
     """
     older_at, newest_at = _serve_at(current, terms, now)
     older_due = older.at + terms.due_s
--- a/src/clementinegw/direct/queue.py
+++ b/src/clementinegw/direct/queue.py
@@ -229,9 +229,8 @@
     ) -> fleet.Backend | None:
         """Returns a server with room; notes what none has room for.
 
-        Most who wait need the same. With each looking through all servers, a
-        hundred before 23 servers took 7.8 ms in place of 0.6 ms, at each of
-        150 reports a second: more than an entry has.
+        Most who wait need the same: with each looking through all servers, at
+        each of a hundred reports a second, an entry has no time left.
         """
         needed = waiting.wanted()
         for tried in (waiting.tried, _NOBODY):
--- a/src/clementinegw/direct/rests.py
+++ b/src/clementinegw/direct/rests.py
@@ -11,8 +11,8 @@
 from clementinegw.direct import fleet
 
 # A server that rests is tried no more often than one whose connections time
-# out would be, also where it refuses them at once; a single request made 220
-# connections in 0.8 s. Seconds, as long as a connection may take to come up.
+# out would be, also where it refuses them at once: a request would connect over
+# and over. Seconds, as long as a connection may take to come up.
 _TRY_EVERY_S = 0.25
 
 
--- a/src/clementinegw/direct/spare.py
+++ b/src/clementinegw/direct/spare.py
@@ -2,10 +2,8 @@
 
 The load that this answers: a burst that is over, and a backlog that is not.
 What was turned away comes back, too late to be on time, and fills the engines;
-those who come new find no slot, are late in turn, and come back as well. With a
-fixed part of 0.9, engines before which the load stayed a sixth too high after a
-burst of six seconds served 0.52 of all in time; with a part that gives way,
-0.72 (mean of three seeds in virtual time, ten seconds after the burst).
+those who come new find no slot, are late in turn, and come back as well. So the
+part that late ones take gives way.
 
 How many slots those who come new will need is not known, so it is found out:
 the part shrinks while any of them finds no room in time, and grows while all
--- a/src/clementinegw/direct/versions.py
+++ b/src/clementinegw/direct/versions.py
@@ -7,8 +7,8 @@
 from clementinegw.direct import types
 
 # A version is demanded this much before it is due: the time in which a request
-# that is sent now begins at a server with room. With 1.5 in its place most
-# servers stood idle for a second before each due time. Seconds.
+# that is sent now begins at a server with room. Any more, and servers stand
+# idle before each due time. Seconds.
 _MARGIN_S = 0.3
 # Servers that have it already are preferred from this much earlier, in seconds.
 _PREFER_S = 0.3
