Let the first readers alone try a store that is away

Cause: while the store is away all entries of a failure domain ask each other, and who is asked reads for others; where all have failed, each tried the store by itself. So at its return all read the whole configuration at once over one link.

Change: where all have failed the first two readers go on trying the store, the others ask these, and try it themselves every four seconds; a question that got no answer makes nobody a reader.

--- a/src/clementinegw/direct/choice.py
+++ b/src/clementinegw/direct/choice.py
@@ -21,6 +21,12 @@
 # again before it reads the store itself; and each after this pause.
 _START_S = 1.2
 _START_ASIDE_S = 0.15
+# While nobody reaches the store, so many of the first readers go on trying it;
+# the others ask these, and try it themselves only this often, in seconds: all
+# of them would read what has changed at the same moment, over one link, when it
+# returns. One that it turns away alone finds out so that it is back.
+_TRIERS = 2
+_TRY_S = 4.0
 
 
 class Choice:
@@ -39,6 +45,7 @@
         self._candidates: tuple[types.Address, ...] = ()
         self._aside_until: dict[Reader, float] = {}
         self._failures: dict[Reader, int] = {}
+        self._try_at = 0.0
 
     @property
     def candidates(self) -> tuple[types.Address, ...]:
@@ -74,7 +81,22 @@
         if starting:
             ranked.remove(None)
         fit = [r for r in ranked if self._aside_until.get(r, 0.0) <= now]
-        return fit if fit or starting else [None]
+        return fit if fit or starting else self._all_aside(ranked, now)
+
+    def _all_aside(self, ranked: list[Reader], now: float) -> list[Reader]:
+        """Returns whom to ask where all have failed just now."""
+        others = [reader for reader in ranked if reader is not None][:_TRIERS]
+        rank = self._rank()
+        if rank >= _TRIERS and others and now < self._try_at:
+            return others
+        self._try_at = now + _TRY_S
+        return [None, *others]
+
+    def _rank(self) -> int:
+        """Returns where this process stands among the readers."""
+        if self.me not in self._candidates:
+            return len(self._candidates)
+        return self._candidates.index(self.me)
 
     def is_aside(self, reader: Reader) -> bool:
         """Whether a reader failed just now."""
--- a/src/clementinegw/direct/shared.py
+++ b/src/clementinegw/direct/shared.py
@@ -395,10 +395,12 @@
                 await self._next_change()
                 if self._clock() >= started + question.wait_s:
                     await say()
+            # Not for one that got no answer: while the store is away all ask
+            # each other, and all would read it for others when it returns.
+            self._asked_until = self._clock() + _KEEP_UP_S
             return self._news(question, started)
         finally:
             self._open -= 1
-            self._asked_until = self._clock() + _KEEP_UP_S
 
     def _begin_to_read(self) -> None:
         # From the store, so that nobody waits for somebody who waits for him.
--- a/tests/test_direct_shared.py
+++ b/tests/test_direct_shared.py
@@ -316,3 +316,30 @@
                     await reader.shared.answer(question, say)
 
     clocks.run(play())
+
+
+def test_a_large_change_crosses_the_link_few_times_when_the_store_returns():
+    """Symptom: older routes are served 3 s after a configuration is in force.
+
+    Sequence: the store is away for eight seconds, and a large configuration is
+    declared as it returns. Cause: while it was away all entries asked each
+    other, and who is asked reads for others; so all read the whole of it at
+    the same time over the one link to the store.
+    """
+
+    async def play():
+        async with shared_domain.Domain(12) as domain:
+            domain.store.bytes_per_s = LINK_BYTES_PER_S
+            domain.store.put("config", b"1")
+            await asyncio.sleep(6.0)
+            domain.store.down = True
+            await asyncio.sleep(8.0)
+            domain.store.put("config", b"2" * CONFIGURATION_BYTES)
+            domain.store.down = False
+            await asyncio.sleep(IN_FORCE_S)
+            known = [p.known["config"][:1] for p in domain.processes]
+            return known, domain.store.bytes_out / CONFIGURATION_BYTES
+
+    known, crossed = clocks.run(play())
+    assert known == [b"2"] * 12
+    assert crossed < 4.0
