--- a/src/clementinegw/direct/choice.py
+++ b/src/clementinegw/direct/choice.py
@@ -85,7 +85,7 @@
 
     def _all_aside(self, ranked: list[Reader], now: float) -> list[Reader]:
         """Returns whom to ask where all have failed just now."""
-        others = [reader for reader in ranked if reader is not None][:_TRIERS]
+        others: list[Reader] = [r for r in ranked if r is not None][:_TRIERS]
         rank = self._rank()
         if rank >= _TRIERS and others and now < self._try_at:
             return others
@@ -94,7 +94,7 @@
 
     def _rank(self) -> int:
         """Returns where this process stands among the readers."""
-        if self.me not in self._candidates:
+        if self.me is None or self.me not in self._candidates:
             return len(self._candidates)
         return self._candidates.index(self.me)
 
