--- a/src/clementinegw/direct/choice.py
+++ b/src/clementinegw/direct/choice.py
@@ -85,10 +85,10 @@
 
     def _all_aside(self, ranked: list[Reader], now: float) -> list[Reader]:
         """Returns whom to ask where all have failed just now."""
-        others: list[Reader] = [r for r in ranked if r is not None][:_TRIERS]
+        others = [reader for reader in ranked if reader is not None][:_TRIERS]
         rank = self._rank()
         if rank >= _TRIERS and others and now < self._try_at:
-            return others
+            return [*others]
         self._try_at = now + _TRY_S
         return [None, *others]
 
