Cancel questions of a race in one place

Cause, from reading the change again: ask_only and the end of run each cancelled what was under way, and only one took note of failures behind it; an answer was built twice to add who was overdue. Change: _drop_all serves both, the answer is built once. Result: behaviour as it was, but that a failure behind ask_only is no longer told as never retrieved; linter and types green, the tests of readers, relay and frozen readers green.

--- a/src/clementinegw/direct/race.py
+++ b/src/clementinegw/direct/race.py
@@ -79,9 +79,7 @@
         """Asks one, and nobody else any more."""
         if whom in self._running.values():
             return
-        for running in self._running:
-            running.cancel()
-        self._running.clear()
+        self._drop_all()
         self._left.clear()
         self._begin(whom)
         self._changed.set()
@@ -110,11 +108,9 @@
             while self._running:
                 wait_s = until - loop.time() if self._left else math.inf
                 waited = await self._wait(wait_s)
-                won = self._answered()
+                won = self._answered(loop.time() - pace.overdue_s + _CLOCK_S)
                 if won is not None:
-                    since = loop.time() - pace.overdue_s + _CLOCK_S
-                    overdue = self._overdue(since)
-                    return dataclasses.replace(won, overdue=overdue)
+                    return won
                 if not self._running:
                     self._begin_next()
                     until = loop.time() + pace.overdue_s
@@ -124,9 +120,7 @@
                     self._begin_next()
                     until = loop.time() + pace.step_s
         finally:
-            for running in self._running:
-                running.cancel()
-                running.add_done_callback(_look_at)
+            self._drop_all()
         assert self._error is not None
         raise self._error
 
@@ -156,8 +150,19 @@
             changed.cancel()
         return not done
 
-    def _answered(self) -> Won[_Whom, _Answer] | None:
-        """Returns the first answer that is there; keeps failures."""
+    def _drop_all(self) -> None:
+        """Cancels all questions under way."""
+        for running in self._running:
+            running.cancel()
+            running.add_done_callback(_look_at)
+        self._running.clear()
+
+    def _answered(self, overdue_since: float) -> Won[_Whom, _Answer] | None:
+        """Returns the first answer that is there; keeps failures.
+
+        Args:
+          overdue_since: Who was asked no later than this is overdue.
+        """
         for running in [r for r in self._running if r.done()]:
             whom = self._running.pop(running)
             try:
@@ -167,7 +172,8 @@
             except exceptions.PlatformError as error:
                 self._error = error
                 continue
-            return Won(whom, answer, (), self._error)
+            overdue = self._overdue(overdue_since)
+            return Won(whom, answer, overdue, self._error)
         return None
 
     def _overdue(self, since: float) -> tuple[_Whom, ...]:
