--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -260,6 +260,7 @@
         self.closed = 0
         self.connections = 0
         self.last_call_at = 0.0
+        self.arrived_at = []
 
     async def start(self):
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -308,6 +309,7 @@
     async def _call(self, call):
         self.calls.append(call)
         self.last_call_at = asyncio.get_running_loop().time()
+        self.arrived_at.append(self.last_call_at)
         expected = call.headers.get("x-clementinegw-expect-instance")
         if expected not in (None, self.name):
             name = f"X-Clementinegw-Instance-Id: {self.name}"
