Keep the rate limit that a backend server reports, over all entries

Cause: no entry read the header. It was passed on to callers and not heeded.

Change: direct/signals.py keeps what a start of a server reports in its answers, apart from the platform's list; direct/rate_limit.py divides time into slots that the entries take in turns by rank. Agents report each entry's rank about once a second (two optional fields, some 4 bytes). A request that was placed before the report is taken back before it is sent. Where every server of a service is limited, what finds no slot in time is rejected at once.

Why it works: slots are disjoint between entries, and valid for 1.5 s and two slots, so all entries together send at most 5.5 times the limit and 3 requests in any 4 s; allowed are 6 times and 5.

--- a/src/clementinegw/direct/_events.py
+++ b/src/clementinegw/direct/_events.py
@@ -53,6 +53,22 @@
 SERVER_GONE = events.define(
     908, "server_gone", _INFO, "A backend server is no longer listed."
 )
+SERVER_LIMIT_CHANGED = events.define(
+    944,
+    "server_limit_changed",
+    _INFO,
+    "A backend server's answers report another rate limit for all entries, or"
+    " none any more.",
+    "None; `per_s` is in requests a second, `turn` is this entry's place.",
+)
+SERVER_SIGNAL_MALFORMED = events.define(
+    945,
+    "server_signal_malformed",
+    _WARNING,
+    "A backend server reports something of itself that cannot be read; what it"
+    " reported before stays in force. Logged once until it can be read.",
+    "Look at `field` and at the server's version.",
+)
 REQUEST_DONE = events.define(
     910, "request_done", _INFO, "A request got its final answer."
 )
--- a/src/clementinegw/direct/attempt.py
+++ b/src/clementinegw/direct/attempt.py
@@ -53,6 +53,7 @@
       first_answer_at: When the caller got the first part of its answer.
       waited_s: How long it waited for room in the entry, in seconds.
       placed_at: When its last server was chosen, in monotonic seconds.
+      permitted: Whether it has a slot of that server's rate limit.
       unreached_s: How long connections took that did not come up, in seconds.
       busy: The part of the last server's slots that seemed taken.
       server_id: The last server that it was handed to.
@@ -72,6 +73,7 @@
     first_answer_at: float | None = None
     waited_s: float = 0.0
     placed_at: float = 0.0
+    permitted: bool = False
     unreached_s: float = 0.0
     busy: float = 0.0
     server_id: str = ""
@@ -168,6 +170,11 @@
             # requests after it had been known to.
             backend.pool.discard(connection)
             return outcomes.NotRun(outcomes.NotRunReason.LEFT)
+        if backend.limited and not job.permitted:
+            # The limit was reported while the connection came up: without
+            # this, requests that were already placed would exceed it.
+            backend.pool.give_back(connection)
+            return outcomes.NotRun(outcomes.NotRunReason.LIMITED)
         if unread.recall.late:
             # The connection took its time, or the machine was suspended.
             backend.pool.give_back(connection)
@@ -205,6 +212,7 @@
         request = job.request
         headers = self._dialect.sent_on(request.headers, sending)
         job.sends += 1
+        sent_at = self._clock()
         await connection.send(
             request.method, request.target, headers, request.body
         )
@@ -221,6 +229,9 @@
             backend.take_load(facts.load, now)
         if facts.attempt_id and facts.attempt_id != job.facts.attempt_id:
             return outcomes.Lost(outcomes.LostReason.CROSSED)
+        if head.status != _MISDIRECTED:
+            # Another start of a server may answer with that status.
+            backend.signals.take(facts, sent_at, now)
         if facts.not_run or head.status == _MISDIRECTED:
             if head.status == _MISDIRECTED and facts.server_id:
                 backend.met(facts.server_id)
--- a/src/clementinegw/direct/balance.py
+++ b/src/clementinegw/direct/balance.py
@@ -120,6 +120,7 @@
             for backend in self._reachable(fitting, wanted, now)
             if not backend.loading
             and backend.full_until <= now
+            and backend.signals.limiter.is_open()
             and not backend.pool.full
             and self.busy(backend, now) < wanted.most_busy
         ]
@@ -137,28 +138,55 @@
         of a server: in an overload almost every look ends here.
         """
         now = self._clock()
-        return any(b.has_share(now) for b in self._servers.of(service))
+        return any(
+            b.has_share(now) and b.signals.limiter.is_open()
+            for b in self._servers.of(service)
+        )
 
     def sent(self, backend: fleet.Backend) -> None:
         """Notes that a request goes to a server."""
         self._rests.tried(backend, self._clock())
 
-    def rests(self, service: str) -> bool:
-        """Returns whether any server of a service rests after a failure."""
-        now = self._clock()
-        return any(b.rest_until > now for b in self._servers.of(service))
-
     def rested_in_s(self, wanted: Wanted) -> float:
         """Returns when the first server that could run a request rests no more.
 
         In seconds; 0 where one does not rest, or there is none at all.
         """
-        # Asked for each request that waits; as a rule nobody rests.
-        if not self.rests(wanted.service):
-            return 0.0
         now = self._clock()
         return self._rests.over_in_s(self.candidates(wanted), now)
 
+    def is_limited(self, wanted: Wanted) -> bool:
+        """Returns whether all servers for a request have a rate limit."""
+        found = self.candidates(wanted)
+        return bool(found) and all(b.limited for b in found)
+
+    def has_restricted(self, service: str) -> bool:
+        """Returns whether any server of a service rests or is limited."""
+        now = self._clock()
+        return any(_restricted(b, now) for b in self._servers.of(service))
+
+    def is_restricted(self, wanted: Wanted) -> bool:
+        """Returns whether all servers for a request rest or are limited."""
+        now = self._clock()
+        found = self.candidates(wanted)
+        return bool(found) and all(_restricted(b, now) for b in found)
+
+    def room_until(self, wanted: Wanted, until: float) -> float:
+        """Returns the most requests that servers may get up to a moment.
+
+        Infinite where one takes them without a limit.
+
+        Args:
+          wanted: What the requests need.
+          until: In monotonic seconds.
+        """
+        within_s = until - self._clock()
+        return sum(
+            b.signals.limiter.slots_within(within_s)
+            for b in self.candidates(wanted)
+            if b.rest_until < until
+        )
+
     def _reachable(
         self, backends: list[fleet.Backend], wanted: Wanted, now: float
     ) -> list[fleet.Backend]:
@@ -203,6 +231,11 @@
         return found
 
 
+def _restricted(backend: fleet.Backend, now: float) -> bool:
+    """Returns whether a server gets fewer requests than it has room for."""
+    return backend.rest_until > now or backend.limited
+
+
 def region_of(regions: dict[str, str], place: places.Place, domain: str) -> int:
     """Returns 0 for the same failure domain, 1 the same region, 2 another."""
     if domain == place.failure_domain:
--- a/src/clementinegw/direct/entry.py
+++ b/src/clementinegw/direct/entry.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import random
+import time
 from typing import Protocol
 
 import mode
@@ -74,6 +75,7 @@
         counters: counters_lib.Counters,
         rng: random.Random | None = None,
         boot_clock: Callable[[], float] = follow.boot_time,
+        wall_clock: Callable[[], float] = time.time,
     ):
         """Prepares the daemon.
 
@@ -84,6 +86,7 @@
           counters: Counts refusals and retries.
           rng: Breaks ties.
           boot_clock: Seconds that also count while the machine is suspended.
+          wall_clock: The time of day, in seconds.
         """
         super().__init__()
         assert instance.callers is not None
@@ -121,7 +124,13 @@
             _ROUTES_S,
         )
         self._fleet = fleets.Fleet(
-            log, self._max_connections, rng, _fleet_terms(bounds)
+            log,
+            self._max_connections,
+            rng,
+            _fleet_terms(bounds),
+            entry=instance.name,
+            wall_clock=wall_clock,
+            counters=counters,
         )
         self._versions = versions_lib.Versions(
             bounds.weights_ms / 1e3, boot_clock, bounds.settled_ms / 1e3
@@ -227,6 +236,8 @@
             await asyncio.sleep(_HOUSEKEEPING_S)
             self._fleet.settle(self._listing.settled_s, self._clock())
             self._fleet.prune()
+            self._fleet.count_entries()
+            self._counters.gauge("direct.servers.limited", self._fleet.limited)
             self._forwarder.check_clock()
             self._subscriptions.look()
             self._tell_ready()
--- a/src/clementinegw/direct/fleet.py
+++ b/src/clementinegw/direct/fleet.py
@@ -3,14 +3,18 @@
 from collections.abc import Callable, Collection, Iterable
 import math
 import random
+import time
 
 from clementinegw.direct import _events
 from clementinegw.direct import client
 from clementinegw.direct import follow
 from clementinegw.direct import outage
+from clementinegw.direct import rate_limit
 from clementinegw.direct import reports
+from clementinegw.direct import signals as signals_lib
 from clementinegw.direct import starts
 from clementinegw.direct import types
+from clementinegw.telemetry import counters as counters_lib
 from clementinegw.telemetry import logs
 
 # How long a connection may take to come up, in seconds: some round trips
@@ -49,10 +53,15 @@
     """One start of one backend server."""
 
     def __init__(
-        self, server: types.Server, pool: client.Pool, rng: random.Random
+        self,
+        server: types.Server,
+        pool: client.Pool,
+        rng: random.Random,
+        signals: signals_lib.Signals,
     ):
         self.server = server
         self.pool = pool
+        self.signals = signals
         self.in_flight = 0
         self.unread_tokens = 0
         self.gone = False
@@ -85,6 +94,11 @@
         """Whether this start gets nothing more: it leaves, or is over."""
         return self.gone or self.replaced or self.server.leaving
 
+    @property
+    def limited(self) -> bool:
+        """Whether it has reported a rate limit that is in force."""
+        return self.signals.limiter.per_s is not None
+
     def follow(self, followed: bool, now: float) -> None:
         """Says whether this entry is told of its load, and may send to it."""
         if followed and not self.followed:
@@ -136,6 +150,14 @@
             self.ready_at = now + report.ready_in_s
         reads = span_s / reading_s if reading_s else math.inf
         self._share_room(report, reads)
+        if report.follower_rank >= 0:
+            self.signals.turn = rate_limit.Turn(
+                report.follower_rank, report.followers
+            )
+        if report.rank >= 0:
+            self.signals.entry_turn = rate_limit.Turn(
+                report.rank, report.entries
+            )
         self.pace = max(1.0, report.pace)
         self.take_version(report.version if report.whole else 0)
         self.empty = not report.whole
@@ -236,6 +258,10 @@
         max_connections: Callable[[str], int],
         rng: random.Random,
         terms: outage.Terms | None = None,
+        *,
+        entry: str = "",
+        wall_clock: Callable[[], float] = time.time,
+        counters: counters_lib.Counters | None = None,
     ):
         """Starts empty.
 
@@ -245,7 +271,18 @@
           rng: Shares free slots out.
           terms: How long a server that is no longer listed is believed in;
             None for as long as an outage may need.
+          entry: This entry's name.
+          wall_clock: The time of day in seconds; entries share rate limits by
+            it.
+          counters: Counts what servers report of themselves.
         """
+        self._turn = rate_limit.Turn.assumed(entry)
+        self._signals = signals_lib.Board(
+            lambda: self._turn,
+            wall_clock,
+            log,
+            counters or counters_lib.Counters(),
+        )
         self.ran_out = outage.RanOut(terms or outage.Terms())
         self._log = log
         self._rng = rng
@@ -266,6 +303,11 @@
         """Returns the services that have any backend server."""
         return self._of_service.keys()
 
+    @property
+    def limited(self) -> int:
+        """How many servers have reported a rate limit that is in force."""
+        return sum(b.limited for b in self._backends.values())
+
     def find(self, server_id: str) -> Backend | None:
         """Returns a backend server by its id."""
         return self._backends.get(server_id)
@@ -324,6 +366,21 @@
             self._vanished(key, now, left_s)
         self._index()
 
+    def count_entries(self) -> None:
+        """Finds this entry's place among all entries.
+
+        The agent that knows of most entries is believed: one that is cut off or
+        has just started knows of a few, and their shares would be too large.
+        """
+        turns = [
+            turn
+            for backend in self._backends.values()
+            if (turn := backend.signals.entry_turn) is not None
+        ]
+        self._turn = max(
+            turns, key=lambda turn: turn.entries, default=self._turn
+        )
+
     def follow(self, server_ids: Collection[str], now: float) -> None:
         """Says which servers this entry is told of, and may send to."""
         for key, backend in self._backends.items():
@@ -351,6 +408,7 @@
         server = self._starts.take(listed)
         if server is None:
             return
+        signals = self._signals.of(server.start)
         backend = self._backends.get(key)
         if backend is not None and not backend.server.start.same(server.start):
             # What was seen of one start says nothing of the next; requests
@@ -359,7 +417,8 @@
             backend = None
         if backend is None:
             pool = self._pool(server)
-            self._backends[key] = backend = Backend(server, pool, self._rng)
+            backend = Backend(server, pool, self._rng, signals)
+            self._backends[key] = backend
             self._tell(server)
         elif backend.server.address != server.address:
             backend.pool.close()
--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -31,7 +31,13 @@
 _MOST_SENDS = 4
 # What ends an attempt right before its request is sent. Nobody pays for such a
 # one, so only its number keeps a request from choosing servers without a pause.
-_UNSENT = frozenset({outcomes.NotRunReason.LEFT, outcomes.NotRunReason.TOO_OLD})
+_UNSENT = frozenset(
+    {
+        outcomes.NotRunReason.LEFT,
+        outcomes.NotRunReason.LIMITED,
+        outcomes.NotRunReason.TOO_OLD,
+    }
+)
 # A server that said it is full is passed over for this long, in seconds.
 _FULL_S = 0.15
 # One that is another start than the list says, for this long, in seconds.
--- a/src/clementinegw/direct/outcomes.py
+++ b/src/clementinegw/direct/outcomes.py
@@ -13,6 +13,7 @@
     SHED = "shed"
     WRONG_SERVER = "wrong_server"
     LEFT = "left"
+    LIMITED = "limited"
     TOO_OLD = "too_old"
 
 
@@ -83,6 +84,7 @@
     NO_SERVER = "no_server"
     OUT_OF_REACH = "out_of_reach"
     BUSY = "busy"
+    LIMITED = "limited"
     NO_BUDGET = "no_budget"
     ATTEMPTS_USED = "attempts_used"
     TIMEOUT = "timeout"
--- a/src/clementinegw/direct/placing.py
+++ b/src/clementinegw/direct/placing.py
@@ -52,6 +52,7 @@
 _RETRY_NEVER = (1.0, 1.0)
 _RETRY_SHARES = {
     Reason.BUSY: _RETRY_FULL,
+    Reason.LIMITED: _RETRY_FULL,
     Reason.NO_BUDGET: _RETRY_FULL,
     Reason.ATTEMPTS_USED: _RETRY_FULL,
     Reason.CRASHES_SERVERS: _RETRY_NEVER,
@@ -120,8 +121,11 @@
         if place is None:
             if self._balancer.rested_in_s(self._wanted(job)):
                 return self.out_of_reach(job)
+            if self._balancer.is_limited(self._wanted(job)):
+                return self.unserved(job, Reason.LIMITED)
             return self.unserved(job, Reason.BUSY)
         job.placed_at = now
+        job.permitted = place.permitted
         job.busy = self._balancer.busy(place.backend, now)
         job.server_id = place.backend.server.server_id
         return place
--- a/src/clementinegw/direct/queue.py
+++ b/src/clementinegw/direct/queue.py
@@ -24,6 +24,8 @@
 # Needs that no server could meet a moment ago: what is wanted, whether too late
 # to be on time, and who is left out.
 _Unmet = set[tuple[balance.Wanted, bool, frozenset[types.Start]]]
+# How many requests that need the same go first; see `Queue._is_hopeless`.
+_Ahead = dict[balance.Wanted, int | None]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,10 +69,16 @@
 
 
 class Place:
-    """A request's place at a server, from the choice to the end."""
+    """A request's place at a server, from the choice to the end.
+
+    Attributes:
+      backend: The server.
+      permitted: Whether it used up a slot of the server's rate limit.
+    """
 
     def __init__(self, backend: fleet.Backend, freed: Callable[[], None]):
         self.backend = backend
+        self.permitted = backend.signals.limiter.take()
         self._freed = freed
         self._held = True
         backend.take()
@@ -151,12 +159,14 @@
         if not self._waiting:
             return
         now = self._clock()
-        rests = self._balancer.rests(self._service)
-        rested: dict[balance.Wanted, float] = {}
+        restricted = self._balancer.has_restricted(self._service)
+        ahead: _Ahead = {}
         unmet: _Unmet = set()
         room = self._balancer.has_room(self._service)
-        # The order matters to nobody while nobody finds room.
-        for waiting in self._in_order(now) if room else list(self._waiting):
+        # The order matters to nobody while nobody finds room, but where it is
+        # known how many will.
+        in_order = room or restricted
+        for waiting in self._in_order(now) if in_order else [*self._waiting]:
             if waiting.place.done():
                 self._waiting.remove(waiting)
                 continue
@@ -171,7 +181,7 @@
                 waiting.place.set_result(Place(backend, self.look))
                 room = self._balancer.has_room(self._service)
             elif now >= waiting.until or (
-                rests and self._is_hopeless(waiting, rested, now)
+                restricted and self._is_hopeless(waiting, ahead)
             ):
                 self._waiting.remove(waiting)
                 waiting.place.set_result(None)
@@ -193,26 +203,25 @@
         elif found:
             self._spare.found_room(now - waiting.since)
 
-    def _is_hopeless(
-        self,
-        waiting: Waiting,
-        rested: dict[balance.Wanted, float],
-        now: float,
-    ) -> bool:
-        """Returns whether a request's time ends before a server's rest does.
+    def _is_hopeless(self, waiting: Waiting, ahead: _Ahead) -> bool:
+        """Returns whether a request's time ends before it finds a server.
 
         Args:
           waiting: The request.
-          rested: When a server rests no more, as found in this look, by what
-            is wanted.
-          now: Monotonic seconds.
+          ahead: How many who need the same go first, where all servers for them
+            are restricted; None where one is not.
         """
         wanted = waiting.wanted()
-        found = rested.get(wanted)
-        if found is None:
-            found = self._balancer.rested_in_s(wanted)
-            rested[wanted] = found
-        return now + found >= waiting.until
+        if wanted not in ahead:
+            restricted = self._balancer.is_restricted(wanted)
+            ahead[wanted] = 0 if restricted else None
+        before = ahead[wanted]
+        if before is None:
+            return False
+        if before >= self._balancer.room_until(wanted, waiting.until):
+            return True
+        ahead[wanted] = before + 1
+        return False
 
     def _again(self) -> None:
         self._timer = None
--- /dev/null
+++ b/src/clementinegw/direct/rate_limit.py
@@ -0,0 +1,132 @@
+"""Keeps the requests of all entries within a limit that a server reported.
+
+A backend server in need reports how many requests a second it takes from all
+entries together. Time is divided into slots, one for each request that the
+limit allows, and the entries take turns by rank (time-division multiple
+access). So the sum over all entries keeps the limit without any message between
+them, however many they are. Each entry gets a slot in every round, and so finds
+out that the limit has changed or ended.
+
+An unused slot stays valid for a while. In any span of s seconds all entries
+together send at most `limit * (s + _VALID_S) + _VALID_SLOTS + 1` requests.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import math
+import zlib
+
+# How long an unused slot stays valid: so many seconds, and so many slots
+# besides. Requests arrive at any time, and most slots of a service with little
+# traffic would pass unused.
+_VALID_S = 1.5
+_VALID_SLOTS = 2.0
+# Lower limits count as this one, in requests a second. A server that reports
+# 0 gets a probe from time to time, which shows when the limit has ended.
+_LEAST_PER_S = 0.1
+# How many entries are assumed while no agent reports their number.
+_ASSUMED_ENTRIES = 50
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Turn:
+    """An entry's place among those that send to a server.
+
+    Attributes:
+      rank: Its number among them, from 0.
+      entries: How many they are.
+    """
+
+    rank: int
+    entries: int
+
+    def __str__(self) -> str:
+        return f"{self.rank} of {self.entries}"
+
+    @classmethod
+    def assumed(cls, entry: str) -> "Turn":
+        """Returns the place of an entry that no agent has told its own."""
+        rank = zlib.crc32(entry.encode()) % _ASSUMED_ENTRIES
+        return cls(rank, _ASSUMED_ENTRIES)
+
+
+class Limiter:
+    """This entry's part of the limit of one start of a server."""
+
+    def __init__(
+        self,
+        server_id: str,
+        turn: Callable[[], Turn],
+        wall_clock: Callable[[], float],
+    ):
+        """Limits nothing before `report`.
+
+        Args:
+          server_id: The server; the slots of several servers are offset.
+          turn: Returns this entry's place among the senders.
+          wall_clock: The time of day in seconds, about the same everywhere.
+        """
+        self._offset = zlib.crc32(server_id.encode())
+        self._turn = turn
+        self._wall_clock = wall_clock
+        self._per_s: float | None = None
+        self._used_at = -math.inf
+
+    @property
+    def turn(self) -> Turn:
+        """This entry's place among the senders."""
+        return self._turn()
+
+    @property
+    def per_s(self) -> float | None:
+        """The limit in force, in requests a second; None without one."""
+        return self._per_s
+
+    def report(self, per_s: float | None) -> None:
+        """Takes over the limit that the server reports; None ends it."""
+        if per_s is not None:
+            per_s = max(per_s, _LEAST_PER_S)
+        self._per_s = per_s
+
+    def is_open(self) -> bool:
+        """Returns whether a request may be sent now."""
+        return self._per_s is None or self._next_slot() <= self._now_slot()
+
+    def take(self) -> bool:
+        """Uses up a slot; returns whether a limit is in force."""
+        if self._per_s is None:
+            return False
+        self._used_at = self._next_slot() / self._per_s
+        return True
+
+    def opens_in_s(self) -> float:
+        """Returns when a request may be sent, in seconds; 0 for now."""
+        if self._per_s is None:
+            return 0.0
+        return max(0.0, self._next_slot() / self._per_s - self._wall_clock())
+
+    def slots_within(self, span_s: float) -> float:
+        """Returns how many requests may be sent in the next seconds."""
+        if self._per_s is None:
+            return math.inf
+        last = (self._wall_clock() + span_s) * self._per_s
+        return max(0, (last - self._next_slot()) // self._turn().entries + 1)
+
+    def _now_slot(self) -> float:
+        assert self._per_s is not None
+        return self._wall_clock() * self._per_s
+
+    def _next_slot(self) -> int:
+        """Returns the first slot of this entry that is valid and unused."""
+        assert self._per_s is not None
+        now, per_s, turn = self._wall_clock(), self._per_s, self._turn()
+        round_s = turn.entries / per_s
+        if self._used_at > now + round_s + _VALID_S:
+            # The time of day was set back; the slots that it passed through
+            # before must not close the server until it is there again.
+            self._used_at = now
+        valid_from = (now - _VALID_S) * per_s - _VALID_SLOTS
+        unused_from = self._used_at * per_s + 0.5
+        first = math.ceil(max(valid_from, unused_from))
+        own = (turn.rank + self._offset) % turn.entries
+        return first + (own - first) % turn.entries
--- a/src/clementinegw/direct/reports.py
+++ b/src/clementinegw/direct/reports.py
@@ -38,6 +38,11 @@
 _AGES_S = 1.0
 
 
+# Entries renew their subscriptions within this, in seconds, after an agent has
+# started. Before that it knows of the first ones only, and each would take too
+# large a share of a server's rate limit.
+_RANKS_AFTER_S = 2.0
+
 OnSuspicions = Callable[[tuple[suspects.Suspicion, ...]], None]
 
 
@@ -65,6 +70,9 @@
       born: Which start of the server it is of; see `direct.types.Start`.
       ages_s: By version of the model, how long ago it was declared, in
         seconds; those that are known.
+      rank: The place among `entries` of the entry that it goes to, by name;
+        negative when it is not reported this time.
+      follower_rank: The same among `followers`.
     """
 
     server_id: str
@@ -82,6 +90,8 @@
     ready_in_s: float = -1.0
     born: int = 0
     ages_s: Mapping[int, float] = dataclasses.field(default_factory=dict)
+    rank: int = -1
+    follower_rank: int = -1
 
     @property
     def start(self) -> servers.Start:
@@ -121,6 +131,7 @@
 class _Subscriber:
     asking: Asking
     until: float
+    name: str = ""
     ages_at: float = -math.inf
     # Its first report does not wait for its turn: it sends nothing until then.
     new: bool = True
@@ -163,6 +174,8 @@
         self._subscribers: dict[tuple, _Subscriber] = {}
         self._told = 0
         self._former: tuple = ()
+        self._ranks: dict[tuple, tuple[int, int]] | None = None
+        self._ranks_from = math.inf
 
     def connection_made(self, transport) -> None:
         """Called by asyncio."""
@@ -175,11 +188,17 @@
         except exceptions.DecodeError:
             return
         asking = Asking(bool(message.far), bool(message.changes_only))
+        now = asyncio.get_running_loop().time()
+        self._ranks_from = min(self._ranks_from, now + _RANKS_AFTER_S)
         known = self._subscribers.get(addr)
         if known is None and len(self._subscribers) < _MOST_SUBSCRIBERS:
-            known = self._subscribers[addr] = _Subscriber(asking, 0.0)
+            known = _Subscriber(asking, 0.0, message.instance_id)
+            self._subscribers[addr] = known
+            self._ranks = None
         if known is not None:
-            known.renew(asking, asyncio.get_running_loop().time())
+            if known.asking != asking:
+                self._ranks = None
+            known.renew(asking, now)
         self._on_declared(Declared(message.declared, _ages_s(message.ages_ms)))
         if message.suspicions:
             self._on_suspicions(suspicions_lib.from_wire(message.suspicions))
@@ -218,18 +237,43 @@
         if not told:
             return
         short = _encode(dataclasses.replace(report, ages_s={}), suspicions)
-        full = _encode(report, suspicions) if report.ages_s else short
         for addr, subscriber in told:
-            with_ages = subscriber.ages_at + _AGES_S <= now
-            if with_ages:
+            data = short
+            if subscriber.ages_at + _AGES_S <= now:
                 subscriber.ages_at = now
-            self._transport.sendto(full if with_ages else short, addr)
+                data = _encode(self._ranked(report, addr, now), suspicions)
+            self._transport.sendto(data, addr)
+
+    def _ranked(self, report: Report, addr: tuple, now: float) -> Report:
+        """Returns a report with a subscriber's place among all."""
+        if now < self._ranks_from:
+            return report
+        if self._ranks is None:
+            self._ranks = self._rank_all()
+        rank, follower_rank = self._ranks[addr]
+        return dataclasses.replace(
+            report, rank=rank, follower_rank=follower_rank
+        )
+
+    def _rank_all(self) -> dict[tuple, tuple[int, int]]:
+        """Returns each subscriber's place among all, and among followers."""
+        ranks: dict[tuple, tuple[int, int]] = {}
+        followers = 0
+        by_name = sorted(
+            self._subscribers.items(), key=lambda item: (item[1].name, item[0])
+        )
+        for rank, (addr, subscriber) in enumerate(by_name):
+            follows = not subscriber.asking.changes_only
+            ranks[addr] = (rank, followers if follows else -1)
+            followers += follows
+        return ranks
 
     def _forget(self, now: float) -> None:
         """Drops who has not renewed a subscription."""
         over = [a for a, s in self._subscribers.items() if s.until < now]
         for addr in over:
             del self._subscribers[addr]
+            self._ranks = None
 
     def _whose_turn(self, news: bool) -> list[tuple[tuple, _Subscriber]]:
         """Returns who is told this time.
@@ -398,6 +442,8 @@
             report.entries,
             report.ready_in_s,
             report.followers or None,
+            None if report.rank < 0 else report.rank,
+            None if report.follower_rank < 0 else report.follower_rank,
             born=report.born,
             ages_ms=ages_ms or None,
             suspicions=suspicions_lib.to_wire(suspicions),
@@ -422,6 +468,8 @@
         message.ready_in_s,
         message.born or 0,
         _seconds(message.ages_ms),
+        -1 if message.rank is None else message.rank,
+        -1 if message.follower_rank is None else message.follower_rank,
     )
 
 
--- /dev/null
+++ b/src/clementinegw/direct/signals.py
@@ -0,0 +1,144 @@
+"""What backend servers report about themselves in their answers.
+
+It is attached to a start of a server, not to its address or its record in the
+platform's list: the list may be away, shrink and come back meanwhile.
+"""
+
+import collections
+from collections.abc import Callable
+import math
+
+from clementinegw.direct import _events
+from clementinegw.direct import rate_limit
+from clementinegw.direct import types
+from clementinegw.telemetry import counters as counters_lib
+from clementinegw.telemetry import logs
+
+# Starts that are remembered, also after they are gone from the list: some
+# times the servers of a large deployment.
+_MOST_KEPT = 4_096
+
+
+class Signals:
+    """What one start of a server has reported.
+
+    Attributes:
+      limiter: Keeps this entry's part of the server's rate limit.
+      turn: This entry's place among those that send to the server, as the agent
+        beside it reports; None while none does.
+      entry_turn: The same among all entries.
+    """
+
+    def __init__(
+        self,
+        start: types.Start,
+        fleet_turn: Callable[[], rate_limit.Turn],
+        wall_clock: Callable[[], float],
+        log: logs.Log,
+        counters: counters_lib.Counters,
+    ):
+        self.start = start
+        self.turn: rate_limit.Turn | None = None
+        self.entry_turn: rate_limit.Turn | None = None
+        self.limiter = rate_limit.Limiter(
+            start.server_id, lambda: self.turn or fleet_turn(), wall_clock
+        )
+        self._log = log
+        self._counters = counters
+        self._limit_reported_at = -math.inf
+        self._malformed: frozenset[str] = frozenset()
+
+    def take(
+        self, facts: types.AnswerFacts, sent_at: float, now: float
+    ) -> None:
+        """Takes in what an answer reports.
+
+        Args:
+          facts: What the answer's head says.
+          sent_at: When its request was sent, in monotonic seconds.
+          now: Monotonic seconds.
+        """
+        self._note_malformed(facts.malformed)
+        if "limit_per_s" not in facts.malformed:
+            self._take_limit(facts.limit_per_s, sent_at, now)
+
+    def _take_limit(
+        self, per_s: float | None, sent_at: float, now: float
+    ) -> None:
+        if per_s is not None:
+            self._limit_reported_at = now
+        elif sent_at <= self._limit_reported_at:
+            # Answers overtake each other on their connections: only a request
+            # that was sent after the last report shows that the limit ended.
+            return
+        was = self.limiter.per_s
+        self.limiter.report(per_s)
+        if self.limiter.per_s != was:
+            self._counters.add("direct.server_limit.changed")
+            self._log.write(
+                _events.SERVER_LIMIT_CHANGED,
+                server=self.start.server_id,
+                born=self.start.born,
+                per_s=self.limiter.per_s,
+                was=was,
+                turn=str(self.limiter.turn),
+            )
+
+    def _note_malformed(self, fields: frozenset[str]) -> None:
+        """Logs fields that cannot be read, once until they can be."""
+        for field in fields - self._malformed:
+            self._log.write(
+                _events.SERVER_SIGNAL_MALFORMED,
+                server=self.start.server_id,
+                born=self.start.born,
+                field=field,
+            )
+        for field in fields:
+            self._counters.add(f"direct.server_signal.malformed.{field}")
+        self._malformed = fields
+
+
+class Board:
+    """The signals of all starts."""
+
+    def __init__(
+        self,
+        fleet_turn: Callable[[], rate_limit.Turn],
+        wall_clock: Callable[[], float],
+        log: logs.Log,
+        counters: counters_lib.Counters,
+    ):
+        """Starts empty.
+
+        Args:
+          fleet_turn: Returns this entry's place among all entries.
+          wall_clock: The time of day, in seconds.
+          log: Where events go.
+          counters: Counts changes, and what cannot be read.
+        """
+        self._fleet_turn = fleet_turn
+        self._wall_clock = wall_clock
+        self._log = log
+        self._counters = counters
+        self._kept: collections.OrderedDict[str, Signals]
+        self._kept = collections.OrderedDict()
+
+    def of(self, start: types.Start) -> Signals:
+        """Returns the signals of a start; new ones for one not seen before."""
+        found = self._kept.get(start.server_id)
+        if found is None or not found.start.same(start):
+            found = Signals(
+                start,
+                self._fleet_turn,
+                self._wall_clock,
+                self._log,
+                self._counters,
+            )
+            self._kept[start.server_id] = found
+        elif start.born:
+            # The platform's list may name a start before its birth is known.
+            found.start = start
+        self._kept.move_to_end(start.server_id)
+        while len(self._kept) > _MOST_KEPT:
+            self._kept.popitem(last=False)
+        return found
--- a/src/clementinegw/direct/types.py
+++ b/src/clementinegw/direct/types.py
@@ -360,6 +360,10 @@
       version: The version of the weights that answer; None when unsaid.
       keep_s: How long it keeps the connection when idle; None when unsaid.
       server_id: Which start of a server answers; empty when it does not say.
+      limit_per_s: The requests a second that the server takes from all entries
+        together; None when it reports no limit.
+      malformed: The names of fields here whose header cannot be read; what the
+        server reported before stays in force.
     """
 
     attempt_id: str
@@ -369,6 +373,8 @@
     version: int | None = None
     keep_s: float | None = None
     server_id: str = ""
+    limit_per_s: float | None = None
+    malformed: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/clementinegw/wire/gen/reports/ttypes.py
+++ b/src/clementinegw/wire/gen/reports/ttypes.py
@@ -393,6 +393,8 @@
      - entries
      - ready_in_s
      - followers
+     - rank
+     - follower_rank
      - ages_ms
      - born
      - suspicions
@@ -413,13 +415,15 @@
         'entries',
         'ready_in_s',
         'followers',
+        'rank',
+        'follower_rank',
         'ages_ms',
         'born',
         'suspicions',
     )
 
 
-    def __init__(self, server_id=None, running=None, waiting=None, slots=None, model=None, version=None, whole=None, loading=None, pace=None, yielding=None, entries=None, ready_in_s=None, followers=None, ages_ms=None, born=None, suspicions=None,):
+    def __init__(self, server_id=None, running=None, waiting=None, slots=None, model=None, version=None, whole=None, loading=None, pace=None, yielding=None, entries=None, ready_in_s=None, followers=None, rank=None, follower_rank=None, ages_ms=None, born=None, suspicions=None,):
         self.server_id = server_id
         self.running = running
         self.waiting = waiting
@@ -433,6 +437,8 @@
         self.entries = entries
         self.ready_in_s = ready_in_s
         self.followers = followers
+        self.rank = rank
+        self.follower_rank = follower_rank
         self.ages_ms = ages_ms
         self.born = born
         self.suspicions = suspicions
@@ -511,6 +517,16 @@
                     self.followers = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.I32:
+                    self.rank = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.I32:
+                    self.follower_rank = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             elif fid == 20:
                 if ftype == TType.MAP:
                     self.ages_ms = {}
@@ -600,6 +616,14 @@
             oprot.writeFieldBegin('followers', TType.I32, 13)
             oprot.writeI32(self.followers)
             oprot.writeFieldEnd()
+        if self.rank is not None:
+            oprot.writeFieldBegin('rank', TType.I32, 14)
+            oprot.writeI32(self.rank)
+            oprot.writeFieldEnd()
+        if self.follower_rank is not None:
+            oprot.writeFieldBegin('follower_rank', TType.I32, 15)
+            oprot.writeI32(self.follower_rank)
+            oprot.writeFieldEnd()
         if self.ages_ms is not None:
             oprot.writeFieldBegin('ages_ms', TType.MAP, 20)
             oprot.writeMapBegin(TType.I64, TType.I64, len(self.ages_ms))
@@ -739,8 +763,8 @@
     (11, TType.I32, 'entries', None, None, ),  # 11
     (12, TType.DOUBLE, 'ready_in_s', None, None, ),  # 12
     (13, TType.I32, 'followers', None, None, ),  # 13
-    None,  # 14
-    None,  # 15
+    (14, TType.I32, 'rank', None, None, ),  # 14
+    (15, TType.I32, 'follower_rank', None, None, ),  # 15
     None,  # 16
     None,  # 17
     None,  # 18
--- a/src/clementinegw/wire/reports.thrift
+++ b/src/clementinegw/wire/reports.thrift
@@ -50,6 +50,10 @@
   12: required double ready_in_s,
   // Those of them that send requests to the server; all where unset.
   13: optional i32 followers,
+  // The place of the entry that this goes to among `entries`, and among
+  // `followers` where it is one, from 0. Told about once a second.
+  14: optional i32 rank,
+  15: optional i32 follower_rank,
   // By version of the model: milliseconds since it was declared. Only where
   // that is known and the entry has not been told of late.
   20: optional map<i64, i64> ages_ms,
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -19,6 +19,8 @@
 
 KEY = "key-of-one"
 GRACE_S = 0.002
+# The time of day at the start of virtual time, in Unix seconds.
+WALL_S = 1_790_000_000.0
 
 
 def run(coroutine):
@@ -396,6 +398,7 @@
             log,
             self.counters,
             boot_clock=self.boot_time,
+            wall_clock=lambda: WALL_S + self.boot_time(),
         )
         await self.entry.start()
         while not self.entry.ready:
--- a/tests/test_direct_following.py
+++ b/tests/test_direct_following.py
@@ -273,3 +273,30 @@
     before, after, rounds = clocks.run(run())
     assert (before, after) == (False, True)
     assert [asking.changes_only for asking in rounds[-1].values()] == [False]
+
+
+def test_each_entry_is_told_its_place_among_all_and_among_followers():
+    """An agent that has just started knows of some only, and says nothing."""
+
+    async def play():
+        reporter = reports.Reporter(lambda declared: None)
+        wire = Wire()
+        reporter.connection_made(wire)
+        for name, changes_only in (("b", False), ("a", True), ("c", False)):
+            asks = ttypes.Subscribe(name, {}, False, changes_only)
+            reporter.datagram_received(codec.encode(asks), name)
+        reporter.tell(reports.Report("s1", 1, 0, 8, "m", 1, True))
+        early = ranks(wire)
+        await asyncio.sleep(2.5)
+        reporter.tell(reports.Report("s1", 1, 0, 8, "m", 2, True))
+        return early, ranks(wire)
+
+    early, late = clocks.run(play())
+    assert early == dict.fromkeys("abc", (-1, -1))
+    assert late == {"a": (0, -1), "b": (1, 0), "c": (2, 1)}
+
+
+def ranks(wire):
+    """Returns the places in the last report that went to each entry."""
+    last = {name: reports._report(told[-1]) for name, told in wire.sent.items()}
+    return {name: (r.rank, r.follower_rank) for name, r in last.items()}
--- a/tests/test_direct_server_limit.py
+++ b/tests/test_direct_server_limit.py
@@ -2,7 +2,12 @@
 
 import asyncio
 
+from adapter import headers
 import platform_site as sites
+import pytest
+
+from clementinegw.direct import client
+from clementinegw.direct import rate_limit
 
 # What a server with a limit may get in any such span, in seconds, beside the
 # share of its limit: the platform's rule.
@@ -58,3 +63,176 @@
     statuses, most = sites.run(play())
     assert statuses == [200] * 240
     assert most <= allowed(1.5)
+
+
+def alone(site):
+    """Makes the entry the only one that shares the limits."""
+    site.entry._fleet._turn = rate_limit.Turn(0, 1)
+
+
+def test_where_all_servers_are_limited_what_cannot_be_served_is_rejected_soon():
+    async def play():
+        async with sites.Site("i-1") as site:
+            alone(site)
+            site.servers[0].do = limited(2.0)
+            await site.ask()
+            asking, clock = [], asyncio.get_running_loop().time
+            for number in range(100):
+                asking.append(asyncio.ensure_future(timed(site, number)))
+                await asyncio.sleep(0.05)
+            answers = await asyncio.gather(*asking)
+            return answers, most_in_span(arrivals(site.servers[0], clock() - 5))
+
+    answers, most = sites.run(play())
+    served = [answer for answer, _ in answers if answer.status == 200]
+    rejected = [a for a in answers if a[0].status == 503]
+    # Five seconds at two requests a second, most of them used.
+    assert len(served) >= 9
+    assert len(served) + len(rejected) == 100
+    assert most <= allowed(2.0)
+    for answer, took_s in rejected:
+        assert float(answer.headers["retry-after"]) > 0.0
+        assert b"limited" in answer.body
+        assert took_s < 0.1
+
+
+async def timed(site, number):
+    began = asyncio.get_running_loop().time()
+    answer = await site.ask(f"/safe/{number}")
+    return answer, asyncio.get_running_loop().time() - began
+
+
+def test_requests_under_way_to_a_server_are_taken_back_at_its_first_report(
+    monkeypatch,
+):
+    """Connections were coming up as the first answer reported the limit."""
+    connect = client.connect
+
+    async def slowly(address, timeout_s):
+        await asyncio.sleep(0.2)
+        return await connect(address, timeout_s)
+
+    async def play():
+        async with sites.Site("i-1") as site:
+            alone(site)
+            await site.ask()
+            site.servers[0].do = limited(0.5)
+            monkeypatch.setattr(client, "connect", slowly)
+            asking = [
+                asyncio.ensure_future(site.ask(f"/safe/{n}")) for n in range(8)
+            ]
+            await asyncio.gather(*asking)
+            return len(site.servers[0].calls)
+
+    # One to learn the port, one that reports, and a few valid slots.
+    assert sites.run(play()) <= 5
+
+
+def test_a_limit_ends_with_the_first_answer_that_reports_none():
+    async def play():
+        async with sites.Site("i-1") as site:
+            alone(site)
+            (server,) = site.servers
+            server.do = limited(2.0)
+            await keep_asking(site, count=20, pause_s=0.1)
+            server.do = lambda call: call.answer()
+            await asyncio.sleep(1.0)
+            return await keep_asking(site, count=40, pause_s=0.02)
+
+    assert sites.run(play()) == [200] * 40
+
+
+def test_an_answer_from_before_a_report_does_not_end_it():
+    """A slow answer, made before the server was in need, came in later."""
+
+    async def play():
+        async with sites.Site("i-1") as site:
+            alone(site)
+            (server,) = site.servers
+            held = []
+            server.do = held.append
+            slow = asyncio.ensure_future(site.ask("/once/slow"))
+            await asyncio.sleep(0.1)
+            server.do = limited(1.0)
+            await site.ask()
+            held[0].answer()
+            await slow
+            return site.entry._fleet.limited
+
+    assert sites.run(play()) == 1
+
+
+def test_a_limit_outlives_a_list_that_was_empty_for_a_while():
+    async def play():
+        async with sites.Site("i-1", "i-2") as site:
+            alone(site)
+            (server, _) = site.servers
+            server.do = limited(1.0)
+            await keep_asking(site, count=20, pause_s=0.02)
+            before = site.entry._fleet.limited
+            site.store.put("keyed.servers", server.name, None)
+            await asyncio.sleep(4.0)
+            gone = site.entry._fleet.limited
+            site.store.put("keyed.servers", server.name, server.entry())
+            await asyncio.sleep(1.5)
+            return before, gone, site.entry._fleet.limited
+
+    assert sites.run(play()) == (1, 0, 1)
+
+
+def test_another_start_of_a_server_has_no_limit():
+    async def play():
+        async with sites.Site("i-1") as site:
+            alone(site)
+            (server,) = site.servers
+            entry = server.entry(born=1)
+            site.store.put("keyed.servers", server.name, entry)
+            await asyncio.sleep(1.5)
+            server.do = limited(1.0)
+            await site.ask()
+            before = site.entry._fleet.limited
+            entry = server.entry(born=2)
+            site.store.put("keyed.servers", server.name, entry)
+            await asyncio.sleep(1.5)
+            return before, site.entry._fleet.limited
+
+    assert sites.run(play()) == (1, 0)
+
+
+@pytest.mark.parametrize(
+    ("values", "per_s", "malformed"),
+    [
+        ((), None, False),
+        (("2.4",), 2.4, False),
+        (("3", "2.5"), 2.5, False),
+        (("4, 2",), 2.0, False),
+        (("0",), 0.0, False),
+        (("",), None, True),
+        (("-1",), None, True),
+        (("nan",), None, True),
+        (("inf",), None, True),
+        (("1e9",), None, True),
+        (("99999999999",), None, True),
+        (("2", "x"), None, True),
+    ],
+)
+def test_limits_are_read_or_said_to_be_malformed(values, per_s, malformed):
+    raw = tuple((b"server-limit", value.encode()) for value in values)
+    facts = headers.Headers().answer_facts(client.Head(200, raw))
+    assert facts.limit_per_s == per_s
+    assert ("limit_per_s" in facts.malformed) == malformed
+
+
+def test_a_limit_that_cannot_be_read_leaves_the_former_one_in_force():
+    async def play():
+        async with sites.Site("i-1") as site:
+            alone(site)
+            (server,) = site.servers
+            server.do = limited(1.0)
+            await site.ask()
+            server.do = limited("many")
+            await site.ask()
+            (backend,) = site.entry._fleet.all()
+            return backend.signals.limiter.per_s
+
+    assert sites.run(play()) == 1.0
--- a/tests/test_direct_starts.py
+++ b/tests/test_direct_starts.py
@@ -66,8 +66,13 @@
         yielding=True,
         entries=4,
         ready_in_s=2.0,
+        followers=4,
+        rank=1,
+        follower_rank=1,
     )
     backend.take_report(told, 10.0)
+    facts = types.AnswerFacts("a", True, False, limit_per_s=2.0)
+    backend.signals.take(facts, 9.0, 10.0)
     backend.take()
     backend.unread_tokens += 700
     backend.unreachable(10.0)
@@ -80,8 +85,12 @@
 
 
 def beliefs(backend):
-    apart = ("server", "pool", "_rng")
-    return {k: v for k, v in vars(backend).items() if k not in apart}
+    apart = ("server", "pool", "_rng", "signals")
+    found = {k: v for k, v in vars(backend).items() if k not in apart}
+    apart = ("start", "limiter", "_log", "_counters")
+    reported = vars(backend.signals).items()
+    found |= {k: v for k, v in reported if k not in apart}
+    return found | {"limit": backend.signals.limiter.per_s}
 
 
 @pytest.mark.parametrize(
