Hold that limited engines cost callers no more than engines that are gone

In virtual time, ten engines of which two report limits of 1 and 2.4 a second, at 0.85 of the usual load: in time at least as many as with eight engines, the limits kept and at least 0.7 of each used. A limit keeps its server's capacity from callers, whatever an entry does; this bounds what the rule costs beyond that.

--- a/tests/overload_site.py
+++ b/tests/overload_site.py
@@ -45,6 +45,8 @@
 PATIENCE_S = 3.2
 LARGEST_GAP_S = 0.4
 TRIP_S = 0.004
+# The time of day at the start, in Unix seconds.
+WALL_S = 1_790_000_000.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -98,8 +100,14 @@
     def __init__(self, site, number, seed, terms):
         rng = random.Random(seed)
         clock = asyncio.get_running_loop().time
-        self.fleet = fleets.Fleet(logs.Log(), lambda service: 274, rng)
         self.name = f"entry-{number}"
+        self.fleet = fleets.Fleet(
+            logs.Log(),
+            lambda service: 274,
+            rng,
+            entry=self.name,
+            wall_clock=lambda: WALL_S + clock(),
+        )
         self.place = site.place(number)
         balancer = balance.Balancer(self.fleet, self.place, REGIONS, rng, clock)
         knowledge = admit.Knowledge(
@@ -179,6 +187,9 @@
         self.begun = dict.fromkeys(self.engines, 0)
         # When no engine may begin anything, in seconds from the start.
         self.gap = (math.inf, math.inf)
+        # The rate limits that engines report, by number.
+        self.limits = {}
+        self.arrived_at = {n: [] for n in self.engines}
         self._tasks = set()
         self._clock = asyncio.get_running_loop().time
         self._began = self._clock()
@@ -304,6 +315,8 @@
         number = int(backend.server.server_id[1:])
         engine = self.engines[number]
         self.begun[number] += 1
+        self.arrived_at[number].append(self.now)
+        sent_at = self._clock()
         heard = asyncio.Event()
         ended = asyncio.Event()
         last = [self.now]
@@ -314,6 +327,10 @@
                 backend.unread_tokens -= caller.prompt
                 job.first_answer_at = self._clock()
                 entry.placing.began(job)
+                facts = types.AnswerFacts(
+                    "a", True, False, limit_per_s=self.limits.get(number)
+                )
+                backend.signals.take(facts, sent_at, self._clock())
             else:
                 caller.gap_s = max(caller.gap_s, self.now - last[0])
             last[0] = self.now
@@ -370,9 +387,14 @@
                 else 0.0,
             )
             told += 1
-            for entry in told_to:
+            for rank, entry in enumerate(told_to):
                 near = entry.place == self.place(number)
                 if near or not told % FAR_EVERY:
+                    report = dataclasses.replace(
+                        report,
+                        rank=self.entries.index(entry),
+                        follower_rank=rank,
+                    )
                     loop.call_later(TRIP_S, self._take, entry, number, report)
             await asyncio.sleep(REPORT_S)
 
--- a/tests/test_direct_server_limit.py
+++ b/tests/test_direct_server_limit.py
@@ -1,13 +1,16 @@
 """Backend servers that report how many requests a second they take."""
 
 import asyncio
+import statistics
 
 from adapter import headers
+import overload_site
 import platform_site as sites
 import pytest
 
 from clementinegw.direct import client
 from clementinegw.direct import rate_limit
+from clementinegw.testing import clock as clocks
 
 # What a server with a limit may get in any such span, in seconds, beside the
 # share of its limit: the platform's rule.
@@ -236,3 +239,36 @@
             return backend.signals.limiter.per_s
 
     assert sites.run(play()) == 1.0
+
+
+def served_share(engines, limits, seed):
+    """Returns what part of a usual load is served in time, and arrivals."""
+
+    async def play():
+        site = overload_site.Site(engines, seed=seed)
+        loop = asyncio.get_running_loop()
+        loop.call_later(4.0, site.limits.update, limits)
+        await site.play(16.0, lambda now: 0.85)
+        await asyncio.sleep(6.0)
+        site.stop()
+        came = site.came(8.0, 16.0)
+        arrived = {
+            n: [t for t in site.arrived_at[n] if t > 7.0] for n in limits
+        }
+        return sum(c.in_time for c in came) / len(came), arrived
+
+    return clocks.run(play())
+
+
+def test_limited_engines_serve_callers_as_well_as_their_limit_allows():
+    """The others get the rest, and no caller waits for a limited one."""
+    limits = {3: 1.0, 7: 2.4}
+    limited_share, without = [], []
+    for seed in range(2):
+        share, arrived = served_share(10, limits, seed)
+        limited_share.append(share)
+        without.append(served_share(8, {}, seed)[0])
+        for number, per_s in limits.items():
+            assert most_in_span(arrived[number]) <= allowed(per_s)
+            assert len(arrived[number]) >= 0.7 * per_s * 9.0
+    assert statistics.fmean(limited_share) >= statistics.fmean(without)
