Send nothing more to a server whose answers say that it leaves

Cause: leaving was known from the platform's list alone. The server said it at 35.5 s, the store took that at 47.7 s.

Change: the header is read of all answers but 421 and kept by start, apart from the list's record. A start that has said it is chosen no more, and a request whose connection is still coming up is taken back.

Why it works: every answer of the server that an entry passes on goes through the same place before the next choice; the start never takes it back.

--- a/src/clementinegw/direct/_events.py
+++ b/src/clementinegw/direct/_events.py
@@ -61,6 +61,13 @@
     " none any more.",
     "None; `per_s` is in requests a second, `turn` is this entry's place.",
 )
+SERVER_LEAVING = events.define(
+    946,
+    "server_leaving",
+    _INFO,
+    "A backend server's answer says that it leaves; this entry sends it nothing"
+    " more, whatever the platform lists.",
+)
 SERVER_SIGNAL_MALFORMED = events.define(
     945,
     "server_signal_malformed",
--- a/src/clementinegw/direct/fleet.py
+++ b/src/clementinegw/direct/fleet.py
@@ -92,7 +92,12 @@
     @property
     def left(self) -> bool:
         """Whether this start gets nothing more: it leaves, or is over."""
-        return self.gone or self.replaced or self.server.leaving
+        return (
+            self.gone
+            or self.replaced
+            or self.server.leaving
+            or self.signals.leaving
+        )
 
     @property
     def limited(self) -> bool:
--- a/src/clementinegw/direct/signals.py
+++ b/src/clementinegw/direct/signals.py
@@ -23,6 +23,7 @@
     """What one start of a server has reported.
 
     Attributes:
+      leaving: Whether it has said that it leaves; it never takes that back.
       limiter: Keeps this entry's part of the server's rate limit.
       turn: This entry's place among those that send to the server, as the agent
         beside it reports; None while none does.
@@ -38,6 +39,7 @@
         counters: counters_lib.Counters,
     ):
         self.start = start
+        self.leaving = False
         self.turn: rate_limit.Turn | None = None
         self.entry_turn: rate_limit.Turn | None = None
         self.limiter = rate_limit.Limiter(
@@ -59,9 +61,22 @@
           now: Monotonic seconds.
         """
         self._note_malformed(facts.malformed)
+        if facts.leaving:
+            self._take_leaving()
         if "limit_per_s" not in facts.malformed:
             self._take_limit(facts.limit_per_s, sent_at, now)
 
+    def _take_leaving(self) -> None:
+        if self.leaving:
+            return
+        self.leaving = True
+        self._counters.add("direct.server_leaving")
+        self._log.write(
+            _events.SERVER_LEAVING,
+            server=self.start.server_id,
+            born=self.start.born,
+        )
+
     def _take_limit(
         self, per_s: float | None, sent_at: float, now: float
     ) -> None:
--- a/src/clementinegw/direct/types.py
+++ b/src/clementinegw/direct/types.py
@@ -362,6 +362,7 @@
       server_id: Which start of a server answers; empty when it does not say.
       limit_per_s: The requests a second that the server takes from all entries
         together; None when it reports no limit.
+      leaving: Whether the server says that it leaves.
       malformed: The names of fields here whose header cannot be read; what the
         server reported before stays in force.
     """
@@ -374,6 +375,7 @@
     keep_s: float | None = None
     server_id: str = ""
     limit_per_s: float | None = None
+    leaving: bool = False
     malformed: frozenset[str] = frozenset()
 
 
--- a/tests/test_direct_server_leaving.py
+++ b/tests/test_direct_server_leaving.py
@@ -2,7 +2,11 @@
 
 import asyncio
 
+from adapter import headers
 import platform_site as sites
+import pytest
+
+from clementinegw.direct import client
 
 LEAVING = "Server-Leaving: 1"
 # The platform's bound: nothing later than this after the answer, in seconds.
@@ -42,3 +46,136 @@
     statuses, late = sites.run(play())
     assert set(statuses) == {200}
     assert late == 0
+
+
+async def calls_after(site, server, count=12):
+    """Returns how many more requests reach a server, and the statuses."""
+    before = len(server.calls)
+    answers = [await site.ask() for _ in range(count)]
+    return len(server.calls) - before, {a.status for a in answers}
+
+
+def rejects(call):
+    call.answer(b"", 503, more=(LEAVING, "X-Clementinegw-Not-Executed: 1"))
+
+
+def fails(call):
+    call.answer(b"", 500, more=(LEAVING,))
+
+
+def streams(call):
+    head = [
+        "HTTP/1.1 200 OK",
+        f"X-Clementinegw-Attempt-Id: {call.attempt_id}",
+        "X-Clementinegw-Response-Seal: seal",
+        "Transfer-Encoding: chunked",
+        LEAVING,
+    ]
+    call.send("\r\n".join(head).encode() + b"\r\n\r\n")
+    call.event(1)
+    call.end_stream()
+
+
+@pytest.mark.parametrize(
+    ("path", "answer"),
+    [
+        ("/safe/1", leaving),
+        ("/safe/1", rejects),
+        ("/safe/1", fails),
+        ("/once/1", leaving),
+        ("/stream/1", streams),
+    ],
+)
+def test_every_kind_of_answer_says_that_its_server_leaves(path, answer):
+    async def play():
+        async with sites.Site("i-1", "i-2") as site:
+            first = site.servers[0]
+            first.do = answer
+            while not first.calls:
+                await site.ask(path)
+            return await calls_after(site, first)
+
+    assert sites.run(play()) == (0, {200})
+
+
+@pytest.mark.parametrize("gone", [False, True])
+def test_a_list_that_says_ready_brings_no_leaving_server_back(gone):
+    """The list was behind, or lost the server's record and got it again."""
+
+    async def play():
+        async with sites.Site("i-1", "i-2") as site:
+            first = site.servers[0]
+            first.do = leaving
+            while not first.calls:
+                await site.ask()
+            if gone:
+                site.store.put("keyed.servers", first.name, None)
+                await asyncio.sleep(4.0)
+            entry = first.entry(sequence=9)
+            site.store.put("keyed.servers", first.name, entry)
+            await asyncio.sleep(1.5)
+            return await calls_after(site, first)
+
+    assert sites.run(play()) == (0, {200})
+
+
+def test_another_start_of_a_server_that_left_gets_requests():
+    async def play():
+        async with sites.Site("i-1") as site:
+            (server,) = site.servers
+            entry = server.entry(born=1)
+            site.store.put("keyed.servers", server.name, entry)
+            await asyncio.sleep(1.5)
+            server.do = leaving
+            await site.ask()
+            server.do = lambda call: call.answer()
+            left = (await site.ask()).status
+            entry = server.entry(born=2)
+            site.store.put("keyed.servers", server.name, entry)
+            await asyncio.sleep(1.5)
+            return left, (await site.ask()).status
+
+    assert sites.run(play()) == (503, 200)
+
+
+def test_a_request_whose_connection_comes_up_misses_who_says_it_leaves(
+    monkeypatch,
+):
+    connect = client.connect
+
+    async def slowly(address, timeout_s):
+        await asyncio.sleep(0.2)
+        return await connect(address, timeout_s)
+
+    async def play():
+        async with sites.Site("i-1") as site:
+            (server,) = site.servers
+            held = []
+            server.do = held.append
+            first = asyncio.ensure_future(site.ask("/once/1"))
+            await asyncio.sleep(0.1)
+            monkeypatch.setattr(client, "connect", slowly)
+            second = asyncio.ensure_future(site.ask("/once/2"))
+            await asyncio.sleep(0.1)
+            leaving(held[0])
+            answers = await asyncio.gather(first, second)
+            return [a.status for a in answers], len(server.calls)
+
+    assert sites.run(play()) == ([200, 503], 1)
+
+
+@pytest.mark.parametrize(
+    ("value", "says", "malformed"),
+    [
+        (None, False, False),
+        ("1", True, False),
+        ("0", False, False),
+        ("", False, True),
+        ("yes", False, True),
+    ],
+)
+def test_what_says_leaving_and_what_is_malformed(value, says, malformed):
+    raw = () if value is None else ((b"server-leaving", value.encode()),)
+    facts = headers.Headers().answer_facts(client.Head(200, raw))
+    assert facts.leaving == says
+    assert ("leaving" in facts.malformed) == malformed
