Soak entries before servers that report limits, leave, or ask for pauses

They do now, under a plan of their own (--subject=signals), also while the store is silent; judged is what reaches a server from an entry that it has told.

--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -207,6 +207,8 @@
         self.head = head
         self.body = body
         self.writer = writer
+        # Headers that every answer has besides.
+        self.more = ()
         self.headers = {k.decode(): v.decode() for k, v in head.headers}
 
     @property
@@ -223,6 +225,7 @@
             f"X-Clementinegw-Attempt-Id: {attempt_id or self.attempt_id}",
             f"X-Clementinegw-Response-Seal: seal-{self.attempt_id}",
             f"Content-Length: {len(body)}",
+            *self.more,
             *more,
         ]
         self.send("\r\n".join(head).encode() + b"\r\n\r\n" + body)
@@ -237,6 +240,7 @@
             f"X-Clementinegw-Response-Seal: seal-{self.attempt_id}",
             "Content-Type: text/event-stream",
             "Transfer-Encoding: chunked",
+            *self.more,
         ]
         self.send("\r\n".join(head).encode() + b"\r\n\r\n")
 
--- a/tests/soak/process.py
+++ b/tests/soak/process.py
@@ -27,6 +27,7 @@
         self.expected_end = False
         self.started_at = 0.0
         self.ended_by_itself = ""
+        self.paused = 0
         self.peak_mb = 0.0
 
     async def start(self, store_port):
@@ -89,6 +90,7 @@
 
     async def pause(self, rng):
         """Stands still for a while."""
+        self.paused += 1
         self.signal(signal.SIGSTOP)
         await asyncio.sleep(rng.uniform(0.5, 3.0))
         self.signal(signal.SIGCONT)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -2,7 +2,8 @@
 
 Starts entries as separate processes in front of stand-ins, with a proxy on each
 link, plays a plan of faults drawn from the seed, and judges the promises from
-both ends; with `--subject=weights` agents beside model servers; with
+both ends; with `--subject=signals` servers that report limits, leave or ask for
+pauses; with `--subject=weights` agents beside model servers; with
 `--subject=versions` entries that start again while a version of weights is due.
 `--guard=NAME` breaks one guard in a copy of the code: the judge must then
 find it.
@@ -24,11 +25,13 @@
 ]
 
 import entries  # noqa: E402
+import server_signals  # noqa: E402
 import versions  # noqa: E402
 import weights  # noqa: E402
 
 SUBJECTS = {
     "requests": entries.Soak,
+    "signals": server_signals.Soak,
     "versions": versions.Soak,
     "weights": weights.Soak,
 }
@@ -61,6 +64,21 @@
         "                continue",
         "if lying is not None:\n                continue",
     ),
+    "server_limit": (
+        "src/clementinegw/direct/balance.py",
+        "and backend.signals.limiter.is_open()",
+        "",
+    ),
+    "server_leaving": (
+        "src/clementinegw/direct/signals.py",
+        "        self.leaving = True",
+        "        self.leaving = False",
+    ),
+    "server_backoff": (
+        "src/clementinegw/direct/fleet.py",
+        "return self.signals.backoff_until > now",
+        "return False",
+    ),
     "true_refusal": (
         "src/clementinegw/direct/placing.py",
         "if job.runs:\n            return outcomes.Refusal(_BAD_GATEWAY",
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -37,6 +37,13 @@
     assert faults > 0
 
 
+def test_what_servers_report_is_heeded_under_a_seeded_plan_of_faults():
+    broken, requests, faults = run.play(3, seconds=6.0, subject="signals")
+    assert broken == []
+    assert requests > 0
+    assert faults > 0
+
+
 def test_versions_are_kept_to_by_entries_that_start_again():
     """Entries are killed or stopped while a version is due; see the soak."""
     broken, requests, faults = run.play(1, seconds=6.0, subject="versions")
