Move what an entry knows of one server to a module of its own

The reasons for which a placed request is not sent stand in one table; the tests' slow connections in the stand-in.

--- a/src/clementinegw/direct/attempt.py
+++ b/src/clementinegw/direct/attempt.py
@@ -4,11 +4,11 @@
 from collections.abc import Callable
 import dataclasses
 
+from clementinegw.direct import backend as backend_lib
 from clementinegw.direct import catalog
 from clementinegw.direct import client
 from clementinegw.direct import dialect as dialects
 from clementinegw.direct import events
-from clementinegw.direct import fleet
 from clementinegw.direct import outcomes
 from clementinegw.direct import recalls
 from clementinegw.direct import server as servers
@@ -113,7 +113,7 @@
     async def run(
         self,
         job: Job,
-        backend: fleet.Backend,
+        backend: backend_lib.Backend,
         sending: types.Sending,
         elsewhere: Callable[[], bool],
         recall: recalls.Recall,
@@ -165,24 +165,10 @@
             job.unreached_s += self._clock() - began
             hearing.unreachable()
             return outcomes.NotRun(outcomes.NotRunReason.UNREACHABLE)
-        if backend.left:
-            # Read while the connection came up: a server that leaves got
-            # requests after it had been known to.
+        reason = self._withdrawn(job, backend, unread.recall)
+        if reason is not None:
             backend.pool.discard(connection)
-            return outcomes.NotRun(outcomes.NotRunReason.LEFT)
-        if backend.backs_off(self._clock()):
-            # Asked for while the connection came up.
-            backend.pool.give_back(connection)
-            return outcomes.NotRun(outcomes.NotRunReason.BACKOFF)
-        if backend.limited and not job.permitted:
-            # The limit was reported while the connection came up: without
-            # this, requests that were already placed would exceed it.
-            backend.pool.give_back(connection)
-            return outcomes.NotRun(outcomes.NotRunReason.LIMITED)
-        if unread.recall.late:
-            # The connection took its time, or the machine was suspended.
-            backend.pool.give_back(connection)
-            return outcomes.NotRun(outcomes.NotRunReason.TOO_OLD)
+            return outcomes.NotRun(reason)
         whole = False
         try:
             outcome = await self._call(
@@ -204,6 +190,26 @@
             else:
                 backend.pool.discard(connection)
 
+    def _withdrawn(
+        self, job: Job, backend: backend_lib.Backend, recall: recalls.Recall
+    ) -> outcomes.NotRunReason | None:
+        """Returns why a request that was placed is not sent after all.
+
+        Its connection took time to come up, or the machine was suspended.
+        Without this a server that has reported something of itself meanwhile
+        would get requests against it.
+        """
+        checks = (
+            (backend.left, outcomes.NotRunReason.LEFT),
+            (backend.backs_off(self._clock()), outcomes.NotRunReason.BACKOFF),
+            (
+                backend.limited and not job.permitted,
+                outcomes.NotRunReason.LIMITED,
+            ),
+            (recall.late, outcomes.NotRunReason.TOO_OLD),
+        )
+        return next((reason for holds, reason in checks if holds), None)
+
     async def _call(
         self,
         job: Job,
@@ -262,7 +268,7 @@
     async def _not_run(
         self,
         connection: client.Connection,
-        backend: fleet.Backend,
+        backend: backend_lib.Backend,
         head: client.Head,
     ) -> outcomes.NotRun:
         await connection.body(_MAX_BODY_BYTES)
@@ -336,7 +342,7 @@
 
     def __init__(
         self,
-        backend: fleet.Backend,
+        backend: backend_lib.Backend,
         elsewhere: Callable[[], bool],
         clock: Callable[[], float],
     ):
@@ -403,7 +409,7 @@
     """The tokens that a server still has to read, until its first event."""
 
     def __init__(
-        self, backend: fleet.Backend, tokens: int, recall: recalls.Recall
+        self, backend: backend_lib.Backend, tokens: int, recall: recalls.Recall
     ):
         self.recall = recall
         self._backend = backend
--- /dev/null
+++ b/src/clementinegw/direct/backend.py
@@ -0,0 +1,246 @@
+"""One backend server as this entry knows it, and what it saw of it."""
+
+import math
+import random
+
+from clementinegw.direct import client
+from clementinegw.direct import rate_limit
+from clementinegw.direct import reports
+from clementinegw.direct import signals as signals_lib
+from clementinegw.direct import types
+
+# What a failure adds to the doubt about a server, what a good answer leaves
+# of it, and the pause that a server gets after each of two failed connects.
+_DOUBT_GAIN = 0.2
+_FIRST_REST_S = 0.25
+_LONGEST_REST_S = 4.0
+# Time in which what others had under way at a server has changed by 1/e.
+_REPORT_MEMORY_S = 0.7
+# A report older than this says nothing of free slots, in seconds.
+_REPORT_FRESH_S = 0.5
+# A server whose agent has told nothing for this long, and as many of its usual
+# intervals, and that has sent nothing itself since, is taken for frozen or cut
+# off. Found out from requests alone, each entry loses some of them to it. Lost
+# datagrams come one or two in a row. After a while only
+# requests tell: an agent may be gone for long beside a server that is well.
+# Seconds.
+_QUIET_S = 0.4
+_QUIET_SPANS = 3.0
+_LONG_QUIET_S = 6.0
+# How much the newest interval counts for the usual one.
+_NEWEST_SPAN = 0.3
+# The longest time between two reports that counts, in seconds.
+_LONGEST_SPAN_S = 0.5
+
+
+class Backend:
+    """One start of one backend server."""
+
+    def __init__(
+        self,
+        server: types.Server,
+        pool: client.Pool,
+        rng: random.Random,
+        signals: signals_lib.Signals,
+    ):
+        self.server = server
+        self.pool = pool
+        self.signals = signals
+        self.in_flight = 0
+        self.unread_tokens = 0
+        self.gone = False
+        self.missing = False
+        self.missing_until = math.inf
+        self.heard_at = -math.inf
+        self.doubt = 0.0
+        self.rest_until = -math.inf
+        self.full_until = -math.inf
+        self.version = 0
+        self.pace = 1.0
+        self.loading = False
+        self.yielding = False
+        self.entries = 0
+        self.followed = True
+        self.ready_at = math.inf
+        self._share = 1.0
+        self._rng = rng
+        self.empty = False
+        self.replaced = False
+        self._rest_s = _FIRST_REST_S
+        self._others = 0.0
+        self._reported_at = -math.inf
+        self._told_at = -math.inf
+        self._awaited_until = -math.inf
+        self._span_s = 0.0
+
+    @property
+    def left(self) -> bool:
+        """Whether this start gets nothing more: it leaves, or is over."""
+        return (
+            self.gone
+            or self.replaced
+            or self.server.leaving
+            or self.signals.leaving
+        )
+
+    @property
+    def limited(self) -> bool:
+        """Whether it has reported a rate limit that is in force."""
+        return self.signals.limiter.per_s is not None
+
+    def backs_off(self, now: float) -> bool:
+        """Returns whether it has asked this entry for a pause that lasts."""
+        return self.signals.backoff_until > now
+
+    def open_at(self, now: float) -> float:
+        """Returns when it is available again; `now` where it is."""
+        return max(now, self.rest_until, self.signals.backoff_until)
+
+    def follow(self, followed: bool, now: float) -> None:
+        """Says whether this entry is told of its load, and may send to it."""
+        if followed and not self.followed:
+            # What was heard while it was not followed says nothing of silence,
+            # and nothing of free slots.
+            self._told_at = -math.inf
+            self._awaited_until = now + _REPORT_FRESH_S
+        self.followed = followed
+
+    def silent(self, now: float) -> bool:
+        """Returns whether the server and the agent beside it fell silent."""
+        if not self.followed:
+            return False
+        quiet_s = max(_QUIET_S, _QUIET_SPANS * self._span_s)
+        if not quiet_s < now - self._told_at < _LONG_QUIET_S:
+            return False
+        return self.heard_at < self._told_at + quiet_s / 2
+
+    def take_load(self, load: types.Load, now: float) -> None:
+        """Takes in what the server says of its load."""
+        total = load.running + load.waiting
+        self._others = max(0.0, total - self.in_flight)
+        self._reported_at = now
+
+    def take_report(
+        self,
+        report: reports.Report,
+        now: float,
+        reading_s: float = 0.0,
+    ) -> None:
+        """Takes in what the agent beside the server tells of it.
+
+        Args:
+          report: What it tells.
+          now: Monotonic seconds.
+          reading_s: How long the engine reads a usual prompt; 0 when unknown.
+        """
+        span_s = min(now - self._told_at, _LONGEST_SPAN_S)
+        self._told_at = now
+        self._span_s += _NEWEST_SPAN * (span_s - self._span_s)
+        self.take_load(
+            types.Load(report.running, report.waiting, report.slots), now
+        )
+        self.loading = report.loading
+        self.yielding = report.yielding
+        self.entries = report.entries
+        self.ready_at = math.inf
+        if report.ready_in_s >= 0.0:
+            self.ready_at = now + report.ready_in_s
+        reads = span_s / reading_s if reading_s else math.inf
+        self._share_room(report, reads)
+        if report.follower_rank >= 0:
+            self.signals.turn = rate_limit.Turn(
+                report.follower_rank, report.followers
+            )
+        if report.rank >= 0:
+            self.signals.entry_turn = rate_limit.Turn(
+                report.rank, report.entries
+            )
+        self.pace = max(1.0, report.pace)
+        self.take_version(report.version if report.whole else 0)
+        self.empty = not report.whole
+
+    def has_share(self, now: float) -> bool:
+        """Returns whether this entry may take one more of the free slots.
+
+        While no agent tells, each entry has one prompt read there at a time:
+        nine servers that came back after a loss of power got 109 requests in a
+        quarter of a second, and all of them were late. From the moment at which
+        a server is followed its first report is awaited: many entries may have
+        begun with it at the same time.
+        """
+        if not self.followed:
+            return False
+        if now - self._told_at > _REPORT_FRESH_S or not self.entries:
+            return now >= self._awaited_until and not self.unread_tokens
+        return self._share >= 1.0
+
+    def take(self) -> None:
+        """Counts a request that is sent to the server."""
+        self.in_flight += 1
+        self._share -= 1.0
+
+    def free(self) -> None:
+        """Counts a request that has left the server; its slot is ours again."""
+        self.in_flight -= 1
+        self._share += 1.0
+
+    def _share_room(self, report: reports.Report, reads: float) -> None:
+        """Takes this entry's part of the slots that a report shows free.
+
+        All entries see the same free slots at the same moment. With each
+        taking what it wants, a server that has one slot free gets a request
+        from every entry, and all but one of them are late. What is free, and
+        what the engine can read until the next report, is given out once: in an
+        overload a second one is read for nothing, and late.
+        """
+        free = report.slots - report.running - report.waiting
+        # A server that has just loaded shows all its slots free; the last of 16
+        # requests would wait for the prompts of all others.
+        room = min(free, reads - report.waiting)
+        part = max(0.0, room / max(1, report.followers or report.entries))
+        whole = int(part)
+        more = self._rng.random() < part - whole
+        self._share = float(whole + more)
+
+    def busy(self, now: float) -> float:
+        """Returns about how many requests are at the server."""
+        age = now - self._reported_at
+        return self.in_flight + self._others * math.exp(-age / _REPORT_MEMORY_S)
+
+    def met(self, server_id: str) -> None:
+        """Takes in who answers at the server's address.
+
+        A start that is gone never comes back; the platform lists it until it
+        runs out, and every request would be sent to it once more.
+        """
+        self.replaced = server_id != self.server.server_id
+
+    def answered(self, now: float) -> None:
+        """Counts a whole answer."""
+        self.heard_at = now
+        self._rest_s = _FIRST_REST_S
+        self.doubt *= 1.0 - _DOUBT_GAIN
+
+    def failed(self) -> None:
+        """Counts a failed or broken answer."""
+        self.doubt += _DOUBT_GAIN * (1.0 - self.doubt)
+
+    def unreachable(self, now: float) -> None:
+        """Counts a connection that did not come up, or was reset."""
+        self.failed()
+        self.rest_until = now + self._rest_s
+        self._rest_s = min(2 * self._rest_s, _LONGEST_REST_S)
+
+    def take_version(self, version: int) -> None:
+        """Takes in which version's weights it answers with."""
+        self.version = version
+
+    def held(self, layers: int) -> int:
+        """Returns the version of which it has all layers; 0 for none."""
+        if self.empty:
+            return 0
+        return self.version or self.server.version(layers)
+
+    def serves(self, least_version: int, layers: int) -> bool:
+        """Returns whether it has all layers of at least a version."""
+        return self.held(layers) >= least_version
--- a/src/clementinegw/direct/balance.py
+++ b/src/clementinegw/direct/balance.py
@@ -5,6 +5,7 @@
 import random
 
 from clementinegw import types as places
+from clementinegw.direct import backend as backend_lib
 from clementinegw.direct import fleet
 from clementinegw.direct import rests
 from clementinegw.direct import types
@@ -90,7 +91,7 @@
         )
         return max(0.0, at - now)
 
-    def candidates(self, wanted: Wanted) -> list[fleet.Backend]:
+    def candidates(self, wanted: Wanted) -> list[backend_lib.Backend]:
         """Returns the servers that could run the request, busy or not."""
         return [
             backend
@@ -104,7 +105,7 @@
 
     def choose(
         self, wanted: Wanted, tried: Collection[types.Start] = ()
-    ) -> fleet.Backend | None:
+    ) -> backend_lib.Backend | None:
         """Returns the server to send to; None when none has room.
 
         Args:
@@ -146,7 +147,7 @@
             for b in self._servers.of(service)
         )
 
-    def sent(self, backend: fleet.Backend) -> None:
+    def sent(self, backend: backend_lib.Backend) -> None:
         """Notes that a request goes to a server."""
         self._rests.tried(backend, self._clock())
 
@@ -201,8 +202,8 @@
         )
 
     def _reachable(
-        self, backends: list[fleet.Backend], wanted: Wanted, now: float
-    ) -> list[fleet.Backend]:
+        self, backends: list[backend_lib.Backend], wanted: Wanted, now: float
+    ) -> list[backend_lib.Backend]:
         awake = self._rests.awake(backends, now)
         if awake or not wanted.resting:
             return awake
@@ -210,7 +211,7 @@
 
     def _preferences(
         self, wanted: Wanted, now: float
-    ) -> tuple[Callable[[fleet.Backend], bool], ...]:
+    ) -> tuple[Callable[[backend_lib.Backend], bool], ...]:
         """Returns what a server should be, the most important first.
 
         Where no server is, one is chosen all the same: one that fell silent
@@ -223,11 +224,11 @@
             lambda b: b.serves(wanted.preferred_version, wanted.layers),
         )
 
-    def busy(self, backend: fleet.Backend, now: float) -> float:
+    def busy(self, backend: backend_lib.Backend, now: float) -> float:
         """Returns a server's requests as a part of its slots."""
         return backend.busy(now) / max(1, backend.server.slots)
 
-    def _score(self, backend: fleet.Backend, now: float) -> float:
+    def _score(self, backend: backend_lib.Backend, now: float) -> float:
         requests = backend.busy(now) + 1.0
         requests += backend.unread_tokens / _TOKENS_A_REQUEST
         load = requests / max(1, backend.server.slots) * backend.pace
@@ -244,7 +245,7 @@
         return found
 
 
-def _restricted(backend: fleet.Backend, now: float) -> bool:
+def _restricted(backend: backend_lib.Backend, now: float) -> bool:
     """Returns whether a server gets fewer requests than it has room for."""
     return backend.open_at(now) > now or backend.limited
 
--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -7,12 +7,12 @@
 from clementinegw.direct import _events
 from clementinegw.direct import admit
 from clementinegw.direct import attempt as attempts
+from clementinegw.direct import backend as backend_lib
 from clementinegw.direct import balance
 from clementinegw.direct import budget as budgets
 from clementinegw.direct import channel
 from clementinegw.direct import dialect as dialects
 from clementinegw.direct import finals
-from clementinegw.direct import fleet
 from clementinegw.direct import outcomes
 from clementinegw.direct import placing
 from clementinegw.direct import recalls
@@ -190,7 +190,7 @@
             place.free()
 
     async def _send(
-        self, job: attempts.Job, backend: fleet.Backend
+        self, job: attempts.Job, backend: backend_lib.Backend
     ) -> outcomes.Attempt | outcomes.Refusal:
         if job.sends and not self._budget(job.service).allow(self._clock()):
             return self._placing.unserved(job, Reason.NO_BUDGET)
@@ -223,7 +223,7 @@
         """Looks for room for those who wait; servers told of their load."""
         self._placing.look()
 
-    def look_at(self, backend: fleet.Backend) -> None:
+    def look_at(self, backend: backend_lib.Backend) -> None:
         """Looks for room for those who wait; one server told of its load."""
         self._placing.look_at(backend)
 
@@ -255,7 +255,7 @@
     def _note(
         self,
         job: attempts.Job,
-        backend: fleet.Backend,
+        backend: backend_lib.Backend,
         outcome: outcomes.Attempt,
     ) -> None:
         now = self._clock()
--- a/src/clementinegw/direct/placing.py
+++ b/src/clementinegw/direct/placing.py
@@ -6,8 +6,8 @@
 
 from clementinegw.direct import admit
 from clementinegw.direct import attempt as attempts
+from clementinegw.direct import backend as backend_lib
 from clementinegw.direct import balance
-from clementinegw.direct import fleet
 from clementinegw.direct import foresight
 from clementinegw.direct import outcomes
 from clementinegw.direct import queue
@@ -138,7 +138,7 @@
         for waiting in self._queues.values():
             waiting.look()
 
-    def look_at(self, backend: fleet.Backend) -> None:
+    def look_at(self, backend: backend_lib.Backend) -> None:
         """Looks for room for those who wait; one server told of its load.
 
         Full servers tell so some hundred times a second. A report that leaves
@@ -148,7 +148,9 @@
         if backend.has_share(self._clock()):
             self._queue(backend.server.service).look()
 
-    def elsewhere(self, job: attempts.Job, backend: fleet.Backend) -> bool:
+    def elsewhere(
+        self, job: attempts.Job, backend: backend_lib.Backend
+    ) -> bool:
         """Returns whether another server could take a request over now."""
         if job.runs + 1 >= job.match.route.max_attempts:
             return False
--- a/src/clementinegw/direct/queue.py
+++ b/src/clementinegw/direct/queue.py
@@ -10,8 +10,8 @@
 from collections.abc import Callable
 import dataclasses
 
+from clementinegw.direct import backend as backend_lib
 from clementinegw.direct import balance
-from clementinegw.direct import fleet
 from clementinegw.direct import spare
 from clementinegw.direct import types
 
@@ -76,7 +76,7 @@
       permitted: Whether it used up a slot of the server's rate limit.
     """
 
-    def __init__(self, backend: fleet.Backend, freed: Callable[[], None]):
+    def __init__(self, backend: backend_lib.Backend, freed: Callable[[], None]):
         self.backend = backend
         self.permitted = backend.signals.limiter.take()
         self._freed = freed
@@ -235,7 +235,7 @@
 
     def _choose(
         self, waiting: Waiting, late: bool, unmet: _Unmet
-    ) -> fleet.Backend | None:
+    ) -> backend_lib.Backend | None:
         """Returns a server with room; notes what none has room for.
 
         Most who wait need the same: with each looking through all servers, at
--- a/src/clementinegw/direct/rests.py
+++ b/src/clementinegw/direct/rests.py
@@ -8,7 +8,7 @@
 from collections.abc import Sequence
 import weakref
 
-from clementinegw.direct import fleet
+from clementinegw.direct import backend as backend_lib
 
 # A server that rests is tried no more often than one whose connections time
 # out would be, also where it refuses them at once: a request would connect over
@@ -21,22 +21,22 @@
 
     def __init__(self) -> None:
         # Weak: a server that is gone is forgotten with its backend.
-        self._tried_at: weakref.WeakKeyDictionary[fleet.Backend, float]
+        self._tried_at: weakref.WeakKeyDictionary[backend_lib.Backend, float]
         self._tried_at = weakref.WeakKeyDictionary()
 
-    def tried(self, backend: fleet.Backend, now: float) -> None:
+    def tried(self, backend: backend_lib.Backend, now: float) -> None:
         """Notes that a request goes to a server."""
         self._tried_at[backend] = now
 
     def awake(
-        self, backends: Sequence[fleet.Backend], now: float
-    ) -> list[fleet.Backend]:
+        self, backends: Sequence[backend_lib.Backend], now: float
+    ) -> list[backend_lib.Backend]:
         """Returns the servers that do not rest."""
         return [b for b in backends if b.rest_until <= now]
 
     def due(
-        self, backends: Sequence[fleet.Backend], now: float
-    ) -> list[fleet.Backend]:
+        self, backends: Sequence[backend_lib.Backend], now: float
+    ) -> list[backend_lib.Backend]:
         """Returns the servers that are tried though they may rest."""
         return [
             backend
@@ -44,7 +44,9 @@
             if now - self._tried_at.get(backend, -_TRY_EVERY_S) >= _TRY_EVERY_S
         ]
 
-    def over_in_s(self, backends: Sequence[fleet.Backend], now: float) -> float:
+    def over_in_s(
+        self, backends: Sequence[backend_lib.Backend], now: float
+    ) -> float:
         """Returns when the first rest is over, in seconds; 0 without one."""
         at = min((b.rest_until for b in backends), default=now)
         return max(0.0, at - now)
--- a/src/clementinegw/direct/subscriptions.py
+++ b/src/clementinegw/direct/subscriptions.py
@@ -5,6 +5,7 @@
 from clementinegw import types as places
 from clementinegw.direct import _events
 from clementinegw.direct import admit
+from clementinegw.direct import backend as backend_lib
 from clementinegw.direct import balance
 from clementinegw.direct import fleet as fleets
 from clementinegw.direct import following
@@ -132,7 +133,7 @@
             serving=sum(self._standing.values()),
         )
 
-    def _candidate(self, backend: fleets.Backend) -> following.Candidate:
+    def _candidate(self, backend: backend_lib.Backend) -> following.Candidate:
         server_id = backend.server.server_id
         return following.Candidate(
             server_id,
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -10,6 +10,7 @@
 import h11
 
 from clementinegw import types as places
+from clementinegw.direct import client
 from clementinegw.direct import entry as entries
 from clementinegw.direct import instance as instances
 from clementinegw.direct import server as servers
@@ -200,6 +201,17 @@
     return places.Address(host, port)
 
 
+def slow_connections(monkeypatch, by_s):
+    """Lets connections that are opened from now on take longer to come up."""
+    connect = client.connect
+
+    async def slowly(address, timeout_s):
+        await asyncio.sleep(by_s)
+        return await connect(address, timeout_s)
+
+    monkeypatch.setattr(client, "connect", slowly)
+
+
 class Call:
     """One request at a backend server."""
 
--- a/tests/test_direct_server_backoff.py
+++ b/tests/test_direct_server_backoff.py
@@ -127,12 +127,6 @@
 
 
 def test_a_request_whose_connection_comes_up_is_taken_back(monkeypatch):
-    connect = client.connect
-
-    async def slowly(address, timeout_s):
-        await asyncio.sleep(0.2)
-        return await connect(address, timeout_s)
-
     async def play():
         async with sites.Site("i-1") as site:
             (server,) = site.servers
@@ -140,7 +134,7 @@
             server.do = held.append
             first = asyncio.ensure_future(site.ask("/once/1"))
             await asyncio.sleep(0.1)
-            monkeypatch.setattr(client, "connect", slowly)
+            sites.slow_connections(monkeypatch, by_s=0.2)
             second = asyncio.ensure_future(site.ask("/once/2"))
             await asyncio.sleep(0.1)
             more = ("X-Clementinegw-Not-Executed: 1", "Retry-After: 9")
--- a/tests/test_direct_server_leaving.py
+++ b/tests/test_direct_server_leaving.py
@@ -141,12 +141,6 @@
 def test_a_request_whose_connection_comes_up_misses_who_says_it_leaves(
     monkeypatch,
 ):
-    connect = client.connect
-
-    async def slowly(address, timeout_s):
-        await asyncio.sleep(0.2)
-        return await connect(address, timeout_s)
-
     async def play():
         async with sites.Site("i-1") as site:
             (server,) = site.servers
@@ -154,7 +148,7 @@
             server.do = held.append
             first = asyncio.ensure_future(site.ask("/once/1"))
             await asyncio.sleep(0.1)
-            monkeypatch.setattr(client, "connect", slowly)
+            sites.slow_connections(monkeypatch, by_s=0.2)
             second = asyncio.ensure_future(site.ask("/once/2"))
             await asyncio.sleep(0.1)
             leaving(held[0])
--- a/tests/test_direct_server_limit.py
+++ b/tests/test_direct_server_limit.py
@@ -109,18 +109,13 @@
     monkeypatch,
 ):
     """Connections were coming up as the first answer reported the limit."""
-    connect = client.connect
-
-    async def slowly(address, timeout_s):
-        await asyncio.sleep(0.2)
-        return await connect(address, timeout_s)
 
     async def play():
         async with sites.Site("i-1") as site:
             alone(site)
             await site.ask()
             site.servers[0].do = limited(0.5)
-            monkeypatch.setattr(client, "connect", slowly)
+            sites.slow_connections(monkeypatch, by_s=0.2)
             asking = [
                 asyncio.ensure_future(site.ask(f"/safe/{n}")) for n in range(8)
             ]
