Pass on what one entry is told of a rate limit by the agent beside the server

Cause: an entry learned of a limit, and of its end, from its own answers alone. With 30 entries and a limit of 1 a second an entry has a slot in 30 s: so long it went on sparing a server that no longer asked for it, and so long some sent it everything.

Only own observations are passed on, so no word circulates and seems newer each time. A subscription or report carries some 20 bytes more while a limit is known, and for ten seconds behind its end.

Tests: test_direct_limit_relay; those of the direct path and the platform are green.

--- a/src/clementinegw/direct/backend.py
+++ b/src/clementinegw/direct/backend.py
@@ -147,6 +147,8 @@
             self.ready_at = now + report.ready_in_s
         reads = span_s / reading_s if reading_s else math.inf
         self._share_room(report, reads)
+        if report.limit is not None:
+            self.signals.take_relayed(report.limit)
         if report.follower_rank >= 0:
             self.signals.turn = rate_limit.Turn(
                 report.follower_rank, report.followers
--- a/src/clementinegw/direct/rate_limit.py
+++ b/src/clementinegw/direct/rate_limit.py
@@ -16,6 +16,8 @@
 import math
 import zlib
 
+from clementinegw.direct import types
+
 # How long an unused slot stays valid: so many seconds, and so many slots
 # besides. Requests arrive at any time, and most slots of a service with little
 # traffic would pass unused.
@@ -50,6 +52,21 @@
         return cls(rank, _ASSUMED_ENTRIES)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Observation:
+    """What an answer of a server reported of its rate limit.
+
+    Attributes:
+      start: The start of the server.
+      per_s: Requests a second; None where it reported no limit any more.
+      at: When the answer came, in monotonic seconds.
+    """
+
+    start: types.Start
+    per_s: float | None
+    at: float
+
+
 class Limiter:
     """This entry's part of the limit of one start of a server."""
 
--- a/src/clementinegw/direct/reports.py
+++ b/src/clementinegw/direct/reports.py
@@ -12,6 +12,7 @@
 
 from clementinegw import exceptions
 from clementinegw import types
+from clementinegw.direct import rate_limit
 from clementinegw.direct import suspects
 from clementinegw.direct import suspicions as suspicions_lib
 from clementinegw.direct import types as servers
@@ -33,6 +34,11 @@
 # gets every second one, and so on. A report takes 58 bytes and its headers,
 # and taking them in was a third of what an entry before 31 agents ran.
 _NEAR_EACH_TIME = 8
+# How long entries are told that a rate limit has ended, in seconds: some lost
+# datagrams.
+_ENDED_TOLD_S = 10.0
+# The largest age that is told, in milliseconds: what a field holds.
+_MOST_AGE_MS = 2**31 - 1
 # How often an entry is told of the ages of declared versions, in seconds: one
 # that was cut off hears of them so long after. They take six bytes and more.
 _AGES_S = 1.0
@@ -73,6 +79,7 @@
       rank: The place among `entries` of the entry that it goes to, by name;
         negative when it is not reported this time.
       follower_rank: The same among `followers`.
+      limit: The newest that any entry was told of the server's rate limit.
     """
 
     server_id: str
@@ -92,6 +99,7 @@
     ages_s: Mapping[int, float] = dataclasses.field(default_factory=dict)
     rank: int = -1
     follower_rank: int = -1
+    limit: rate_limit.Observation | None = None
 
     @property
     def start(self) -> servers.Start:
@@ -121,10 +129,12 @@
       far: Whether it stands in another region.
       changes_only: Whether it sends no requests to the server beside, and is
         told of what changes only, not of the load.
+      limit: What the entry itself was told of the server's rate limit.
     """
 
     far: bool
     changes_only: bool = False
+    limit: rate_limit.Observation | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -174,6 +184,7 @@
         self._subscribers: dict[tuple, _Subscriber] = {}
         self._told = 0
         self._former: tuple = ()
+        self._limit: rate_limit.Observation | None = None
         self._ranks: dict[tuple, tuple[int, int]] | None = None
         self._ranks_from = math.inf
 
@@ -199,12 +210,35 @@
             if known.asking != asking:
                 self._ranks = None
             known.renew(asking, now)
+        limit = _observation(message.limit, now)
+        if limit is not None:
+            self._take_limit(limit)
         self._on_declared(Declared(message.declared, _ages_s(message.ages_ms)))
         if message.suspicions:
             self._on_suspicions(suspicions_lib.from_wire(message.suspicions))
         # An entry that starts must not wait for what it alone can't know.
         self.tell_ages()
 
+    def _take_limit(self, limit: rate_limit.Observation) -> None:
+        """Takes in what an entry was told; the newest of a start counts."""
+        known = self._limit
+        if known is None or not known.start.same(limit.start):
+            newer = known is None or limit.start.born >= known.start.born
+        else:
+            newer = limit.at > known.at
+        if newer:
+            self._limit = limit
+
+    def _limit_of(
+        self, start: servers.Start, now: float
+    ) -> rate_limit.Observation | None:
+        """Returns what entries are told of a start's rate limit."""
+        limit = self._limit
+        if limit is None or not limit.start.same(start):
+            return None
+        ended = limit.per_s is None
+        return None if ended and now - limit.at > _ENDED_TOLD_S else limit
+
     @property
     def entries(self) -> int:
         """How many have subscribed."""
@@ -232,6 +266,9 @@
             return
         now = asyncio.get_running_loop().time()
         self._forget(now)
+        limit = self._limit_of(report.start, now)
+        if limit is not None:
+            report = dataclasses.replace(report, limit=limit)
         news = self._is_news(report) or bool(suspicions)
         told = self._whose_turn(news)
         if not told:
@@ -337,6 +374,7 @@
             report.whole,
             report.loading,
             report.yielding,
+            report.limit and report.limit.per_s,
         )
         changed = told != self._former
         self._former = told
@@ -408,6 +446,7 @@
                     newest,
                     asking.far,
                     asking.changes_only or None,
+                    _limit(asking.limit),
                     ages_ms=ages_ms or None,
                     suspicions=suspicions_lib.to_wire(suspicions),
                 )
@@ -444,6 +483,7 @@
             report.followers or None,
             None if report.rank < 0 else report.rank,
             None if report.follower_rank < 0 else report.follower_rank,
+            _limit(report.limit),
             born=report.born,
             ages_ms=ages_ms or None,
             suspicions=suspicions_lib.to_wire(suspicions),
@@ -470,6 +510,38 @@
         _seconds(message.ages_ms),
         -1 if message.rank is None else message.rank,
         -1 if message.follower_rank is None else message.follower_rank,
+        _observation(message.limit, asyncio.get_running_loop().time()),
+    )
+
+
+def _limit(observed: rate_limit.Observation | None) -> ttypes.Limit | None:
+    if observed is None:
+        return None
+    age_s = asyncio.get_running_loop().time() - observed.at
+    return ttypes.Limit(
+        observed.start.server_id,
+        observed.start.born,
+        min(int(1e3 * age_s), _MOST_AGE_MS),
+        observed.per_s,
+    )
+
+
+def _observation(
+    message: ttypes.Limit | None, now: float
+) -> rate_limit.Observation | None:
+    """Returns what a datagram says of a rate limit; None for nothing."""
+    if message is None or None in (
+        message.server_id,
+        message.born,
+        message.age_ms,
+    ):
+        return None
+    if message.per_s is not None and not 0.0 <= message.per_s < math.inf:
+        return None
+    return rate_limit.Observation(
+        servers.Start(message.server_id, message.born),
+        message.per_s,
+        now - message.age_ms / 1e3,
     )
 
 
--- a/src/clementinegw/direct/signals.py
+++ b/src/clementinegw/direct/signals.py
@@ -14,6 +14,9 @@
 from clementinegw.telemetry import counters as counters_lib
 from clementinegw.telemetry import logs
 
+# How long other entries are told what an answer reported, in seconds: some
+# rounds of subscriptions.
+_TOLD_FOR_S = 10.0
 # The longest pause that a server may ask for, in seconds: a faulty value must
 # not take it out for ever.
 _LONGEST_BACKOFF_S = 300.0
@@ -53,9 +56,20 @@
         )
         self._log = log
         self._counters = counters
-        self._limit_reported_at = -math.inf
+        self._observed: rate_limit.Observation | None = None
+        self._limit_at = -math.inf
         self._malformed: frozenset[str] = frozenset()
 
+    def observed(self, now: float) -> rate_limit.Observation | None:
+        """Returns what answers told this entry itself of the rate limit.
+
+        Only that is passed on: repeated by others it would seem newer each
+        time. None while there is nothing that others may not know.
+        """
+        if self._observed is None or now - self._observed.at > _TOLD_FOR_S:
+            return None
+        return self._observed
+
     def take(
         self, facts: types.AnswerFacts, sent_at: float, now: float
     ) -> None:
@@ -101,14 +115,27 @@
     def _take_limit(
         self, per_s: float | None, sent_at: float, now: float
     ) -> None:
-        if per_s is not None:
-            self._limit_reported_at = now
-        elif sent_at <= self._limit_reported_at:
+        if per_s is None and sent_at <= self._limit_at:
             # Answers overtake each other on their connections: only a request
             # that was sent after the last report shows that the limit ended.
             return
+        if per_s is None and self.limiter.per_s is None:
+            return
+        self._observed = rate_limit.Observation(self.start, per_s, now)
+        self._set_limit(self._observed, "answer")
+
+    def take_relayed(self, observation: rate_limit.Observation) -> None:
+        """Takes in what another entry was told, as the agent reports it."""
+        same = self.start.same(observation.start)
+        if same and observation.at > self._limit_at:
+            self._set_limit(observation, "agent")
+
+    def _set_limit(
+        self, observation: rate_limit.Observation, source: str
+    ) -> None:
+        self._limit_at = observation.at
         was = self.limiter.per_s
-        self.limiter.report(per_s)
+        self.limiter.report(observation.per_s)
         if self.limiter.per_s != was:
             self._counters.add("direct.server_limit.changed")
             self._log.write(
@@ -118,6 +145,7 @@
                 per_s=self.limiter.per_s,
                 was=was,
                 turn=str(self.limiter.turn),
+                source=source,
             )
 
     def _note_malformed(self, fields: frozenset[str]) -> None:
--- a/src/clementinegw/direct/subscriptions.py
+++ b/src/clementinegw/direct/subscriptions.py
@@ -10,6 +10,7 @@
 from clementinegw.direct import fleet as fleets
 from clementinegw.direct import following
 from clementinegw.direct import instance as instances
+from clementinegw.direct import rate_limit
 from clementinegw.direct import reports
 from clementinegw.direct import suspects
 from clementinegw.direct import types
@@ -62,6 +63,7 @@
         self._asked: dict[places.Address, reports.Asking] = {}
         self._followed: set[str] = set()
         self._standing: dict[str, bool] = {}
+        self._told_limits: dict[str, rate_limit.Observation] = {}
         self._rounds = 0
 
     def ask_all(self) -> None:
@@ -100,7 +102,9 @@
 
     def look(self) -> None:
         """Asks anew where other servers may begin a request than before."""
-        if self._find_standing() != self._standing:
+        if self._find_standing() != self._standing or _values(
+            self._limits()
+        ) != _values(self._told_limits):
             self.ask_new()
 
     def _declared(self) -> reports.Declared:
@@ -162,14 +166,26 @@
     def _agents(self) -> dict[places.Address, reports.Asking]:
         """Returns where agents listen, and what each is asked for."""
         port = self._instance.peer_ports[0]
+        self._told_limits = limits = self._limits()
         return {
             places.Address(backend.server.address.host, port): reports.Asking(
-                self._is_far(backend.server), not backend.followed
+                self._is_far(backend.server),
+                not backend.followed,
+                limits.get(backend.server.server_id),
             )
             for backend in self._fleet.all()
             if self._knowledge.engine(backend.server.service) is not None
         }
 
+    def _limits(self) -> dict[str, rate_limit.Observation]:
+        """Returns what servers told this entry of their rate limits."""
+        now = self._clock()
+        return {
+            backend.server.server_id: observed
+            for backend in self._fleet.all()
+            if (observed := backend.signals.observed(now)) is not None
+        }
+
     def _is_far(self, server: types.Server) -> bool:
         """Returns whether a server stands in another region."""
         distance = balance.region_of(
@@ -178,3 +194,10 @@
             server.failure_domain,
         )
         return distance > 1
+
+
+def _values(
+    limits: dict[str, rate_limit.Observation],
+) -> dict[str, float | None]:
+    """Returns limits without their times, which change with each answer."""
+    return {server_id: limit.per_s for server_id, limit in limits.items()}
--- a/src/clementinegw/wire/gen/reports/ttypes.py
+++ b/src/clementinegw/wire/gen/reports/ttypes.py
@@ -206,6 +206,116 @@
         return not (self == other)
 
 
+class Limit(object):
+    """
+    Attributes:
+     - server_id
+     - born
+     - age_ms
+     - per_s
+
+    """
+
+    __slots__ = (
+        'server_id',
+        'born',
+        'age_ms',
+        'per_s',
+    )
+
+
+    def __init__(self, server_id=None, born=None, age_ms=None, per_s=None,):
+        self.server_id = server_id
+        self.born = born
+        self.age_ms = age_ms
+        self.per_s = per_s
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.server_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.born = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Limit')
+        if self.server_id is not None:
+            oprot.writeFieldBegin('server_id', TType.STRING, 1)
+            oprot.writeString(self.server_id.encode('utf-8') if sys.version_info[0] == 2 else self.server_id)
+            oprot.writeFieldEnd()
+        if self.born is not None:
+            oprot.writeFieldBegin('born', TType.I64, 2)
+            oprot.writeI64(self.born)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 3)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.per_s is not None:
+            oprot.writeFieldBegin('per_s', TType.DOUBLE, 4)
+            oprot.writeDouble(self.per_s)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.server_id is None:
+            raise TProtocolException(message='Required field server_id is unset!')
+        if self.born is None:
+            raise TProtocolException(message='Required field born is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Subscribe(object):
     """
     Attributes:
@@ -213,6 +323,7 @@
      - declared
      - far
      - changes_only
+     - limit
      - ages_ms
      - suspicions
 
@@ -223,16 +334,18 @@
         'declared',
         'far',
         'changes_only',
+        'limit',
         'ages_ms',
         'suspicions',
     )
 
 
-    def __init__(self, instance_id=None, declared=None, far=False, changes_only=False, ages_ms=None, suspicions=None,):
+    def __init__(self, instance_id=None, declared=None, far=False, changes_only=False, limit=None, ages_ms=None, suspicions=None,):
         self.instance_id = instance_id
         self.declared = declared
         self.far = far
         self.changes_only = changes_only
+        self.limit = limit
         self.ages_ms = ages_ms
         self.suspicions = suspicions
 
@@ -271,6 +384,12 @@
                     self.changes_only = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRUCT:
+                    self.limit = Limit()
+                    self.limit.read(iprot)
+                else:
+                    iprot.skip(ftype)
             elif fid == 20:
                 if ftype == TType.MAP:
                     self.ages_ms = {}
@@ -329,6 +448,10 @@
             oprot.writeFieldBegin('changes_only', TType.BOOL, 4)
             oprot.writeBool(self.changes_only)
             oprot.writeFieldEnd()
+        if self.limit is not None:
+            oprot.writeFieldBegin('limit', TType.STRUCT, 5)
+            self.limit.write(oprot)
+            oprot.writeFieldEnd()
         if self.ages_ms is not None:
             oprot.writeFieldBegin('ages_ms', TType.MAP, 20)
             oprot.writeMapBegin(TType.STRING, TType.MAP, len(self.ages_ms))
@@ -395,6 +518,7 @@
      - followers
      - rank
      - follower_rank
+     - limit
      - ages_ms
      - born
      - suspicions
@@ -417,13 +541,14 @@
         'followers',
         'rank',
         'follower_rank',
+        'limit',
         'ages_ms',
         'born',
         'suspicions',
     )
 
 
-    def __init__(self, server_id=None, running=None, waiting=None, slots=None, model=None, version=None, whole=None, loading=None, pace=None, yielding=None, entries=None, ready_in_s=None, followers=None, rank=None, follower_rank=None, ages_ms=None, born=None, suspicions=None,):
+    def __init__(self, server_id=None, running=None, waiting=None, slots=None, model=None, version=None, whole=None, loading=None, pace=None, yielding=None, entries=None, ready_in_s=None, followers=None, rank=None, follower_rank=None, limit=None, ages_ms=None, born=None, suspicions=None,):
         self.server_id = server_id
         self.running = running
         self.waiting = waiting
@@ -439,6 +564,7 @@
         self.followers = followers
         self.rank = rank
         self.follower_rank = follower_rank
+        self.limit = limit
         self.ages_ms = ages_ms
         self.born = born
         self.suspicions = suspicions
@@ -527,6 +653,12 @@
                     self.follower_rank = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.STRUCT:
+                    self.limit = Limit()
+                    self.limit.read(iprot)
+                else:
+                    iprot.skip(ftype)
             elif fid == 20:
                 if ftype == TType.MAP:
                     self.ages_ms = {}
@@ -624,6 +756,10 @@
             oprot.writeFieldBegin('follower_rank', TType.I32, 15)
             oprot.writeI32(self.follower_rank)
             oprot.writeFieldEnd()
+        if self.limit is not None:
+            oprot.writeFieldBegin('limit', TType.STRUCT, 16)
+            self.limit.write(oprot)
+            oprot.writeFieldEnd()
         if self.ages_ms is not None:
             oprot.writeFieldBegin('ages_ms', TType.MAP, 20)
             oprot.writeMapBegin(TType.I64, TType.I64, len(self.ages_ms))
@@ -703,6 +839,14 @@
     (2, TType.LIST, 'crashes', (TType.STRUCT, [Crash, None], False), None, ),  # 2
     (3, TType.I32, 'completed_age_ms', None, None, ),  # 3
 )
+all_structs.append(Limit)
+Limit.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'server_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'born', None, None, ),  # 2
+    (3, TType.I32, 'age_ms', None, None, ),  # 3
+    (4, TType.DOUBLE, 'per_s', None, None, ),  # 4
+)
 all_structs.append(Subscribe)
 Subscribe.thrift_spec = (
     None,  # 0
@@ -710,7 +854,7 @@
     (2, TType.MAP, 'declared', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 2
     (3, TType.BOOL, 'far', None, False, ),  # 3
     (4, TType.BOOL, 'changes_only', None, False, ),  # 4
-    None,  # 5
+    (5, TType.STRUCT, 'limit', [Limit, None], None, ),  # 5
     None,  # 6
     None,  # 7
     None,  # 8
@@ -765,7 +909,7 @@
     (13, TType.I32, 'followers', None, None, ),  # 13
     (14, TType.I32, 'rank', None, None, ),  # 14
     (15, TType.I32, 'follower_rank', None, None, ),  # 15
-    None,  # 16
+    (16, TType.STRUCT, 'limit', [Limit, None], None, ),  # 16
     None,  # 17
     None,  # 18
     None,  # 19
--- a/src/clementinegw/wire/reports.thrift
+++ b/src/clementinegw/wire/reports.thrift
@@ -15,6 +15,16 @@
   3: optional i32 completed_age_ms,
 }
 
+// The rate limit that a start of a server reported in an answer.
+struct Limit {
+  1: required string server_id,
+  2: required i64 born,
+  // Milliseconds since the answer came.
+  3: required i32 age_ms,
+  // Requests a second; unset where the answer reported none any more.
+  4: optional double per_s,
+}
+
 // An entry asks an agent for reports for a while, and says which versions of
 // weights it knows to be declared.
 struct Subscribe {
@@ -24,6 +34,8 @@
   3: optional bool far = false,
   // It sends no requests there: it is told of what changes, not of the load.
   4: optional bool changes_only = false,
+  // What the entry itself was last told by the server beside the agent.
+  5: optional Limit limit,
   // By model and version: milliseconds since it was declared, where known.
   20: optional map<string, map<i64, i64>> ages_ms,
   // What the entry saw itself of late; seldom any.
@@ -54,6 +66,8 @@
   // `followers` where it is one, from 0. Told about once a second.
   14: optional i32 rank,
   15: optional i32 follower_rank,
+  // The newest that any entry was told by the server.
+  16: optional Limit limit,
   // By version of the model: milliseconds since it was declared. Only where
   // that is known and the entry has not been told of late.
   20: optional map<i64, i64> ages_ms,
--- a/tests/overload_site.py
+++ b/tests/overload_site.py
@@ -189,6 +189,8 @@
         self.gap = (math.inf, math.inf)
         # The rate limits that engines report, by number.
         self.limits = {}
+        # Whether agents tell entries what others were told of them.
+        self.relay = True
         self.arrived_at = {n: [] for n in self.engines}
         self._tasks = set()
         self._clock = asyncio.get_running_loop().time
@@ -367,6 +369,15 @@
             engine = self.engines[number]
             running, waiting = seen[0]
             seen.append((engine.running, engine.waiting))
+            observed = [
+                limit
+                for entry in self.entries
+                if (
+                    limit := entry.fleet.find(f"s{number}").signals.observed(
+                        self._clock()
+                    )
+                )
+            ]
             told_to = [
                 entry
                 for entry in self.entries
@@ -382,6 +393,9 @@
                 not self.gap[0] <= self.now < self.gap[1],
                 entries=len(self.entries),
                 followers=len(told_to),
+                limit=max(observed, key=lambda limit: limit.at, default=None)
+                if self.relay
+                else None,
                 ready_in_s=max(0.0, self.gap[1] - self.now)
                 if self.gap[0] <= self.now < self.gap[1]
                 else 0.0,
--- /dev/null
+++ b/tests/test_direct_limit_relay.py
@@ -0,0 +1,160 @@
+"""What one entry was told of a server's rate limit, passed on by its agent."""
+
+import asyncio
+import collections
+
+import pytest
+
+from clementinegw import types as places
+from clementinegw.direct import rate_limit
+from clementinegw.direct import reports
+from clementinegw.direct import signals as signals_lib
+from clementinegw.direct import types
+from clementinegw.telemetry import counters
+from clementinegw.telemetry import logs
+from clementinegw.testing import clock as clocks
+from clementinegw.wire import codec
+from clementinegw.wire.gen.reports import ttypes
+
+START = types.Start("s1", 7)
+NEXT_START = types.Start("s1", 8)
+NONE = types.AnswerFacts("a", True, False)
+LIMITED = types.AnswerFacts("a", True, False, limit_per_s=2.0)
+
+
+class Wire:
+    """Carries datagrams between entries and one agent at once."""
+
+    def __init__(self):
+        self.reporter = reports.Reporter(lambda declared: None)
+        self.reporter.connection_made(self)
+        self.told = collections.defaultdict(list)
+        self.listeners = {}
+
+    def listener(self, name):
+        found = reports.Listener(
+            name, lambda host, report: self.told[name].append(report)
+        )
+        found.connection_made(Up(self, name))
+        self.listeners[name] = found
+        return found
+
+    def sendto(self, data, name):
+        self.listeners[name].datagram_received(data, ("10.0.0.1", 1))
+
+    def tell(self, start=START):
+        """Returns the limit that each entry is told with a report."""
+        report = reports.Report(
+            start.server_id, 1, 0, 8, "m", 1, True, born=start.born
+        )
+        self.reporter.tell(report)
+        return {name: told[-1].limit for name, told in self.told.items()}
+
+
+class Up:
+    """An entry's way to the agent."""
+
+    def __init__(self, wire, name):
+        self._wire = wire
+        self._name = name
+
+    def sendto(self, data, addr):
+        self._wire.reporter.datagram_received(data, self._name)
+
+
+def subscribe(listener, limit=None):
+    asking = reports.Asking(False, False, limit)
+    listener.subscribe(
+        {places.Address("10.0.0.1", 1): asking}, reports.Declared({}, {})
+    )
+
+
+def new_signals(start=START):
+    return signals_lib.Signals(
+        start,
+        lambda: rate_limit.Turn(0, 1),
+        lambda: 0.0,
+        logs.Log(),
+        counters.Counters(),
+    )
+
+
+def test_what_one_entry_was_told_of_a_limit_reaches_the_others():
+    async def play():
+        loop = asyncio.get_running_loop()
+        wire = Wire()
+        one, two = wire.listener("one"), wire.listener("two")
+        subscribe(two)
+        subscribe(one, rate_limit.Observation(START, 2.0, loop.time()))
+        await asyncio.sleep(0.5)
+        told = wire.tell()
+        subscribe(one, rate_limit.Observation(START, None, loop.time()))
+        ended = wire.tell()
+        await asyncio.sleep(11.0)
+        subscribe(one)
+        subscribe(two)
+        return told, ended, wire.tell(), loop.time()
+
+    told, ended, later, now = clocks.run(play())
+    assert [limit.per_s for limit in told.values()] == [2.0, 2.0]
+    assert told["two"].start == START
+    assert told["two"].at == pytest.approx(now - 11.5, abs=0.01)
+    assert [limit.per_s for limit in ended.values()] == [None, None]
+    assert set(later.values()) == {None}
+
+
+def test_older_words_and_those_of_another_start_are_passed_over():
+    async def play():
+        loop = asyncio.get_running_loop()
+        wire = Wire()
+        one = wire.listener("one")
+        now = loop.time()
+        subscribe(one, rate_limit.Observation(START, 2.0, now))
+        subscribe(one, rate_limit.Observation(START, None, now - 1.0))
+        kept = wire.tell()["one"].per_s
+        return kept, wire.tell(NEXT_START)["one"]
+
+    assert clocks.run(play()) == (2.0, None)
+
+
+@pytest.mark.parametrize(
+    "limit",
+    [
+        ttypes.Limit("s1", 7, 10, float("nan")),
+        ttypes.Limit("s1", 7, 10, -1.0),
+        ttypes.Limit("s1", 7, 10, float("inf")),
+        ttypes.Limit("s1", None, 10, 2.0),
+    ],
+)
+def test_limits_that_make_no_sense_are_passed_over(limit):
+    async def play():
+        wire = Wire()
+        subscribe(wire.listener("one"))
+        message = ttypes.Subscribe("one", {}, False, None, limit)
+        wire.reporter.datagram_received(codec.encode(message), "one")
+        return wire.tell()["one"]
+
+    assert clocks.run(play()) is None
+
+
+def test_a_newer_word_of_another_entry_counts_and_an_older_one_does_not():
+    signals = new_signals()
+    signals.take(LIMITED, 9.0, 10.0)
+    signals.take_relayed(rate_limit.Observation(START, None, 9.5))
+    assert signals.limiter.per_s == 2.0
+    signals.take_relayed(rate_limit.Observation(NEXT_START, None, 11.0))
+    assert signals.limiter.per_s == 2.0
+    signals.take_relayed(rate_limit.Observation(START, None, 11.0))
+    assert signals.limiter.per_s is None
+
+
+def test_only_what_a_server_told_an_entry_itself_is_passed_on():
+    """Repeated by others it would seem newer each time, and never end."""
+    signals = new_signals()
+    signals.take_relayed(rate_limit.Observation(START, 2.0, 10.0))
+    assert signals.limiter.per_s == 2.0
+    assert signals.observed(10.1) is None
+    signals.take(NONE, 10.2, 10.4)
+    assert signals.limiter.per_s is None
+    assert signals.observed(10.5) == rate_limit.Observation(START, None, 10.4)
+    assert signals.observed(60.0) is None
