--- a/src/clementinegw/direct/backend.py
+++ b/src/clementinegw/direct/backend.py
@@ -149,11 +149,11 @@
         self._share_room(report, reads)
         if report.limit is not None:
             self.signals.take_relayed(report.limit)
-        if report.follower_rank >= 0:
+        if 0 <= report.follower_rank < report.followers:
             self.signals.turn = rate_limit.Turn(
                 report.follower_rank, report.followers
             )
-        if report.rank >= 0:
+        if 0 <= report.rank < report.entries:
             self.signals.entry_turn = rate_limit.Turn(
                 report.rank, report.entries
             )
--- a/src/clementinegw/direct/reports.py
+++ b/src/clementinegw/direct/reports.py
@@ -39,15 +39,14 @@
 _ENDED_TOLD_S = 10.0
 # The largest age that is told, in milliseconds: what a field holds.
 _MOST_AGE_MS = 2**31 - 1
-# How often an entry is told of the ages of declared versions, in seconds: one
-# that was cut off hears of them so long after. They take six bytes and more.
-_AGES_S = 1.0
-
-
 # Entries renew their subscriptions within this, in seconds, after an agent has
 # started. Before that it knows of the first ones only, and each would take too
 # large a share of a server's rate limit.
 _RANKS_AFTER_S = 2.0
+# How often an entry is told of the ages of declared versions, in seconds: one
+# that was cut off hears of them so long after. They take six bytes and more.
+_AGES_S = 1.0
+
 
 OnSuspicions = Callable[[tuple[suspects.Suspicion, ...]], None]
 
@@ -203,7 +202,7 @@
         self._ranks_from = min(self._ranks_from, now + _RANKS_AFTER_S)
         known = self._subscribers.get(addr)
         if known is None and len(self._subscribers) < _MOST_SUBSCRIBERS:
-            known = _Subscriber(asking, 0.0, message.instance_id)
+            known = _Subscriber(asking, 0.0, message.instance_id or "")
             self._subscribers[addr] = known
             self._ranks = None
         if known is not None:
--- a/src/clementinegw/direct/signals.py
+++ b/src/clementinegw/direct/signals.py
@@ -63,8 +63,8 @@
     def observed(self, now: float) -> rate_limit.Observation | None:
         """Returns what answers told this entry itself of the rate limit.
 
-        Only that is passed on: repeated by others it would seem newer each
-        time. None while there is nothing that others may not know.
+        Only own observations are relayed: relayed twice, an observation would
+        seem newer each time. None when there is no recent one.
         """
         if self._observed is None or now - self._observed.at > _TOLD_FOR_S:
             return None
--- a/tests/test_direct_limit_relay.py
+++ b/tests/test_direct_limit_relay.py
@@ -6,6 +6,7 @@
 import pytest
 
 from clementinegw import types as places
+from clementinegw.direct import backend as backends
 from clementinegw.direct import rate_limit
 from clementinegw.direct import reports
 from clementinegw.direct import signals as signals_lib
@@ -103,7 +104,7 @@
     assert set(later.values()) == {None}
 
 
-def test_older_words_and_those_of_another_start_are_passed_over():
+def test_older_observations_and_those_of_another_start_are_ignored():
     async def play():
         loop = asyncio.get_running_loop()
         wire = Wire()
@@ -126,7 +127,7 @@
         ttypes.Limit("s1", None, 10, 2.0),
     ],
 )
-def test_limits_that_make_no_sense_are_passed_over(limit):
+def test_malformed_limits_are_ignored(limit):
     async def play():
         wire = Wire()
         subscribe(wire.listener("one"))
@@ -137,7 +138,7 @@
     assert clocks.run(play()) is None
 
 
-def test_a_newer_word_of_another_entry_counts_and_an_older_one_does_not():
+def test_the_newest_observation_of_any_entry_is_in_force():
     signals = new_signals()
     signals.take(LIMITED, 9.0, 10.0)
     signals.take_relayed(rate_limit.Observation(START, None, 9.5))
@@ -149,7 +150,7 @@
 
 
 def test_only_what_a_server_told_an_entry_itself_is_passed_on():
-    """Repeated by others it would seem newer each time, and never end."""
+    """Relayed twice it would seem newer each time, and never end."""
     signals = new_signals()
     signals.take_relayed(rate_limit.Observation(START, 2.0, 10.0))
     assert signals.limiter.per_s == 2.0
@@ -158,3 +159,13 @@
     assert signals.limiter.per_s is None
     assert signals.observed(10.5) == rate_limit.Observation(START, None, 10.4)
     assert signals.observed(60.0) is None
+
+
+def test_a_place_outside_the_entries_is_ignored():
+    """A foreign report would end in a division by zero at the next choice."""
+    signals = new_signals()
+    backend = backends.Backend(None, None, None, signals)
+    told = reports.Report("s1", 0, 0, 1, rank=3, follower_rank=0, entries=2)
+    backend._share_room = lambda report, reads: None
+    backend.take_report(told, 1.0)
+    assert (signals.turn, signals.entry_turn) == (None, None)
