Look at what servers reported without a call for each of them

Cause: with each look through the queue an entry asks whether any server is restricted; with the rate limits and pauses that took 59 us before 60 servers, where it had taken 5.7 (a call, two properties and a maximum for each). In a large fleet that is a look for each report that leaves room. Change: the limit in force is an attribute, and the question is asked in one expression. Behaviour as it was; tests of the direct path green.

--- a/src/clementinegw/direct/attempt.py
+++ b/src/clementinegw/direct/attempt.py
@@ -203,7 +203,7 @@
             (backend.left, outcomes.NotRunReason.LEFT),
             (backend.backs_off(self._clock()), outcomes.NotRunReason.BACKOFF),
             (
-                backend.limited and not job.permitted,
+                backend.signals.limited and not job.permitted,
                 outcomes.NotRunReason.LIMITED,
             ),
             (recall.late, outcomes.NotRunReason.TOO_OLD),
--- a/src/clementinegw/direct/backend.py
+++ b/src/clementinegw/direct/backend.py
@@ -83,15 +83,17 @@
             or self.signals.leaving
         )
 
-    @property
-    def limited(self) -> bool:
-        """Whether it has reported a rate limit that is in force."""
-        return self.signals.limiter.per_s is not None
-
     def backs_off(self, now: float) -> bool:
         """Returns whether it has asked this entry for a pause that lasts."""
         return self.signals.backoff_until > now
 
+    def accepts(self, now: float) -> bool:
+        """Returns whether what it reported allows this entry a request now."""
+        signals = self.signals
+        if signals.backoff_until > now:
+            return False
+        return not signals.limited or signals.limiter.is_open()
+
     def open_at(self, now: float) -> float:
         """Returns when it is available again; `now` where it is."""
         return max(now, self.rest_until, self.signals.backoff_until)
--- a/src/clementinegw/direct/balance.py
+++ b/src/clementinegw/direct/balance.py
@@ -121,8 +121,7 @@
             for backend in self._reachable(fitting, wanted, now)
             if not backend.loading
             and backend.full_until <= now
-            and not backend.backs_off(now)
-            and backend.signals.limiter.is_open()
+            and backend.accepts(now)
             and not backend.pool.full
             and self.busy(backend, now) < wanted.most_busy
         ]
@@ -141,9 +140,7 @@
         """
         now = self._clock()
         return any(
-            b.has_share(now)
-            and not b.backs_off(now)
-            and b.signals.limiter.is_open()
+            b.has_share(now) and b.accepts(now)
             for b in self._servers.of(service)
         )
 
@@ -171,18 +168,25 @@
     def is_limited(self, wanted: Wanted) -> bool:
         """Returns whether all servers for a request have a rate limit."""
         found = self.candidates(wanted)
-        return bool(found) and all(b.limited for b in found)
+        return bool(found) and all(b.signals.limited for b in found)
 
     def has_restricted(self, service: str) -> bool:
         """Returns whether any server of a service rests or is limited."""
         now = self._clock()
-        return any(_restricted(b, now) for b in self._servers.of(service))
+        return any(
+            b.rest_until > now
+            or b.signals.backoff_until > now
+            or b.signals.limited
+            for b in self._servers.of(service)
+        )
 
     def is_restricted(self, wanted: Wanted) -> bool:
         """Returns whether all servers for a request rest or are limited."""
         now = self._clock()
         found = self.candidates(wanted)
-        return bool(found) and all(_restricted(b, now) for b in found)
+        return bool(found) and all(
+            b.open_at(now) > now or b.signals.limited for b in found
+        )
 
     def room_until(self, wanted: Wanted, until: float) -> float:
         """Returns the most requests that servers may get up to a moment.
@@ -245,11 +249,6 @@
         return found
 
 
-def _restricted(backend: backend_lib.Backend, now: float) -> bool:
-    """Returns whether a server gets fewer requests than it has room for."""
-    return backend.open_at(now) > now or backend.limited
-
-
 def region_of(regions: dict[str, str], place: places.Place, domain: str) -> int:
     """Returns 0 for the same failure domain, 1 the same region, 2 another."""
     if domain == place.failure_domain:
--- a/src/clementinegw/direct/fleet.py
+++ b/src/clementinegw/direct/fleet.py
@@ -85,7 +85,7 @@
     @property
     def limited(self) -> int:
         """How many servers have reported a rate limit that is in force."""
-        return sum(b.limited for b in self._backends.values())
+        return sum(b.signals.limited for b in self._backends.values())
 
     def find(self, server_id: str) -> backend_lib.Backend | None:
         """Returns a backend server by its id."""
--- a/src/clementinegw/direct/signals.py
+++ b/src/clementinegw/direct/signals.py
@@ -32,6 +32,7 @@
       leaving: Whether it has said that it leaves; it never takes that back.
       backoff_until: The end of the pause that it asked this entry for, in
         monotonic seconds.
+      limited: Whether a rate limit is in force.
       limiter: Keeps this entry's part of the server's rate limit.
       turn: This entry's place among those that send to the server, as the agent
         beside it reports; None while none does.
@@ -49,6 +50,7 @@
         self.start = start
         self.leaving = False
         self.backoff_until = -math.inf
+        self.limited = False
         self.turn: rate_limit.Turn | None = None
         self.entry_turn: rate_limit.Turn | None = None
         self.limiter = rate_limit.Limiter(
@@ -136,6 +138,7 @@
         self._limit_at = observation.at
         was = self.limiter.per_s
         self.limiter.report(observation.per_s)
+        self.limited = observation.per_s is not None
         if self.limiter.per_s != was:
             self._counters.add("direct.server_limit.changed")
             self._log.write(
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -66,7 +66,7 @@
     ),
     "server_limit": (
         "src/clementinegw/direct/balance.py",
-        "and backend.signals.limiter.is_open()",
+        "and backend.accepts(now)",
         "",
     ),
     "server_leaving": (
