Let living readers alone count as those that go on trying a store that is away

Cause: while nobody reaches the store, the first two readers of a failure domain go on trying it and the others ask these. Both were listed and dead: entries had started again meanwhile, and the list of readers lies in the store. The live ones tried it each 4 s. Evidence: topic_lost of both entries names connections refused by 43091 and 43507, the first two of readers_changed, until 18.9 and 20.1 s; the store was back at about 18.6 s.

Change: a reader that gave no answer at all counts as gone until it answers; one that says that the store is out of its reach lives. Ranks and whom to ask count the living.

Why it works: at most two readers that a process finds alive go before it, and they try the store at each turn; with the first two dead the third one does.

Tests: test_a_store_that_is_back_is_found_though_the_first_readers_are_dead, red before (the third reader asked the two dead ones alone); that the others still wait where the first two live is held by its twin.

--- a/src/clementinegw/direct/choice.py
+++ b/src/clementinegw/direct/choice.py
@@ -45,6 +45,8 @@
         self._candidates: tuple[types.Address, ...] = ()
         self._aside_until: dict[Reader, float] = {}
         self._failures: dict[Reader, int] = {}
+        # Readers that gave no answer at all when they were asked last.
+        self._gone: set[Reader] = set()
         self._try_at = 0.0
 
     @property
@@ -58,7 +60,7 @@
             return False
         self._candidates = candidates
         known = {None, *candidates}
-        for reader in self._aside_until.keys() - known:
+        for reader in (self._aside_until.keys() | self._gone) - known:
             self.worked(reader)
         return True
 
@@ -85,7 +87,8 @@
 
     def _all_aside(self, ranked: list[Reader], now: float) -> list[Reader]:
         """Returns whom to ask where all have failed just now."""
-        others = [reader for reader in ranked if reader is not None][:_TRIERS]
+        alive = [r for r in ranked if r is not None and r not in self._gone]
+        others = alive[:_TRIERS]
         rank = self._rank()
         if rank >= _TRIERS and others and now < self._try_at:
             return [*others]
@@ -93,17 +96,32 @@
         return [None, *others]
 
     def _rank(self) -> int:
-        """Returns where this process stands among the readers."""
-        if self.me is None or self.me not in self._candidates:
-            return len(self._candidates)
-        return self._candidates.index(self.me)
+        """Returns where this process stands among the readers that live.
+
+        Dead ones may be listed for as long as the store is away. Counted, they
+        would leave nobody to find out that it is back.
+        """
+        alive = [r for r in self._candidates if r not in self._gone]
+        if self.me is None or self.me not in alive:
+            return len(alive)
+        return alive.index(self.me)
 
     def is_aside(self, reader: Reader) -> bool:
         """Whether a reader failed just now."""
         return self._aside_until.get(reader, 0.0) > self._clock()
 
-    def failed(self, reader: Reader) -> None:
-        """Puts a reader aside for a while."""
+    def failed(self, reader: Reader, gone: bool = False) -> None:
+        """Puts a reader aside for a while.
+
+        Args:
+          reader: The reader.
+          gone: Whether it gave no answer at all; one that says that the store
+            is out of reach for it lives.
+        """
+        if gone:
+            self._gone.add(reader)
+        else:
+            self._gone.discard(reader)
         if reader is not None and self._clock() < self._start_until:
             self._aside_until[reader] = self._clock() + _START_ASIDE_S
             return
@@ -115,6 +133,7 @@
     def worked(self, reader: Reader) -> None:
         """Forgets a reader's failures."""
         self._failures.pop(reader, None)
+        self._gone.discard(reader)
         self._aside_until.pop(reader, None)
 
     def _ranked(self, most_others: int) -> list[Reader]:
--- a/src/clementinegw/direct/shared.py
+++ b/src/clementinegw/direct/shared.py
@@ -51,6 +51,8 @@
 # store takes to send one of them a large configuration, so that few send for
 # it over one link.
 _STEP_S = 0.25
+# How a question to another process fails where it gives no answer at all.
+_NO_ANSWER = frozenset({"broken", "timeout"})
 # Failures in a row after which the store counts as out of reach from here. The
 # first one may be a kept connection that had ended.
 _FAILURES = 2
@@ -288,7 +290,7 @@
             raise
         except exceptions.PlatformUnavailable as error:
             self._count("peer", error.reason or "failed")
-            self._choice.failed(reader)
+            self._choice.failed(reader, gone=error.reason in _NO_ANSWER)
             self._seen.pop(reader, None)
             raise
         call = _Call(offset, wait_s, asked_at, self._clock())
--- a/tests/test_direct_readers.py
+++ b/tests/test_direct_readers.py
@@ -65,3 +65,31 @@
     assert address(0) not in choice.order(serving=False)
     choice.worked(address(0))
     assert choice.order(serving=False) == first
+
+
+def orders_while_the_store_is_away(gone):
+    """Returns whom the third reader asks at first, and a moment later."""
+    now = [10.0]
+    choice = choices.Choice(lambda: now[0])
+    now[0] = 20.0
+    choice.offer(tuple(address(n) for n in range(4)))
+    choice.me = address(2)
+    for number in (0, 1):
+        choice.failed(address(number), gone=gone)
+    choice.failed(address(3))
+    choice.failed(None)
+    first = choice.order(serving=False)
+    now[0] = 20.5
+    return first, choice.order(serving=False)
+
+
+def test_a_store_that_is_back_is_found_though_the_first_readers_are_dead():
+    """Recovery took seconds: only two dead readers were to go on trying it."""
+    asked = [None, address(3)]
+    assert orders_while_the_store_is_away(gone=True) == (asked, asked)
+
+
+def test_the_first_readers_alone_try_a_store_that_is_away():
+    others = [address(0), address(1)]
+    found = orders_while_the_store_is_away(gone=False)
+    assert found == ([None, *others], others)
