Answer what a peer holds of a former version once, and not its answer

Cause: an agent that has gone on to a newer version answers a peer that tells what it holds of the former one, with what it holds itself. Where the peer has gone on as well by then, it takes the answer for a question and answers it, and so on: two agents send each other messages as fast as the link takes them, until the version is forgotten.

Change: an answer says that it is one and is not answered (ChunksHeld.answer, one byte in answers only). Why it works: each question is answered once, no answer is.

Tests: test_agents_that_both_went_on_do_not_answer_each_other_for_ever, red before (20 == 1).

--- a/src/clementinegw/weights/_swarm_machine.py
+++ b/src/clementinegw/weights/_swarm_machine.py
@@ -210,11 +210,13 @@
             # It is at work again, and draws its chunks itself.
             self._ended.pop(event.peer_id, None)
         former = self._formers.get(event.digest)
-        if former is not None:
+        # Two agents that both went on would answer each other without an end.
+        if former is not None and not event.answer:
             # It wants what this agent wanted before. Nobody else may hold the
             # last chunks: who came late would never be whole.
+            held = former.held_bits
             self._out.append(
-                types_.TellAll(event.peer_id, event.digest, former.held_bits)
+                types_.TellAll(event.peer_id, event.digest, held, answer=True)
             )
 
     def _on_peer_gained(self, event: types_.PeerGained, now: float) -> None:
--- a/src/clementinegw/weights/_swarm_types.py
+++ b/src/clementinegw/weights/_swarm_types.py
@@ -142,11 +142,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerHolds:
-    """A peer told all that it holds of a manifest, as a `bitset`."""
+    """A peer told all that it holds of a manifest, as a `bitset`.
+
+    Attributes:
+      answer: Whether that answers what this agent told, and is not answered.
+    """
 
     peer_id: str
     digest: str
     bits: bytes
+    answer: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -293,11 +298,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TellAll:
-    """Tell a peer all that is held, as a `bitset`."""
+    """Tell a peer all that is held, as a `bitset`; see `PeerHolds`."""
 
     peer_id: str
     digest: str
     bits: bytes
+    answer: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/clementinegw/weights/transfer.py
+++ b/src/clementinegw/weights/transfer.py
@@ -303,7 +303,9 @@
         self._receiver.cancel(action)
 
     def _tell_all(self, action: swarm.TellAll) -> None:
-        self._tell(action.digest, (action.peer_id,), action.bits, None)
+        self._tell(
+            action.digest, (action.peer_id,), action.bits, None, action.answer
+        )
 
     def _tell_gained(self, action: swarm.TellGained) -> None:
         gained = list(action.indices)
@@ -315,6 +317,7 @@
         peer_ids: tuple[str, ...],
         bits: bytes,
         gained: list[int] | None,
+        answer: bool = False,
     ) -> None:
         message = ttypes.ChunksHeld(
             instance_id=self._me.instance_id,
@@ -322,6 +325,7 @@
             count=self.progress.total,
             bits=bits,
             gained=gained,
+            answer=answer or None,
         )
         body = codec.encode(message)
         for name in peer_ids:
@@ -331,7 +335,10 @@
         message = codec.decode(ttypes.ChunksHeld, body)
         name = peer.peer.instance_id
         if message.gained is None:
-            self._give(swarm.PeerHolds(name, message.digest, message.bits))
+            answer = bool(message.answer)
+            self._give(
+                swarm.PeerHolds(name, message.digest, message.bits, answer)
+            )
             return
         bounded = (i for i in message.gained if 0 <= i < message.count)
         indices = tuple(bounded)
--- a/src/clementinegw/wire/gen/weights/ttypes.py
+++ b/src/clementinegw/wire/gen/weights/ttypes.py
@@ -25,6 +25,7 @@
      - count
      - bits
      - gained
+     - answer
 
     """
 
@@ -34,15 +35,17 @@
         'count',
         'bits',
         'gained',
+        'answer',
     )
 
 
-    def __init__(self, instance_id=None, digest=None, count=None, bits=None, gained=None,):
+    def __init__(self, instance_id=None, digest=None, count=None, bits=None, gained=None, answer=None,):
         self.instance_id = instance_id
         self.digest = digest
         self.count = count
         self.bits = bits
         self.gained = gained
+        self.answer = answer
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -83,6 +86,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.answer = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -116,6 +124,10 @@
                 oprot.writeI32(iter6)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.answer is not None:
+            oprot.writeFieldBegin('answer', TType.BOOL, 6)
+            oprot.writeBool(self.answer)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -435,6 +447,7 @@
     (3, TType.I32, 'count', None, None, ),  # 3
     (4, TType.STRING, 'bits', 'BINARY', None, ),  # 4
     (5, TType.LIST, 'gained', (TType.I32, None, False), None, ),  # 5
+    (6, TType.BOOL, 'answer', None, None, ),  # 6
 )
 all_structs.append(ChunkGet)
 ChunkGet.thrift_spec = (
--- a/src/clementinegw/wire/weights.thrift
+++ b/src/clementinegw/wire/weights.thrift
@@ -8,6 +8,8 @@
   3: required i32 count,
   4: required binary bits,
   5: optional list<i32> gained,
+  // It answers such a message, and is not answered itself.
+  6: optional bool answer,
 }
 
 // Asks for a part of a chunk. The first one of a call asks for the chunk; the
--- a/tests/swarm_network.py
+++ b/tests/swarm_network.py
@@ -333,7 +333,10 @@
 
     def _tellall(self, agent, action):
         event = swarm.PeerHolds(
-            agent.member.instance_id, action.digest, action.bits
+            agent.member.instance_id,
+            action.digest,
+            action.bits,
+            action.answer,
         )
         self._post(agent, action.peer_id, event)
 
--- a/tests/test_swarm.py
+++ b/tests/test_swarm.py
@@ -381,10 +381,39 @@
     ahead.handle(swarm.TargetSet("v2", newer, nothing), 1.0)
     behind.handle(swarm.TargetSet("v1", chunks, nothing), 2.0)
     told = ahead.handle(swarm.PeerHolds("a001", "v1", nothing), 2.0)
-    assert swarm.TellAll("a001", "v1", held) in told
+    assert swarm.TellAll("a001", "v1", held, answer=True) in told
     behind.handle(swarm.PeerHolds("a000", "v1", held), 2.0)
     asks = behind.handle(swarm.PeerHolds("a000", "v2", nothing), 2.1)
     assert not [ask for ask in asks if isinstance(ask, swarm.Cancel)]
     assert behind.outstanding == 1
     answer = ahead.handle(swarm.Wanted("a001", "v1", 0), 2.2)[0]
     assert answer == swarm.Serve("a001", "v1", 0)
+
+
+def test_agents_that_both_went_on_do_not_answer_each_other_for_ever():
+    """Each took the other's answer about the former version for a question."""
+    newer = swarm_network.chunks_of(32, "b")
+    members = swarm_network.members_of(2, 1)
+    limits = swarm.Limits(formers=1)
+    agents = {
+        m.instance_id: swarm.Swarm(m, limits, random.Random(1)) for m in members
+    }
+    nothing = bytes(bitset.empty(len(CHUNKS)))
+    for agent, peer in zip(agents.values(), reversed(members), strict=True):
+        agent.handle(swarm.FleetChanged(drawers.Fleet(members)), 0.0)
+        agent.handle(swarm.PeerUp(peer), 0.0)
+        agent.handle(swarm.TargetSet("v1", CHUNKS, nothing), 0.0)
+        agent.handle(swarm.TargetSet("v2", newer, nothing), 1.0)
+    # Sent before its sender went on.
+    told = [("a000", "a001", swarm.TellAll("a001", "v1", nothing))]
+    answers = 0
+    while told and answers < 20:
+        sender, receiver, action = told.pop()
+        event = swarm.PeerHolds(
+            sender, action.digest, action.bits, action.answer
+        )
+        for answer in agents[receiver].handle(event, 1.0):
+            if isinstance(answer, swarm.TellAll):
+                answers += 1
+                told.append((receiver, answer.peer_id, answer))
+    assert answers == 1
