Log answers that are broken off, errors that end requests and stalls of the loop

Cause: of the hypotheses about streams closed midway, errors out of a handler left no line with the request's id, request_refused did not say that the answer had begun, and caller_left did not say how the caller's connection ended. Change: request_failed with the error and where it was raised, answer_broken_off with the events that were out and the time that was left, cause in request_done caller_left, loop_stalled with the lag of the event loop; a counter each, and a histogram of the lag. No decision changes; a broken-off answer counts as direct.broken_off.REASON and no longer as direct.refused.REASON.

--- a/src/clementinegw/direct/_events.py
+++ b/src/clementinegw/direct/_events.py
@@ -96,6 +96,29 @@
 REQUEST_REFUSED = events.define(
     912, "request_refused", _INFO, "A request was refused: it was not run."
 )
+REQUEST_FAILED = events.define(
+    925,
+    "request_failed",
+    events.Level.ERROR,
+    "An unexpected error ended a request.",
+    "Report it with the line's `error` and `at`.",
+)
+ANSWER_BROKEN_OFF = events.define(
+    926,
+    "answer_broken_off",
+    _WARNING,
+    "An answer that had begun was broken off, because it could not be completed"
+    " by any server.",
+    "Check `reason`, and `attempt_ended` of the same request.",
+)
+LOOP_STALLED = events.define(
+    927,
+    "loop_stalled",
+    _WARNING,
+    "The event loop of the process stood still: nothing was read, sent or"
+    " timed meanwhile.",
+    "Check the load of the machine and what the process logged before.",
+)
 READY_CHANGED = events.define(
     913,
     "ready_changed",
--- a/src/clementinegw/direct/attempt.py
+++ b/src/clementinegw/direct/attempt.py
@@ -51,6 +51,7 @@
       runs: How often it may have begun to run.
       withdrawals: How often it was withdrawn right before it was sent.
       last_event_id: The id of the last event that the caller received.
+      events: How many events of a stream the caller was sent.
       first_event_at: When the first event was received from a server, in
         monotonic seconds.
       waited_s: How long it waited in the entry's queue, in seconds.
@@ -73,6 +74,7 @@
     runs: int = 0
     withdrawals: int = 0
     last_event_id: str | None = None
+    events: int = 0
     first_event_at: float | None = None
     waited_s: float = 0.0
     placed_at: float = 0.0
@@ -344,6 +346,7 @@
                 self._on_first_event(job)
             await self._begin_answer(job, head)
             await job.responder.send(b"".join(e.data for e in new_events))
+            job.events += len(new_events)
             if new_events[-1].event_id is not None:
                 job.last_event_id = new_events[-1].event_id
         if splitter.remainder.strip():
--- a/src/clementinegw/direct/channel.py
+++ b/src/clementinegw/direct/channel.py
@@ -44,6 +44,11 @@
         """Whether nothing can be read from or written to the peer any more."""
         return self._ended or self._transport is None
 
+    @property
+    def clean(self) -> bool:
+        """Whether the peer closed the connection in order."""
+        return self._clean
+
     @property
     def has_unread(self) -> bool:
         """Whether bytes were received that have not been read."""
--- a/src/clementinegw/direct/entry.py
+++ b/src/clementinegw/direct/entry.py
@@ -51,6 +51,9 @@
 # refused as final, in seconds.
 _ROUTES_FRESH_S = 1.9
 _MAINTENANCE_INTERVAL_S = 0.2
+# A lag of the event loop that is logged, in seconds: the shortest silence after
+# which a server counts as unreachable is a little longer.
+_MAX_LOOP_LAG_S = 0.3
 # How often subscriptions to agents' reports are renewed, in seconds.
 _SUBSCRIBE_INTERVAL_S = 1.0
 # After SIGTERM the process still accepts connections, in seconds, until the
@@ -241,7 +244,9 @@
     @mode.Service.task
     async def _run_maintenance(self) -> None:
         while not self.should_stop:
+            due = self._clock() + _MAINTENANCE_INTERVAL_S
             await asyncio.sleep(_MAINTENANCE_INTERVAL_S)
+            self._record_lag(self._clock() - due)
             self._fleet.drop_missing(
                 self._server_list.available_s, self._clock()
             )
@@ -252,6 +257,17 @@
             self._subscriptions.refresh()
             self._log_readiness()
 
+    def _record_lag(self, lag_s: float) -> None:
+        """Records by how much the event loop was late, in seconds."""
+        self.histograms.add("direct.loop_lag", lag_s)
+        if lag_s > _MAX_LOOP_LAG_S:
+            self._counters.add("direct.loop_stalled")
+            self._log.write(
+                _events.LOOP_STALLED,
+                for_s=round(lag_s, 3),
+                busy=self._server.open_requests,
+            )
+
     @mode.Service.task
     async def _subscribe(self) -> None:
         while not self.should_stop:
--- a/src/clementinegw/direct/finisher.py
+++ b/src/clementinegw/direct/finisher.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 import json
+import pathlib
+import traceback
 
 from clementinegw.direct import _events
 from clementinegw.direct import admit
@@ -70,7 +72,7 @@
     ) -> None:
         """Refuses a request and records the refusal.
 
-        An answer that has already begun is aborted instead.
+        An answer that has already begun is broken off instead.
 
         Args:
           request: The caller's request.
@@ -78,12 +80,13 @@
           refusal: The status, the reason and when to retry.
           job: The request's state; None if it was not admitted.
         """
+        if job is not None and responder.begun:
+            self._break_off(job, refusal)
+            return
         self._counters.add(f"direct.refused.{refusal.reason}")
         self._log.write(
             _events.REQUEST_REFUSED,
-            request=job.metadata.attempt_id
-            if job
-            else self._attempt_id(request),
+            request=self._id_of(request, job),
             target=request.target[:120],
             status=refusal.status,
             reason=refusal.reason.value,
@@ -93,9 +96,6 @@
             age_s=round(min(self._config_view.age_s(), 9_999.0), 3),
             after_ms=round((self._clock() - request.arrived_at) * 1000, 1),
         )
-        if responder.begun:
-            responder.abort()
-            return
         headers: client.Headers = [(b"content-type", b"application/json")]
         if refusal.retry_after_s is not None:
             text = f"{refusal.retry_after_s:.2f}"
@@ -108,6 +108,56 @@
         except channel.ChannelClosed:
             responder.abort()
 
+    def record_failed(
+        self,
+        request: servers.Request,
+        responder: servers.Responder,
+        error: Exception,
+        job: attempts.Job | None,
+    ) -> None:
+        """Records that an unexpected error ended a request.
+
+        Args:
+          request: The caller's request.
+          responder: Sends the answer to the caller.
+          error: The error.
+          job: The request's state; None if it was not admitted.
+        """
+        self._counters.add("direct.request_failed")
+        self._log.write(
+            _events.REQUEST_FAILED,
+            request=self._id_of(request, job),
+            target=request.target[:120],
+            error=f"{type(error).__name__}: {error}"[:200],
+            at=_innermost_frame(error),
+            begun=responder.begun,
+            ended=responder.ended,
+            sends=job.sends if job else 0,
+            runs=job.runs if job else 0,
+        )
+
+    def _break_off(self, job: attempts.Job, refusal: outcomes.Refusal) -> None:
+        """Ends an answer that has begun, so that it counts as incomplete."""
+        self._counters.add(f"direct.broken_off.{refusal.reason}")
+        now = self._clock()
+        self._log.write(
+            _events.ANSWER_BROKEN_OFF,
+            request=job.metadata.attempt_id,
+            route=job.match.route.name,
+            reason=refusal.reason.value,
+            events=job.events,
+            sends=job.sends,
+            runs=job.runs,
+            server=job.server_id,
+            after_ms=round((now - job.request.arrived_at) * 1e3, 1),
+            left_ms=round((job.deadline - now) * 1e3, 1),
+            age_s=round(min(self._config_view.age_s(), 9_999.0), 3),
+        )
+        job.responder.abort()
+
+    def _id_of(self, request: servers.Request, job: attempts.Job | None) -> str:
+        return job.metadata.attempt_id if job else self._attempt_id(request)
+
     def _attempt_id(self, request: servers.Request) -> str:
         """Returns the attempt id that a request names; empty if unreadable."""
         try:
@@ -115,8 +165,17 @@
         except ValueError:
             return ""
 
-    def record_done(self, job: attempts.Job, outcome: str, status: int) -> None:
-        """Records how an admitted request ended."""
+    def record_done(
+        self, job: attempts.Job, outcome: str, status: int, cause: str = ""
+    ) -> None:
+        """Records how an admitted request ended.
+
+        Args:
+          job: The request.
+          outcome: The outcome.
+          status: The HTTP status; 0 if the caller got none.
+          cause: How the caller's connection ended, if the caller left.
+        """
         now = self._clock()
         first = job.first_event_at
         arrived = job.request.arrived_at
@@ -130,6 +189,7 @@
             request=job.metadata.attempt_id,
             route=job.match.route.name,
             outcome=outcome,
+            cause=cause,
             status=status,
             sends=job.sends,
             server=job.server_id,
@@ -140,3 +200,12 @@
             total_ms=round((now - arrived) * 1e3),
             age_s=round(min(self._config_view.age_s(), 9_999.0), 3),
         )
+
+
+def _innermost_frame(error: Exception) -> str:
+    """Returns the file and the line that raised an error."""
+    frames = traceback.extract_tb(error.__traceback__)
+    if not frames:
+        return ""
+    frame = frames[-1]
+    return f"{pathlib.PurePath(frame.filename).name}:{frame.lineno}"
--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -111,11 +111,23 @@
         self, request: servers.Request, responder: servers.Responder
     ) -> None:
         """Forwards one request and answers its caller."""
-        admitted = self._admit(request, responder)
-        if isinstance(admitted, outcomes.Refusal):
-            await self._finisher.refuse(request, responder, admitted, None)
-            return
-        task = asyncio.ensure_future(self._serve(admitted))
+        job: attempts.Job | None = None
+        try:
+            admitted = self._admit(request, responder)
+            if isinstance(admitted, outcomes.Refusal):
+                await self._finisher.refuse(request, responder, admitted, None)
+                return
+            job = admitted
+            await self._handle_admitted(job)
+        except channel.ChannelClosed:
+            raise
+        except Exception as error:
+            self._finisher.record_failed(request, responder, error, job)
+            raise
+
+    async def _handle_admitted(self, job: attempts.Job) -> None:
+        request, responder = job.request, job.responder
+        task = asyncio.ensure_future(self._serve(job))
         await asyncio.wait(
             {task, responder.disconnected},
             return_when=asyncio.FIRST_COMPLETED,
@@ -126,12 +138,14 @@
             outcome = await task
         except (asyncio.CancelledError, channel.ChannelClosed):
             responder.abort()
-            self._finisher.record_done(admitted, "caller_left", 0)
+            self._finisher.record_done(
+                job, "caller_left", 0, responder.departure
+            )
             if responder.disconnected.done():
                 return
             raise
         if isinstance(outcome, outcomes.Refusal):
-            await self._finisher.refuse(request, responder, outcome, admitted)
+            await self._finisher.refuse(request, responder, outcome, job)
         elif isinstance(outcome, outcomes.Failed):
             await responder.answer(
                 outcome.head.status,
@@ -139,10 +153,10 @@
                 outcome.body,
             )
             self._finisher.record_done(
-                admitted, "failed_at_server", outcome.head.status
+                job, "failed_at_server", outcome.head.status
             )
         else:
-            self._finisher.record_done(admitted, "answered", outcome.status)
+            self._finisher.record_done(job, "answered", outcome.status)
 
     # Admission.
 
--- a/src/clementinegw/direct/server.py
+++ b/src/clementinegw/direct/server.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 import dataclasses
+import enum
 
 import h11
 
@@ -29,6 +30,22 @@
 _UNAVAILABLE = 503
 
 
+class Departure(enum.StrEnum):
+    """How the connection to a caller ended before its answer was complete.
+
+    Attributes:
+      CLOSED: The caller closed it in order.
+      RESET: It broke.
+      SLOW: The caller did not read the answer for too long.
+      STOPPED: The process ends.
+    """
+
+    CLOSED = "closed"
+    RESET = "reset"
+    SLOW = "slow"
+    STOPPED = "stopped"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Request:
     """A complete request.
@@ -73,6 +90,11 @@
         """A future that is done once the caller has disconnected."""
         return self._session.channel.disconnected
 
+    @property
+    def departure(self) -> Departure:
+        """How the connection to the caller ended."""
+        return self._session.departure
+
     async def answer(
         self,
         status: int,
@@ -278,6 +300,16 @@
         self.channel = channel
         self.busy = False
         self.idle = True
+        self._slow = False
+
+    @property
+    def departure(self) -> Departure:
+        """How the connection ended; `STOPPED` while the caller is there."""
+        if self._slow:
+            return Departure.SLOW
+        if not self.channel.closed:
+            return Departure.STOPPED
+        return Departure.CLOSED if self.channel.clean else Departure.RESET
 
     @property
     def closing(self) -> bool:
@@ -319,6 +351,7 @@
             async with asyncio.timeout(_WRITE_TIMEOUT_S):
                 await self.channel.write(data)
         except TimeoutError as error:
+            self._slow = True
             self.channel.abort()
             raise channels.ChannelClosed(clean=False) from error
 
