--- /dev/null
+++ b/tests/test_direct_stream_ends.py
@@ -0,0 +1,156 @@
+"""Tests how streams end that a server has begun and does not complete."""
+
+import asyncio
+
+import platform_site as sites
+import pytest
+
+from clementinegw.direct import budget
+from clementinegw.direct import reports
+
+EVENTS = 6
+WHOLE = "".join(f"id: {n}\ndata: {n}\n\n" for n in range(1, EVENTS + 1))
+
+
+def server_of(call):
+    """Returns the name of the server that a call was sent to."""
+    return call.headers["x-clementinegw-expect-instance"]
+
+
+def begun_at(call):
+    return int(call.headers.get("last-event-id", 0))
+
+
+class Servers:
+    """Servers of which the first one to begin a stream pauses midway.
+
+    Attributes:
+      pause_s: The length of the pause, in seconds.
+      paused: The servers that paused.
+    """
+
+    def __init__(self, pause_s):
+        self.pause_s = pause_s
+        self.paused = []
+
+    async def serve(self, call):
+        call.begin_stream()
+        for number in range(begun_at(call) + 1, EVENTS + 1):
+            if number == 3 and not begun_at(call):
+                self.paused.append(server_of(call))
+                await asyncio.sleep(self.pause_s)
+            call.event(number)
+            await asyncio.sleep(0.05)
+        call.end_stream()
+
+
+def test_a_stream_outlives_a_silence_that_no_other_server_may_take_over():
+    """A stream was broken off at a silent server without a retry budget."""
+
+    async def play():
+        servers = Servers(pause_s=1.3)
+        async with sites.Site("i-1", "i-2", on_call=servers.serve) as site:
+            none = budget.Limits(ratio=0.0, slack=0.0)
+            site.entry._forwarder.set_retry_limits(none)
+            return await site.ask("/stream/1")
+
+    answer = sites.run(play())
+    assert (answer.complete, answer.body.decode()) == (True, WHOLE)
+
+
+def test_streams_outlive_a_silence_if_the_other_server_has_room_for_one():
+    """Of two streams at a silent server one was broken off.
+
+    Both found the same free slot of another server before either used it.
+    """
+
+    async def play():
+        servers = Servers(pause_s=1.3)
+        async with sites.Site("i-1", "i-2", on_call=servers.serve) as site:
+            site.store.put("keyed.servers", "i-2", None)
+            await asyncio.sleep(1.5)
+            tokens = ["X-Clementinegw-Token-Usage: 100,100"]
+            streams = []
+            for _ in range(2):
+                ask = site.ask("/stream/1", headers=tokens)
+                streams.append(asyncio.ensure_future(ask))
+                await asyncio.sleep(0.08)
+            site.store.put("keyed.servers", "i-2", site.servers[1].record())
+            return await asyncio.gather(*streams), servers.paused
+
+    answers, paused = sites.run(play())
+    assert paused == ["i-1", "i-1"]
+    assert [(a.complete, a.body.decode()) for a in answers] == [
+        (True, WHOLE)
+    ] * 2
+
+
+@pytest.mark.parametrize("path", ["/once/1", "/stream/1"])
+def test_a_request_that_may_not_repeat_outlives_the_silence_of_an_agent(path):
+    """A request that may run once was given up when an agent fell silent."""
+
+    async def serve(call):
+        await asyncio.sleep(1.5)
+        if call.head.target.startswith(b"/stream"):
+            call.begin_stream()
+            call.event(1)
+            call.end_stream()
+        else:
+            call.answer()
+
+    async def play():
+        async with sites.Site("i-1", "i-2", on_call=serve) as site:
+            config = sites.config(2)
+            for route in config["routes"]:
+                route["stream_resume"] = False
+            site.store.put("keyed.op", "config", config)
+            await asyncio.sleep(0.1)
+            for _ in range(10):
+                await asyncio.sleep(0.1)
+                for name in ("i-1", "i-2"):
+                    site.entry._on_report(
+                        "127.0.0.1", reports.Report(name, 0, 0, 8, entries=1)
+                    )
+            return await site.ask(path)
+
+    answer = sites.run(play())
+    assert (answer.status, answer.complete) == (200, True)
+
+
+def test_streams_outlive_a_stall_of_the_event_loop():
+    """Streams left their servers, whose events had arrived, after a stall."""
+
+    async def play():
+        servers = Servers(pause_s=0.05)
+        async with sites.Site("i-1", "i-2", on_call=servers.serve) as site:
+            stream = asyncio.ensure_future(site.ask("/stream/1"))
+            await asyncio.sleep(0.08)
+            asyncio.get_running_loop().clock.advance(2.0)
+            return await stream, sum(len(s.calls) for s in site.servers)
+
+    answer, calls = sites.run(play())
+    assert (answer.complete, answer.body.decode()) == (True, WHOLE)
+    assert calls == 1
+
+
+def test_a_stream_whose_second_server_fails_leaves_its_line():
+    """A stream ended without a line when a server refused to resume it."""
+
+    async def serve(call):
+        if begun_at(call):
+            call.answer(b"cannot resume", status=500)
+            return
+        call.begin_stream()
+        call.event(1)
+        await asyncio.sleep(0.01)
+        call.reset()
+
+    async def play():
+        async with sites.Site("i-1", "i-2", on_call=serve) as site:
+            answer = await site.ask("/stream/1")
+            return answer, site.counters.snapshot()
+
+    answer, counters = sites.run(play())
+    assert (answer.status, answer.complete) == (200, False)
+    assert counters.get("direct.request_failed", 0) == 0
+    assert counters["direct.broken_off.failed_at_server"] == 1
