End a begun stream with its line when another server fails to resume it

Callers saw a stream end with a closed connection, and the log had no line of the request but attempt_ended. Cause: the error of the server that was to resume the stream was answered to the caller, whose answer had begun; h11 refuses a second head, and its LocalProtocolError left the handler. The session aborted the connection and the error stayed in a task that nobody awaits. Change: an answer that has begun is broken off with the reason failed_at_server.

--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -49,6 +49,7 @@
 # A server works until the deadline that it is given; this is set aside for its
 # answer's way back, in seconds.
 _ANSWER_TRANSIT_S = 0.02
+_BAD_GATEWAY = 502
 _GATEWAY_TIMEOUT = 504
 
 
@@ -212,7 +213,10 @@
             outcome = outcomes.Refusal(_GATEWAY_TIMEOUT, Reason.TIMEOUT)
         if isinstance(outcome, outcomes.Refusal) and failed is not None:
             # The server's own error is more informative than a refusal.
-            return failed
+            outcome = failed
+        if isinstance(outcome, outcomes.Failed) and job.responder.begun:
+            # Another server's events were sent, and no other head can follow.
+            return outcomes.Refusal(_BAD_GATEWAY, Reason.FAILED_AT_SERVER)
         return outcome
 
     async def _attempt_once(
--- a/src/clementinegw/direct/outcomes.py
+++ b/src/clementinegw/direct/outcomes.py
@@ -99,6 +99,7 @@
     ATTEMPTS_USED = "attempts_used"
     TIMEOUT = "timeout"
     MAY_HAVE_RUN = "may_have_run"
+    FAILED_AT_SERVER = "failed_at_server"
     CRASHES_SERVERS = "crashes_servers"
 
 
