Leave a silent server only for one that is reserved

Callers saw a stream close midway although its server was still at work. Cause: a request at a silent server was given up as soon as another server looked as if it could take it over (utilization under 1.0, any budget). A stream that had begun long ago does not wait for a slot, so it was refused at once and its connection closed. Check and use of the same slot were two steps with different conditions. Change: the other server is reserved, and the retry budget charged, before the silent one is left; until that succeeds the request stays where it is. The soak's guard 'budget' follows the budget's new text.

--- a/src/clementinegw/direct/attempt.py
+++ b/src/clementinegw/direct/attempt.py
@@ -9,6 +9,7 @@
 from clementinegw.direct import client
 from clementinegw.direct import header_codec
 from clementinegw.direct import outcomes
+from clementinegw.direct import queue
 from clementinegw.direct import server as servers
 from clementinegw.direct import sse
 from clementinegw.direct import types
@@ -60,6 +61,8 @@
       failed_connect_s: Time spent on connections that failed, in seconds.
       utilization: The estimated share of the last server's slots in use.
       server_id: The last server that was chosen for it.
+      takeover: The server that is reserved to take it over from a silent one;
+        the retry budget is charged already.
       tried: The server starts where it may have run without success.
     """
 
@@ -82,6 +85,7 @@
     failed_connect_s: float = 0.0
     utilization: float = 0.0
     server_id: str = ""
+    takeover: queue.Reservation | None = None
     tried: set[types.ServerStart] = dataclasses.field(default_factory=set)
 
     @property
@@ -120,7 +124,7 @@
         job: Job,
         backend: backend_lib.Backend,
         forward_metadata: types.ForwardMetadata,
-        has_alternative: Callable[[], bool],
+        take_over: Callable[[], bool],
         version_timeout: version_timeouts.VersionTimeout,
     ) -> outcomes.AttemptOutcome:
         """Makes one attempt and returns its outcome.
@@ -129,8 +133,9 @@
           job: The request.
           backend: The server.
           forward_metadata: What the entry adds to the request.
-          has_alternative: Returns whether another server could take the request
-            over now. While none can, a silent server is waited for.
+          take_over: Reserves another server for the request; returns False if
+            none may take it over now. Until then a silent server is waited
+            for.
           version_timeout: Withdraws the request before the server's weights
             become too old for it.
 
@@ -143,7 +148,7 @@
             backend, job.metadata.prompt_tokens, version_timeout
         )
         try:
-            receiver = _AnswerReceiver(backend, has_alternative, self._clock)
+            receiver = _AnswerReceiver(backend, take_over, self._clock)
             async with asyncio.timeout(None) as timeout:
                 version_timeout.start(timeout)
                 try:
@@ -368,11 +373,11 @@
     def __init__(
         self,
         backend: backend_lib.Backend,
-        has_alternative: Callable[[], bool],
+        take_over: Callable[[], bool],
         clock: Callable[[], float],
     ):
         self.backend = backend
-        self._has_alternative = has_alternative
+        self._take_over = take_over
         self._clock = clock
         self._probing = backend.cooldown_until > clock()
 
@@ -418,7 +423,7 @@
 
         Raises:
           _ServerSilent: The server exceeded the limit, or it and its agent are
-            both silent, and another server can take over.
+            both silent, and another server is reserved.
         """
         since = self._clock()
         check_interval_s = (
@@ -435,7 +440,7 @@
             except TimeoutError as error:
                 if (
                     self._is_silent(since, silence_limit_s)
-                    and self._has_alternative()
+                    and self._take_over()
                 ):
                     raise _ServerSilent from error
 
--- a/src/clementinegw/direct/budget.py
+++ b/src/clementinegw/direct/budget.py
@@ -47,13 +47,17 @@
         self._requests.append(now)
         self._expire(now)
 
-    def try_acquire(self, now: float) -> bool:
-        """Counts a retry if the budget allows it; returns whether it does."""
+    def allows(self, now: float) -> bool:
+        """Returns whether a retry is within the budget."""
         self._expire(now)
         allowed = len(self._requests) * self.limits.ratio * _RATIO_SHARE
         slack = self.limits.slack * _SLACK_SHARE
         limit = allowed + slack / (self.entries or _ASSUMED_ENTRIES)
-        if len(self._retries) + 1 > limit:
+        return len(self._retries) + 1 <= limit
+
+    def try_acquire(self, now: float) -> bool:
+        """Counts a retry if the budget allows it; returns whether it does."""
+        if not self.allows(now):
             return False
         self._retries.append(now)
         return True
--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -15,6 +15,7 @@
 from clementinegw.direct import header_codec
 from clementinegw.direct import outcomes
 from clementinegw.direct import placement
+from clementinegw.direct import queue
 from clementinegw.direct import server as servers
 from clementinegw.direct import suspects as suspects_lib
 from clementinegw.direct import types
@@ -211,6 +212,9 @@
                         break
         except TimeoutError:
             outcome = outcomes.Refusal(_GATEWAY_TIMEOUT, Reason.TIMEOUT)
+        finally:
+            if job.takeover is not None:
+                job.takeover.release()
         if isinstance(outcome, outcomes.Refusal) and failed is not None:
             # The server's own error is more informative than a refusal.
             outcome = failed
@@ -222,11 +226,7 @@
     async def _attempt_once(
         self, job: attempts.Job
     ) -> outcomes.AttemptOutcome | outcomes.Refusal:
-        if self._suspects.is_refused(
-            job.request, job.customer_name, self._clock()
-        ):
-            return self._placer.refuse(job, Reason.CRASHES_SERVERS)
-        reservation = await self._placer.reserve(job)
+        reservation = await self._reserve(job)
         if isinstance(reservation, outcomes.Refusal):
             return reservation
         try:
@@ -234,13 +234,60 @@
         finally:
             reservation.release()
 
+    async def _reserve(
+        self, job: attempts.Job
+    ) -> queue.Reservation | outcomes.Refusal:
+        """Returns a reservation for the next attempt, or a refusal."""
+        takeover, job.takeover = job.takeover, None
+        if takeover is not None:
+            return takeover
+        if self._is_suspect(job):
+            return self._placer.refuse(job, Reason.CRASHES_SERVERS)
+        reservation = await self._placer.reserve(job)
+        if (
+            job.sends
+            and isinstance(reservation, queue.Reservation)
+            and not self._budget(job.service).try_acquire(self._clock())
+        ):
+            reservation.release()
+            return self._placer.refuse(job, Reason.NO_BUDGET)
+        return reservation
+
+    def _take_over(
+        self, job: attempts.Job, backend: backend_lib.Backend
+    ) -> bool:
+        """Reserves another server for a request at a silent one.
+
+        A request is only given up at one server once another one is certain to
+        accept it: every condition of a further attempt is checked here.
+
+        Returns:
+          False if no other server may take the request over now.
+        """
+        retry_budget = self._budget(job.service)
+        if (
+            not self._may_run_again(job, job.runs + 1)
+            or self._is_suspect(job)
+            or not retry_budget.allows(self._clock())
+        ):
+            return False
+        reservation = self._placer.reserve_alternative(job, backend)
+        if reservation is None:
+            return False
+        if not retry_budget.try_acquire(self._clock()):
+            reservation.release()
+            return False
+        job.takeover = reservation
+        return True
+
+    def _is_suspect(self, job: attempts.Job) -> bool:
+        return self._suspects.is_refused(
+            job.request, job.customer_name, self._clock()
+        )
+
     async def _send(
         self, job: attempts.Job, backend: backend_lib.Backend
     ) -> outcomes.AttemptOutcome | outcomes.Refusal:
-        if job.sends and not self._budget(job.service).try_acquire(
-            self._clock()
-        ):
-            return self._placer.refuse(job, Reason.NO_BUDGET)
         now = self._clock()
         model = self._placer.model(job)
         held = backend.held_version(self._placer.layers(job.service))
@@ -256,7 +303,7 @@
             job,
             backend,
             forward_metadata,
-            lambda: self._placer.has_alternative(job, backend),
+            lambda: self._take_over(job, backend),
             self._version_timeouts.create(
                 model, held, job.match.route.idempotent
             ),
@@ -347,9 +394,7 @@
         self, job: attempts.Job, outcome: outcomes.AttemptOutcome
     ) -> bool:
         """Returns whether another attempt may be made; counts withdrawals."""
-        if job.responder.begun and job.last_event_id is None:
-            return False
-        if job.sends >= _MAX_SENDS:
+        if not self._may_send_again(job):
             return False
         if _is_unreachable(outcome):
             return self._placer.may_reconnect(job)
@@ -358,8 +403,20 @@
             return job.withdrawals < _MAX_SENDS
         if isinstance(outcome, outcomes.Failed) and outcome.head.status < 500:
             return False
+        return self._may_run_again(job, job.runs)
+
+    def _may_send_again(self, job: attempts.Job) -> bool:
+        resumable = not job.responder.begun or job.last_event_id is not None
+        return resumable and job.sends < _MAX_SENDS
+
+    def _may_run_again(self, job: attempts.Job, runs: int) -> bool:
+        """Returns whether a request may run again after that many runs."""
         route = job.match.route
-        return route.idempotent and job.runs < route.max_attempts
+        return (
+            self._may_send_again(job)
+            and route.idempotent
+            and runs < route.max_attempts
+        )
 
     def _give_up(
         self, job: attempts.Job, outcome: outcomes.AttemptOutcome
--- a/src/clementinegw/direct/placement.py
+++ b/src/clementinegw/direct/placement.py
@@ -144,10 +144,7 @@
             if self._balancer.is_limited(self._requirements(job)):
                 return self.refuse(job, Reason.LIMITED)
             return self.refuse(job, Reason.BUSY)
-        job.placed_at = now
-        job.permitted = reservation.permitted
-        job.utilization = self._balancer.utilization(reservation.backend, now)
-        job.server_id = reservation.backend.server.server_id
+        self._assign(job, reservation)
         return reservation
 
     def dispatch(self) -> None:
@@ -165,17 +162,25 @@
         if backend.has_share(self._clock()):
             self._queue(backend.server.service).dispatch()
 
-    def has_alternative(
+    def reserve_alternative(
         self, job: attempts.Job, backend: backend_lib.Backend
-    ) -> bool:
-        """Returns whether another server could take over a request now."""
-        if job.runs + 1 >= job.match.route.max_attempts:
-            return False
+    ) -> queue.Reservation | None:
+        """Returns a reservation of another server; None if none is free now.
+
+        Args:
+          job: The request.
+          backend: The server that it is at.
+        """
         requirements = dataclasses.replace(
             self._requirements(job), max_utilization=1.0, allow_cooldown=False
         )
         tried = {backend.server.start, *job.tried}
-        return self._balancer.choose(requirements, tried) is not None
+        alternative = self._balancer.choose(requirements, tried)
+        if alternative is None:
+            return None
+        reservation = self._queue(job.service).reserve_server(alternative)
+        self._assign(job, reservation)
+        return reservation
 
     def record_first_event(self, job: attempts.Job) -> None:
         """Updates the latency estimate from the first event of an answer.
@@ -232,6 +237,16 @@
         timeout_s = job.deadline - job.request.arrived_at
         return job.failed_connect_s < _RETRIED_WAIT_SHARE * timeout_s
 
+    def _assign(
+        self, job: attempts.Job, reservation: queue.Reservation
+    ) -> None:
+        """Records in a request which server was reserved for it."""
+        backend, now = reservation.backend, self._clock()
+        job.placed_at = now
+        job.permitted = reservation.permitted
+        job.utilization = self._balancer.utilization(backend, now)
+        job.server_id = backend.server.server_id
+
     def _refuse_until_ready(
         self, job: attempts.Job, reason: Reason, ready_in_s: float
     ) -> outcomes.Refusal:
--- a/src/clementinegw/direct/queue.py
+++ b/src/clementinegw/direct/queue.py
@@ -168,6 +168,11 @@
             if waiter in self._waiters:
                 self._waiters.remove(waiter)
 
+    def reserve_server(self, backend: backend_lib.Backend) -> Reservation:
+        """Returns a reservation of a server that was found to have capacity."""
+        self._balancer.record_sent(backend)
+        return Reservation(backend, self.dispatch)
+
     def dispatch(self) -> None:
         """Reserves servers for all queued requests that can have one now."""
         if not self._waiters:
@@ -194,10 +199,7 @@
                 # preferred servers for the other requests.
                 unmet.clear()
                 self._waiters.remove(waiter)
-                self._balancer.record_sent(backend)
-                waiter.reservation.set_result(
-                    Reservation(backend, self.dispatch)
-                )
+                waiter.reservation.set_result(self.reserve_server(backend))
                 has_capacity = self._balancer.has_capacity(self._service)
             elif now >= waiter.give_up_at or (
                 restricted and self._will_expire(waiter, ahead)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -55,8 +55,8 @@
     ),
     "budget": (
         "src/clementinegw/direct/budget.py",
-        "if len(self._retries) + 1 > limit:",
-        "if False:",
+        "return len(self._retries) + 1 <= limit",
+        "return True",
     ),
     "digest_check": (
         "src/clementinegw/direct/fetcher.py",
