Do not count a stall of the event loop as silence of servers

Callers saw several streams of one entry close at the same moment. Cause: the check for a silent server is a timer. When the event loop has stood still (a suspended process, a shared processor, a large configuration), the timer ends in the same turn in which the events that arrived meanwhile are put into the connection's buffer, and is served first; reports of agents are read one datagram a turn. All servers of the entry looked silent at once, and all of its streams left them together. Change: the time by which a check is late is not counted as silence, and after a late check what has arrived is read before the server is judged.

--- a/src/clementinegw/direct/attempt.py
+++ b/src/clementinegw/direct/attempt.py
@@ -25,8 +25,10 @@
 _MIN_SILENCE_S = 0.6
 _SILENCE_PER_OBJECTIVE = 2.0
 _SILENCE_PER_GAP = 3.0
-# Interval between checks for a silent server, in seconds.
+# Interval between checks for a silent server, and the lag of a check from which
+# on the event loop counts as stalled, in seconds.
 _SILENCE_CHECK_S = 0.2
+_MAX_CHECK_LAG_S = 0.05
 _MISDIRECTED_REQUEST = 421
 # Statuses that promise the caller that its request was not run.
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -425,12 +427,13 @@
           _ServerSilent: The server exceeded the limit, or it and its agent are
             both silent, and another server is reserved.
         """
-        since = self._clock()
-        check_interval_s = (
-            None
-            if silence_limit_s is None
-            else min(silence_limit_s, _SILENCE_CHECK_S)
-        )
+        if silence_limit_s is None:
+            result = await read()
+            self.backend.heard_at = self._clock()
+            return result
+        checked_at = silent_since = self._clock()
+        check_interval_s = min(silence_limit_s, _SILENCE_CHECK_S)
+        stalled = False
         while True:
             try:
                 async with asyncio.timeout(check_interval_s):
@@ -438,18 +441,20 @@
                 self.backend.heard_at = self._clock()
                 return result
             except TimeoutError as error:
-                if (
-                    self._is_silent(since, silence_limit_s)
-                    and self._take_over()
-                ):
+                now = self._clock()
+                lag_s = now - checked_at - check_interval_s
+                checked_at = now
+                # Bytes and reports that arrived while the event loop stood
+                # still are read before the server is judged.
+                silent_since = max(silent_since, self.backend.heard_at) + lag_s
+                stalled = lag_s > _MAX_CHECK_LAG_S and not stalled
+                if stalled:
+                    continue
+                silent = now - silent_since >= silence_limit_s
+                silent = silent or self.backend.is_silent(now)
+                if silent and self._take_over():
                     raise _ServerSilent from error
 
-    def _is_silent(self, since: float, silence_limit_s: float | None) -> bool:
-        now = self._clock()
-        heard_at = max(since, self.backend.heard_at)
-        late = silence_limit_s is not None and now - heard_at >= silence_limit_s
-        return late or self.backend.is_silent(now)
-
 
 class _UnreadTokens:
     """Counts a request's prompt tokens as unread until its first event.
