Report a write that the end of its connection interrupted

A caller that left while a large answer was written to it was logged as answered. Cause: Channel.write waits until the buffer has drained and returned normally when the connection ended instead. Change: it raises ChannelClosed then, as for a connection that had ended before.

--- a/src/clementinegw/direct/channel.py
+++ b/src/clementinegw/direct/channel.py
@@ -105,6 +105,8 @@
                 await self._writable
             finally:
                 self._writable = None
+        if self._ended:
+            raise ChannelClosed(self._clean)
 
     def close(self) -> None:
         """Closes the connection after the buffered bytes were sent."""
