Answer and log requests whose handling ends early

Callers saw a closed connection, and the log had no line with the request's id. Cause: two ways out of the handler led past the answer and the log. An unexpected error was raised into the session, which aborts; the cancellation of a session (the process ends) was raised while waiting for the attempt, outside of the try that records it, and left the attempt running. A complete answer was cut when an error came after it. Change: the handler answers in both cases: 503 if the request was never sent, 502 otherwise, with reason internal_error or stopping; an answer that has begun is broken off with its line; a complete one stays whole. The attempt is ended and awaited first. Errors stay visible: request_failed has the error and where.

--- a/src/clementinegw/direct/finisher.py
+++ b/src/clementinegw/direct/finisher.py
@@ -26,12 +26,15 @@
 # long as it was cut off.
 _LOCAL_REASONS = frozenset(
     {
+        Reason.STOPPING,
         Reason.STALE_KEYS,
         Reason.STALE_ROUTES,
         Reason.NO_CONFIGURATION,
         Reason.OUT_OF_REACH,
     }
 )
+_BAD_GATEWAY = 502
+_UNAVAILABLE = 503
 
 
 class RequestFinisher:
@@ -107,15 +110,36 @@
             )
         except channel.ChannelClosed:
             responder.abort()
+            if job is not None:
+                self.record_done(job, "caller_left", 0, responder.departure)
 
-    def record_failed(
+    async def refuse_unfinished(
+        self,
+        request: servers.Request,
+        responder: servers.Responder,
+        reason: outcomes.RefusalReason,
+        job: attempts.Job | None,
+    ) -> None:
+        """Refuses a request whose handling ended early.
+
+        Args:
+          request: The caller's request.
+          responder: Sends the answer to the caller.
+          reason: Why its handling ended.
+          job: The request's state; None if it was not admitted.
+        """
+        status = _BAD_GATEWAY if job and job.sends else _UNAVAILABLE
+        refusal = outcomes.Refusal(status, reason)
+        await self.refuse(request, responder, refusal, job)
+
+    async def fail(
         self,
         request: servers.Request,
         responder: servers.Responder,
         error: Exception,
         job: attempts.Job | None,
     ) -> None:
-        """Records that an unexpected error ended a request.
+        """Ends a request after an unexpected error and records the error.
 
         Args:
           request: The caller's request.
@@ -135,6 +159,10 @@
             sends=job.sends if job else 0,
             runs=job.runs if job else 0,
         )
+        if not responder.ended:
+            await self.refuse_unfinished(
+                request, responder, Reason.INTERNAL_ERROR, job
+            )
 
     def _break_off(self, job: attempts.Job, refusal: outcomes.Refusal) -> None:
         """Ends an answer that has begun, so that it counts as incomplete."""
--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -53,6 +53,8 @@
 _BAD_GATEWAY = 502
 _GATEWAY_TIMEOUT = 504
 
+_Outcome = outcomes.Delivered | outcomes.Failed | outcomes.Refusal
+
 
 class Forwarder:
     """Forwards callers' requests to backend servers and answers the callers."""
@@ -121,42 +123,51 @@
                 return
             job = admitted
             await self._handle_admitted(job)
-        except channel.ChannelClosed:
-            raise
         except Exception as error:
-            self._finisher.record_failed(request, responder, error, job)
-            raise
+            await self._finisher.fail(request, responder, error, job)
 
     async def _handle_admitted(self, job: attempts.Job) -> None:
-        request, responder = job.request, job.responder
+        responder = job.responder
         task = asyncio.ensure_future(self._serve(job))
-        await asyncio.wait(
-            {task, responder.disconnected},
-            return_when=asyncio.FIRST_COMPLETED,
-        )
-        if not task.done():
-            task.cancel()
         try:
-            outcome = await task
-        except (asyncio.CancelledError, channel.ChannelClosed):
+            await asyncio.wait(
+                {task, responder.disconnected},
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if not task.done():
+                raise channel.ChannelClosed(clean=False)
+            await self._finish(job, task.result())
+        except channel.ChannelClosed:
+            await _cancel(task)
             responder.abort()
             self._finisher.record_done(
                 job, "caller_left", 0, responder.departure
             )
-            if responder.disconnected.done():
-                return
+        except asyncio.CancelledError:
+            outcome = await _cancel(task)
+            if outcome is not None:
+                await self._finish(job, outcome)
+            else:
+                await self._finisher.refuse_unfinished(
+                    job.request, responder, Reason.STOPPING, job
+                )
             raise
+
+    async def _finish(self, job: attempts.Job, outcome: _Outcome) -> None:
+        """Answers the caller, unless a server's answer was relayed already.
+
+        Raises:
+          channel.ChannelClosed: The caller has left.
+        """
         if isinstance(outcome, outcomes.Refusal):
-            await self._finisher.refuse(request, responder, outcome, job)
-        elif isinstance(outcome, outcomes.Failed):
-            await responder.answer(
-                outcome.head.status,
-                self._codec.to_caller_headers(outcome.head),
-                outcome.body,
-            )
-            self._finisher.record_done(
-                job, "failed_at_server", outcome.head.status
+            await self._finisher.refuse(
+                job.request, job.responder, outcome, job
             )
+        elif isinstance(outcome, outcomes.Failed):
+            status = outcome.head.status
+            headers = self._codec.to_caller_headers(outcome.head)
+            await job.responder.answer(status, headers, outcome.body)
+            self._finisher.record_done(job, "failed_at_server", status)
         else:
             self._finisher.record_done(job, "answered", outcome.status)
 
@@ -193,9 +204,7 @@
 
     # Serving.
 
-    async def _serve(
-        self, job: attempts.Job
-    ) -> outcomes.Delivered | outcomes.Failed | outcomes.Refusal:
+    async def _serve(self, job: attempts.Job) -> _Outcome:
         failed: outcomes.Failed | None = None
         try:
             async with asyncio.timeout_at(job.deadline):
@@ -443,3 +452,13 @@
         isinstance(outcome, outcomes.NotRun)
         and outcome.reason is outcomes.NotRunReason.UNREACHABLE
     )
+
+
+async def _cancel(task: asyncio.Task[_Outcome]) -> _Outcome | None:
+    """Cancels a task; returns its outcome if it had ended before."""
+    task.cancel()
+    await asyncio.wait({task})
+    try:
+        return task.result()
+    except (asyncio.CancelledError, channel.ChannelClosed):
+        return None
--- a/src/clementinegw/direct/outcomes.py
+++ b/src/clementinegw/direct/outcomes.py
@@ -101,6 +101,8 @@
     MAY_HAVE_RUN = "may_have_run"
     FAILED_AT_SERVER = "failed_at_server"
     CRASHES_SERVERS = "crashes_servers"
+    STOPPING = "stopping"
+    INTERNAL_ERROR = "internal_error"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_direct_stream_ends.py
+++ b/tests/test_direct_stream_ends.py
@@ -4,6 +4,7 @@
 
 import platform_site as sites
 import pytest
+import structlog
 
 from clementinegw.direct import budget
 from clementinegw.direct import reports
@@ -154,3 +155,138 @@
     assert (answer.status, answer.complete) == (200, False)
     assert counters.get("direct.request_failed", 0) == 0
     assert counters["direct.broken_off.failed_at_server"] == 1
+
+
+def outcomes_of(log):
+    """Returns the last line of each request: its event and why it ended."""
+    lines = {}
+    for line in log:
+        if "request" in line:
+            why = line.get("reason") or line.get("cause") or line.get("outcome")
+            lines[line["request"]] = (line["event"], why)
+    return lines
+
+
+def test_requests_that_are_open_when_the_process_ends_are_answered():
+    """Requests were cut off without an answer and a line at the end."""
+
+    async def serve(call):
+        if call.head.target.startswith(b"/stream"):
+            call.begin_stream()
+            call.event(1)
+        await asyncio.sleep(60.0)
+
+    async def play():
+        async with sites.Site("i-1", on_call=serve) as site:
+            open_requests = {
+                name: asyncio.ensure_future(
+                    site.ask(f"/{name}/1", attempt_id=name)
+                )
+                for name in ("safe", "once", "stream")
+            }
+            await asyncio.sleep(0.2)
+            await site.entry._server.stop()
+            answers = await asyncio.gather(*open_requests.values())
+            return [(a.status, a.complete) for a in answers]
+
+    with structlog.testing.capture_logs() as log:
+        answers = sites.run(play())
+    assert answers == [(502, True), (502, True), (200, False)]
+    assert outcomes_of(log) == {
+        "safe": ("request_refused", "stopping"),
+        "once": ("request_refused", "stopping"),
+        "stream": ("answer_broken_off", "stopping"),
+    }
+
+
+def test_a_request_that_waits_when_the_process_ends_may_be_sent_again():
+    """A request that waited for a server got no answer at the end."""
+
+    async def play():
+        async with sites.Site("i-1") as site:
+            for _ in range(5):
+                await asyncio.sleep(0.1)
+                full = reports.Report("i-1", 8, 0, 8, entries=1)
+                site.entry._on_report("127.0.0.1", full)
+            ask = asyncio.ensure_future(site.ask("/safe/1"))
+            await asyncio.sleep(0.1)
+            await site.entry._server.stop()
+            return await ask, len(site.servers[0].calls)
+
+    answer, calls = sites.run(play())
+    assert (answer.status, answer.complete, calls) == (503, True, 0)
+
+
+def raise_error(*_):
+    raise KeyError("unexpected")
+
+
+@pytest.mark.parametrize(
+    ("method", "status", "complete", "begun"),
+    [
+        ("_reserve", 503, True, False),
+        ("_record_failure", 502, True, False),
+        ("_take_over", 200, False, True),
+    ],
+)
+def test_a_request_with_an_unexpected_error_is_answered(
+    monkeypatch, method, status, complete, begun
+):
+    """A request ended with a closed connection and without a line."""
+
+    async def serve(call):
+        if begun:
+            call.begin_stream()
+            call.event(1)
+            await asyncio.sleep(60.0)
+        call.reset()
+
+    async def play():
+        async with sites.Site("i-1", "i-2", on_call=serve) as site:
+            monkeypatch.setattr(site.entry._forwarder, method, raise_error)
+            return await site.ask("/stream/1")
+
+    with structlog.testing.capture_logs() as log:
+        answer = sites.run(play())
+    assert (answer.status, answer.complete) == (status, complete)
+    failures = [line for line in log if line["event"] == "request_failed"]
+    assert [(f["request"], f["error"], f["begun"]) for f in failures] == [
+        ("a1", "KeyError: 'unexpected'", begun)
+    ]
+
+
+def test_an_error_after_a_complete_answer_leaves_the_answer_whole(monkeypatch):
+    """A complete answer was cut by an error in what follows it."""
+
+    async def play():
+        async with sites.Site("i-1") as site:
+            suspects = site.entry._forwarder._suspects
+            monkeypatch.setattr(suspects, "record_completion", raise_error)
+            async with sites.Caller(site) as caller:
+                first = await caller.ask("/safe/1")
+                return first, await caller.ask("/safe/1")
+
+    with structlog.testing.capture_logs() as log:
+        answers = sites.run(play())
+    assert [(a.status, a.complete) for a in answers] == [(200, True)] * 2
+    failures = [line for line in log if line["event"] == "request_failed"]
+    assert [f["request"] for f in failures] == ["a1", "a2"]
+
+
+def test_a_caller_that_leaves_while_it_is_refused_leaves_its_line(monkeypatch):
+    """A request whose caller left during its refusal had no line."""
+
+    async def serve(call):
+        call.answer(b"x" * (8 << 20), status=500)
+
+    async def play():
+        async with sites.Site("i-1", on_call=serve) as site:
+            async with sites.Caller(site) as caller:
+                caller.send("/once/1")
+                await asyncio.sleep(0.5)
+                caller.writer.transport.abort()
+            await asyncio.sleep(0.5)
+
+    with structlog.testing.capture_logs() as log:
+        sites.run(play())
+    assert outcomes_of(log)["a1"] == ("request_done", "reset")
