Log why no other server was asked where a request may have run

Cause: a request that a server may have run is refused with may_have_run whatever kept it from another server, so the line of a stream that is broken off did not say whether servers were full, out of reach, or the retry budget used up. Change: a refusal keeps that reason as cause; request_refused and answer_broken_off log it, and direct.broken_off.CAUSE counts it. Evidence: test_the_line_of_a_broken_stream_says_why_no_server_goes_on failed before (no cause). The soak's guard 'true_refusal' follows the new text.

--- a/src/clementinegw/direct/finisher.py
+++ b/src/clementinegw/direct/finisher.py
@@ -93,6 +93,7 @@
             target=request.target[:120],
             status=refusal.status,
             reason=refusal.reason.value,
+            cause=(refusal.cause or refusal.reason).value,
             sends=job.sends if job else 0,
             runs=job.runs if job else 0,
             spent_ms=round(job.spent_s * 1e3) if job else 0,
@@ -166,13 +167,15 @@
 
     def _break_off(self, job: attempts.Job, refusal: outcomes.Refusal) -> None:
         """Ends an answer that has begun, so that it counts as incomplete."""
-        self._counters.add(f"direct.broken_off.{refusal.reason}")
+        cause = refusal.cause or refusal.reason
+        self._counters.add(f"direct.broken_off.{cause}")
         now = self._clock()
         self._log.write(
             _events.ANSWER_BROKEN_OFF,
             request=job.metadata.attempt_id,
             route=job.match.route.name,
             reason=refusal.reason.value,
+            cause=cause.value,
             events=job.events,
             sends=job.sends,
             runs=job.runs,
--- a/src/clementinegw/direct/outcomes.py
+++ b/src/clementinegw/direct/outcomes.py
@@ -113,8 +113,11 @@
       status: The HTTP status; 503 and 429 promise that the request was not run.
       reason: Why it is refused.
       retry_after_s: When to retry, in seconds; None if that cannot help.
+      cause: Why no other server was asked, if a server may have run the request
+        and `reason` says only that.
     """
 
     status: int
     reason: RefusalReason
     retry_after_s: float | None = None
+    cause: RefusalReason | None = None
--- a/src/clementinegw/direct/placement.py
+++ b/src/clementinegw/direct/placement.py
@@ -270,7 +270,9 @@
           share: When to retry, as a fraction of the remaining time.
         """
         if job.runs:
-            return outcomes.Refusal(_BAD_GATEWAY, Reason.MAY_HAVE_RUN)
+            return outcomes.Refusal(
+                _BAD_GATEWAY, Reason.MAY_HAVE_RUN, cause=reason
+            )
         left_s = max(0.0, job.deadline - self._clock())
         return admit.unavailable(reason, share * left_s)
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -81,8 +81,8 @@
     ),
     "true_refusal": (
         "src/clementinegw/direct/placement.py",
-        "if job.runs:\n            return outcomes.Refusal(_BAD_GATEWAY",
-        "if False:\n            return outcomes.Refusal(_BAD_GATEWAY",
+        "if job.runs:\n            return outcomes.Refusal(",
+        "if False:\n            return outcomes.Refusal(",
     ),
 }
 
--- a/tests/test_direct_stream_ends.py
+++ b/tests/test_direct_stream_ends.py
@@ -290,3 +290,54 @@
     with structlog.testing.capture_logs() as log:
         sites.run(play())
     assert outcomes_of(log)["a1"] == ("request_done", "reset")
+
+
+class LoadedSite(sites.Site):
+    """A site whose agents report which servers are full."""
+
+    def report(self, *full):
+        """Reports the load of all servers: 8 of 8 slots, or none."""
+        for server in self.servers:
+            running = 8 if server.name in full else 0
+            load = reports.Report(server.name, running, 0, 8, entries=1)
+            self.entry._on_report("127.0.0.1", load)
+
+    async def report_for(self, seconds, *full):
+        """Reports ten times a second."""
+        for _ in range(round(10 * seconds)):
+            self.report(*full)
+            await asyncio.sleep(0.1)
+
+
+async def break_off(call, gap_s=0.02):
+    """Begins a stream and breaks it off, or completes it from there."""
+    begun = begun_at(call)
+    call.begin_stream()
+    for number in range(begun + 1, EVENTS + 1 if begun else 4):
+        call.event(number)
+        await asyncio.sleep(gap_s)
+    if begun:
+        call.end_stream()
+    else:
+        call.reset()
+
+
+async def play_full_servers(full_s):
+    """Plays a stream that breaks off while the other server is full."""
+    async with LoadedSite("i-1", "i-2", on_call=break_off) as site:
+        await site.report_for(0.5, "i-2")
+        stream = asyncio.ensure_future(site.ask("/stream/1"))
+        await asyncio.sleep(0.03)
+        site.entry._fleet.find("i-1").gone = True
+        await site.report_for(full_s, "i-2")
+        await site.report_for(0.5)
+        return await stream
+
+
+def test_the_line_of_a_broken_stream_says_why_no_server_goes_on():
+    """A line gave `may_have_run` as the reason of any broken stream."""
+    with structlog.testing.capture_logs() as log:
+        answer = sites.run(play_full_servers(3.0))
+    assert not answer.complete
+    lines = [line for line in log if line["event"] == "answer_broken_off"]
+    assert [line["cause"] for line in lines] == ["busy"]
