Carry a begun stream on for as long as its caller waits

Callers saw a stream close midway around a new version of weights: a server that loads breaks its streams off, and the entry had no other server within 0.3 of the caller's time since arrival, so it broke the stream off with most of the time left. A stream that began long ago got no wait at all, and the slots that are left for late requests, behind all new ones. Cause: a stream that has begun was queued by the rule for requests that can still be refused and come back; it can only be broken off. Change: it waits for a server, and for the retry budget, until its deadline, goes before requests that have not begun and counts neither as late nor as a sign of free capacity. Its caller ends the wait by leaving. The queue's stand-in caller in overload_site gets a responder, which has not begun. Evidence: three tests in test_direct_stream_ends failed before (incomplete after event 3 of 6), pass now.

--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -50,6 +50,8 @@
 # A server works until the deadline that it is given; this is set aside for its
 # answer's way back, in seconds.
 _ANSWER_TRANSIT_S = 0.02
+# Interval between checks for a free retry budget, in seconds.
+_BUDGET_CHECK_S = 0.1
 _BAD_GATEWAY = 502
 _GATEWAY_TIMEOUT = 504
 
@@ -252,6 +254,8 @@
             return takeover
         if self._is_suspect(job):
             return self._placer.refuse(job, Reason.CRASHES_SERVERS)
+        if job.responder.begun:
+            await self._wait_for_budget(job)
         reservation = await self._placer.reserve(job)
         if (
             job.sends
@@ -262,6 +266,18 @@
             return self._placer.refuse(job, Reason.NO_BUDGET)
         return reservation
 
+    async def _wait_for_budget(self, job: attempts.Job) -> None:
+        """Waits until the retry budget allows another attempt, or in vain.
+
+        A request that has begun cannot be refused any more, only broken off.
+        """
+        give_up_at = job.deadline - placement.GIVE_UP_MARGIN_S
+        retry_budget = self._budget(job.service)
+        while not retry_budget.allows(now := self._clock()):
+            if now >= give_up_at:
+                return
+            await asyncio.sleep(min(_BUDGET_CHECK_S, give_up_at - now))
+
     def _take_over(
         self, job: attempts.Job, backend: backend_lib.Backend
     ) -> bool:
--- a/src/clementinegw/direct/placement.py
+++ b/src/clementinegw/direct/placement.py
@@ -60,6 +60,9 @@
     Reason.ATTEMPTS_USED: _RETRY_FULL,
     Reason.CRASHES_SERVERS: _RETRY_NEVER,
 }
+# A request that has begun stops waiting this long before its deadline, so that
+# its line says what it waited for. Seconds.
+GIVE_UP_MARGIN_S = 0.05
 _BAD_GATEWAY = 502
 
 
@@ -107,7 +110,11 @@
         give_up_at = max(arrived_at, latest_start)
         if job.spent_s or job.sends:
             give_up_at = arrived_at + _RETRIED_WAIT_SHARE * timeout_s
-        if not self._balancer.candidates(self._requirements(job)):
+        if job.responder.begun:
+            # It cannot be refused any more, only broken off; its caller leaves
+            # when the pause gets too long.
+            give_up_at = job.deadline - GIVE_UP_MARGIN_S
+        elif not self._balancer.candidates(self._requirements(job)):
             ready_in_s = self._balancer.ready_in_s(job.service)
             if ready_in_s > _READY_WAIT_SHARE * timeout_s:
                 return self._refuse_until_ready(
@@ -128,6 +135,7 @@
             frozenset(job.tried),
             latest_start,
             give_up_at,
+            begun=job.responder.begun,
         )
         now = self._clock()
         job.waited_s += now - queued_at
--- a/src/clementinegw/direct/queue.py
+++ b/src/clementinegw/direct/queue.py
@@ -61,6 +61,7 @@
       reservation: Resolves to the reserved server, or to None on giving up.
       queued_at: When it was queued, in monotonic seconds.
       counted: Whether it was already counted as late.
+      begun: Whether its answer has begun; it goes first and is never late.
     """
 
     requirements: Callable[[], balance.Requirements]
@@ -70,6 +71,11 @@
     reservation: asyncio.Future["Reservation | None"]
     queued_at: float
     counted: bool = False
+    begun: bool = False
+
+    def is_late(self, now: float) -> bool:
+        """Returns whether it can no longer be on time."""
+        return not self.begun and self.latest_start < now
 
 
 class Reservation:
@@ -131,6 +137,7 @@
         tried: frozenset[types.ServerStart],
         latest_start: float,
         give_up_at: float,
+        begun: bool = False,
     ) -> Reservation | None:
         """Returns a reservation; None if no server has capacity in time.
 
@@ -140,11 +147,13 @@
           tried: Server starts that already received the request.
           latest_start: When it must start to be on time, in monotonic seconds.
           give_up_at: When it stops waiting, in monotonic seconds.
+          begun: Whether the caller has received a part of its answer.
         """
         future = asyncio.get_running_loop().create_future()
         now = self._clock()
-        # A request that arrives late did not become late in this queue.
-        late = latest_start < now
+        # A request that arrives late did not become late in this queue, and one
+        # that has begun does not show whether new ones find capacity.
+        counted = begun or latest_start < now
         waiter = Waiter(
             requirements,
             tried,
@@ -152,7 +161,8 @@
             give_up_at,
             future,
             now,
-            counted=late,
+            counted=counted,
+            begun=begun,
         )
         self._waiters.append(waiter)
         self.dispatch()
@@ -189,7 +199,7 @@
             if waiter.reservation.done():
                 self._waiters.remove(waiter)
                 continue
-            late = waiter.latest_start < now
+            late = waiter.is_late(now)
             backend = (
                 self._choose(waiter, late, unmet) if has_capacity else None
             )
@@ -254,7 +264,7 @@
     def _in_order(self, now: float) -> list[Waiter]:
         return sorted(
             self._waiters,
-            key=lambda w: (w.latest_start < now, w.latest_start),
+            key=lambda w: (not w.begun, w.is_late(now), w.latest_start),
         )
 
     def _choose(
--- a/tests/overload_site.py
+++ b/tests/overload_site.py
@@ -319,7 +319,7 @@
             metadata,
             catalog.RouteMatch(route, None),
             SERVICE,
-            None,
+            builtin_types.SimpleNamespace(begun=False),
             now + left_s,
             entry.caller_timeouts.spent_s(route.name, left_s),
         )
--- a/tests/test_direct_stream_ends.py
+++ b/tests/test_direct_stream_ends.py
@@ -334,6 +334,56 @@
         return await stream
 
 
+def test_a_broken_stream_waits_for_a_server_as_long_as_its_caller():
+    """A stream was broken off although its caller had most of its time left."""
+    answer = sites.run(play_full_servers(1.5))
+    assert (answer.complete, answer.body.decode()) == (True, WHOLE)
+
+
+def test_a_broken_stream_waits_for_the_retry_budget():
+    """A stream was broken off because the retry budget was used up."""
+
+    async def play():
+        async with sites.Site("i-1", "i-2", on_call=break_off) as site:
+            forwarder = site.entry._forwarder
+            forwarder.set_retry_limits(budget.Limits(ratio=0.0, slack=0.0))
+            stream = asyncio.ensure_future(site.ask("/stream/1"))
+            await asyncio.sleep(1.0)
+            forwarder.set_retry_limits(budget.Limits())
+            return await stream
+
+    answer = sites.run(play())
+    assert (answer.complete, answer.body.decode()) == (True, WHOLE)
+
+
+def test_a_broken_stream_goes_before_requests_that_have_not_begun():
+    """A stream waited until its time was out while new requests were sent."""
+
+    async def serve(call):
+        if call.head.target.startswith(b"/safe"):
+            await asyncio.sleep(0.1)
+            call.answer()
+        else:
+            await break_off(call, 0.2)
+
+    async def play():
+        async with sites.Site("i-1", on_call=serve) as site:
+            site.store.put(
+                "keyed.servers", "i-1", site.servers[0].record(slots=1)
+            )
+            await asyncio.sleep(1.5)
+            stream = asyncio.ensure_future(site.ask("/stream/1"))
+            asks = []
+            while not stream.done():
+                asks.append(asyncio.ensure_future(site.ask("/safe/1")))
+                await asyncio.sleep(0.01)
+            await asyncio.gather(*asks)
+            return await stream
+
+    answer = sites.run(play())
+    assert (answer.complete, answer.body.decode()) == (True, WHOLE)
+
+
 def test_the_line_of_a_broken_stream_says_why_no_server_goes_on():
     """A line gave `may_have_run` as the reason of any broken stream."""
     with structlog.testing.capture_logs() as log:
