Return a connection to the pool that it came from

Requests were sent to the address that a server had before it moved, on a kept connection, and the new address's count of open connections was off. Cause: the pool of a server is replaced when its address changes, and an attempt looked the pool up again when it ended. Change: the attempt keeps the pool. Found while reading the ways in which an attempt can end; the same commit ends a relayed answer only once when a process stops in the middle of it. Evidence: test_a_connection_is_not_kept_for_a_server_that_has_moved failed before (four calls at the former address, none at the new one, zero open connections counted), passes now.

--- a/src/clementinegw/direct/attempt.py
+++ b/src/clementinegw/direct/attempt.py
@@ -175,16 +175,18 @@
         unread: "_UnreadTokens",
     ) -> outcomes.AttemptOutcome:
         backend = receiver.backend
+        # A server that moves gets another pool.
+        pool = backend.pool
         began = self._clock()
         try:
-            connection, _ = await backend.pool.acquire()
+            connection, _ = await pool.acquire()
         except client.ConnectFailed:
             job.failed_connect_s += self._clock() - began
             receiver.record_unreachable()
             return outcomes.NotRun(outcomes.NotRunReason.UNREACHABLE)
         reason = self._withdrawal_reason(job, backend, unread.version_timeout)
         if reason is not None:
-            backend.pool.discard(connection)
+            pool.discard(connection)
             return outcomes.NotRun(reason)
         complete = False
         try:
@@ -203,9 +205,9 @@
         finally:
             # Closing also tells the server that the caller has left.
             if complete:
-                backend.pool.release(connection)
+                pool.release(connection)
             else:
-                backend.pool.discard(connection)
+                pool.discard(connection)
 
     def _withdrawal_reason(
         self,
--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -147,12 +147,12 @@
             )
         except asyncio.CancelledError:
             outcome = await _cancel(task)
-            if outcome is not None:
-                await self._finish(job, outcome)
-            else:
+            if outcome is None or responder.incomplete:
                 await self._finisher.refuse_unfinished(
                     job.request, responder, Reason.STOPPING, job
                 )
+            else:
+                await self._finish(job, outcome)
             raise
 
     async def _finish(self, job: attempts.Job, outcome: _Outcome) -> None:
--- a/src/clementinegw/direct/server.py
+++ b/src/clementinegw/direct/server.py
@@ -85,6 +85,11 @@
         self.begun = False
         self.ended = False
 
+    @property
+    def incomplete(self) -> bool:
+        """Whether a part of the answer was sent, but not all of it."""
+        return self.begun and not self.ended
+
     @property
     def disconnected(self) -> asyncio.Future:
         """A future that is done once the caller has disconnected."""
--- a/tests/test_direct_stream_ends.py
+++ b/tests/test_direct_stream_ends.py
@@ -391,3 +391,36 @@
     assert not answer.complete
     lines = [line for line in log if line["event"] == "answer_broken_off"]
     assert [line["cause"] for line in lines] == ["busy"]
+
+
+def test_a_connection_is_not_kept_for_a_server_that_has_moved():
+    """A request was sent to the address that a server had before."""
+
+    async def serve(call):
+        if call.attempt_id == "open":
+            await asyncio.sleep(1.5)
+        call.answer()
+
+    async def play():
+        async with sites.Site("i-1", on_call=serve) as site:
+            former = site.servers[0]
+            ask = site.ask("/safe/1", attempt_id="open")
+            open_request = asyncio.ensure_future(ask)
+            await asyncio.sleep(0.1)
+            moved = sites.Server("i-1", serve)
+            await moved.start()
+            site.servers.append(moved)
+            site.store.put("keyed.servers", "i-1", moved.record(sequence=2))
+            await asyncio.sleep(1.2)
+            statuses = [(await open_request).status]
+            for _ in range(3):
+                statuses.append((await site.ask()).status)
+            backend = site.entry._fleet.find("i-1")
+            return (
+                statuses,
+                len(former.calls),
+                len(moved.calls),
+                backend.pool.open_connections,
+            )
+
+    assert sites.run(play()) == ([200] * 4, 1, 3, 1)
