Open a new connection for a request that a server may have run

Callers saw streams close midway as a failure domain was cut off: the second attempt went, 2 to 3 ms after the first one broke, to a server of the same domain on a kept connection that the cut had broken as well. It counted as an attempt that may have run, and the attempts were used up. Change: a retry after a run opens a connection; where that fails nothing was sent, no attempt is used, and the next server is tried. Evidence: test_a_retry_does_not_use_a_connection_that_broke_in_the_same_fault failed before (incomplete after event 3 of 6), passes now.

--- a/src/clementinegw/direct/attempt.py
+++ b/src/clementinegw/direct/attempt.py
@@ -179,7 +179,9 @@
         pool = backend.pool
         began = self._clock()
         try:
-            connection, _ = await pool.acquire()
+            # What broke the former attempt may have broken idle connections
+            # too, and a request that is lost on one may have run.
+            connection, _ = await pool.acquire(reuse=not job.runs)
         except client.ConnectFailed:
             job.failed_connect_s += self._clock() - began
             receiver.record_unreachable()
--- a/src/clementinegw/direct/client.py
+++ b/src/clementinegw/direct/client.py
@@ -248,14 +248,19 @@
         """The number of connections in use or idle."""
         return self._open
 
-    async def acquire(self) -> tuple[Connection, bool]:
+    async def acquire(self, reuse: bool = True) -> tuple[Connection, bool]:
         """Returns a connection, and whether it was used before.
 
+        Args:
+          reuse: Whether a connection that was used before will do.
+
         Raises:
           ConnectFailed: A new connection failed or timed out.
         """
         now = asyncio.get_running_loop().time()
-        while self._idle:
+        if not reuse and self._idle and self._open >= self._max_open:
+            self._close(self._idle.pop(0))
+        while reuse and self._idle:
             connection = self._idle.pop()
             if connection.reusable and now < self._idle_deadline(connection):
                 return connection, True
--- a/tests/test_direct_stream_ends.py
+++ b/tests/test_direct_stream_ends.py
@@ -424,3 +424,38 @@
             )
 
     assert sites.run(play()) == ([200] * 4, 1, 3, 1)
+
+
+def test_a_retry_does_not_use_a_connection_that_broke_in_the_same_fault():
+    """A stream used up its attempts on kept connections of a cut domain."""
+    names = ["i-1", "i-2", "i-3"]
+    cut = []
+
+    async def serve(call):
+        if not call.head.target.startswith(b"/stream"):
+            await asyncio.sleep(0.05)
+            call.answer()
+        elif server_of(call) in cut:
+            call.reset()
+        else:
+            if not begun_at(call):
+                # The server that began the stream and one more are cut off.
+                healthy = next(n for n in names if n != server_of(call))
+                cut.extend(n for n in names if n != healthy)
+            await break_off(call)
+
+    async def play():
+        async with sites.Site(*names, on_call=serve) as site:
+            asks = [site.ask(f"/safe/{number}") for number in range(30)]
+            await asyncio.gather(*asks)
+            stream = asyncio.ensure_future(site.ask("/stream/1"))
+            await asyncio.sleep(0.01)
+            for server in site.servers:
+                if server.name in cut:
+                    await server.stop()
+            return await stream
+
+    for _ in range(8):
+        cut.clear()
+        answer = sites.run(play())
+        assert (answer.complete, answer.body.decode()) == (True, WHOLE)
