Answer callers whose request's handler fails

Callers saw their connection close without a byte, and no log line, when a handler raised an error or returned without an answer; a complete answer whose rest still waited to be sent lost that rest. Cause: _Session.run aborted the connection and raised into a task that nobody awaits. A handler's own h11.RemoteProtocolError was even answered as the caller's bad request, and a task cancelled inside the handler ended the session silently. begun was set before the head could fail to be encoded, ended only after the last write had drained. Change: the session answers with status 500 and closes, if no byte of the answer is out; breaks the connection, if the answer has begun; and closes in order, if all of it was passed on. Event 928 request_unanswered with the error and where, and the counter direct.request_unanswered. Errors of h11 about what callers send are told apart in the reader.

--- a/src/clementinegw/direct/_events.py
+++ b/src/clementinegw/direct/_events.py
@@ -119,6 +119,15 @@
     " timed meanwhile.",
     "Check the load of the machine and what the process logged before.",
 )
+REQUEST_UNANSWERED = events.define(
+    928,
+    "request_unanswered",
+    events.Level.ERROR,
+    "The handler of a request raised an error or returned without a complete"
+    " answer. The caller got status 500, or a broken connection if its answer"
+    " had begun.",
+    "Report it with the line's `error` and `at`.",
+)
 READY_CHANGED = events.define(
     913,
     "ready_changed",
--- a/src/clementinegw/direct/channel.py
+++ b/src/clementinegw/direct/channel.py
@@ -106,6 +106,12 @@
             finally:
                 self._writable = None
 
+    def write_last(self, data: bytes) -> None:
+        """Sends bytes, then closes the connection."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(data)
+        self.close()
+
     def close(self) -> None:
         """Closes the connection after the buffered bytes were sent."""
         if self._transport is not None:
--- a/src/clementinegw/direct/entry.py
+++ b/src/clementinegw/direct/entry.py
@@ -158,8 +158,8 @@
             counters,
             self.histograms,
         )
-        self._server = servers.Server(self._forwarder.handle)
-        self._health = servers.Server(self._answer_readiness)
+        self._server = servers.Server(self._forwarder.handle, log, counters)
+        self._health = servers.Server(self._answer_readiness, log, counters)
         self._reports = reports.Listener(
             instance.name,
             self._on_report,
--- a/src/clementinegw/direct/request_reader.py
+++ b/src/clementinegw/direct/request_reader.py
@@ -74,19 +74,19 @@
           RequestRefused: What arrived is not the head of a request.
           channels.ChannelClosed: The connection broke.
         """
-        event = self._http.next_event()
+        event = self._next_event()
         if event is h11.NEED_DATA:
             # Nothing of a head has arrived: the connection is idle until then.
             if not await self._receive(limits.idle_timeout_s):
                 return None
             deadline = asyncio.get_running_loop().time()
             deadline += limits.header_timeout_s
-            event = self._http.next_event()
+            event = self._next_event()
             while event is h11.NEED_DATA:
                 remaining_s = deadline - asyncio.get_running_loop().time()
                 if remaining_s <= 0 or not await self._receive(remaining_s):
                     return None
-                event = self._http.next_event()
+                event = self._next_event()
         if isinstance(event, h11.ConnectionClosed):
             return None
         if not isinstance(event, h11.Request):
@@ -109,7 +109,7 @@
         body = bytearray()
         deadline = asyncio.get_running_loop().time() + _BODY_TIMEOUT_S
         while True:
-            event = self._http.next_event()
+            event = self._next_event()
             if event is h11.NEED_DATA:
                 remaining_s = deadline - asyncio.get_running_loop().time()
                 if remaining_s <= 0 or not await self._receive(remaining_s):
@@ -126,6 +126,18 @@
             else:
                 raise channels.ChannelClosed(clean=False)
 
+    def _next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
+        """Returns the next event of the received bytes.
+
+        Raises:
+          RequestRefused: They are not valid HTTP.
+        """
+        try:
+            return self._http.next_event()
+        except h11.RemoteProtocolError as error:
+            status = error.error_status_hint or _BAD_REQUEST
+            raise RequestRefused(status) from error
+
     async def _receive(self, timeout_s: float) -> bool:
         """Feeds received bytes to the HTTP state.
 
--- a/src/clementinegw/direct/server.py
+++ b/src/clementinegw/direct/server.py
@@ -8,14 +8,19 @@
 from collections.abc import Awaitable, Callable
 import dataclasses
 import enum
+import pathlib
+import traceback
 
 import h11
 
 from clementinegw import types
+from clementinegw.direct import _events
 from clementinegw.direct import channel as channels
 from clementinegw.direct import client
 from clementinegw.direct import request_reader
 from clementinegw.direct import types as direct_types
+from clementinegw.telemetry import counters as counters_lib
+from clementinegw.telemetry import logs
 
 # How long a write of an answer may wait for a slow caller, in seconds.
 _WRITE_TIMEOUT_S = 10.0
@@ -26,7 +31,7 @@
 # caller can read the answer before the connection closes. Seconds.
 _LINGER_S = 0.3
 _BAD_REQUEST = 400
-_HEAD_TOO_LARGE = 431
+_INTERNAL_ERROR = 500
 _UNAVAILABLE = 503
 
 
@@ -76,14 +81,16 @@
     """Sends the answer to one request.
 
     Attributes:
-      begun: Whether the head of the answer was sent.
-      ended: Whether the answer was sent completely.
+      begun: Whether the head of the answer was passed to the connection.
+      ended: Whether the whole answer was passed to the connection.
+      aborted: Whether the handler broke the answer off.
     """
 
     def __init__(self, session: "_Session"):
         self._session = session
         self.begun = False
         self.ended = False
+        self.aborted = False
 
     @property
     def disconnected(self) -> asyncio.Future:
@@ -143,23 +150,36 @@
         await self._session.send(h11.Data(data=data))
 
     async def end(self) -> None:
-        """Ends the body: the answer is complete."""
-        await self._session.send(h11.EndOfMessage())
+        """Ends the body: the answer is complete.
+
+        Raises:
+          channels.ChannelClosed: The caller has left, or is too slow.
+        """
+        data = self._session.encode(h11.EndOfMessage())
         self.ended = True
+        await self._session.write(data)
 
     def abort(self) -> None:
-        """Breaks the connection, so that the answer counts as incomplete."""
-        self._session.channel.abort()
+        """Breaks the connection, so that the answer counts as incomplete.
+
+        A complete answer is still sent to its end.
+        """
+        self.aborted = True
+        if self.ended:
+            self._session.channel.close()
+        else:
+            self._session.channel.abort()
 
     async def _begin(
         self, status: int, headers: client.Headers, close: bool
     ) -> None:
-        self.begun = True
         if close or self._session.closing:
             headers = [*headers, (b"connection", b"close")]
-        await self._session.send(
+        data = self._session.encode(
             h11.Response(status_code=status, headers=headers)
         )
+        self.begun = True
+        await self._session.write(data)
 
 
 _FRAMING_HEADERS = frozenset(
@@ -186,14 +206,24 @@
       requests: How many requests were passed to the handler.
     """
 
-    def __init__(self, handler: Handler):
+    def __init__(
+        self,
+        handler: Handler,
+        log: logs.Log | None = None,
+        counters: counters_lib.Counters | None = None,
+    ):
         """Accepts nothing before `listen`.
 
         Args:
-          handler: Answers each request; the connection breaks if it returns
-            without a complete answer.
+          handler: Answers each request. If it raises an error or returns
+            without a complete answer, the server answers with status 500, or
+            breaks the connection if the answer has begun.
+          log: Receives the log events; a log without fields by default.
+          counters: Count requests that are refused or get no answer.
         """
         self._handler = handler
+        self.log = log or logs.Log()
+        self.counters = counters or counters_lib.Counters()
         self._server: asyncio.Server | None = None
         self._sessions: dict[_Session, asyncio.Task] = {}
         self._body_bytes = 0
@@ -259,6 +289,29 @@
         """Releases reserved bytes."""
         self._body_bytes -= count
 
+    def record_unanswered(
+        self,
+        request: Request,
+        responder: Responder,
+        error: BaseException | None,
+    ) -> None:
+        """Records that a handler did not answer its request.
+
+        Args:
+          request: The request.
+          responder: Its responder.
+          error: What the handler raised; None if it returned.
+        """
+        self.counters.add("direct.request_unanswered")
+        self.log.write(
+            _events.REQUEST_UNANSWERED,
+            target=request.target[:120],
+            error=f"{type(error).__name__}: {error}"[:200] if error else "",
+            at=_innermost_frame(error),
+            begun=responder.begun,
+            ended=responder.ended,
+        )
+
     def _start_session(self, channel: channels.Channel) -> None:
         session = _Session(self, channel)
         task = asyncio.ensure_future(session.run(self._handler))
@@ -301,6 +354,7 @@
         self.busy = False
         self.idle = True
         self._slow = False
+        self._responder: Responder | None = None
 
     @property
     def departure(self) -> Departure:
@@ -321,22 +375,13 @@
         try:
             while await self._serve_one(handler):
                 pass
-            self.channel.close()
         except channels.ChannelClosed:
-            self.channel.abort()
+            pass
         except request_reader.RequestRefused as refused:
             await self._refuse(refused.status)
-        except h11.RemoteProtocolError as error:
-            await self._refuse(error.error_status_hint or _BAD_REQUEST)
-        except asyncio.CancelledError:
-            self.channel.abort()
-            raise
-        except BaseException:
-            # If a handler fails, its caller must not wait for an answer.
-            self.channel.abort()
-            raise
         finally:
             self._reader.release_body()
+            self._close()
 
     async def send(self, event: h11.Event) -> None:
         """Sends one event of an answer.
@@ -344,7 +389,22 @@
         Raises:
           channels.ChannelClosed: The caller has left, or is too slow.
         """
-        data = self._http.send(event)
+        await self.write(self.encode(event))
+
+    def encode(self, event: h11.Event) -> bytes:
+        """Returns the bytes of an event of an answer.
+
+        Raises:
+          h11.LocalProtocolError: The event is invalid at this point.
+        """
+        return self._http.send(event) or b""
+
+    async def write(self, data: bytes) -> None:
+        """Writes encoded events.
+
+        Raises:
+          channels.ChannelClosed: The caller has left, or is too slow.
+        """
         if not data:
             return
         try:
@@ -364,18 +424,18 @@
             return False
         body = await self._reader.body(limits)
         request = _to_request(head, body)
-        responder = Responder(self)
+        self._responder = Responder(self)
         self.busy = True
         self._server.requests += 1
         try:
-            await handler(request, responder)
+            answered = await self._call(handler, request, self._responder)
         finally:
             self.busy = False
             self._server.on_request_ended()
         self._reader.release_body()
-        if not responder.ended:
-            self.channel.abort()
+        if not answered:
             return False
+        self._responder = None
         if (self._http.our_state, self._http.their_state) != (
             h11.DONE,
             h11.DONE,
@@ -384,26 +444,72 @@
         self._http.start_next_cycle()
         return not self.closing
 
+    async def _call(
+        self, handler: Handler, request: Request, responder: Responder
+    ) -> bool:
+        """Calls the handler; returns whether it answered without an error."""
+        error: BaseException | None = None
+        try:
+            await handler(request, responder)
+        except channels.ChannelClosed:
+            raise
+        except Exception as raised:
+            error = raised
+        except asyncio.CancelledError as raised:
+            if _is_cancelled():
+                raise
+            # The handler waited for a task that another one cancelled.
+            error = raised
+        if error is None and (responder.ended or responder.aborted):
+            return responder.ended
+        self._server.record_unanswered(request, responder, error)
+        return False
+
+    def _close(self) -> None:
+        """Closes the connection; a request without an answer gets status 500.
+
+        An answer that has begun and is incomplete is broken off.
+        """
+        responder = self._responder
+        if responder is None or responder.ended:
+            self.channel.close()
+        elif responder.begun or responder.aborted:
+            self.channel.abort()
+        else:
+            self.channel.write_last(_bare_answer(_INTERNAL_ERROR))
+
     async def _refuse(self, status: int) -> None:
-        """Answers an invalid request with a status; closes the connection."""
-        headers: client.Headers = [
-            (b"content-length", b"0"),
-            (b"connection", b"close"),
-        ]
-        if status == _UNAVAILABLE:
-            headers.append((b"retry-after", b"1"))
+        """Answers an invalid request with a status; reads what follows it."""
         try:
-            if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-                await self.send(
-                    h11.Response(status_code=status, headers=headers)
-                )
-                await self.send(h11.EndOfMessage())
-                async with asyncio.timeout(_LINGER_S):
-                    while True:
-                        await self.channel.read()
-        except (channels.ChannelClosed, TimeoutError, h11.ProtocolError):
+            await self.write(_bare_answer(status))
+            async with asyncio.timeout(_LINGER_S):
+                while True:
+                    await self.channel.read()
+        except (channels.ChannelClosed, TimeoutError):
             pass
-        self.channel.close()
+
+
+def _bare_answer(status: int) -> bytes:
+    """Returns an answer without a body that announces the close."""
+    lines = [f"HTTP/1.1 {status} ", "content-length: 0", "connection: close"]
+    if status == _UNAVAILABLE:
+        lines.append("retry-after: 1")
+    return "\r\n".join([*lines, "", ""]).encode()
+
+
+def _is_cancelled() -> bool:
+    """Returns whether the current task itself is being cancelled."""
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
+
+
+def _innermost_frame(error: BaseException | None) -> str:
+    """Returns the file and the line that raised an error."""
+    frames = traceback.extract_tb(error.__traceback__) if error else None
+    if not frames:
+        return ""
+    frame = frames[-1]
+    return f"{pathlib.PurePath(frame.filename).name}:{frame.lineno}"
 
 
 def _to_request(head: h11.Request, body: bytes) -> Request:
