Read what arrived while the loop stood still before a timeout of a request ends

Callers saw their connection close without a byte when a request, the rest of its head or the rest of its body came while the entry's event loop stood still. Cause: the timeout of the read was over in the turn in which the loop went on, and cancelled a read whose bytes had been taken from the socket in that turn; the deadlines of the head and the body even refused bytes that were already here. Change: a read whose timeout ended returns bytes that are here; a deadline that is over still reads once. A head that had begun behind the previous request is held to the time for heads, no longer to the idle time.

--- a/src/clementinegw/direct/request_reader.py
+++ b/src/clementinegw/direct/request_reader.py
@@ -75,18 +75,16 @@
           channels.ChannelClosed: The connection broke.
         """
         event = self._next_event()
-        if event is h11.NEED_DATA:
+        if event is h11.NEED_DATA and not self._http.trailing_data[0]:
             # Nothing of a head has arrived: the connection is idle until then.
             if not await self._receive(limits.idle_timeout_s):
                 return None
-            deadline = asyncio.get_running_loop().time()
-            deadline += limits.header_timeout_s
             event = self._next_event()
-            while event is h11.NEED_DATA:
-                remaining_s = deadline - asyncio.get_running_loop().time()
-                if remaining_s <= 0 or not await self._receive(remaining_s):
-                    return None
-                event = self._next_event()
+        deadline = asyncio.get_running_loop().time() + limits.header_timeout_s
+        while event is h11.NEED_DATA:
+            if not await self._receive_until(deadline):
+                return None
+            event = self._next_event()
         if isinstance(event, h11.ConnectionClosed):
             return None
         if not isinstance(event, h11.Request):
@@ -111,8 +109,7 @@
         while True:
             event = self._next_event()
             if event is h11.NEED_DATA:
-                remaining_s = deadline - asyncio.get_running_loop().time()
-                if remaining_s <= 0 or not await self._receive(remaining_s):
+                if not await self._receive_until(deadline):
                     raise channels.ChannelClosed(clean=False)
             elif isinstance(event, h11.Data):
                 body += event.data
@@ -138,9 +135,17 @@
             status = error.error_status_hint or _BAD_REQUEST
             raise RequestRefused(status) from error
 
+    async def _receive_until(self, deadline: float) -> bool:
+        """Feeds received bytes to the HTTP state; see `_receive`."""
+        now = asyncio.get_running_loop().time()
+        return await self._receive(max(0.0, deadline - now))
+
     async def _receive(self, timeout_s: float) -> bool:
         """Feeds received bytes to the HTTP state.
 
+        Bytes that arrive in the same turn of the loop in which the timeout ends
+        are read, so that a loop that stood still drops nothing.
+
         Args:
           timeout_s: How long to wait for bytes, in seconds.
 
@@ -151,7 +156,9 @@
             async with asyncio.timeout(timeout_s):
                 data = await self._channel.read()
         except TimeoutError:
-            return False
+            if not self._channel.has_unread:
+                return False
+            data = await self._channel.read()
         except channels.ChannelClosed as error:
             if not error.clean:
                 raise
--- a/tests/test_direct_server_ends.py
+++ b/tests/test_direct_server_ends.py
@@ -193,3 +193,41 @@
     assert (len(body), body) == (len(_TAIL), _TAIL)
     assert harness.line("request_unanswered")["ended"] is True
     assert not harness.loop_errors
+
+
+# Connections that close while a request arrives.
+
+
+@pytest.mark.parametrize(
+    ("first", "second", "stall_s"),
+    [
+        (b"", _REQUEST, 20.0),
+        (_REQUEST[:10], _REQUEST[10:], 5.0),
+        (
+            b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab",
+            b"cd",
+            30.0,
+        ),
+    ],
+    ids=["idle", "head", "body"],
+)
+def test_bytes_that_arrive_while_the_loop_stands_still_are_read(
+    first, second, stall_s
+):
+    """Guards against requests dropped because their timeout ended in a stall.
+
+    Their bytes waited in the socket, and the timer ended in the same turn.
+    """
+
+    async def play():
+        async with _Harness(_answer) as harness:
+            reader, writer = await harness.connect()
+            writer.write(first)
+            await asyncio.sleep(0.1)
+            writer.write(second)
+            asyncio.get_running_loop().clock.advance(stall_s)
+            answer = await reader.readuntil(b"\r\n\r\n")
+            writer.close()
+            return answer
+
+    assert sites.run(play()).startswith(b"HTTP/1.1 200 ")
