Answer requests that cross the close of a connection by a leaving process

Callers of an entry that leaves saw their connection close without an answer when their request, or a part of it, had just been read; when it stood behind an answer that had not announced the close; or when the rest of a whole answer still waited to be sent as the process stopped. Cause: a session counted as idle until the whole head was parsed, whatever had been read; a session ended behind an answer that had begun before the leaving was announced; wait_idle knew only requests whose handler ran; stop aborted every connection and did not wait for what was still to be sent. A connection that was accepted before the stop could start a session after it. Change: a session is idle if no byte of a further request was read; close_idle closes these, and the others once they are idle. wait_idle waits for requests that are half here and for answers that are being sent. stop waits for the handlers, then up to 0.25 s for the sending; a request without an answer gets 500, one that is half here 503, an answer that has begun is broken off. Evidence, before: 6 tests failed: request read in the turn of close_idle (b"" for 200), half a head and half a body (b"" for 200), a request behind an answer without announcement (1 of 2 answers), half a head at the stop (b"" for 503), a drain that did not wait for 49,152 bytes on their way. All pass now.

--- a/src/clementinegw/direct/channel.py
+++ b/src/clementinegw/direct/channel.py
@@ -44,6 +44,11 @@
         """Whether nothing can be read from or written to the peer any more."""
         return self._ended or self._transport is None
 
+    @property
+    def closing(self) -> bool:
+        """Whether this side is closing the connection."""
+        return self._transport is not None and self._transport.is_closing()
+
     @property
     def clean(self) -> bool:
         """Whether the peer closed the connection in order."""
--- a/src/clementinegw/direct/server.py
+++ b/src/clementinegw/direct/server.py
@@ -30,6 +30,8 @@
 # After a refused body its rest is read and discarded for this long, so that the
 # caller can read the answer before the connection closes. Seconds.
 _LINGER_S = 0.3
+# How long a stopping server waits until answers are sent, in seconds.
+_FLUSH_TIMEOUT_S = 0.25
 _BAD_REQUEST = 400
 _INTERNAL_ERROR = 500
 _UNAVAILABLE = 503
@@ -203,6 +205,7 @@
     Attributes:
       limits: Bounds of requests and connections.
       closing: Whether answers announce that their connection closes.
+      closes_idle: Whether connections close as soon as they are idle.
       requests: How many requests were passed to the handler.
     """
 
@@ -226,10 +229,13 @@
         self.counters = counters or counters_lib.Counters()
         self._server: asyncio.Server | None = None
         self._sessions: dict[_Session, asyncio.Task] = {}
+        self._channels: set[channels.Channel] = set()
+        self._stopped = False
         self._body_bytes = 0
-        self._request_ended = asyncio.Event()
+        self._changed = asyncio.Event()
         self.limits = direct_types.Limits()
         self.closing = False
+        self.closes_idle = False
         self.requests = 0
 
     @property
@@ -237,28 +243,41 @@
         """The number of requests whose handler is running."""
         return sum(session.busy for session in self._sessions)
 
+    @property
+    def _working(self) -> bool:
+        return not all(session.idle for session in self._sessions) or any(
+            channel.closing for channel in self._channels
+        )
+
     async def listen(self, address: types.Address) -> None:
         """Starts accepting connections."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: _ServerChannel(self._start_session),
+            lambda: _ServerChannel(self._start_session, self._on_lost),
             address.host,
             address.port,
             backlog=512,
         )
 
     async def wait_idle(self) -> None:
-        """Waits until no request is open."""
-        while self.open_requests:
-            self._request_ended.clear()
-            await self._request_ended.wait()
+        """Waits until all requests are answered and the answers are sent.
+
+        A request of which a part was received is waited for as well.
+        """
+        while self._working:
+            self._changed.clear()
+            await self._changed.wait()
 
     def announce_close(self) -> None:
         """Makes all further answers announce that their connection closes."""
         self.closing = True
 
     def close_idle(self) -> None:
-        """Stops accepting connections and closes those without a request."""
+        """Stops accepting connections and closes those without a request.
+
+        The others close as soon as they are idle.
+        """
+        self.closes_idle = True
         if self._server is not None:
             self._server.close()
         for session in self._sessions:
@@ -266,17 +285,27 @@
                 session.channel.close()
 
     async def stop(self) -> None:
-        """Stops accepting connections and ends all of them."""
-        if self._server is not None:
-            self._server.close()
+        """Stops accepting connections and ends all of them.
+
+        Waits until all handlers have ended, and briefly until their answers
+        are sent.
+        """
+        self._stopped = True
+        self.close_idle()
         tasks = list(self._sessions.values())
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
+        try:
+            async with asyncio.timeout(_FLUSH_TIMEOUT_S):
+                await self.wait_idle()
+        except TimeoutError:
+            for channel in self._channels:
+                channel.abort()
 
     def on_request_ended(self) -> None:
         """Wakes `wait_idle`; called when a request's handler has ended."""
-        self._request_ended.set()
+        self._changed.set()
 
     def reserve(self, count: int) -> bool:
         """Reserves bytes for a body; returns False if they exceed the bound."""
@@ -313,24 +342,46 @@
         )
 
     def _start_session(self, channel: channels.Channel) -> None:
+        if self._stopped:
+            channel.abort()
+            return
+        self._channels.add(channel)
         session = _Session(self, channel)
         task = asyncio.ensure_future(session.run(self._handler))
         self._sessions[session] = task
-        task.add_done_callback(lambda _: self._sessions.pop(session, None))
+        task.add_done_callback(lambda _: self._on_session_ended(session))
+
+    def _on_session_ended(self, session: "_Session") -> None:
+        del self._sessions[session]
+        self._changed.set()
+
+    def _on_lost(self, channel: channels.Channel) -> None:
+        self._channels.discard(channel)
+        self._changed.set()
 
 
 class _ServerChannel(channels.Channel):
-    """A channel that reports when its connection is open."""
+    """A channel that reports when its connection opens and when it ended."""
 
-    def __init__(self, on_open: Callable[[channels.Channel], None]):
+    def __init__(
+        self,
+        on_open: Callable[[channels.Channel], None],
+        on_lost: Callable[[channels.Channel], None],
+    ):
         super().__init__()
         self._on_open = on_open
+        self._on_lost = on_lost
 
     def connection_made(self, transport) -> None:
         """Sets up the channel and reports it."""
         super().connection_made(transport)
         self._on_open(self)
 
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Ends reading and writing and reports it."""
+        super().connection_lost(exc)
+        self._on_lost(self)
+
 
 class _Session:
     """The HTTP state of one caller's connection.
@@ -338,7 +389,6 @@
     Attributes:
       channel: The connection.
       busy: Whether a request's handler is running.
-      idle: Whether it is waiting for the head of a request.
     """
 
     def __init__(self, server: Server, channel: channels.Channel):
@@ -352,7 +402,6 @@
         )
         self.channel = channel
         self.busy = False
-        self.idle = True
         self._slow = False
         self._responder: Responder | None = None
 
@@ -365,6 +414,15 @@
             return Departure.STOPPED
         return Departure.CLOSED if self.channel.clean else Departure.RESET
 
+    @property
+    def idle(self) -> bool:
+        """Whether no byte of the next request has been received."""
+        return (
+            self._http.their_state is h11.IDLE
+            and not self._http.trailing_data[0]
+            and not self.channel.has_unread
+        )
+
     @property
     def closing(self) -> bool:
         """Whether the connection closes after the current answer."""
@@ -374,7 +432,8 @@
         """Serves requests until either side closes the connection."""
         try:
             while await self._serve_one(handler):
-                pass
+                if self._server.closes_idle and self.idle:
+                    break
         except channels.ChannelClosed:
             pass
         except request_reader.RequestRefused as refused:
@@ -416,14 +475,9 @@
             raise channels.ChannelClosed(clean=False) from error
 
     async def _serve_one(self, handler: Handler) -> bool:
-        limits = self._server.limits
-        self.idle = True
-        head = await self._reader.head(limits)
-        self.idle = False
-        if head is None:
+        request = await self._read()
+        if request is None:
             return False
-        body = await self._reader.body(limits)
-        request = _to_request(head, body)
         self._responder = Responder(self)
         self.busy = True
         self._server.requests += 1
@@ -442,7 +496,20 @@
         ):
             return False
         self._http.start_next_cycle()
-        return not self.closing
+        return True
+
+    async def _read(self) -> Request | None:
+        """Returns the next request; None if the connection ended before it."""
+        limits = self._server.limits
+        try:
+            head = await self._reader.head(limits)
+            if head is None:
+                return None
+            return _to_request(head, await self._reader.body(limits))
+        except asyncio.CancelledError:
+            if not self.idle:
+                self.channel.write_last(_bare_answer(_UNAVAILABLE))
+            raise
 
     async def _call(
         self, handler: Handler, request: Request, responder: Responder
--- a/tests/test_direct_server_ends.py
+++ b/tests/test_direct_server_ends.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import socket
+from unittest import mock
 
 import platform_site as sites
 import pytest
@@ -54,6 +55,11 @@
         (line,) = [line for line in self.lines if line["event"] == event]
         return line
 
+    def accept(self, transport):
+        """Opens a connection on a transport, as the loop does."""
+        protocol = self.server._server._protocol_factory()
+        protocol.connection_made(transport)
+
     async def connect(self, receive_bytes=None):
         """Opens a connection; limits its receive buffer if given."""
         sock = socket.socket()
@@ -168,7 +174,7 @@
     with contextlib.suppress(ConnectionError):
         while data := await reader.read(1 << 10):
             received += data
-            await asyncio.sleep(0.005)
+            await asyncio.sleep(0.002)
     return bytes(received)
 
 
@@ -198,6 +204,135 @@
 # Connections that close while a request arrives.
 
 
+async def _session(harness):
+    """Returns the server's side of the only connection."""
+    while not harness.server._sessions:
+        await asyncio.sleep(0.01)
+    (session,) = harness.server._sessions
+    return session
+
+
+def test_a_request_read_as_idle_connections_close_is_answered():
+    """Guards against a request that is read and lost in a leaving process."""
+
+    async def play():
+        async with _Harness(_answer) as harness:
+            reader, writer = await harness.connect()
+            session = await _session(harness)
+            # What the transport does when the bytes arrive in this turn.
+            session.channel.data_received(_REQUEST)
+            harness.server.announce_close()
+            harness.server.close_idle()
+            answer = await reader.read()
+            writer.close()
+            return answer
+
+    answer = sites.run(play())
+    assert answer.startswith(b"HTTP/1.1 200 ")
+    assert b"connection: close\r\n" in answer
+
+
+@pytest.mark.parametrize(
+    ("first", "second"),
+    [
+        (_REQUEST[:10], _REQUEST[10:]),
+        (
+            b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab",
+            b"cd",
+        ),
+    ],
+)
+def test_a_request_that_is_half_here_as_the_process_drains_is_answered(
+    first, second
+):
+    """Guards against a connection that closes while its request arrives."""
+
+    async def play():
+        async with _Harness(_answer) as harness:
+            reader, writer = await harness.connect()
+            writer.write(first)
+            await asyncio.sleep(0.1)
+            harness.server.announce_close()
+            harness.server.close_idle()
+            idle = asyncio.ensure_future(harness.server.wait_idle())
+            await asyncio.sleep(0.1)
+            waited = not idle.done()
+            writer.write(second)
+            answer = await reader.read()
+            writer.close()
+            await idle
+            return answer, waited
+
+    answer, waited = sites.run(play())
+    assert answer.startswith(b"HTTP/1.1 200 ")
+    assert waited
+
+
+def test_a_request_behind_an_answer_that_announced_no_close_is_answered():
+    """Guards against a request lost as the process starts to leave.
+
+    The answer before it had begun, so it could not announce the close.
+    """
+    release = None
+
+    async def handler(request, responder):
+        await responder.begin(200, [])
+        await release.wait()
+        await responder.end()
+
+    async def play():
+        nonlocal release
+        release = asyncio.Event()
+        async with _Harness(handler) as harness:
+            reader, writer = await harness.connect()
+            writer.write(_REQUEST)
+            await asyncio.sleep(0.1)
+            harness.server.announce_close()
+            writer.write(_REQUEST)
+            await asyncio.sleep(0.1)
+            release.set()
+            answers = await reader.read()
+            writer.close()
+            return answers
+
+    answers = sites.run(play())
+    assert answers.count(b"HTTP/1.1 200 ") == 2
+    assert answers.count(b"connection: close\r\n") == 1
+
+
+def test_a_kept_connection_closes_behind_its_last_answer():
+    """Guards against a drain that waits for the idle timeout of a connection.
+
+    Its answer ended after the idle connections had been closed.
+    """
+    release = None
+
+    async def handler(request, responder):
+        await responder.begin(200, [])
+        await release.wait()
+        await responder.end()
+
+    async def play():
+        nonlocal release
+        release = asyncio.Event()
+        async with _Harness(handler) as harness:
+            reader, writer = await harness.connect()
+            writer.write(_REQUEST)
+            await asyncio.sleep(0.1)
+            harness.server.announce_close()
+            harness.server.close_idle()
+            release.set()
+            now = asyncio.get_running_loop().time
+            began_at = now()
+            answer = await reader.read()
+            writer.close()
+            return answer, now() - began_at
+
+    answer, elapsed_s = sites.run(play())
+    assert answer.endswith(b"0\r\n\r\n")
+    assert elapsed_s < 0.1
+
+
 @pytest.mark.parametrize(
     ("first", "second", "stall_s"),
     [
@@ -231,3 +366,135 @@
             return answer
 
     assert sites.run(play()).startswith(b"HTTP/1.1 200 ")
+
+
+# The end of the process.
+
+
+def test_a_complete_answer_is_sent_to_its_end_when_the_server_stops():
+    """Guards against a whole answer that the end of the process cuts off."""
+
+    async def handler(request, responder):
+        await responder.answer(200, [], _TAIL)
+
+    async def play():
+        async with _Harness(handler) as harness:
+            reader, writer = await harness.connect(receive_bytes=4096)
+            writer.write(_REQUEST)
+            await asyncio.sleep(0.1)
+            reading = asyncio.ensure_future(_read_slowly(reader))
+            await harness.server.stop()
+            connections = len(harness.server._channels)
+            answer = await reading
+            writer.close()
+            return answer, connections
+
+    answer, connections = sites.run(play())
+    assert connections == 0
+    body = answer.partition(b"\r\n\r\n")[2]
+    assert (len(body), body) == (len(_TAIL), _TAIL)
+
+
+def test_a_drain_waits_until_answers_are_sent():
+    """Guards against a process that ends while an answer waits to be sent."""
+
+    async def handler(request, responder):
+        await responder.answer(200, [], _TAIL, close=True)
+
+    async def play():
+        async with _Harness(handler) as harness:
+            reader, writer = await harness.connect(receive_bytes=4096)
+            writer.write(_REQUEST)
+            await asyncio.sleep(0.1)
+            harness.server.close_idle()
+            idle = asyncio.ensure_future(harness.server.wait_idle())
+            await asyncio.sleep(1.0)
+            waited = not idle.done()
+            answer = await _read_slowly(reader)
+            await idle
+            writer.close()
+            return answer, waited
+
+    answer, waited = sites.run(play())
+    assert waited
+    assert len(answer.partition(b"\r\n\r\n")[2]) == len(_TAIL)
+
+
+async def _wait_forever(request, responder):
+    await asyncio.sleep(1e6)
+
+
+async def _begin_and_wait(request, responder):
+    await responder.begin(200, [])
+    await asyncio.sleep(1e6)
+
+
+@pytest.mark.parametrize(
+    ("handler", "sent", "start", "end"),
+    [
+        (_wait_forever, _REQUEST, b"HTTP/1.1 500 ", b"\r\n\r\n"),
+        (_begin_and_wait, _REQUEST, b"HTTP/1.1 200 ", b"chunked\r\n\r\n"),
+        (_answer, _REQUEST[:10], b"HTTP/1.1 503 ", b"\r\n\r\n"),
+        (_answer, b"", b"", b""),
+    ],
+    ids=["open", "begun", "half here", "idle"],
+)
+def test_callers_get_what_can_be_told_when_the_server_stops(
+    handler, sent, start, end
+):
+    """Guards against requests that end without an answer in a stop."""
+
+    async def play():
+        async with _Harness(handler) as harness:
+            reader, writer = await harness.connect()
+            writer.write(sent)
+            await asyncio.sleep(0.1)
+            await harness.server.stop()
+            answer = await reader.read()
+            writer.close()
+            return answer
+
+    answer = sites.run(play())
+    assert answer.startswith(start)
+    assert answer.endswith(end)
+
+
+def test_stop_waits_for_what_handlers_do_when_they_are_cancelled():
+    """Guards against a process that ends before its last lines are written."""
+    finished = []
+
+    async def handler(request, responder):
+        try:
+            await asyncio.sleep(1e6)
+        finally:
+            await asyncio.sleep(0.1)
+            finished.append(request.target)
+
+    async def play():
+        async with _Harness(handler) as harness:
+            _, writer = await harness.connect()
+            writer.write(_REQUEST)
+            await asyncio.sleep(0.1)
+            await harness.server.stop()
+            writer.close()
+            return list(finished)
+
+    assert sites.run(play()) == ["/x"]
+
+
+def test_no_session_starts_in_a_stopped_server():
+    """Guards against a connection that is accepted as the server stops.
+
+    Its session outlived the server.
+    """
+
+    async def play():
+        async with _Harness(_answer) as harness:
+            await harness.server.stop()
+            transport = mock.Mock(spec=asyncio.Transport)
+            transport.get_extra_info.return_value = None
+            # What the loop does with a connection that it accepted before.
+            harness.accept(transport)
+            return transport.abort.called, len(harness.server._sessions)
+
+    assert sites.run(play()) == (True, 0)
