Answer callers that close only their sending side

Callers that half-close their connection behind a request got a closed connection without a byte, also where a short answer would have been ready, and the line caller_left said nothing else. Cause: eof_received closed the transport, so nothing could be written any more. Change: the server's side stays open for writing. The end of the caller's sending side still counts as gone, since a full close looks the same and work for callers that left must end (docs/design/direct.md); a request that is cancelled for it and has no byte of an answer gets status 500, a whole answer is sent to its end, and handlers that do not watch for it answer. Evidence: 3 tests failed before: a caller that half-closes while its request waits for a server, or right behind it (b"" for status 500), and a handler that answers after it (b"" for 200). All pass now. Those of a stream that has begun, of the line, of work that ends, of pipelined requests and of a whole answer on its way passed before and stay as guards.

--- a/src/clementinegw/direct/channel.py
+++ b/src/clementinegw/direct/channel.py
@@ -29,7 +29,15 @@
 class Channel(asyncio.Protocol):
     """Reads and writes the bytes of one connection."""
 
-    def __init__(self) -> None:
+    def __init__(self, half_close: bool = False) -> None:
+        """Creates a channel for a connection that is not yet open.
+
+        Args:
+          half_close: Whether bytes can be written after the peer has closed its
+            sending side. This side then has to close the connection.
+        """
+        self._half_close = half_close
+        self._lost = False
         self._transport: asyncio.Transport | None = None
         self._buffer = bytearray()
         self._waiter: asyncio.Future | None = None
@@ -41,8 +49,15 @@
 
     @property
     def closed(self) -> bool:
-        """Whether nothing can be read from or written to the peer any more."""
-        return self._ended or self._transport is None
+        """Whether nothing can be written to the peer any more."""
+        if self._transport is None or self._lost:
+            return True
+        return self._ended and not self._half_close
+
+    @property
+    def ended(self) -> bool:
+        """Whether the peer sends nothing any more; bytes may be unread."""
+        return self._ended
 
     @property
     def closing(self) -> bool:
@@ -104,7 +119,7 @@
         if self.closed or self._transport is None:
             raise ChannelClosed(self._clean)
         self._transport.write(data)
-        while self._paused_writing and not self._ended:
+        while self._paused_writing and not self.closed:
             self._writable = asyncio.get_running_loop().create_future()
             try:
                 await self._writable
@@ -152,12 +167,13 @@
         _wake(self._waiter)
 
     def eof_received(self) -> bool:
-        """Ends reading; the transport closes by itself."""
+        """Ends reading; returns whether the transport stays open."""
         self._end(clean=True)
-        return False
+        return self._half_close
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Ends reading and writing."""
+        self._lost = True
         self._end(clean=exc is None)
         _wake(self._writable)
 
--- a/src/clementinegw/direct/server.py
+++ b/src/clementinegw/direct/server.py
@@ -96,7 +96,11 @@
 
     @property
     def disconnected(self) -> asyncio.Future:
-        """A future that is done once the caller has disconnected."""
+        """A future that is done once the caller has disconnected.
+
+        It is also done if the caller has only closed its sending side, which
+        looks the same. Such a caller can still be answered.
+        """
         return self._session.channel.disconnected
 
     @property
@@ -164,13 +168,17 @@
     def abort(self) -> None:
         """Breaks the connection, so that the answer counts as incomplete.
 
-        A complete answer is still sent to its end.
+        A complete answer is still sent to its end. A caller that has closed its
+        sending side and got no byte yet is told status 500.
         """
         self.aborted = True
+        channel = self._session.channel
         if self.ended:
-            self._session.channel.close()
+            channel.close()
+        elif channel.ended and not self.begun:
+            channel.write_last(_bare_answer(_INTERNAL_ERROR))
         else:
-            self._session.channel.abort()
+            channel.abort()
 
     async def _begin(
         self, status: int, headers: client.Headers, close: bool
@@ -368,7 +376,7 @@
         on_open: Callable[[channels.Channel], None],
         on_lost: Callable[[channels.Channel], None],
     ):
-        super().__init__()
+        super().__init__(half_close=True)
         self._on_open = on_open
         self._on_lost = on_lost
 
@@ -410,7 +418,7 @@
         """How the connection ended; `STOPPED` while the caller is there."""
         if self._slow:
             return Departure.SLOW
-        if not self.channel.closed:
+        if not self.channel.ended:
             return Departure.STOPPED
         return Departure.CLOSED if self.channel.clean else Departure.RESET
 
@@ -540,7 +548,9 @@
         responder = self._responder
         if responder is None or responder.ended:
             self.channel.close()
-        elif responder.begun or responder.aborted:
+        elif responder.aborted:
+            pass
+        elif responder.begun:
             self.channel.abort()
         else:
             self.channel.write_last(_bare_answer(_INTERNAL_ERROR))
--- a/tests/test_direct_server_ends.py
+++ b/tests/test_direct_server_ends.py
@@ -498,3 +498,132 @@
             return transport.abort.called, len(harness.server._sessions)
 
     assert sites.run(play()) == (True, 0)
+
+
+# Callers that close their sending side.
+
+
+async def _work_on(call):
+    await asyncio.sleep(30.0)
+
+
+async def _stream_on(call):
+    call.begin_stream()
+    call.event(1)
+    await asyncio.sleep(30.0)
+
+
+@pytest.mark.parametrize(
+    ("path", "on_call", "pause_s", "start", "calls"),
+    [
+        ("/safe/1", _work_on, 0.1, b"HTTP/1.1 500 ", 1),
+        ("/safe/1", _work_on, 0.0, b"HTTP/1.1 500 ", 0),
+        ("/stream/1", _stream_on, 0.1, b"HTTP/1.1 200 ", 1),
+    ],
+    ids=["waiting", "at once", "begun"],
+)
+def test_a_caller_that_closes_its_sending_side_is_told_and_leaves_a_line(
+    path, on_call, pause_s, start, calls
+):
+    """Guards against a closed connection without an answer or a log line."""
+
+    async def play():
+        async with sites.Site("i-1", on_call=on_call) as site:
+            with structlog.testing.capture_logs() as lines:
+                async with sites.Caller(site) as caller:
+                    caller.send(path)
+                    await asyncio.sleep(pause_s)
+                    caller.writer.write_eof()
+                    now = asyncio.get_running_loop().time
+                    began_at = now()
+                    answer = await caller.reader.read()
+                    elapsed_s = now() - began_at
+                await asyncio.sleep(0.1)
+            server = site.servers[0]
+            return answer, lines, elapsed_s, len(server.calls)
+
+    answer, lines, elapsed_s, made = sites.run(play())
+    assert answer.startswith(start)
+    assert not answer.endswith(b"0\r\n\r\n")
+    done = [line for line in lines if line["event"] == "request_done"]
+    assert [(d["outcome"], d["cause"]) for d in done] == [
+        ("caller_left", "closed")
+    ]
+    assert elapsed_s < 0.1
+    assert made == calls
+
+
+def test_work_ends_when_a_caller_closes_its_sending_side():
+    """Guards against servers that work on for callers that have left."""
+
+    async def play():
+        async with (
+            sites.Site("i-1", on_call=_work_on) as site,
+            sites.Caller(site) as caller,
+        ):
+            caller.send()
+            await asyncio.sleep(0.1)
+            caller.writer.write_eof()
+            await asyncio.sleep(0.1)
+            return (
+                site.entry._server.open_requests,
+                site.entry._fleet.find("i-1").in_flight,
+            )
+
+    assert sites.run(play()) == (0, 0)
+
+
+def test_a_short_answer_reaches_a_caller_that_closes_its_sending_side():
+    """Guards against health checks that get no answer."""
+
+    async def handler(request, responder):
+        await responder.disconnected
+        await responder.answer(200, [], b"ready")
+
+    async def play():
+        async with _Harness(handler) as harness:
+            reader, writer = await harness.connect()
+            writer.write(_REQUEST)
+            writer.write_eof()
+            answer = await reader.read()
+            writer.close()
+            return answer
+
+    assert sites.run(play()).startswith(b"HTTP/1.1 200 ")
+
+
+def test_requests_before_the_end_of_the_sending_side_are_all_answered():
+    """Guards against pipelined requests that get no answer."""
+
+    async def play():
+        async with _Harness(_answer) as harness:
+            reader, writer = await harness.connect()
+            writer.write(_REQUEST * 3)
+            writer.write_eof()
+            answers = await reader.read()
+            writer.close()
+            return answers
+
+    assert sites.run(play()).count(b"HTTP/1.1 200 ") == 3
+
+
+def test_a_complete_answer_reaches_a_caller_that_closes_its_sending_side():
+    """Guards against a whole answer whose rest is dropped."""
+
+    async def handler(request, responder):
+        await responder.answer(200, [], _TAIL)
+        await responder.disconnected
+        responder.abort()
+
+    async def play():
+        async with _Harness(handler) as harness:
+            reader, writer = await harness.connect(receive_bytes=4096)
+            writer.write(_REQUEST)
+            await asyncio.sleep(0.1)
+            writer.write_eof()
+            answer = await _read_slowly(reader)
+            writer.close()
+            return answer
+
+    answer = sites.run(play())
+    assert len(answer.partition(b"\r\n\r\n")[2]) == len(_TAIL)
