Measure how long a caller accepts nothing, not how long an answer takes

Callers that read a large answer slowly but steadily were cut off, and so were callers whose entry's event loop had stood still. Cause: the time limit of a write covered the whole write, so an answer of any size had to be read within ten seconds; a stall of the loop counted as the caller's. The kernel's limit (TCP_USER_TIMEOUT, 4 s) was below the server's: it also ends a connection whose peer accepts nothing. Change: each second it is checked whether bytes were accepted; ten checks in a row without any end the connection. Checks are counted, not time, so a stall is one check at most. On callers' connections the kernel's limit is 12 s.

--- a/src/clementinegw/direct/channel.py
+++ b/src/clementinegw/direct/channel.py
@@ -8,10 +8,10 @@
 # Reading pauses above this, so that a peer that sends faster than its data is
 # consumed cannot exhaust the memory. Bytes.
 _READ_HIGH_WATER_BYTES = 256 << 10
-# The connection ends when sent bytes stay unacknowledged for this long, in
-# milliseconds. A machine that lost power does not answer, and the kernel's own
-# limit is a quarter of an hour.
-_TCP_USER_TIMEOUT_MS = 4_000
+# The connection ends when sent bytes stay unacknowledged, or cannot be sent
+# because the peer accepts none, for this long, in seconds. A machine that lost
+# power does not answer, and the kernel's own limit is a quarter of an hour.
+_KERNEL_TIMEOUT_S = 4.0
 
 
 class ChannelClosed(exceptions.ClementineError):
@@ -29,13 +29,20 @@
 class Channel(asyncio.Protocol):
     """Reads and writes the bytes of one connection."""
 
-    def __init__(self, half_close: bool = False) -> None:
+    def __init__(
+        self,
+        half_close: bool = False,
+        kernel_timeout_s: float = _KERNEL_TIMEOUT_S,
+    ) -> None:
         """Creates a channel for a connection that is not yet open.
 
         Args:
           half_close: Whether bytes can be written after the peer has closed its
             sending side. This side then has to close the connection.
+          kernel_timeout_s: How long the peer may acknowledge or accept nothing
+            of what is sent, in seconds.
         """
+        self._kernel_timeout_s = kernel_timeout_s
         self._half_close = half_close
         self._lost = False
         self._transport: asyncio.Transport | None = None
@@ -113,12 +120,24 @@
     async def write(self, data: bytes) -> None:
         """Sends bytes; returns once the write buffer has drained enough.
 
+        Raises:
+          ChannelClosed: The connection ended.
+        """
+        self.start_write(data)
+        await self.drain()
+
+    def start_write(self, data: bytes) -> None:
+        """Sends or buffers bytes.
+
         Raises:
           ChannelClosed: The connection ended.
         """
         if self.closed or self._transport is None:
             raise ChannelClosed(self._clean)
         self._transport.write(data)
+
+    async def drain(self) -> None:
+        """Waits until the write buffer has drained enough."""
         while self._paused_writing and not self.closed:
             self._writable = asyncio.get_running_loop().create_future()
             try:
@@ -153,7 +172,9 @@
             option = getattr(socket, "TCP_USER_TIMEOUT", None)
             if option is not None:
                 sock.setsockopt(
-                    socket.IPPROTO_TCP, option, _TCP_USER_TIMEOUT_MS
+                    socket.IPPROTO_TCP,
+                    option,
+                    round(self._kernel_timeout_s * 1e3),
                 )
 
     def data_received(self, data: bytes) -> None:
--- a/src/clementinegw/direct/server.py
+++ b/src/clementinegw/direct/server.py
@@ -22,8 +22,13 @@
 from clementinegw.telemetry import counters as counters_lib
 from clementinegw.telemetry import logs
 
-# How long a write of an answer may wait for a slow caller, in seconds.
+# How long a caller may accept no byte of an answer that waits to be sent, in
+# seconds.
 _WRITE_TIMEOUT_S = 10.0
+# Interval between checks for a caller that accepts nothing, in seconds.
+_WRITE_CHECK_S = 1.0
+# The kernel's limit for the same is longer, so that the one above applies.
+_KERNEL_TIMEOUT_S = _WRITE_TIMEOUT_S + 2.0
 # The bound on the bodies of all requests together, in bytes: a share of the
 # memory that a small instance has for this process.
 _MAX_BODIES_BYTES = 48 << 20
@@ -376,7 +381,7 @@
         on_open: Callable[[channels.Channel], None],
         on_lost: Callable[[channels.Channel], None],
     ):
-        super().__init__(half_close=True)
+        super().__init__(half_close=True, kernel_timeout_s=_KERNEL_TIMEOUT_S)
         self._on_open = on_open
         self._on_lost = on_lost
 
@@ -474,13 +479,24 @@
         """
         if not data:
             return
-        try:
-            async with asyncio.timeout(_WRITE_TIMEOUT_S):
-                await self.channel.write(data)
-        except TimeoutError as error:
-            self._slow = True
-            self.channel.abort()
-            raise channels.ChannelClosed(clean=False) from error
+        self.channel.start_write(data)
+        # Checks are counted, as a loop that stood still says nothing about the
+        # caller.
+        unchanged = 0
+        while unchanged < _WRITE_TIMEOUT_S / _WRITE_CHECK_S:
+            unsent_bytes = self.channel.unsent_bytes
+            try:
+                async with asyncio.timeout(_WRITE_CHECK_S):
+                    await self.channel.drain()
+                return
+            except TimeoutError:
+                if self.channel.unsent_bytes < unsent_bytes:
+                    unchanged = 0
+                else:
+                    unchanged += 1
+        self._slow = True
+        self.channel.abort()
+        raise channels.ChannelClosed(clean=False)
 
     async def _serve_one(self, handler: Handler) -> bool:
         request = await self._read()
--- a/tests/test_direct_server_ends.py
+++ b/tests/test_direct_server_ends.py
@@ -41,9 +41,7 @@
         self.lines = self._stack.enter_context(structlog.testing.capture_logs())
         self.server = servers.Server(self._handler, logs.Log(), self.counters)
         self.address = await sites.listen(self.server)
-        # Connections inherit it: most of an answer waits in the process.
-        listener = self.server._server.sockets[0]
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+        _limit_send_buffers(self.server)
         return self
 
     async def __aexit__(self, *_):
@@ -62,17 +60,8 @@
 
     async def connect(self, receive_bytes=None):
         """Opens a connection; limits its receive buffer if given."""
-        sock = socket.socket()
-        if receive_bytes is not None:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
-        sock.setblocking(False)
-        await asyncio.get_running_loop().sock_connect(
-            sock, (self.address.host, self.address.port)
-        )
-        reader, writer = await asyncio.open_connection(
-            sock=sock, limit=receive_bytes or 65_536
-        )
-        return reader, writer
+        address = self.address.host, self.address.port
+        return await _connect(address, receive_bytes)
 
     async def exchange(self, data):
         """Sends bytes and returns what comes until the connection ends."""
@@ -83,6 +72,24 @@
         return received
 
 
+async def _connect(address, receive_bytes=None):
+    sock = socket.socket()
+    if receive_bytes is not None:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
+    sock.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(sock, address)
+    return await asyncio.open_connection(
+        sock=sock, limit=receive_bytes or 65_536
+    )
+
+
+def _limit_send_buffers(server):
+    """Makes most of a large answer wait in the process."""
+    listener = server._server.sockets[0]
+    # Connections inherit it.
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+
+
 async def _answer(request, responder):
     await responder.answer(200, [], request.target.encode())
 
@@ -627,3 +634,111 @@
 
     answer = sites.run(play())
     assert len(answer.partition(b"\r\n\r\n")[2]) == len(_TAIL)
+
+
+# Callers that read slowly.
+
+_LARGE = b"x" * (1 << 20)
+
+
+async def _answer_large(request, responder):
+    await responder.answer(200, [], _LARGE)
+
+
+def test_a_caller_that_reads_slowly_but_steadily_gets_the_whole_answer():
+    """Guards against a limit on the total time of a large answer."""
+
+    async def play():
+        async with _Harness(_answer_large) as harness:
+            reader, writer = await harness.connect(receive_bytes=4096)
+            writer.write(_REQUEST)
+            received = bytearray()
+            with contextlib.suppress(ConnectionError):
+                while len(received) < len(_LARGE):
+                    data = await reader.read(32 << 10)
+                    if not data:
+                        break
+                    received += data
+                    await asyncio.sleep(0.5)
+            writer.close()
+            return bytes(received)
+
+    assert len(sites.run(play())) > len(_LARGE)
+
+
+@pytest.mark.parametrize("reads", [True, False])
+def test_a_stall_of_the_loop_does_not_count_as_a_caller_that_reads_slowly(
+    reads,
+):
+    """Guards against answers cut off because the process stood still."""
+
+    async def play():
+        async with _Harness(_answer_large) as harness:
+            reader, writer = await harness.connect(receive_bytes=4096)
+            writer.write(_REQUEST)
+            await asyncio.sleep(1.0)
+            if reads:
+                await reader.read(32 << 10)
+            asyncio.get_running_loop().clock.advance(30.0)
+            await asyncio.sleep(0.1)
+            received = bytearray()
+            with contextlib.suppress(ConnectionError):
+                while len(received) < len(_LARGE):
+                    data = await reader.read(64 << 10)
+                    if not data:
+                        break
+                    received += data
+            writer.close()
+            return bytes(received)
+
+    assert len(sites.run(play())) > len(_LARGE) - (32 << 10)
+
+
+def test_a_caller_that_does_not_read_is_cut_off_and_leaves_a_line():
+    """Guards against answers that wait for a caller for ever."""
+    request = (
+        f"GET /safe/1 HTTP/1.1\r\nHost: h.example\r\n"
+        f"X-Clementinegw-Attempt-Id: a1\r\nAuthorization: Token {sites.KEY}"
+        f"\r\n\r\n"
+    ).encode()
+
+    async def play():
+        async with sites.Site(
+            "i-1", on_call=lambda call: call.answer(_LARGE)
+        ) as site:
+            config = sites.config(2)
+            for route in config["routes"]:
+                route["timeout_ms"] = 60_000
+            site.store.put("keyed.op", "config", config)
+            _limit_send_buffers(site.entry._server)
+            await asyncio.sleep(1.0)
+            with structlog.testing.capture_logs() as lines:
+                _, writer = await _connect(site.address, 4096)
+                writer.write(request)
+                await asyncio.sleep(20.0)
+                writer.close()
+            return lines, site.entry._server.open_requests
+
+    lines, open_requests = sites.run(play())
+    (line,) = [line for line in lines if line["event"] == "request_done"]
+    assert (line["outcome"], line["cause"]) == ("caller_left", "slow")
+    assert 10_000 <= line["total_ms"] < 15_000
+    assert open_requests == 0
+
+
+def test_the_kernel_does_not_cut_off_callers_sooner_than_the_server():
+    """Guards against callers that are cut off after a pause of four seconds.
+
+    The kernel ends a connection whose peer accepts nothing for the time of its
+    own limit, which was shorter than the server's.
+    """
+
+    async def play():
+        async with _Harness(_answer) as harness:
+            _, writer = await harness.connect()
+            session = await _session(harness)
+            sock = session.channel._transport.get_extra_info("socket")
+            writer.close()
+            return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+
+    assert sites.run(play()) > 1e3 * servers._WRITE_TIMEOUT_S
