Tell callers why their request was not read to its end, and log it

Callers whose request did not arrive whole saw their connection close without an answer; and no request that was refused while it was read (400, 413, 431, 501, 503) left a counter or a line. Cause: the reader reported a head or a body that stops as a connection that is over, and a body that ends early as one that broke. Change: a request that stops or ends early gets 408 and a close where its caller can still be told; it was not run, as that status promises. Each reason has a counter, direct.request_invalid.REASON, and the line 931 request_invalid, one a connection at most, since the connection closes. Connections that end between requests leave neither.

--- a/src/clementinegw/direct/_events.py
+++ b/src/clementinegw/direct/_events.py
@@ -128,6 +128,13 @@
     " had begun.",
     "Report it with the line's `error` and `at`.",
 )
+REQUEST_INVALID = events.define(
+    931,
+    "request_invalid",
+    _INFO,
+    "A request was refused before it was read completely; its connection was"
+    " closed. Logged once for each connection.",
+)
 READY_CHANGED = events.define(
     913,
     "ready_changed",
--- a/src/clementinegw/direct/request_reader.py
+++ b/src/clementinegw/direct/request_reader.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+import enum
 from typing import Protocol
 
 import h11
@@ -12,20 +13,48 @@
 # How long a body may take to arrive, in seconds.
 _BODY_TIMEOUT_S = 20.0
 _BAD_REQUEST = 400
-_TOO_LARGE = 413
+_TIMEOUT = 408
+_BODY_TOO_LARGE = 413
+_HEAD_TOO_LARGE = 431
 _UNAVAILABLE = 503
 
 
+class Reason(enum.StrEnum):
+    """Why a request is refused before it is read completely.
+
+    Attributes:
+      MALFORMED: It is not valid HTTP.
+      HEAD_TOO_LARGE: Its head is larger than the limit.
+      HEAD_TIMEOUT: Its head did not arrive completely in time.
+      BODY_TOO_LARGE: Its body is larger than the limit.
+      BODY_TIMEOUT: Its body did not arrive completely in time.
+      NO_MEMORY: The bodies of all requests together are too large.
+      INCOMPLETE: The caller's sending side ended within it.
+      STOPPED: The process ends.
+    """
+
+    MALFORMED = "malformed"
+    HEAD_TOO_LARGE = "head_too_large"
+    HEAD_TIMEOUT = "head_timeout"
+    BODY_TOO_LARGE = "body_too_large"
+    BODY_TIMEOUT = "body_timeout"
+    NO_MEMORY = "no_memory"
+    INCOMPLETE = "incomplete"
+    STOPPED = "stopped"
+
+
 class RequestRefused(Exception):  # noqa: N818
-    """The request is invalid or too large; the connection is to be closed.
+    """The request is not read to its end; the connection is to be closed.
 
     Attributes:
       status: The HTTP status to answer with.
+      reason: Why it is refused.
     """
 
-    def __init__(self, status: int):
-        super().__init__(status)
+    def __init__(self, status: int, reason: Reason):
+        super().__init__(status, reason)
         self.status = status
+        self.reason = reason
 
 
 class BodyMemory(Protocol):
@@ -39,7 +68,11 @@
 
 
 class RequestReader:
-    """Reads one request after the other from a connection."""
+    """Reads one request after the other from a connection.
+
+    Attributes:
+      target: The target of the request whose head was read last.
+    """
 
     def __init__(
         self,
@@ -61,6 +94,7 @@
         self._memory = memory
         self._send = send
         self._reserved_bytes = 0
+        self.target = ""
 
     def release_body(self) -> None:
         """Releases the memory that was reserved for the last body."""
@@ -68,10 +102,10 @@
         self._reserved_bytes = 0
 
     async def head(self, limits: types.Limits) -> h11.Request | None:
-        """Returns the next request's head; None if none arrives in time.
+        """Returns the next request's head; None if nothing of one arrives.
 
         Raises:
-          RequestRefused: What arrived is not the head of a request.
+          RequestRefused: What arrived is not the whole head of a request.
           channels.ChannelClosed: The connection broke.
         """
         event = self._next_event()
@@ -83,12 +117,13 @@
         deadline = asyncio.get_running_loop().time() + limits.header_timeout_s
         while event is h11.NEED_DATA:
             if not await self._receive_until(deadline):
-                return None
+                raise RequestRefused(_TIMEOUT, Reason.HEAD_TIMEOUT)
             event = self._next_event()
         if isinstance(event, h11.ConnectionClosed):
             return None
         if not isinstance(event, h11.Request):
-            raise RequestRefused(_BAD_REQUEST)
+            raise RequestRefused(_BAD_REQUEST, Reason.MALFORMED)
+        self.target = event.target.decode("ascii")
         return event
 
     async def body(self, limits: types.Limits) -> bytes:
@@ -97,8 +132,9 @@
         `release_body` releases it.
 
         Raises:
-          RequestRefused: This body or all bodies together are too large.
-          channels.ChannelClosed: The body did not arrive completely or in time.
+          RequestRefused: The body did not arrive completely or in time, or it
+            or all bodies together are too large.
+          channels.ChannelClosed: The connection broke.
         """
         if self._http.they_are_waiting_for_100_continue:
             await self._send(
@@ -110,30 +146,35 @@
             event = self._next_event()
             if event is h11.NEED_DATA:
                 if not await self._receive_until(deadline):
-                    raise channels.ChannelClosed(clean=False)
+                    raise RequestRefused(_TIMEOUT, Reason.BODY_TIMEOUT)
             elif isinstance(event, h11.Data):
                 body += event.data
                 if len(body) > limits.body_bytes:
-                    raise RequestRefused(_TOO_LARGE)
+                    raise RequestRefused(_BODY_TOO_LARGE, Reason.BODY_TOO_LARGE)
                 if not self._memory.reserve(len(event.data)):
-                    raise RequestRefused(_UNAVAILABLE)
+                    raise RequestRefused(_UNAVAILABLE, Reason.NO_MEMORY)
                 self._reserved_bytes += len(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 return bytes(body)
             else:
-                raise channels.ChannelClosed(clean=False)
+                raise RequestRefused(_TIMEOUT, Reason.INCOMPLETE)
 
     def _next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
         """Returns the next event of the received bytes.
 
         Raises:
-          RequestRefused: They are not valid HTTP.
+          RequestRefused: They are not valid HTTP, or end within a request.
         """
         try:
             return self._http.next_event()
         except h11.RemoteProtocolError as error:
             status = error.error_status_hint or _BAD_REQUEST
-            raise RequestRefused(status) from error
+            reason = Reason.MALFORMED
+            if status == _HEAD_TOO_LARGE:
+                reason = Reason.HEAD_TOO_LARGE
+            elif self._http.trailing_data[1]:
+                status, reason = _TIMEOUT, Reason.INCOMPLETE
+            raise RequestRefused(status, reason) from error
 
     async def _receive_until(self, deadline: float) -> bool:
         """Feeds received bytes to the HTTP state; see `_receive`."""
@@ -150,7 +191,7 @@
           timeout_s: How long to wait for bytes, in seconds.
 
         Returns:
-          False at the end of the connection or after the timeout.
+          False after the timeout.
         """
         try:
             async with asyncio.timeout(timeout_s):
@@ -164,4 +205,4 @@
                 raise
             data = b""
         self._http.receive_data(data)
-        return bool(data)
+        return True
--- a/src/clementinegw/direct/server.py
+++ b/src/clementinegw/direct/server.py
@@ -37,7 +37,7 @@
 _LINGER_S = 0.3
 # How long a stopping server waits until answers are sent, in seconds.
 _FLUSH_TIMEOUT_S = 0.25
-_BAD_REQUEST = 400
+_REQUEST_TIMEOUT = 408
 _INTERNAL_ERROR = 500
 _UNAVAILABLE = 503
 
@@ -331,6 +331,24 @@
         """Releases reserved bytes."""
         self._body_bytes -= count
 
+    def record_refused(
+        self, status: int, reason: request_reader.Reason, target: str
+    ) -> None:
+        """Records that a request was refused before it was whole.
+
+        Args:
+          status: The HTTP status that the caller is told.
+          reason: Why it was refused.
+          target: The request's target; empty if it was not read.
+        """
+        self.counters.add(f"direct.request_invalid.{reason}")
+        self.log.write(
+            _events.REQUEST_INVALID,
+            status=status,
+            reason=reason.value,
+            target=target[:120],
+        )
+
     def record_unanswered(
         self,
         request: Request,
@@ -450,7 +468,7 @@
         except channels.ChannelClosed:
             pass
         except request_reader.RequestRefused as refused:
-            await self._refuse(refused.status)
+            await self._refuse(refused)
         finally:
             self._reader.release_body()
             self._close()
@@ -520,6 +538,7 @@
         ):
             return False
         self._http.start_next_cycle()
+        self._reader.target = ""
         return True
 
     async def _read(self) -> Request | None:
@@ -530,8 +549,19 @@
             if head is None:
                 return None
             return _to_request(head, await self._reader.body(limits))
+        except channels.ChannelClosed as error:
+            if self.idle:
+                raise
+            raise request_reader.RequestRefused(
+                _REQUEST_TIMEOUT, request_reader.Reason.INCOMPLETE
+            ) from error
         except asyncio.CancelledError:
             if not self.idle:
+                self._server.record_refused(
+                    _UNAVAILABLE,
+                    request_reader.Reason.STOPPED,
+                    self._reader.target,
+                )
                 self.channel.write_last(_bare_answer(_UNAVAILABLE))
             raise
 
@@ -571,10 +601,13 @@
         else:
             self.channel.write_last(_bare_answer(_INTERNAL_ERROR))
 
-    async def _refuse(self, status: int) -> None:
+    async def _refuse(self, refused: request_reader.RequestRefused) -> None:
         """Answers an invalid request with a status; reads what follows it."""
+        self._server.record_refused(
+            refused.status, refused.reason, self._reader.target
+        )
         try:
-            await self.write(_bare_answer(status))
+            await self.write(_bare_answer(refused.status))
             async with asyncio.timeout(_LINGER_S):
                 while True:
                     await self.channel.read()
--- a/tests/test_direct_server_ends.py
+++ b/tests/test_direct_server_ends.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import socket
+import struct
 from unittest import mock
 
 import platform_site as sites
@@ -742,3 +743,131 @@
             return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
 
     assert sites.run(play()) > 1e3 * servers._WRITE_TIMEOUT_S
+
+
+# Requests that are refused before they are whole.
+
+_BODY_HEAD = b"POST /x HTTP/1.1\r\nHost: h.example\r\nContent-Length: "
+
+
+@pytest.mark.parametrize(
+    ("sent", "ends", "status", "reason"),
+    [
+        (_BODY_HEAD + b"4\r\n\r\nab", False, 408, "body_timeout"),
+        (_BODY_HEAD + b"4\r\n\r\nab", True, 408, "incomplete"),
+        (_REQUEST[:10], False, 408, "head_timeout"),
+        (_REQUEST[:10], True, 408, "incomplete"),
+        (b"no HTTP\r\n\r\n" * 9, False, 400, "malformed"),
+        (
+            b"POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: x\r\n\r\n",
+            False,
+            501,
+            "malformed",
+        ),
+        (
+            b"GET /x HTTP/1.1\r\nX: " + b"x" * 20_000,
+            False,
+            431,
+            "head_too_large",
+        ),
+        (
+            _BODY_HEAD + b"5000000\r\n\r\n" + b"x" * 4_200_000,
+            False,
+            413,
+            "body_too_large",
+        ),
+        (_BODY_HEAD + b"4\r\n\r\nabcd", False, 503, "no_memory"),
+    ],
+    ids=[
+        "body stops",
+        "body ends early",
+        "head stops",
+        "head ends early",
+        "no HTTP",
+        "coding",
+        "head too large",
+        "body too large",
+        "no memory",
+    ],
+)
+def test_a_refused_request_is_answered_counted_and_logged_once(
+    monkeypatch, sent, ends, status, reason
+):
+    """Guards against requests that are refused without an answer or a line."""
+
+    async def play():
+        async with _Harness(_answer) as harness:
+            if reason == "no_memory":
+                monkeypatch.setattr(servers, "_MAX_BODIES_BYTES", 2)
+            reader, writer = await harness.connect()
+            writer.write(sent)
+            if ends:
+                writer.write_eof()
+            answer = await reader.read(1 << 10)
+            writer.close()
+            await asyncio.sleep(1.0)
+            return answer, harness
+
+    answer, harness = sites.run(play())
+    assert answer.startswith(b"HTTP/1.1 %d " % status)
+    assert b"connection: close\r\n" in answer
+    line = harness.line("request_invalid")
+    assert (line["status"], line["reason"]) == (status, reason)
+    assert harness.counters.value(f"direct.request_invalid.{reason}") == 1
+    assert not harness.server._sessions
+    assert harness.server._body_bytes == 0
+
+
+def test_a_connection_that_breaks_within_a_request_is_counted_and_logged():
+    """Guards against requests that vanish on their way without a trace."""
+
+    async def play():
+        async with _Harness(_answer) as harness:
+            _, writer = await harness.connect()
+            writer.write(_BODY_HEAD + b"4\r\n\r\nab")
+            await asyncio.sleep(0.1)
+            sock = writer.get_extra_info("socket")
+            linger = struct.pack("ii", 1, 0)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.transport.abort()
+            await asyncio.sleep(0.1)
+            return harness
+
+    harness = sites.run(play())
+    line = harness.line("request_invalid")
+    assert (line["reason"], line["target"]) == ("incomplete", "/x")
+    assert harness.counters.value("direct.request_invalid.incomplete") == 1
+
+
+@pytest.mark.parametrize("ends", [False, True])
+def test_an_idle_connection_ends_without_an_answer_and_a_line(ends):
+    """Guards against log lines and bytes for connections without requests."""
+
+    async def play():
+        async with _Harness(_answer) as harness:
+            reader, writer = await harness.connect()
+            if ends:
+                writer.write_eof()
+            answer = await reader.read()
+            writer.close()
+            return answer, list(harness.lines)
+
+    assert sites.run(play()) == (b"", [])
+
+
+def test_a_request_that_is_half_here_at_the_stop_is_counted_and_logged():
+    """Guards against requests that vanish in a stop without a trace."""
+
+    async def play():
+        async with _Harness(_answer) as harness:
+            _, writer = await harness.connect()
+            writer.write(_REQUEST[:10])
+            await asyncio.sleep(0.1)
+            await harness.server.stop()
+            writer.close()
+            return harness
+
+    harness = sites.run(play())
+    line = harness.line("request_invalid")
+    assert (line["status"], line["reason"]) == (503, "stopped")
+    assert harness.counters.value("direct.request_invalid.stopped") == 1
