Reset the connection of a broken-off answer whose length nobody knows

Callers that speak HTTP/1.0 took the part of an answer that had been sent for all of it when the answer was broken off. Cause: such an answer ends with its connection, and abort ends it in order (FIN). Change: for these callers the connection is reset. Answers in chunks or with a length are broken off as before. Evidence: 2 tests failed before: the caller read "first" and an end in order, from a handler that raised and from one that broke off. Both pass now.

--- a/src/clementinegw/direct/channel.py
+++ b/src/clementinegw/direct/channel.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import struct
 
 from clementinegw import exceptions
 
@@ -12,6 +13,8 @@
 # because the peer accepts none, for this long, in seconds. A machine that lost
 # power does not answer, and the kernel's own limit is a quarter of an hour.
 _KERNEL_TIMEOUT_S = 4.0
+# The value of SO_LINGER that makes a close reset the connection.
+_NO_LINGER = struct.pack("ii", 1, 0)
 
 
 class ChannelClosed(exceptions.ClementineError):
@@ -157,10 +160,21 @@
             self._transport.close()
 
     def abort(self) -> None:
-        """Closes the connection at once; the peer sees it broken."""
+        """Closes the connection at once; drops what is not yet sent."""
         if self._transport is not None:
             self._transport.abort()
 
+    def reset(self) -> None:
+        """Closes the connection at once with a TCP reset.
+
+        `abort` ends the bytes in order, which is enough for a peer that knows
+        how many it is to receive.
+        """
+        if self._transport is not None and not self._lost:
+            sock = self._transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+        self.abort()
+
     # Methods of asyncio.Protocol.
 
     def connection_made(self, transport) -> None:
--- a/src/clementinegw/direct/server.py
+++ b/src/clementinegw/direct/server.py
@@ -183,7 +183,7 @@
         elif channel.ended and not self.begun:
             channel.write_last(_bare_answer(_INTERNAL_ERROR))
         else:
-            channel.abort()
+            self._session.break_off()
 
     async def _begin(
         self, status: int, headers: client.Headers, close: bool
@@ -473,6 +473,14 @@
             self._reader.release_body()
             self._close()
 
+    def break_off(self) -> None:
+        """Breaks the connection, so that the answer counts as incomplete."""
+        if self._http.their_http_version == b"1.1":
+            self.channel.abort()
+        else:
+            # Only the end of the connection tells where the answer ends.
+            self.channel.reset()
+
     async def send(self, event: h11.Event) -> None:
         """Sends one event of an answer.
 
@@ -513,7 +521,7 @@
                 else:
                     unchanged += 1
         self._slow = True
-        self.channel.abort()
+        self.break_off()
         raise channels.ChannelClosed(clean=False)
 
     async def _serve_one(self, handler: Handler) -> bool:
@@ -597,7 +605,7 @@
         elif responder.aborted:
             pass
         elif responder.begun:
-            self.channel.abort()
+            self.break_off()
         else:
             self.channel.write_last(_bare_answer(_INTERNAL_ERROR))
 
--- a/tests/test_direct_server_ends.py
+++ b/tests/test_direct_server_ends.py
@@ -172,6 +172,39 @@
     assert not harness.loop_errors
 
 
+async def _begin_and_raise(request, responder):
+    await responder.begin(200, [])
+    await responder.send(b"first")
+    raise KeyError("second")
+
+
+async def _begin_and_abort(request, responder):
+    await responder.begin(200, [])
+    await responder.send(b"first")
+    responder.abort()
+
+
+@pytest.mark.parametrize("handler", [_begin_and_raise, _begin_and_abort])
+def test_a_broken_off_answer_without_a_length_looks_incomplete(handler):
+    """Guards against the part of an answer that is taken for all of it.
+
+    An answer to HTTP/1.0 ends with its connection.
+    """
+
+    async def play():
+        async with _Harness(handler) as harness:
+            reader, writer = await harness.connect()
+            writer.write(b"GET /x HTTP/1.0\r\nHost: h.example\r\n\r\n")
+            try:
+                return await reader.read()
+            except ConnectionResetError:
+                return None
+            finally:
+                writer.close()
+
+    assert sites.run(play()) is None
+
+
 # Less than what makes a write wait: the handler ends while it waits to be sent.
 _TAIL = b"x" * (48 << 10)
 
