Bound the end of a server, and answer for errors in its own sessions

A process that stops could take ten seconds longer than it has, and then be killed with its last lines unwritten: a handler that answers when it is cancelled waited for a caller that does not read. An error in the session's own code closed the caller's connection without an answer and was reported without a line. Cause: stop waited for all handlers before it limited the sending; run caught only what handlers raise. A handler that returns because its caller left is no error. Evidence: 2 tests failed before: a stop of 11.0 s (bound of the test: 0.4 s), and b"" for status 500. Both pass now. That a handler which returns as its caller leaves writes no line is new with the line.

--- a/src/clementinegw/direct/server.py
+++ b/src/clementinegw/direct/server.py
@@ -300,21 +300,21 @@
     async def stop(self) -> None:
         """Stops accepting connections and ends all of them.
 
-        Waits until all handlers have ended, and briefly until their answers
-        are sent.
+        Waits until all handlers have ended. Answers have only a short time to
+        be sent, as the process may be killed if it takes longer to end.
         """
         self._stopped = True
         self.close_idle()
         tasks = list(self._sessions.values())
         for task in tasks:
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
         try:
             async with asyncio.timeout(_FLUSH_TIMEOUT_S):
                 await self.wait_idle()
         except TimeoutError:
             for channel in self._channels:
                 channel.abort()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     def on_request_ended(self) -> None:
         """Wakes `wait_idle`; called when a request's handler has ended."""
@@ -351,25 +351,25 @@
 
     def record_unanswered(
         self,
-        request: Request,
-        responder: Responder,
+        target: str,
+        responder: Responder | None,
         error: BaseException | None,
     ) -> None:
-        """Records that a handler did not answer its request.
+        """Records that a request got no answer, or none without an error.
 
         Args:
-          request: The request.
-          responder: Its responder.
-          error: What the handler raised; None if it returned.
+          target: The request's target; empty if it was not read.
+          responder: Its responder; None if the handler was not called.
+          error: What was raised; None if the handler returned.
         """
         self.counters.add("direct.request_unanswered")
         self.log.write(
             _events.REQUEST_UNANSWERED,
-            target=request.target[:120],
+            target=target[:120],
             error=f"{type(error).__name__}: {error}"[:200] if error else "",
             at=_innermost_frame(error),
-            begun=responder.begun,
-            ended=responder.ended,
+            begun=responder is not None and responder.begun,
+            ended=responder is not None and responder.ended,
         )
 
     def _start_session(self, channel: channels.Channel) -> None:
@@ -469,6 +469,12 @@
             pass
         except request_reader.RequestRefused as refused:
             await self._refuse(refused)
+        except Exception as error:
+            self._server.record_unanswered(
+                self._reader.target, self._responder, error
+            )
+            if self._responder is None:
+                self.channel.write_last(_bare_answer(_INTERNAL_ERROR))
         finally:
             self._reader.release_body()
             self._close()
@@ -589,9 +595,11 @@
                 raise
             # The handler waited for a task that another one cancelled.
             error = raised
-        if error is None and (responder.ended or responder.aborted):
-            return responder.ended
-        self._server.record_unanswered(request, responder, error)
+        if error is None and responder.ended:
+            return True
+        left = responder.aborted or self.channel.ended
+        if error is not None or not left:
+            self._server.record_unanswered(request.target, responder, error)
         return False
 
     def _close(self) -> None:
--- a/tests/test_direct_server_ends.py
+++ b/tests/test_direct_server_ends.py
@@ -152,6 +152,26 @@
     assert not harness.loop_errors
 
 
+def test_a_handler_that_returns_as_its_caller_leaves_is_no_error():
+    """Guards against error lines for callers that leave."""
+
+    async def handler(request, responder):
+        await responder.disconnected
+
+    async def play():
+        async with _Harness(handler) as harness:
+            _, writer = await harness.connect()
+            writer.write(_REQUEST)
+            await asyncio.sleep(0.1)
+            writer.close()
+            await asyncio.sleep(0.1)
+            return harness
+
+    harness = sites.run(play())
+    assert not harness.lines
+    assert not harness.server._sessions
+
+
 def test_an_answer_that_fails_midway_is_broken_off():
     """Guards against an incomplete answer that looks complete."""
 
@@ -904,3 +924,52 @@
     line = harness.line("request_invalid")
     assert (line["status"], line["reason"]) == (503, "stopped")
     assert harness.counters.value("direct.request_invalid.stopped") == 1
+
+
+def test_a_stop_does_not_wait_for_callers_that_do_not_read():
+    """Guards against a process that is killed because its end takes too long.
+
+    A handler answered on its cancellation, and its caller did not read.
+    """
+
+    async def handler(request, responder):
+        try:
+            await asyncio.sleep(1e6)
+        finally:
+            await responder.answer(503, [], _LARGE)
+
+    async def play():
+        async with _Harness(handler) as harness:
+            _, writer = await harness.connect(receive_bytes=4096)
+            writer.write(_REQUEST)
+            await asyncio.sleep(0.1)
+            now = asyncio.get_running_loop().time
+            began_at = now()
+            await harness.server.stop()
+            writer.close()
+            return now() - began_at, len(harness.server._sessions)
+
+    elapsed_s, sessions = sites.run(play())
+    assert elapsed_s < 0.4
+    assert sessions == 0
+
+
+def test_an_error_while_a_request_is_read_is_answered_and_logged(monkeypatch):
+    """Guards against a connection that closes for an error in the server."""
+
+    def fail(*_):
+        raise KeyError("host")
+
+    monkeypatch.setattr(servers, "_to_request", fail)
+
+    async def play():
+        async with _Harness(_answer) as harness:
+            answer = await harness.exchange(_REQUEST)
+            await asyncio.sleep(0.1)
+            return answer, harness
+
+    answer, harness = sites.run(play())
+    assert answer.startswith(b"HTTP/1.1 500 ")
+    line = harness.line("request_unanswered")
+    assert (line["error"], line["target"]) == ("KeyError: 'host'", "/x")
+    assert not harness.loop_errors
