--- a/src/clementinegw/direct/server.py
+++ b/src/clementinegw/direct/server.py
@@ -366,7 +366,7 @@
         self.log.write(
             _events.REQUEST_UNANSWERED,
             target=target[:120],
-            error=f"{type(error).__name__}: {error}"[:200] if error else "",
+            error=_text(error),
             at=_innermost_frame(error),
             begun=responder is not None and responder.begun,
             ended=responder is not None and responder.ended,
@@ -645,9 +645,15 @@
     return task is not None and task.cancelling() > 0
 
 
+def _text(error: BaseException | None) -> str:
+    return f"{type(error).__name__}: {error}"[:200] if error is not None else ""
+
+
 def _innermost_frame(error: BaseException | None) -> str:
     """Returns the file and the line that raised an error."""
-    frames = traceback.extract_tb(error.__traceback__) if error else None
+    if error is None:
+        return ""
+    frames = traceback.extract_tb(error.__traceback__)
     if not frames:
         return ""
     frame = frames[-1]
