--- a/src/clementinegw/direct/_events.py
+++ b/src/clementinegw/direct/_events.py
@@ -119,6 +119,22 @@
     " timed meanwhile.",
     "Check the load of the machine and what the process logged before.",
 )
+REQUEST_UNANSWERED = events.define(
+    928,
+    "request_unanswered",
+    events.Level.ERROR,
+    "The handler of a request raised an error or returned without a complete"
+    " answer. The caller got status 500, or a broken connection if its answer"
+    " had begun.",
+    "Report it with the line's `error` and `at`.",
+)
+REQUEST_INVALID = events.define(
+    931,
+    "request_invalid",
+    _INFO,
+    "A request was refused before it was read completely; its connection was"
+    " closed. Logged once for each connection.",
+)
 READY_CHANGED = events.define(
     913,
     "ready_changed",
--- a/src/clementinegw/direct/channel.py
+++ b/src/clementinegw/direct/channel.py
@@ -2,16 +2,19 @@
 
 import asyncio
 import socket
+import struct
 
 from clementinegw import exceptions
 
 # Reading pauses above this, so that a peer that sends faster than its data is
 # consumed cannot exhaust the memory. Bytes.
 _READ_HIGH_WATER_BYTES = 256 << 10
-# The connection ends when sent bytes stay unacknowledged for this long, in
-# milliseconds. A machine that lost power does not answer, and the kernel's own
-# limit is a quarter of an hour.
-_TCP_USER_TIMEOUT_MS = 4_000
+# The connection ends when sent bytes stay unacknowledged, or cannot be sent
+# because the peer accepts none, for this long, in seconds. A machine that lost
+# power does not answer, and the kernel's own limit is a quarter of an hour.
+_KERNEL_TIMEOUT_S = 4.0
+# The value of SO_LINGER that makes a close reset the connection.
+_NO_LINGER = struct.pack("ii", 1, 0)
 
 
 class ChannelClosed(exceptions.ClementineError):
@@ -29,7 +32,22 @@
 class Channel(asyncio.Protocol):
     """Reads and writes the bytes of one connection."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        half_close: bool = False,
+        kernel_timeout_s: float = _KERNEL_TIMEOUT_S,
+    ) -> None:
+        """Creates a channel for a connection that is not yet open.
+
+        Args:
+          half_close: Whether bytes can be written after the peer has closed its
+            sending side. This side then has to close the connection.
+          kernel_timeout_s: How long the peer may acknowledge or accept nothing
+            of what is sent, in seconds.
+        """
+        self._kernel_timeout_s = kernel_timeout_s
+        self._half_close = half_close
+        self._lost = False
         self._transport: asyncio.Transport | None = None
         self._buffer = bytearray()
         self._waiter: asyncio.Future | None = None
@@ -41,8 +59,20 @@
 
     @property
     def closed(self) -> bool:
-        """Whether nothing can be read from or written to the peer any more."""
-        return self._ended or self._transport is None
+        """Whether nothing can be written to the peer any more."""
+        if self._transport is None or self._lost:
+            return True
+        return self._ended and not self._half_close
+
+    @property
+    def ended(self) -> bool:
+        """Whether the peer sends nothing any more; bytes may be unread."""
+        return self._ended
+
+    @property
+    def closing(self) -> bool:
+        """Whether this side is closing the connection."""
+        return self._transport is not None and self._transport.is_closing()
 
     @property
     def clean(self) -> bool:
@@ -93,13 +123,25 @@
     async def write(self, data: bytes) -> None:
         """Sends bytes; returns once the write buffer has drained enough.
 
+        Raises:
+          ChannelClosed: The connection ended.
+        """
+        self.start_write(data)
+        await self.drain()
+
+    def start_write(self, data: bytes) -> None:
+        """Sends or buffers bytes.
+
         Raises:
           ChannelClosed: The connection ended.
         """
         if self.closed or self._transport is None:
             raise ChannelClosed(self._clean)
         self._transport.write(data)
-        while self._paused_writing and not self._ended:
+
+    async def drain(self) -> None:
+        """Waits until the write buffer has drained enough."""
+        while self._paused_writing and not self.closed:
             self._writable = asyncio.get_running_loop().create_future()
             try:
                 await self._writable
@@ -108,16 +150,33 @@
         if self._ended:
             raise ChannelClosed(self._clean)
 
+    def write_last(self, data: bytes) -> None:
+        """Sends bytes, then closes the connection."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(data)
+        self.close()
+
     def close(self) -> None:
         """Closes the connection after the buffered bytes were sent."""
         if self._transport is not None:
             self._transport.close()
 
     def abort(self) -> None:
-        """Closes the connection at once; the peer sees it broken."""
+        """Closes the connection at once; drops what is not yet sent."""
         if self._transport is not None:
             self._transport.abort()
 
+    def reset(self) -> None:
+        """Closes the connection at once with a TCP reset.
+
+        `abort` ends the bytes in order, which is enough for a peer that knows
+        how many it is to receive.
+        """
+        if self._transport is not None and not self._lost:
+            sock = self._transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+        self.abort()
+
     # Methods of asyncio.Protocol.
 
     def connection_made(self, transport) -> None:
@@ -129,7 +188,9 @@
             option = getattr(socket, "TCP_USER_TIMEOUT", None)
             if option is not None:
                 sock.setsockopt(
-                    socket.IPPROTO_TCP, option, _TCP_USER_TIMEOUT_MS
+                    socket.IPPROTO_TCP,
+                    option,
+                    round(self._kernel_timeout_s * 1e3),
                 )
 
     def data_received(self, data: bytes) -> None:
@@ -143,12 +204,13 @@
         _wake(self._waiter)
 
     def eof_received(self) -> bool:
-        """Ends reading; the transport closes by itself."""
+        """Ends reading; returns whether the transport stays open."""
         self._end(clean=True)
-        return False
+        return self._half_close
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Ends reading and writing."""
+        self._lost = True
         self._end(clean=exc is None)
         _wake(self._writable)
 
