--- a/src/clementinegw/direct/channel.py
+++ b/src/clementinegw/direct/channel.py
@@ -140,14 +140,18 @@
         self._transport.write(data)
 
     async def drain(self) -> None:
-        """Waits until the write buffer has drained enough."""
+        """Waits until the write buffer has drained enough.
+
+        Raises:
+          ChannelClosed: The connection ended meanwhile.
+        """
         while self._paused_writing and not self.closed:
             self._writable = asyncio.get_running_loop().create_future()
             try:
                 await self._writable
             finally:
                 self._writable = None
-        if self._ended:
+        if self.closed:
             raise ChannelClosed(self._clean)
 
     def write_last(self, data: bytes) -> None:
