Give back to the retry budget what was not sent

Callers saw streams close midway, with time left, behind servers out of reach. Cause: the retry budget was charged when a server was reserved, also where its connection then failed and nothing was sent; and a begun stream was given up as soon as all known servers were in cooldown past its deadline, though others may be listed until then. Change: a reservation whose request was not sent is refunded; a begun stream waits on. Evidence: test_connections_that_fail_do_not_use_up_the_retry_budget failed before (no_budget, then out_of_reach with 1660 ms left), passes now.

--- a/src/clementinegw/direct/budget.py
+++ b/src/clementinegw/direct/budget.py
@@ -62,6 +62,11 @@
         self._retries.append(now)
         return True
 
+    def refund(self) -> None:
+        """Uncounts a retry that was not sent after all."""
+        if self._retries:
+            self._retries.pop()
+
     def _expire(self, now: float) -> None:
         start = now - self.limits.window_s
         for times in (self._requests, self._retries):
--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -240,10 +240,14 @@
         reservation = await self._reserve(job)
         if isinstance(reservation, outcomes.Refusal):
             return reservation
+        sends = job.sends
         try:
             return await self._send(job, reservation.backend)
         finally:
             reservation.release()
+            if sends and job.sends == sends:
+                # Nothing reached the server.
+                self._budget(job.service).refund()
 
     async def _reserve(
         self, job: attempts.Job
--- a/src/clementinegw/direct/queue.py
+++ b/src/clementinegw/direct/queue.py
@@ -212,7 +212,9 @@
                 waiter.reservation.set_result(self.reserve_server(backend))
                 has_capacity = self._balancer.has_capacity(self._service)
             elif now >= waiter.give_up_at or (
-                restricted and self._will_expire(waiter, ahead)
+                restricted
+                and not waiter.begun
+                and self._will_expire(waiter, ahead)
             ):
                 self._waiters.remove(waiter)
                 waiter.reservation.set_result(None)
--- a/tests/test_direct_stream_ends.py
+++ b/tests/test_direct_stream_ends.py
@@ -356,6 +356,28 @@
     assert (answer.complete, answer.body.decode()) == (True, WHOLE)
 
 
+def test_connections_that_fail_do_not_use_up_the_retry_budget():
+    """A stream was broken off for retries of which no server got anything."""
+
+    async def play():
+        async with sites.Site("i-1", "i-2", on_call=break_off) as site:
+            limits = budget.Limits(ratio=0.0, slack=1.5 * 50 / 0.7)
+            site.entry._forwarder.set_retry_limits(limits)
+            stream = asyncio.ensure_future(site.ask("/stream/1"))
+            await asyncio.sleep(0.03)
+            for server in site.servers:
+                await server.stop()
+            await asyncio.sleep(1.0)
+            replacement = sites.Server("i-3", break_off)
+            await replacement.start()
+            site.servers.append(replacement)
+            site.store.put("keyed.servers", "i-3", replacement.record())
+            return await stream
+
+    answer = sites.run(play())
+    assert (answer.complete, answer.body.decode()) == (True, WHOLE)
+
+
 def test_a_broken_stream_goes_before_requests_that_have_not_begun():
     """A stream waited until its time was out while new requests were sent."""
 
