End only the waiting request whose placement raises

What callers saw: a stream that had been answered completely ended as failed, without its request_done line, because releasing its slot dispatches the requests that wait. The request whose placement raised went on waiting, and if the error came up in the timer's dispatch, no timer was set again.

Cause: Queue.dispatch runs for all waiting requests, and whoever calls it (Reservation.release, a load report, a new request, the timer) got the error.

Change: an error in placing a request is set on that request's own future and raised in its own task, which answers its caller and logs request_failed. An error in the state that all requests of a service share ends the waiting ones, which would otherwise wait for dispatches that raise. Nothing is raised to the caller of dispatch, and the timer is set whenever requests are left. Whether there is capacity is found out again when the next request is placed, so that an error there is that request's own. A task cancelled while its error is on the way ends as cancelled.

--- a/src/clementinegw/direct/queue.py
+++ b/src/clementinegw/direct/queue.py
@@ -72,6 +72,26 @@
     counted: bool = False
 
 
+@dataclasses.dataclass(slots=True)
+class _Dispatch:
+    """The state of one dispatch.
+
+    Attributes:
+      now: Its time, in monotonic seconds.
+      restricted: Whether a server is unavailable or rate-limited.
+      has_capacity: Whether this entry may use a slot of any server; None if it
+        has to be found out again.
+      ahead: Number of requests that go first by requirements.
+      unmet: Requirements that no server could meet.
+    """
+
+    now: float
+    restricted: bool
+    has_capacity: bool | None
+    ahead: _Ahead = dataclasses.field(default_factory=dict)
+    unmet: _Unmet = dataclasses.field(default_factory=set)
+
+
 class Reservation:
     """A reserved slot of a server, held until the request has ended.
 
@@ -155,12 +175,12 @@
             counted=late,
         )
         self._waiters.append(waiter)
-        self.dispatch()
         try:
+            self.dispatch()
             return await future
         except asyncio.CancelledError:
             if future.done() and not future.cancelled():
-                reservation = future.result()
+                reservation = None if future.exception() else future.result()
                 if reservation is not None:
                     reservation.release()
             raise
@@ -169,45 +189,80 @@
                 self._waiters.remove(waiter)
 
     def dispatch(self) -> None:
-        """Reserves servers for all queued requests that can have one now."""
+        """Reserves servers for all queued requests that can have one now.
+
+        An error ends the queued request that it concerns and not the caller,
+        which may be a request that was just answered.
+        """
         if not self._waiters:
             return
-        now = self._clock()
-        restricted = self._balancer.has_restricted(self._service)
-        ahead: _Ahead = {}
-        unmet: _Unmet = set()
-        has_capacity = self._balancer.has_capacity(self._service)
-        # The order only matters if some request can be placed, or if the
-        # number of requests that can be placed is limited.
-        ordered = has_capacity or restricted
-        for waiter in self._in_order(now) if ordered else [*self._waiters]:
-            if waiter.reservation.done():
-                self._waiters.remove(waiter)
-                continue
-            late = waiter.latest_start < now
-            backend = (
-                self._choose(waiter, late, unmet) if has_capacity else None
-            )
-            self._record_wait(waiter, late, backend is not None, now)
-            if backend is not None:
-                # The chosen server may now be full, which can change the
-                # preferred servers for the other requests.
-                unmet.clear()
-                self._waiters.remove(waiter)
-                self._balancer.record_sent(backend)
-                waiter.reservation.set_result(
-                    Reservation(backend, self.dispatch)
-                )
-                has_capacity = self._balancer.has_capacity(self._service)
-            elif now >= waiter.give_up_at or (
-                restricted and self._will_expire(waiter, ahead)
-            ):
-                self._waiters.remove(waiter)
-                waiter.reservation.set_result(None)
+        try:
+            waiters, dispatch = self._begin_dispatch()
+        except Exception as error:
+            # The state that all of them depend on cannot be evaluated.
+            for waiter in [*self._waiters]:
+                self._fail(waiter, error)
+            return
+        for waiter in waiters:
+            try:
+                self._place(waiter, dispatch)
+            except Exception as error:
+                self._fail(waiter, error)
         if self._waiters and self._timer is None:
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(_DISPATCH_INTERVAL_S, self._on_timer)
 
+    def _begin_dispatch(self) -> tuple[list[Waiter], _Dispatch]:
+        """Returns the queued requests in order, and the dispatch's state."""
+        now = self._clock()
+        dispatch = _Dispatch(
+            now,
+            self._balancer.has_restricted(self._service),
+            self._balancer.has_capacity(self._service),
+        )
+        # The order only matters if some request can be placed, or if the
+        # number of requests that can be placed is limited.
+        if dispatch.has_capacity or dispatch.restricted:
+            return self._in_order(now), dispatch
+        return [*self._waiters], dispatch
+
+    def _place(self, waiter: Waiter, dispatch: _Dispatch) -> None:
+        """Reserves a server for a request, or ends its wait when it is over."""
+        if waiter.reservation.done():
+            self._waiters.remove(waiter)
+            return
+        now = dispatch.now
+        if dispatch.has_capacity is None:
+            dispatch.has_capacity = self._balancer.has_capacity(self._service)
+        late = waiter.latest_start < now
+        backend = (
+            self._choose(waiter, late, dispatch.unmet)
+            if dispatch.has_capacity
+            else None
+        )
+        self._record_wait(waiter, late, backend is not None, now)
+        if backend is not None:
+            self._balancer.record_sent(backend)
+            reservation = Reservation(backend, self.dispatch)
+            self._waiters.remove(waiter)
+            waiter.reservation.set_result(reservation)
+            # The chosen server may now be full, which can change the preferred
+            # servers for the other requests.
+            dispatch.unmet.clear()
+            dispatch.has_capacity = None
+        elif now >= waiter.give_up_at or (
+            dispatch.restricted and self._will_expire(waiter, dispatch.ahead)
+        ):
+            self._waiters.remove(waiter)
+            waiter.reservation.set_result(None)
+
+    def _fail(self, waiter: Waiter, error: Exception) -> None:
+        """Ends the wait of a request with an error, which its task raises."""
+        if waiter in self._waiters:
+            self._waiters.remove(waiter)
+        if not waiter.reservation.done():
+            waiter.reservation.set_exception(error)
+
     def _record_wait(
         self, waiter: Waiter, late: bool, placed: bool, now: float
     ) -> None:
