Keep watching a topic whose records cannot be applied

What callers saw: an error while an entry applied one batch of records (a configuration, a list of servers) ended the loop that reads the topic, and through mode's crash all other loops of the process. The entry went on to answer with what it knew, the broken batch counted as a recent proof that no key was revoked, and after that proof was too old it refused every request until somebody restarted it.

Cause: TopicWatcher._run only expects ClementineError, so any other error from the source or from on_batch crashes its service; mode marks the services above and below as crashed too, and their loops end with should_stop. The freshness of a batch was recorded before the batch was applied.

--- a/src/clementinegw/direct/_events.py
+++ b/src/clementinegw/direct/_events.py
@@ -13,7 +13,19 @@
     "Check `reason`; requests continue with the state known before.",
 )
 TOPIC_REGAINED = events.define(
-    901, "topic_regained", _INFO, "The platform answers reads of a topic again."
+    901,
+    "topic_regained",
+    _INFO,
+    "The platform answers reads of a topic again, and its records are applied.",
+)
+TOPIC_FAILED = events.define(
+    932,
+    "topic_failed",
+    events.Level.ERROR,
+    "An unexpected error ended a read of a topic or the application of its"
+    " records; the topic is read anew. Logged once until the error changes.",
+    "Report it with the line's `error` and `at`; what the process knows of the"
+    " topic gets older meanwhile.",
 )
 HISTORY_LOST = events.define(
     902,
--- a/src/clementinegw/direct/agent.py
+++ b/src/clementinegw/direct/agent.py
@@ -135,6 +135,7 @@
         )
         self._initialized = asyncio.Event()
         self._server_records = server_records.ServerRecords(log)
+        self._knows_servers = False
 
     async def on_start(self) -> None:
         """Starts to listen for agents and entries and follows the platform."""
@@ -278,6 +279,7 @@
         }
         others.pop(self._instance.host, None)
         self._fetcher.set_fleet(list(others.values()))
+        self._knows_servers = True
         self._update_initialized()
 
     def _apply_server(self, record: topic_watch.Record) -> None:
@@ -297,7 +299,7 @@
             self._context.local_server = self._platform.local_server(
                 self._backend, self._context.model
             )
-        if self._context.origin is not None and self._server_list.has_snapshot:
+        if self._context.origin is not None and self._knows_servers:
             self._initialized.set()
 
     def _agent_instance(
--- a/src/clementinegw/direct/topic_watch.py
+++ b/src/clementinegw/direct/topic_watch.py
@@ -18,6 +18,8 @@
 from clementinegw.direct import _events
 from clementinegw.direct import freshness as freshness_lib
 from clementinegw.telemetry import counters as counters_lib
+from clementinegw.telemetry import errors
+from clementinegw.telemetry import events
 from clementinegw.telemetry import logs
 
 # Backoff after failed calls, in seconds: short compared with the two seconds
@@ -164,13 +166,14 @@
         self._failure_reason = ""
         self._poll_at_once = False
         self._lag_s = 0.0
+        self._unapplied_since: float | None = None
         self._had_records = False
         self._available_since = clock()
         self._outage_s = 0.0
 
     @property
     def has_snapshot(self) -> bool:
-        """Whether a snapshot has been read."""
+        """Whether a snapshot has been read and applied."""
         return self._current_at is not None
 
     @property
@@ -190,7 +193,7 @@
 
     @property
     def available_s(self) -> float:
-        """How long the platform has answered without a failure, in seconds."""
+        """How long reads have succeeded without a failure, in seconds."""
         if self._failing_since is not None:
             return 0.0
         return self._clock() - self._available_since
@@ -200,6 +203,13 @@
         """The length of the last outage in seconds, if it is reported."""
         return self._outage_s
 
+    @property
+    def _unapplied_s(self) -> float:
+        """How long records that are not applied may be in the store."""
+        if self._unapplied_since is None:
+            return 0.0
+        return self._clock() - self._unapplied_since
+
     @mode.Service.task
     async def _run(self) -> None:
         pause_s = _MIN_BACKOFF_S
@@ -214,7 +224,12 @@
                 self._offset = None
                 empty_answers += 1
             except exceptions.ClementineError as error:
-                self._on_failure(error)
+                self._on_unavailable(error)
+                empty_answers = _MAX_EMPTY_ANSWERS
+            except Exception as error:
+                # One record that cannot be applied must not end the watching,
+                # and with it all other services of the process.
+                self._on_unexpected(error)
                 empty_answers = _MAX_EMPTY_ANSWERS
             else:
                 at_once = self._clock() - asked_at < _IMMEDIATE_S
@@ -243,15 +258,19 @@
         freshness = batch.freshness or self._freshness(
             batch, is_snapshot, asked_at
         )
-        self._lag_s = freshness.lag_s
-        self._on_success(freshness)
+        self._lag_s = max(freshness.lag_s, self._unapplied_s)
+        self._record_availability(freshness)
         # An answer that was held and then had records only shows that the copy
         # was current when the poll was sent. An immediate second poll brings
         # the age down; without it, the process would seem disconnected for a
         # while after every change.
         self._poll_at_once = bool(batch.records) and not self._timing.pause_s
         if is_snapshot or batch.records:
+            self._unapplied_since = self._clock() - self._lag_s
             self._on_batch(batch, is_snapshot)
+            self._unapplied_since = None
+        # Records that were not applied do not make the copy any fresher.
+        self._on_success(freshness)
         return bool(batch.records) and batch.billed
 
     def _freshness(
@@ -272,13 +291,15 @@
             math.inf,
         )
 
+    def _record_availability(self, freshness: freshness_lib.Freshness) -> None:
+        available_since = self._clock() - freshness.available_s
+        self._available_since = max(self._available_since, available_since)
+        self._outage_s = freshness.outage_s
+
     def _on_success(self, freshness: freshness_lib.Freshness) -> None:
         self._current_at = max(
             freshness.current_at, self._current_at or freshness.current_at
         )
-        available_since = self._clock() - freshness.available_s
-        self._available_since = max(self._available_since, available_since)
-        self._outage_s = freshness.outage_s
         if self._failing_since is not None:
             lasted_s = self._clock() - self._failing_since
             self._failing_since = None
@@ -289,22 +310,44 @@
                 lasted_s=round(lasted_s, 3),
             )
 
-    def _on_failure(self, error: exceptions.ClementineError) -> None:
+    def _on_unavailable(self, error: exceptions.ClementineError) -> None:
+        """Records a read that the platform did not answer."""
         self._counters.add(f"platform.{self._name}.failed")
+        # A later failure with another reason is logged too. The first one may
+        # only say that a reader is gone, the next one that the store is silent.
+        self._on_failure(
+            _events.TOPIC_LOST,
+            getattr(error, "reason", ""),
+            {"reason": error.message},
+        )
+
+    def _on_unexpected(self, error: Exception) -> None:
+        """Records an error in reading or applying records."""
+        self._counters.add(f"platform.{self._name}.unexpected")
+        # Some records of the batch may have been applied and others not.
+        self._offset = None
+        if self._unapplied_since is None:
+            # The records were read after those that the copy has.
+            self._unapplied_since = (
+                -math.inf if self._current_at is None else self._current_at
+            )
+        fields = errors.describe(error)
+        self._on_failure(_events.TOPIC_FAILED, str(fields), fields)
+
+    def _on_failure(
+        self, event: events.Event, reason: str, fields: dict[str, str]
+    ) -> None:
         # The first poll after an outage must not be held: until it is answered,
         # the process rejects requests that it could serve.
         self._poll_at_once = True
         now = self._clock()
         since = now if self._failing_since is None else self._failing_since
-        # A later failure with another reason is logged too. The first one may
-        # only say that a reader is gone, the next one that the store is silent.
-        reason = getattr(error, "reason", "")
         if self._failing_since is None or reason != self._failure_reason:
             self._log.write(
-                _events.TOPIC_LOST,
+                event,
                 topic=self._name,
-                reason=error.message,
                 for_s=round(now - since, 3),
+                **fields,
             )
         self._failing_since = since
         self._failure_reason = reason
