Drain and exit when a service of the daemon crashes

What callers saw: an unexpected error in one background task (an entry's maintenance or subscriptions, the relay, an agent's polling) ended all loops of the process, which stayed up: it answered with ever older knowledge until every key's proof was too old, and nothing started it anew. A signal while the daemon was starting had no effect until the start was over, and an error while draining left the connections to be cut without a stop.

Cause: mode marks every service of the tree as crashed, whose loops then end, but run_until_signal waited for a signal only, and awaited start and drain without looking at anything else.

Lines are flushed right after the report and before the metrics server stops.

--- a/src/clementinegw/direct/_events.py
+++ b/src/clementinegw/direct/_events.py
@@ -199,6 +199,14 @@
     _INFO,
     "A server's record was older than the known one and was ignored.",
 )
+PROCESS_FAILED = events.define(
+    929,
+    "process_failed",
+    events.Level.ERROR,
+    "An unexpected error ended a task that the process cannot do without: it"
+    " finishes the work in progress and exits with code 1.",
+    "Report it with the line's `task`, `error` and `at`.",
+)
 CUT_OFF = events.define(
     924,
     "cut_off",
--- a/src/clementinegw/direct/run.py
+++ b/src/clementinegw/direct/run.py
@@ -12,6 +12,7 @@
 from clementinegw.direct import instance as instances
 from clementinegw.direct import server as servers
 from clementinegw.telemetry import counters as counters_lib
+from clementinegw.telemetry import errors
 from clementinegw.telemetry import histograms as histograms_lib
 from clementinegw.telemetry import logs
 from clementinegw.telemetry import output
@@ -56,14 +57,24 @@
     await metrics_server.listen(_metrics_address(instance, args[0]))
     watcher = _InstanceFileWatcher(path, instance, daemon, log)
     watching = asyncio.ensure_future(watcher.watch())
+
+    def log_failure(error: BaseException) -> None:
+        counters.add("direct.process_failed")
+        log.write(
+            _events.PROCESS_FAILED,
+            task=errors.task_name(error, "mode"),
+            **errors.describe(error),
+        )
+        out.flush()
+
     try:
         return await lifetime.run_until_signal(
-            daemon, watcher.reload_if_changed
+            daemon, watcher.reload_if_changed, log_failure
         )
     finally:
+        out.flush()
         watching.cancel()
         await metrics_server.stop()
-        out.flush()
 
 
 class _MetricsHandler:
--- a/src/clementinegw/telemetry/errors.py
+++ b/src/clementinegw/telemetry/errors.py
@@ -18,6 +18,21 @@
     }
 
 
+def task_name(error: BaseException, skipped_module: str) -> str:
+    """Returns the outermost function that an error passed.
+
+    Args:
+      error: An error that was caught.
+      skipped_module: The package of the framework that runs the task, whose
+        functions are left out.
+    """
+    for frame, _ in traceback.walk_tb(error.__traceback__):
+        package = frame.f_globals.get("__name__", "").partition(".")[0]
+        if package != skipped_module:
+            return frame.f_code.co_qualname
+    return ""
+
+
 def _innermost_frame(error: BaseException) -> str:
     """Returns the file and the line that raised an error."""
     frames = traceback.extract_tb(error.__traceback__)
