Keep rereading the instance file after one that cannot be used

What operators saw: an instance file with nested values, or one that the daemon could not apply, ended the rereading for good without a line. Later changes of the file had no effect, and after an error in applying it the same file was never tried again.

Cause: the reader of the file maps OSError and ValueError only, and decoding deeply nested JSON raises RecursionError; the watcher expects SettingsError only, and noted the instance as applied before it was.

Change: such a file is a SettingsError. An instance that cannot be applied is refused like a malformed one: the reason is logged (916), counted in direct.settings_refused, and the previous instance is applied again.

--- a/src/clementinegw/direct/_events.py
+++ b/src/clementinegw/direct/_events.py
@@ -144,7 +144,8 @@
     916,
     "settings_refused",
     _WARNING,
-    "The changed instance file is malformed; the previous one stays in force.",
+    "The changed instance file is malformed or cannot be applied; the previous"
+    " one stays in force.",
     "Check `reason`.",
 )
 STAGED_SPOILT = events.define(
--- a/src/clementinegw/direct/instance.py
+++ b/src/clementinegw/direct/instance.py
@@ -102,7 +102,7 @@
     try:
         file = msgspec.json.decode(path.read_bytes(), type=_File)
         return _build_instance(file)
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise exceptions.SettingsError(f"{path}: {error}") from error
 
 
--- a/src/clementinegw/direct/run.py
+++ b/src/clementinegw/direct/run.py
@@ -55,7 +55,7 @@
         _MetricsHandler(counters, daemon.histograms, out).answer
     )
     await metrics_server.listen(_metrics_address(instance, args[0]))
-    watcher = _InstanceFileWatcher(path, instance, daemon, log)
+    watcher = _InstanceFileWatcher(path, instance, daemon, log, counters)
     watching = asyncio.ensure_future(watcher.watch())
 
     def log_failure(error: BaseException) -> None:
@@ -113,7 +113,7 @@
     """Rereads the instance file at SIGHUP and every few seconds.
 
     The platform may change the file without sending a signal. If the file is
-    malformed, the previous settings stay in force.
+    malformed or cannot be applied, the previous settings stay in force.
     """
 
     def __init__(
@@ -122,11 +122,13 @@
         instance: instances.Instance,
         daemon: Any,
         log: logs.Log,
+        counters: counters_lib.Counters,
     ):
         self._path = path
         self._instance = instance
         self._daemon = daemon
         self._log = log
+        self._counters = counters
         self._last_error = ""
 
     async def watch(self) -> None:
@@ -140,14 +142,31 @@
         try:
             instance = instances.read(self._path)
         except exceptions.SettingsError as error:
-            if error.message != self._last_error:
-                self._last_error = error.message
-                self._log.write(_events.SETTINGS_REFUSED, reason=error.message)
+            self._refuse(error.message)
+            return
+        if instance == self._instance:
             return
-        if instance != self._instance:
-            self._instance = instance
+        try:
             self._daemon.reload(instance)
-            self._log.write(_events.SETTINGS_RELOADED)
+        except Exception as error:
+            # An instance that cannot be applied must not end the rereading.
+            # Some of its settings may be in force already.
+            self._refuse(str(errors.describe(error)))
+            self._daemon.reload(self._instance)
+            return
+        self._instance = instance
+        self._last_error = ""
+        self._log.write(_events.SETTINGS_RELOADED)
+
+    def _refuse(self, reason: str) -> None:
+        """Records why the file is not applied, once until the reason changes.
+
+        The previous instance stays in force.
+        """
+        if reason != self._last_error:
+            self._last_error = reason
+            self._counters.add("direct.settings_refused")
+            self._log.write(_events.SETTINGS_REFUSED, reason=reason)
 
 
 def _make_entry(instance, platform, log, counters):
