Write the last log lines of a process, and report those that are lost

What operators saw: while standard output accepted nothing for a moment, lines stayed in memory until the process logged again, which one that logs rarely did much later or never; a process that ended then lost all of them. Lines dropped from the full buffer left a gap that no line named, and lines dropped because the reader was gone were not even counted.

Cause: flush set no timer for what it could not write, run() flushed once without waiting for the reader, and the branch for a broken output cleared the buffer without a count.

Change: flush tries again after 0.1 s until everything is written. The end of the process waits up to 0.3 s for the reader; what is left then is counted, and lines of tasks that are cancelled later are written at once. All lost lines are counted, and their number is logged once the output accepts lines again (933 lines_dropped). Nothing is reported to a reader that is gone.

--- a/src/clementinegw/direct/_events.py
+++ b/src/clementinegw/direct/_events.py
@@ -208,6 +208,13 @@
     " finishes the work in progress and exits with code 1.",
     "Report it with the line's `task`, `error` and `at`.",
 )
+LINES_DROPPED = events.define(
+    933,
+    "lines_dropped",
+    _WARNING,
+    "Log lines were lost because standard output did not accept them in time.",
+    "Check what reads the output; `count` lines before this one are missing.",
+)
 CUT_OFF = events.define(
     924,
     "cut_off",
--- a/src/clementinegw/direct/run.py
+++ b/src/clementinegw/direct/run.py
@@ -48,6 +48,7 @@
     instance = instances.read(path)
     out = output.configure()
     log = logs.Log(instance=instance.name)
+    out.on_dropped = lambda count: log.write(_events.LINES_DROPPED, count=count)
     counters = counters_lib.Counters()
     platform = make_platform(instance, log, counters)
     daemon = _ROLES[args[0]](instance, platform, log, counters)
@@ -74,7 +75,10 @@
     finally:
         out.flush()
         watching.cancel()
-        await metrics_server.stop()
+        try:
+            await metrics_server.stop()
+        finally:
+            out.close()
 
 
 class _MetricsHandler:
--- a/src/clementinegw/telemetry/output.py
+++ b/src/clementinegw/telemetry/output.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import collections
-import fcntl
+from collections.abc import Callable
 import logging
 import os
+import select
 import sys
+import time
 
 import structlog
 
@@ -17,6 +19,8 @@
 # Lines are collected for this time, in seconds, since a write costs more than a
 # line.
 _FLUSH_DELAY_S = 0.1
+# How long the end of a process waits for a slow reader, in seconds.
+_CLOSE_TIMEOUT_S = 0.3
 _LEVELS = {"debug": 10, "info": 20, "warning": 30, "error": 40}
 
 
@@ -24,7 +28,9 @@
     """A bounded buffer of lines in front of standard output.
 
     Attributes:
-      dropped: The number of lines dropped from the full buffer.
+      dropped: The number of lines that were lost.
+      on_dropped: Called with the number of lost lines once the output accepts
+        lines again.
     """
 
     def __init__(self, fd: int = 1):
@@ -32,9 +38,11 @@
         self._lines: collections.deque[bytes] = collections.deque()
         self._unwritten = b""
         self._timer: asyncio.TimerHandle | None = None
+        self._closed = False
+        self._reported = 0
         self.dropped = 0
-        flags = fcntl.fcntl(fd, fcntl.F_GETFL)
-        fcntl.fcntl(fd, fcntl.F_SETFL, flags | os.O_NONBLOCK)
+        self.on_dropped: Callable[[int], None] = lambda count: None
+        os.set_blocking(fd, False)
 
     def msg(self, line: str) -> None:
         """Buffers a line."""
@@ -44,19 +52,61 @@
             self._lines.popleft()
             self.dropped += 1
         self._lines.append(line.encode() + b"\n")
-        if self._timer is None:
-            try:
-                loop = asyncio.get_running_loop()
-            except RuntimeError:
-                self.flush()
-                return
-            self._timer = loop.call_later(_FLUSH_DELAY_S, self.flush)
+        if self._closed:
+            self.flush()
+        else:
+            self._schedule_flush()
 
     debug = info = warning = error = log = msg
 
     def flush(self) -> None:
-        """Writes as many lines as standard output accepts now."""
-        self._timer = None
+        """Writes as many lines as standard output accepts now.
+
+        The others are written later, even if no further line is logged.
+        """
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        written = self._write()
+        if self._unwritten:
+            self._schedule_flush()
+        elif written and self.dropped > self._reported:
+            count = self.dropped - self._reported
+            self._reported = self.dropped
+            self.on_dropped(count)
+
+    def close(self, timeout_s: float = _CLOSE_TIMEOUT_S) -> None:
+        """Writes the remaining lines at the end of the process.
+
+        Lines that are logged later are written at once.
+
+        Args:
+          timeout_s: How long to wait for a slow reader, in seconds.
+        """
+        self._closed = True
+        end = time.monotonic() + timeout_s
+        self.flush()
+        while self._unwritten:
+            left_s = max(0.0, end - time.monotonic())
+            if not select.select([], [self._fd], [], left_s)[1]:
+                self._drop_all()
+                break
+            self.flush()
+
+    def _schedule_flush(self) -> None:
+        if self._timer is not None or self._closed:
+            return
+        try:
+            loop = asyncio.get_running_loop()
+        except RuntimeError:
+            # Without an event loop there are no requests to block.
+            self._write()
+            return
+        self._timer = loop.call_later(_FLUSH_DELAY_S, self.flush)
+
+    def _write(self) -> int:
+        """Returns how many bytes standard output accepted."""
+        total = 0
         while self._lines or self._unwritten:
             data = self._unwritten
             while self._lines and len(data) < _MAX_WRITE_BYTES:
@@ -67,12 +117,20 @@
                 written = 0
             except OSError:
                 # The reader is gone, and there is no other place to log to.
-                self._lines.clear()
-                self._unwritten = b""
-                return
+                self._unwritten = data
+                self._drop_all()
+                return total
+            total += written
             self._unwritten = data[written:]
             if self._unwritten:
-                return
+                return total
+        return total
+
+    def _drop_all(self) -> None:
+        """Drops and counts all lines that are not written completely."""
+        self.dropped += self._unwritten.count(b"\n") + len(self._lines)
+        self._unwritten = b""
+        self._lines.clear()
 
 
 def configure(level: events.Level = events.Level.INFO) -> Output:
--- a/tests/test_lifetime.py
+++ b/tests/test_lifetime.py
@@ -218,21 +218,24 @@
     assert event is _events.PROCESS_FAILED
     assert fields["task"] == "Child._work"
     assert fields["error"] == "KeyError: 'odd'"
-    assert _Output.last.lines[-1] == "flushed"
+    assert _Output.last.calls[-1] == "close"
 
 
 class _Output:
-    """Notes that it was flushed."""
+    """Notes what is called."""
 
     last = None
     dropped = 0
 
     def __init__(self):
         _Output.last = self
-        self.lines = []
+        self.calls = []
 
     def flush(self):
-        self.lines.append("flushed")
+        self.calls.append("flush")
+
+    def close(self):
+        self.calls.append("close")
 
 
 def _instance(**fields):
