Write messages of libraries as lines of the same output

What operators saw: the traceback of a failed task or callback, which only asyncio or mode logs, went around the buffer to standard output. While the reader stalled, it was kept back until the next such message, and "Logging error" with a second traceback went to standard error.

Cause: logging wrote to sys.stdout, whose descriptor Output had made non-blocking; its own buffer is flushed by the next message only.

Change: a logging handler passes messages to Output as JSON lines with the logger and the traceback, so that they are written later, dropped and counted like all other lines.

Evidence: tests/test_output.py::test_messages_of_libraries_are_lines_of_the_ same_output. Before, the handler did not exist, so the test failed with AttributeError.

--- a/src/clementinegw/telemetry/output.py
+++ b/src/clementinegw/telemetry/output.py
@@ -3,11 +3,13 @@
 import asyncio
 import collections
 from collections.abc import Callable
+import datetime
+import json
 import logging
 import os
 import select
-import sys
 import time
+import traceback
 
 import structlog
 
@@ -133,13 +135,37 @@
         self._lines.clear()
 
 
+class LibraryHandler(logging.Handler):
+    """Writes messages of libraries as lines of the same output.
+
+    Otherwise messages about failed tasks and callbacks would be lost, and those
+    written beside the output could be cut by a stalled reader.
+    """
+
+    def __init__(self, out: Output):
+        super().__init__(logging.ERROR)
+        self._out = out
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Writes a message with the traceback of its error."""
+        fields = {
+            "event": record.getMessage(),
+            "logger": record.name,
+            "level": record.levelname.lower(),
+            "timestamp": datetime.datetime.fromtimestamp(
+                record.created, datetime.UTC
+            ).strftime("%Y-%m-%dT%H:%M:%S.%fZ"),
+        }
+        if record.exc_info and record.exc_info[1] is not None:
+            error = record.exc_info[1]
+            fields["exception"] = "".join(traceback.format_exception(error))
+        self._out.msg(json.dumps(fields))
+
+
 def configure(level: events.Level = events.Level.INFO) -> Output:
     """Writes log lines of `level` and above to standard output."""
     output = Output()
-    # Otherwise the libraries' messages about failed tasks would be lost.
-    logging.basicConfig(
-        level=logging.ERROR, stream=sys.stdout, format="%(message)s"
-    )
+    logging.basicConfig(handlers=[LibraryHandler(output)], level=logging.ERROR)
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
--- a/tests/test_output.py
+++ b/tests/test_output.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import fcntl
+import json
+import logging
 import os
 import threading
 
@@ -174,3 +176,25 @@
             return pipe.out.dropped
 
     assert clocks.run(scenario()) == 1
+
+
+def test_messages_of_libraries_are_lines_of_the_same_output():
+    """Guards against messages that are lost while the reader stalls."""
+
+    async def scenario():
+        with Pipe() as pipe:
+            logger = logging.Logger("asyncio")
+            logger.addHandler(output.LibraryHandler(pipe.out))
+            try:
+                raise KeyError("odd")
+            except KeyError:
+                logger.exception("Exception in %s", "callback")
+            pipe.read()
+            await asyncio.sleep(1.0)
+            return pipe.read()
+
+    fields = json.loads(clocks.run(scenario()))
+    assert fields["event"] == "Exception in callback"
+    assert fields["logger"] == "asyncio"
+    assert fields["level"] == "error"
+    assert "KeyError: 'odd'" in fields["exception"]
