Query the next reader after an unexpected error with one

What callers saw: while the first reader of a failure domain could not be called for an unexpected reason (a listed address that cannot be connected to, a call that raises), entries queried it again and again, and neither another reader nor the store: their copies aged until they refused every request.

Cause: a hedged call goes on to the next target after a PlatformError only; any other error ended the whole read, and the reader got no backoff.

Change: an unexpected error with a reader or with the store counts as a failure of that one (topics.TOPIC.peer.unexpected, .store.unexpected): it gets its backoff, the next one is queried, and topic_lost or reader_changed names the error and where it was raised. A port above 65,535 is refused when an address is parsed and not when it is connected to.

Evidence: tests/test_direct_reader_errors.py.

--- a/src/clementinegw/direct/instance.py
+++ b/src/clementinegw/direct/instance.py
@@ -7,6 +7,8 @@
 from clementinegw import exceptions
 from clementinegw import types
 
+_MAX_PORT = 65_535
+
 
 class _Place(msgspec.Struct):
     region: str
@@ -132,7 +134,7 @@
       ValueError: The text has a different form.
     """
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit():
+    if not host or not port.isdecimal() or int(port) > _MAX_PORT:
         raise ValueError(f"expected IP:PORT, found {text!r}")
     return types.Address(host, int(port))
 
--- a/src/clementinegw/direct/shared_topic.py
+++ b/src/clementinegw/direct/shared_topic.py
@@ -23,6 +23,7 @@
 from clementinegw.direct import reader_selector
 from clementinegw.direct import topic_watch
 from clementinegw.telemetry import counters as counters_lib
+from clementinegw.telemetry import errors
 from clementinegw.telemetry import logs
 
 # How long the store may hold a poll of a process that is queried for freshness,
@@ -172,9 +173,14 @@
             raise peer_queries.Unable("the readers are starting", "starting")
 
         async def ask(reader: reader_selector.Reader) -> _Accept:
-            if reader is None:
-                return await self._ask_store(offset, wait_s)
-            return await self._ask_peer(reader, offset, call.postpone)
+            try:
+                if reader is None:
+                    return await self._ask_store(offset, wait_s)
+                return await self._ask_peer(reader, offset, call.postpone)
+            except exceptions.PlatformError:
+                raise
+            except Exception as error:
+                raise self._unexpected(reader, error) from error
 
         call = self._call = _HedgedCall(ask, topic_watch.HistoryLost)
         try:
@@ -271,6 +277,26 @@
         if slow or self._failures >= _MAX_FAILURES:
             self._mark_store_failed()
 
+    def _unexpected(
+        self, reader: reader_selector.Reader, error: Exception
+    ) -> peer_queries.Unable:
+        """Records an unexpected error; returns the failure of the call.
+
+        The next reader is queried then as after any failure. Otherwise the copy
+        would age for as long as this reader is the first one in order.
+        """
+        if reader is None:
+            self._count("store", "unexpected")
+            self._mark_store_failed()
+        else:
+            self._count("peer", "unexpected")
+            self._selector.record_failure(reader)
+        found = errors.describe(error)
+        return peer_queries.Unable(
+            f"{reader or 'store'}: {found['error']} at {found['at']}",
+            "unexpected",
+        )
+
     def _mark_store_failed(self) -> None:
         self._reads_store = False
         self._selector.record_failure(None)
