Keep an error in periodic work to the step that raised it

What callers saw: one value that a periodic step cannot handle (a number in a configuration or a version that does not fit into a datagram) ended all loops of every entry, or of every agent, that knew it, at the same time: entries grew stale and refused all requests, agents loaded no version any more.

Cause: an entry's maintenance and subscriptions and an agent's polling are mode tasks, whose errors crash the process. Only the two loops that bring weights had a step of their own. Ending the process does not help here, since it meets the same value after its restart.

Change: direct.steps.Steps keeps an unexpected error to its step, which is repeated: the error is logged when it changes (923 step_failed, with `at`) and counted in direct.step_failed. The steps that bring weights use it too, and no longer log the same error ten times a second. Errors outside of steps still end the process in order.

--- a/src/clementinegw/direct/_events.py
+++ b/src/clementinegw/direct/_events.py
@@ -190,9 +190,9 @@
     923,
     "step_failed",
     events.Level.ERROR,
-    "A step towards the wanted weights raised an unexpected error; it is"
-    " retried.",
-    "Report it with the line's `step` and `error`.",
+    "A step of a process's periodic work raised an unexpected error; it is"
+    " repeated. Logged once until the error changes.",
+    "Report it with the line's `step`, `error` and `at`.",
 )
 SERVER_RECORD_OLD = events.define(
     930,
--- a/src/clementinegw/direct/agent.py
+++ b/src/clementinegw/direct/agent.py
@@ -24,6 +24,7 @@
 from clementinegw.direct import relay
 from clementinegw.direct import reports
 from clementinegw.direct import server_records
+from clementinegw.direct import steps
 from clementinegw.direct import suspects
 from clementinegw.direct import topic_watch
 from clementinegw.direct import types
@@ -136,6 +137,7 @@
         self._initialized = asyncio.Event()
         self._server_records = server_records.ServerRecords(log)
         self._knows_servers = False
+        self._steps = steps.Steps(log, counters)
 
     async def on_start(self) -> None:
         """Starts to listen for agents and entries and follows the platform."""
@@ -319,7 +321,8 @@
         while not self.should_stop:
             await self._tick()
             if self._context.local_server is not None:
-                await self._poll_server(self._context.local_server)
+                with self._steps.guard("poll"):
+                    await self._poll_server(self._context.local_server)
 
     async def _poll_server(
         self, local_server: agent_interfaces.LocalServer
@@ -394,18 +397,11 @@
 
     async def _step(self, step: Callable[[], Awaitable[None]]) -> None:
         """Runs one step of a loop, then sleeps until the next tick."""
-        try:
-            await step()
-        except exceptions.ClementineError as error:
-            self._log.write(_events.WEIGHTS_WAIT, reason=error.message)
-        except Exception as error:
-            # An unexpected error in one step must not end the loop silently:
-            # the process would keep running and never load anything again.
-            self._log.write(
-                _events.STEP_FAILED,
-                step=step.__name__,
-                error=f"{type(error).__name__}: {error}",
-            )
+        with self._steps.guard(step.__name__):
+            try:
+                await step()
+            except exceptions.ClementineError as error:
+                self._log.write(_events.WEIGHTS_WAIT, reason=error.message)
         await self._tick()
 
     async def _tick(self) -> None:
--- a/src/clementinegw/direct/entry.py
+++ b/src/clementinegw/direct/entry.py
@@ -24,6 +24,7 @@
 from clementinegw.direct import relay
 from clementinegw.direct import reports
 from clementinegw.direct import server as servers
+from clementinegw.direct import steps
 from clementinegw.direct import subscriptions
 from clementinegw.direct import topic_watch
 from clementinegw.direct import types
@@ -176,6 +177,7 @@
             log,
             counters,
         )
+        self._steps = steps.Steps(log, counters)
         self._leaving = False
         self._ready = False
 
@@ -247,16 +249,20 @@
             due = self._clock() + _MAINTENANCE_INTERVAL_S
             await asyncio.sleep(_MAINTENANCE_INTERVAL_S)
             self._record_lag(self._clock() - due)
-            self._fleet.drop_missing(
-                self._server_list.available_s, self._clock()
-            )
-            self._fleet.prune()
-            self._fleet.update_position()
-            self._counters.gauge("direct.servers.limited", self._fleet.limited)
-            self._forwarder.check_clock()
-            self._subscriptions.refresh()
+            with self._steps.guard("maintain_servers"):
+                self._maintain_servers()
+            with self._steps.guard("check_clock"):
+                self._forwarder.check_clock()
+            with self._steps.guard("refresh_subscriptions"):
+                self._subscriptions.refresh()
             self._log_readiness()
 
+    def _maintain_servers(self) -> None:
+        self._fleet.drop_missing(self._server_list.available_s, self._clock())
+        self._fleet.prune()
+        self._fleet.update_position()
+        self._counters.gauge("direct.servers.limited", self._fleet.limited)
+
     def _record_lag(self, lag_s: float) -> None:
         """Records by how much the event loop was late, in seconds."""
         self.histograms.add("direct.loop_lag", lag_s)
@@ -272,7 +278,8 @@
     async def _subscribe(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(_SUBSCRIBE_INTERVAL_S)
-            self._subscriptions.renew()
+            with self._steps.guard("renew_subscriptions"):
+                self._subscriptions.renew()
 
     def _on_report(self, host: str, report: reports.Report) -> None:
         if report.ages_s:
--- a/tests/test_direct_agent.py
+++ b/tests/test_direct_agent.py
@@ -24,6 +24,8 @@
 from clementinegw.telemetry import logs
 from clementinegw.testing import clock as clocks
 from clementinegw.weights import origin_fetchers
+from clementinegw.wire import codec
+from clementinegw.wire.gen.reports import ttypes
 
 CHUNKS = 12
 CHUNK_BYTES = 4096
@@ -701,3 +703,57 @@
             assert start == types.ServerStart("i-0", 7)
 
     run(scenario())
+
+
+def test_an_agent_whose_report_cannot_be_sent_loads_new_versions():
+    """Guards against a number in a configuration that ends all agents."""
+
+    async def scenario():
+        async with Site() as site:
+            await site.until_all_hold(1)
+            configuration = site.topics[0].records[0].value
+            engine = dataclasses.replace(
+                configuration.services["engine"].engine, slots=2**31
+            )
+            services = {
+                **configuration.services,
+                "engine": types.Service("engine", 64, engine),
+            }
+            site.topics[0].records.append(
+                topic_watch.Record(
+                    "c", dataclasses.replace(configuration, services=services)
+                )
+            )
+            subscription = codec.encode(ttypes.Subscribe("entry-1", {}, False))
+            for agent in site.agents:
+                # Reports are only encoded for entries that have subscribed.
+                agent._reporter.datagram_received(
+                    subscription, (f"{NETWORK}.9", PORT)
+                )
+            await asyncio.sleep(1.0)
+            site.declare(2)
+            await site.until_all_hold(2)
+            return [agent.crashed for agent in site.agents]
+
+    assert run(scenario()) == [False] * 3
+
+
+def test_an_agent_polls_on_after_an_error_of_its_server():
+    """Guards against one odd answer that ends an agent's loops."""
+
+    async def scenario():
+        async with Site() as site:
+            await site.until_all_hold(1)
+            state = site.local_servers[0].state
+
+            async def fail():
+                raise KeyError("odd")
+
+            site.local_servers[0].state = fail
+            await asyncio.sleep(1.0)
+            site.local_servers[0].state = state
+            site.declare(2)
+            await site.until_all_hold(2)
+            return [agent.crashed for agent in site.agents]
+
+    assert run(scenario()) == [False] * 3
--- a/tests/test_lifetime.py
+++ b/tests/test_lifetime.py
@@ -175,10 +175,10 @@
             answering = asyncio.ensure_future(site.ask("/stream/1"))
             await asyncio.sleep(0.1)
 
-            def prune():
+            def fail():
                 raise KeyError("odd")
 
-            monkeypatch.setattr(site.entry._fleet, "prune", prune)
+            monkeypatch.setattr(site.entry, "_log_readiness", fail)
             answer = await answering
             return answer, await running
 
