Raise the error of a failed prefetch once

What operators saw: after an unexpected error while a newer version was prefetched, the agent brought no version any more; step_failed came with the same error ten times a second.

Cause: stop awaits the prefetch's task and forgets it afterwards. The task of a failed prefetch raises at each await, so it was never forgotten.

Change: the task is forgotten before it is awaited.

Evidence: tests/test_direct_agent.py::test_a_failed_prefetch_is_raised_once. Before, the second stop raised KeyError again.

--- a/src/clementinegw/direct/prefetch.py
+++ b/src/clementinegw/direct/prefetch.py
@@ -55,9 +55,9 @@
         Otherwise the exchange would fetch that chunk from the origin again.
         """
         self._stopping = True
-        if self._task is not None:
-            await self._task
-            self._task = None
+        task, self._task = self._task, None
+        if task is not None:
+            await task
 
     @property
     def _busy(self) -> bool:
--- a/tests/test_direct_agent.py
+++ b/tests/test_direct_agent.py
@@ -15,6 +15,7 @@
 from clementinegw.direct import declarations
 from clementinegw.direct import instance as instances
 from clementinegw.direct import manifest_cache
+from clementinegw.direct import prefetch
 from clementinegw.direct import raw
 from clementinegw.direct import topic_watch
 from clementinegw.direct import types
@@ -757,3 +758,22 @@
             return [agent.crashed for agent in site.agents]
 
     assert run(scenario()) == [False] * 3
+
+
+def test_a_failed_prefetch_is_raised_once():
+    """Guards against an agent that fetches no version after a prefetch."""
+
+    class Fetcher:
+        async def fetch_manifest(self, origin, model, version):
+            raise KeyError("odd")
+
+    async def scenario():
+        counters = counters_lib.Counters()
+        prefetcher = prefetch.Prefetcher(Fetcher(), logs.Log(), counters)
+        prefetcher.start(None, MODEL, 2)
+        await asyncio.sleep(0.1)
+        with pytest.raises(KeyError):
+            await prefetcher.stop()
+        await prefetcher.stop()
+
+    clocks.run(scenario())
