Ignore declared versions without a model

What callers saw: a declared version whose model has no name made entries refuse all requests of plain services with attempts_used, once the version's time to serve was over.

Cause: a plain service has the model "", so that no version applies to it. A record or a report of a version of the model "" was taken like any other, and then every plain server held a version that is too old.

Change: Declarations ignores versions without a model.

Found by sending odd reports to an entry.

--- a/src/clementinegw/direct/declarations.py
+++ b/src/clementinegw/direct/declarations.py
@@ -172,7 +172,8 @@
     def _update(
         self, model: str, declaration: Declaration, source: Source
     ) -> Change | None:
-        if declaration.version <= 0:
+        # Plain services have no model, and no version may apply to them.
+        if declaration.version <= 0 or not model:
             return None
         versions = {d.version: d for d in self.for_model(model)}
         former = versions.get(declaration.version)
