Ignore rate limits in datagrams that no server can report

What callers saw: after one datagram with a rate limit of 1e300, an entry ended every request of the service with OverflowError in computing the next slot (rate_limit.py), and an agent passed the value on to all entries.

Cause: a relayed limit only had to be finite. In answers of servers it has nine digits at most.

Change: the same bound applies in datagrams.

Before, status 0 instead of 200 and request_failed OverflowError for 1e300 and 1e308 (nan, inf and -1 were ignored before too); the agent's value was relayed.

--- a/src/clementinegw/direct/reports.py
+++ b/src/clementinegw/direct/reports.py
@@ -39,6 +39,9 @@
 # How long the end of a rate limit is reported, in seconds, so that a few
 # datagrams may be lost.
 _LIMIT_END_S = 10.0
+# The highest rate limit that a server can report, in requests per second. The
+# slots of much higher ones cannot be computed.
+_MAX_LIMIT_PER_S = 1e9
 # The largest age that fits into a field of a report, in milliseconds.
 _MAX_AGE_MS = 2**31 - 1
 # The time after its start within which an agent gets the subscriptions of all
@@ -578,7 +581,10 @@
         message.age_ms,
     ):
         return None
-    if message.per_s is not None and not 0.0 <= message.per_s < math.inf:
+    if (
+        message.per_s is not None
+        and not 0.0 <= message.per_s <= _MAX_LIMIT_PER_S
+    ):
         return None
     return rate_limit.Observation(
         servers.ServerStart(message.server_id, message.born),
