Fetch a chunk again at once after an unexpected error

What operators saw: versions that were loaded late, or not at all, while the origin's answers raised an error that is no PlatformError.

Cause: the task that receives a chunk ended without telling the swarm, for which the chunk was in transit until its source counted as stalled.

--- a/src/clementinegw/weights/_transfer_receive.py
+++ b/src/clementinegw/weights/_transfer_receive.py
@@ -4,6 +4,8 @@
 
 from clementinegw import exceptions
 from clementinegw.platform import blobs
+from clementinegw.telemetry import errors
+from clementinegw.telemetry import events as telemetry_events
 from clementinegw.weights import _swarm_events as events
 from clementinegw.weights import _transfer_connections as peer_connections
 from clementinegw.weights import _transfer_context as contexts
@@ -83,11 +85,25 @@
         receive = self._fetch_from_peer
         if action.source == swarm.ORIGIN:
             receive = self._fetch_from_origin
-        outcome = await receive(action, chunk)
-        if isinstance(outcome, bytes):
-            self._context.emit(await self._store_chunk(action, chunk, outcome))
-        else:
-            self._context.emit(outcome)
+        event: swarm.Event
+        try:
+            outcome = await receive(action, chunk)
+            if isinstance(outcome, bytes):
+                event = await self._store_chunk(action, chunk, outcome)
+            else:
+                event = outcome
+        except Exception as error:
+            # Without an event, the chunk would be fetched again only after the
+            # time in which a source counts as stalled.
+            self._context.counters.add("weights.receive_failed")
+            self._context.log.write(
+                telemetry_events.TASK_FAILED,
+                task="receive_chunk",
+                source=action.source or _ORIGIN_NAME,
+                **errors.describe(error),
+            )
+            event = swarm.Failed(action.digest, action.index, action.source)
+        self._context.emit(event)
 
     async def _store_chunk(
         self, action: swarm.RequestChunk, chunk: manifests.Chunk, data: bytes
--- a/tests/test_direct_agent.py
+++ b/tests/test_direct_agent.py
@@ -777,3 +777,29 @@
         await prefetcher.stop()
 
     clocks.run(scenario())
+
+
+@pytest.mark.parametrize("errors", [1, 6, 20])
+def test_an_unexpected_error_with_a_chunk_does_not_delay_a_version(errors):
+    """Guards against chunks that count as in transit after their task ended."""
+
+    async def scenario():
+        async with Site() as site:
+            await site.until_all_hold(1)
+            send_chunk = site.origin.chunk
+            left = errors
+
+            async def fail_at_first(model, version, number):
+                nonlocal left
+                if left:
+                    left -= 1
+                    raise KeyError("odd")
+                return await send_chunk(model, version, number)
+
+            site.origin.chunk = fail_at_first
+            site.declare(2)
+            return await site.until_all_hold(2), left
+
+    took_s, left = run(scenario())
+    assert took_s < 6.0
+    assert not left
