Ignore versions without a model in entries only

What must not happen is that an entry applies such a version to plain services, so that its version policy ignores them instead.

Evidence: that test and test_direct_datagrams pass, with the rest of test_direct_agent, _declarations, _decisions and _due (127 tests).

--- a/src/clementinegw/direct/declarations.py
+++ b/src/clementinegw/direct/declarations.py
@@ -172,8 +172,7 @@
     def _update(
         self, model: str, declaration: Declaration, source: Source
     ) -> Change | None:
-        # Plain services have no model, and no version may apply to them.
-        if declaration.version <= 0 or not model:
+        if declaration.version <= 0:
             return None
         versions = {d.version: d for d in self.for_model(model)}
         former = versions.get(declaration.version)
--- a/src/clementinegw/direct/version_policy.py
+++ b/src/clementinegw/direct/version_policy.py
@@ -65,17 +65,24 @@
     ) -> declarations.Change | None:
         """Records a declaration; returns the change or None if there is none.
 
+        A declaration without a model is ignored: the model of a plain service
+        has no name, and no version applies to it.
+
         Args:
           declared: The record that the operators wrote.
           lag_s: For how long it may have been declared already, in seconds;
             infinite if the process found it declared at its start.
         """
+        if not declared.model:
+            return None
         return self._declared.record(declared.model, declared.version, lag_s)
 
     def merge_ages(
         self, model: str, ages_s: Mapping[int, float]
     ) -> list[declarations.Change]:
         """Merges the ages of an agent; see `Declarations.merge_ages`."""
+        if not model:
+            return []
         return self._declared.merge_ages(
             model, ages_s, declarations.Source.AGENT
         )
