--- a/tests/test_direct_reader_errors.py
+++ b/tests/test_direct_reader_errors.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import platform_site
 import pytest
 import shared_domain
 
@@ -76,3 +77,22 @@
 @pytest.mark.parametrize("text", ["10.0.0.1:80", "::1:80", "127.0.0.1:0"])
 def test_an_address_is_parsed(text):
     assert str(instances.parse_address(text)) == text
+
+
+def test_an_entry_serves_when_its_readers_cannot_be_decoded(monkeypatch):
+    """Guards against an answer of the platform that ends all entries."""
+    nested = b'{"parts": [], "x": ' + b"[" * 100_000
+
+    async def scenario():
+        async with platform_site.Site("s1") as site:
+            monkeypatch.setattr(site.store, "_owners", lambda group: nested)
+            site.entry._relay._directory.mark_stale()
+            await asyncio.sleep(8.0)
+            return (
+                site.counters.value("readers.failed") > 0,
+                (await site.ask()).status,
+                site.entry.ready,
+                site.entry.crashed,
+            )
+
+    assert platform_site.run(scenario()) == (True, 200, True, False)
