Keep an error with the list of readers to its step

What callers saw: an unexpected error in fetching the readers of a failure domain ended all loops of the process; no other work needs a new list at once.

The known readers continue.

--- a/src/clementinegw/direct/reader_directory.py
+++ b/src/clementinegw/direct/reader_directory.py
@@ -8,6 +8,7 @@
 from clementinegw.direct import _events
 from clementinegw.direct import raw
 from clementinegw.direct import reader_selector
+from clementinegw.direct import steps
 from clementinegw.telemetry import counters as counters_lib
 from clementinegw.telemetry import logs
 
@@ -53,6 +54,7 @@
         self._selector = selector
         self._log = log
         self._counters = counters
+        self._steps = steps.Steps(log, counters)
         self._generation = 0
         self._retry_s = _MIN_RETRY_S
         self._ready = asyncio.Event()
@@ -79,13 +81,17 @@
     async def _maintain(self) -> None:
         step = self._join if self._joins else self._poll
         while not self.should_stop:
-            try:
-                await step()
-            except exceptions.PlatformError as error:
-                self._counters.add("readers.failed")
-                self._log.write(_events.READERS_UNKNOWN, reason=error.message)
-                self._ready.set()
-                await asyncio.sleep(_JOIN_INTERVAL_S)
+            with self._steps.guard("update_readers"):
+                try:
+                    await step()
+                    continue
+                except exceptions.PlatformError as error:
+                    self._counters.add("readers.failed")
+                    self._log.write(
+                        _events.READERS_UNKNOWN, reason=error.message
+                    )
+            self._ready.set()
+            await asyncio.sleep(_JOIN_INTERVAL_S)
 
     async def _join(self) -> None:
         generation = await self._reader_group.join()
--- a/tests/test_direct_reader_errors.py
+++ b/tests/test_direct_reader_errors.py
@@ -96,3 +96,27 @@
             )
 
     assert platform_site.run(scenario()) == (True, 200, True, False)
+
+
+def test_an_entry_serves_after_an_error_with_its_list_of_readers(monkeypatch):
+    """Guards against an error that ends all entries of a failure domain."""
+
+    async def scenario():
+        async with platform_site.Site("s1") as site:
+            directory = site.entry._relay._directory
+
+            async def fail():
+                raise KeyError("odd")
+
+            monkeypatch.setattr(directory._reader_group, "join", fail)
+            await asyncio.sleep(12.0)
+            failed = site.counters.value("direct.step_failed")
+            during = (await site.ask()).status, site.entry.ready
+            monkeypatch.undo()
+            await asyncio.sleep(6.0)
+            later = site.counters.value("direct.step_failed")
+            await asyncio.sleep(6.0)
+            ended = site.counters.value("direct.step_failed") == later
+            return failed > 1, during, ended, site.entry.crashed
+
+    assert platform_site.run(scenario()) == (True, (200, True), True, False)
