--- a/src/clementinegw/direct/_events.py
+++ b/src/clementinegw/direct/_events.py
@@ -13,7 +13,19 @@
     "Check `reason`; requests continue with the state known before.",
 )
 TOPIC_REGAINED = events.define(
-    901, "topic_regained", _INFO, "The platform answers reads of a topic again."
+    901,
+    "topic_regained",
+    _INFO,
+    "The platform answers reads of a topic again, and its records are applied.",
+)
+TOPIC_FAILED = events.define(
+    932,
+    "topic_failed",
+    events.Level.ERROR,
+    "An unexpected error ended a read of a topic or the application of its"
+    " records; the topic is read anew. Logged once until the error changes.",
+    "Report it with the line's `error` and `at`; what the process knows of the"
+    " topic gets older meanwhile.",
 )
 HISTORY_LOST = events.define(
     902,
@@ -148,7 +160,8 @@
     916,
     "settings_refused",
     _WARNING,
-    "The changed instance file is malformed; the previous one stays in force.",
+    "The changed instance file is malformed or cannot be applied; the previous"
+    " one stays in force.",
     "Check `reason`.",
 )
 STAGED_SPOILT = events.define(
@@ -193,9 +206,9 @@
     923,
     "step_failed",
     events.Level.ERROR,
-    "A step towards the wanted weights raised an unexpected error; it is"
-    " retried.",
-    "Report it with the line's `step` and `error`.",
+    "A step of a process's periodic work raised an unexpected error; it is"
+    " repeated. Logged once until the error changes.",
+    "Report it with the line's `step`, `error` and `at`.",
 )
 SERVER_RECORD_OLD = events.define(
     930,
@@ -203,6 +216,21 @@
     _INFO,
     "A server's record was older than the known one and was ignored.",
 )
+PROCESS_FAILED = events.define(
+    929,
+    "process_failed",
+    events.Level.ERROR,
+    "An unexpected error ended a task that the process cannot do without: it"
+    " finishes the work in progress and exits with code 1.",
+    "Report it with the line's `task`, `error` and `at`.",
+)
+LINES_DROPPED = events.define(
+    933,
+    "lines_dropped",
+    _WARNING,
+    "Log lines were lost because standard output did not accept them in time.",
+    "Check what reads the output; `count` lines before this one are missing.",
+)
 CUT_OFF = events.define(
     924,
     "cut_off",
--- a/src/clementinegw/direct/agent.py
+++ b/src/clementinegw/direct/agent.py
@@ -24,6 +24,7 @@
 from clementinegw.direct import relay
 from clementinegw.direct import reports
 from clementinegw.direct import server_records
+from clementinegw.direct import steps
 from clementinegw.direct import suspects
 from clementinegw.direct import topic_watch
 from clementinegw.direct import types
@@ -135,6 +136,8 @@
         )
         self._initialized = asyncio.Event()
         self._server_records = server_records.ServerRecords(log)
+        self._knows_servers = False
+        self._steps = steps.Steps(log, counters)
 
     async def on_start(self) -> None:
         """Starts to listen for agents and entries and follows the platform."""
@@ -278,6 +281,7 @@
         }
         others.pop(self._instance.host, None)
         self._fetcher.set_fleet(list(others.values()))
+        self._knows_servers = True
         self._update_initialized()
 
     def _apply_server(self, record: topic_watch.Record) -> None:
@@ -297,7 +301,7 @@
             self._context.local_server = self._platform.local_server(
                 self._backend, self._context.model
             )
-        if self._context.origin is not None and self._server_list.has_snapshot:
+        if self._context.origin is not None and self._knows_servers:
             self._initialized.set()
 
     def _agent_instance(
@@ -317,7 +321,8 @@
         while not self.should_stop:
             await self._tick()
             if self._context.local_server is not None:
-                await self._poll_server(self._context.local_server)
+                with self._steps.guard("poll"):
+                    await self._poll_server(self._context.local_server)
 
     async def _poll_server(
         self, local_server: agent_interfaces.LocalServer
@@ -392,18 +397,11 @@
 
     async def _step(self, step: Callable[[], Awaitable[None]]) -> None:
         """Runs one step of a loop, then sleeps until the next tick."""
-        try:
-            await step()
-        except exceptions.ClementineError as error:
-            self._log.write(_events.WEIGHTS_WAIT, reason=error.message)
-        except Exception as error:
-            # An unexpected error in one step must not end the loop silently:
-            # the process would keep running and never load anything again.
-            self._log.write(
-                _events.STEP_FAILED,
-                step=step.__name__,
-                error=f"{type(error).__name__}: {error}",
-            )
+        with self._steps.guard(step.__name__):
+            try:
+                await step()
+            except exceptions.ClementineError as error:
+                self._log.write(_events.WEIGHTS_WAIT, reason=error.message)
         await self._tick()
 
     async def _tick(self) -> None:
--- a/src/clementinegw/direct/instance.py
+++ b/src/clementinegw/direct/instance.py
@@ -7,6 +7,8 @@
 from clementinegw import exceptions
 from clementinegw import types
 
+_MAX_PORT = 65_535
+
 
 class _Place(msgspec.Struct):
     region: str
@@ -102,7 +104,7 @@
     try:
         file = msgspec.json.decode(path.read_bytes(), type=_File)
         return _build_instance(file)
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise exceptions.SettingsError(f"{path}: {error}") from error
 
 
@@ -132,7 +134,7 @@
       ValueError: The text has a different form.
     """
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit():
+    if not host or not port.isdecimal() or int(port) > _MAX_PORT:
         raise ValueError(f"expected IP:PORT, found {text!r}")
     return types.Address(host, int(port))
 
--- a/src/clementinegw/direct/run.py
+++ b/src/clementinegw/direct/run.py
@@ -12,6 +12,7 @@
 from clementinegw.direct import instance as instances
 from clementinegw.direct import server as servers
 from clementinegw.telemetry import counters as counters_lib
+from clementinegw.telemetry import errors
 from clementinegw.telemetry import histograms as histograms_lib
 from clementinegw.telemetry import logs
 from clementinegw.telemetry import output
@@ -47,6 +48,7 @@
     instance = instances.read(path)
     out = output.configure()
     log = logs.Log(instance=instance.name)
+    out.on_dropped = lambda count: log.write(_events.LINES_DROPPED, count=count)
     counters = counters_lib.Counters()
     platform = make_platform(instance, log, counters)
     daemon = _ROLES[args[0]](instance, platform, log, counters)
@@ -54,16 +56,29 @@
         _MetricsHandler(counters, daemon.histograms, out).answer
     )
     await metrics_server.listen(_metrics_address(instance, args[0]))
-    watcher = _InstanceFileWatcher(path, instance, daemon, log)
+    watcher = _InstanceFileWatcher(path, instance, daemon, log, counters)
     watching = asyncio.ensure_future(watcher.watch())
+
+    def log_failure(error: BaseException) -> None:
+        counters.add("direct.process_failed")
+        log.write(
+            _events.PROCESS_FAILED,
+            task=errors.task_name(error, "mode"),
+            **errors.describe(error),
+        )
+        out.flush()
+
     try:
         return await lifetime.run_until_signal(
-            daemon, watcher.reload_if_changed
+            daemon, watcher.reload_if_changed, log_failure
         )
     finally:
-        watching.cancel()
-        await metrics_server.stop()
         out.flush()
+        watching.cancel()
+        try:
+            await metrics_server.stop()
+        finally:
+            out.close()
 
 
 class _MetricsHandler:
@@ -102,7 +117,7 @@
     """Rereads the instance file at SIGHUP and every few seconds.
 
     The platform may change the file without sending a signal. If the file is
-    malformed, the previous settings stay in force.
+    malformed or cannot be applied, the previous settings stay in force.
     """
 
     def __init__(
@@ -111,11 +126,13 @@
         instance: instances.Instance,
         daemon: Any,
         log: logs.Log,
+        counters: counters_lib.Counters,
     ):
         self._path = path
         self._instance = instance
         self._daemon = daemon
         self._log = log
+        self._counters = counters
         self._last_error = ""
 
     async def watch(self) -> None:
@@ -129,14 +146,31 @@
         try:
             instance = instances.read(self._path)
         except exceptions.SettingsError as error:
-            if error.message != self._last_error:
-                self._last_error = error.message
-                self._log.write(_events.SETTINGS_REFUSED, reason=error.message)
+            self._refuse(error.message)
+            return
+        if instance == self._instance:
             return
-        if instance != self._instance:
-            self._instance = instance
+        try:
             self._daemon.reload(instance)
-            self._log.write(_events.SETTINGS_RELOADED)
+        except Exception as error:
+            # An instance that cannot be applied must not end the rereading.
+            # Some of its settings may be in force already.
+            self._refuse(str(errors.describe(error)))
+            self._daemon.reload(self._instance)
+            return
+        self._instance = instance
+        self._last_error = ""
+        self._log.write(_events.SETTINGS_RELOADED)
+
+    def _refuse(self, reason: str) -> None:
+        """Records why the file is not applied, once until the reason changes.
+
+        The previous instance stays in force.
+        """
+        if reason != self._last_error:
+            self._last_error = reason
+            self._counters.add("direct.settings_refused")
+            self._log.write(_events.SETTINGS_REFUSED, reason=reason)
 
 
 def _make_entry(instance, platform, log, counters):
