--- a/src/clementinegw/direct/finisher.py
+++ b/src/clementinegw/direct/finisher.py
@@ -2,8 +2,6 @@
 
 from collections.abc import Callable
 import json
-import pathlib
-import traceback
 
 from clementinegw.direct import _events
 from clementinegw.direct import admit
@@ -14,6 +12,7 @@
 from clementinegw.direct import outcomes
 from clementinegw.direct import server as servers
 from clementinegw.telemetry import counters as counters_lib
+from clementinegw.telemetry import errors
 from clementinegw.telemetry import histograms as histograms_lib
 from clementinegw.telemetry import logs
 
@@ -153,12 +152,11 @@
             _events.REQUEST_FAILED,
             request=self._id_of(request, job),
             target=request.target[:120],
-            error=f"{type(error).__name__}: {error}"[:200],
-            at=_innermost_frame(error),
             begun=responder.begun,
             ended=responder.ended,
             sends=job.sends if job else 0,
             runs=job.runs if job else 0,
+            **errors.describe(error),
         )
         if not responder.ended:
             await self.refuse_unfinished(
@@ -231,12 +229,3 @@
             total_ms=round((now - arrived) * 1e3),
             age_s=round(min(self._config_view.age_s(), 9_999.0), 3),
         )
-
-
-def _innermost_frame(error: Exception) -> str:
-    """Returns the file and the line that raised an error."""
-    frames = traceback.extract_tb(error.__traceback__)
-    if not frames:
-        return ""
-    frame = frames[-1]
-    return f"{pathlib.PurePath(frame.filename).name}:{frame.lineno}"
--- a/src/clementinegw/direct/run.py
+++ b/src/clementinegw/direct/run.py
@@ -53,7 +53,7 @@
     platform = make_platform(instance, log, counters)
     daemon = _ROLES[args[0]](instance, platform, log, counters)
     metrics_server = servers.Server(
-        _MetricsHandler(counters, daemon.histograms, out).answer
+        _MetricsHandler(counters, daemon.histograms, out).answer, log, counters
     )
     await metrics_server.listen(_metrics_address(instance, args[0]))
     watcher = _InstanceFileWatcher(path, instance, daemon, log, counters)
--- a/src/clementinegw/direct/server.py
+++ b/src/clementinegw/direct/server.py
@@ -8,8 +8,6 @@
 from collections.abc import Awaitable, Callable
 import dataclasses
 import enum
-import pathlib
-import traceback
 
 import h11
 
@@ -20,6 +18,7 @@
 from clementinegw.direct import request_reader
 from clementinegw.direct import types as direct_types
 from clementinegw.telemetry import counters as counters_lib
+from clementinegw.telemetry import errors
 from clementinegw.telemetry import logs
 
 # How long a caller may accept no byte of an answer that waits to be sent, in
@@ -371,10 +370,9 @@
         self.log.write(
             _events.REQUEST_UNANSWERED,
             target=target[:120],
-            error=_text(error),
-            at=_innermost_frame(error),
             begun=responder is not None and responder.begun,
             ended=responder is not None and responder.ended,
+            **(errors.describe(error) if error is not None else {}),
         )
 
     def _start_session(self, channel: channels.Channel) -> None:
@@ -650,21 +648,6 @@
     return task is not None and task.cancelling() > 0
 
 
-def _text(error: BaseException | None) -> str:
-    return f"{type(error).__name__}: {error}"[:200] if error is not None else ""
-
-
-def _innermost_frame(error: BaseException | None) -> str:
-    """Returns the file and the line that raised an error."""
-    if error is None:
-        return ""
-    frames = traceback.extract_tb(error.__traceback__)
-    if not frames:
-        return ""
-    frame = frames[-1]
-    return f"{pathlib.PurePath(frame.filename).name}:{frame.lineno}"
-
-
 def _to_request(head: h11.Request, body: bytes) -> Request:
     host = b""
     for name, value in head.headers:
