--- a/src/clementinegw/direct/server.py
+++ b/src/clementinegw/direct/server.py
@@ -372,7 +372,7 @@
             target=target[:120],
             begun=responder is not None and responder.begun,
             ended=responder is not None and responder.ended,
-            **(errors.describe(error) if error is not None else {}),
+            **errors.describe(error),
         )
 
     def _start_session(self, channel: channels.Channel) -> None:
--- a/src/clementinegw/telemetry/errors.py
+++ b/src/clementinegw/telemetry/errors.py
@@ -6,12 +6,14 @@
 _MAX_TEXT = 200
 
 
-def describe(error: BaseException) -> dict[str, str]:
+def describe(error: BaseException | None) -> dict[str, str]:
     """Returns the fields of a log line: the error and where it was raised.
 
     Args:
-      error: An error that was caught.
+      error: An error that was caught; None for empty fields.
     """
+    if error is None:
+        return {"error": "", "at": ""}
     return {
         "error": f"{type(error).__name__}: {error}"[:_MAX_TEXT],
         "at": _innermost_frame(error),
