Let begun streams wait for the retry budget after they got a server

Of two streams that waited for a server with a budget for one retry, the second was broken off with most of its time left: the budget was checked before the wait for a server and not waited for after it. A begun stream is no longer given up for the time that its failed connections took, either. Evidence: test_two_broken_streams_wait_for_a_retry_budget_for_one failed before (no_budget with 2170 ms left), passes now.

--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -258,29 +258,31 @@
             return takeover
         if self._is_suspect(job):
             return self._placer.refuse(job, Reason.CRASHES_SERVERS)
-        if job.responder.begun:
-            await self._wait_for_budget(job)
-        reservation = await self._placer.reserve(job)
-        if (
-            job.sends
-            and isinstance(reservation, queue.Reservation)
-            and not self._budget(job.service).try_acquire(self._clock())
-        ):
+        while True:
+            reservation = await self._placer.reserve(job)
+            if isinstance(reservation, outcomes.Refusal) or not job.sends:
+                return reservation
+            if self._budget(job.service).try_acquire(self._clock()):
+                return reservation
             reservation.release()
-            return self._placer.refuse(job, Reason.NO_BUDGET)
-        return reservation
+            # A request that has begun cannot be refused any more, only broken
+            # off, so it waits for the budget.
+            if not job.responder.begun or not await self._wait_for_budget(job):
+                return self._placer.refuse(job, Reason.NO_BUDGET)
 
-    async def _wait_for_budget(self, job: attempts.Job) -> None:
-        """Waits until the retry budget allows another attempt, or in vain.
+    async def _wait_for_budget(self, job: attempts.Job) -> bool:
+        """Waits until the retry budget allows another attempt.
 
-        A request that has begun cannot be refused any more, only broken off.
+        Returns:
+          False if the request's time runs out before.
         """
-        give_up_at = job.deadline - placement.GIVE_UP_MARGIN_S
         retry_budget = self._budget(job.service)
+        give_up_at = job.deadline - placement.GIVE_UP_MARGIN_S
         while not retry_budget.allows(now := self._clock()):
             if now >= give_up_at:
-                return
+                return False
             await asyncio.sleep(min(_BUDGET_CHECK_S, give_up_at - now))
+        return True
 
     def _take_over(
         self, job: attempts.Job, backend: backend_lib.Backend
@@ -426,7 +428,7 @@
         if not self._may_send_again(job):
             return False
         if _is_unreachable(outcome):
-            return self._placer.may_reconnect(job)
+            return job.responder.begun or self._placer.may_reconnect(job)
         if isinstance(outcome, outcomes.NotRun):
             job.withdrawals += outcome.reason in _WITHDRAWN_REASONS
             return job.withdrawals < _MAX_SENDS
--- a/tests/test_direct_stream_ends.py
+++ b/tests/test_direct_stream_ends.py
@@ -356,6 +356,30 @@
     assert (answer.complete, answer.body.decode()) == (True, WHOLE)
 
 
+def test_two_broken_streams_wait_for_a_retry_budget_for_one():
+    """Of two streams that got a server one was broken off for the budget."""
+
+    async def play():
+        async with LoadedSite("i-1", "i-2", on_call=break_off) as site:
+            await site.report_for(0.5, "i-2")
+            limits = budget.Limits(ratio=0.0, slack=1.5 / 0.7)
+            site.entry._forwarder.set_retry_limits(limits)
+            asks = (site.ask("/stream/1") for _ in range(2))
+            streams = asyncio.gather(*asks)
+            await asyncio.sleep(0.03)
+            site.entry._fleet.find("i-1").gone = True
+            await site.report_for(0.3, "i-2")
+            await site.report_for(0.5)
+            site.entry._forwarder.set_retry_limits(budget.Limits())
+            await site.report_for(0.5)
+            return await streams
+
+    answers = sites.run(play())
+    assert [(a.complete, a.body.decode()) for a in answers] == [
+        (True, WHOLE)
+    ] * 2
+
+
 def test_connections_that_fail_do_not_use_up_the_retry_budget():
     """A stream was broken off for retries of which no server got anything."""
 
