Log how each request of an entry ends, and answer errors outside of its run

Callers saw: a plain 500 without an id, a closed connection, or a refusal, and the entry's log had no line of the request, except for unknown outcomes and errors in the run itself. Cause: only errors in `_run` were caught. Errors while a request was parsed or its answer was sent were left to aiohttp; callers that left and streams that were broken off left neither line nor counter; refusals only a counter. Change: one path for both kinds of requests, request_ended (508) for each with outcome and reason, answer_cut_short (509) with detail and bytes, outcome_undelivered (510) for a request that must not run twice and ends after its caller left, `at` in handler_failed; counters requests.caller_left and requests.cut_short.REASON. The answer is sent in the handler, where its errors are caught; headers are checked before the head is sent, so that an error can still be answered.

--- a/src/clementinegw/requests/_events.py
+++ b/src/clementinegw/requests/_events.py
@@ -54,3 +54,23 @@
     "A caller's request ended in an unexpected error.",
     "This is a defect; report it with the log line.",
 )
+REQUEST_ENDED = events.define(
+    508,
+    "request_ended",
+    events.Level.INFO,
+    "A caller's request has ended; `outcome` and `reason` say how.",
+)
+ANSWER_CUT_SHORT = events.define(
+    509,
+    "answer_cut_short",
+    events.Level.WARNING,
+    "An answer that had begun was cut short, because it could not be"
+    " completed.",
+    "Check `reason`, and the log of the agent for the same request.",
+)
+OUTCOME_UNDELIVERED = events.define(
+    510,
+    "outcome_undelivered",
+    events.Level.INFO,
+    "A request that must not run twice ended after its caller had left.",
+)
--- a/src/clementinegw/requests/_http_reply.py
+++ b/src/clementinegw/requests/_http_reply.py
@@ -2,6 +2,7 @@
 
 import json
 import math
+import re
 
 from aiohttp import web
 
@@ -25,6 +26,7 @@
     types.NotRunReason.TOO_LARGE: 413,
 }
 _UNKNOWN_DEADLINE_STATUS = 504
+_UNSENDABLE = re.compile(r"[\r\n\0]")
 _DROPPED_HEADERS = frozenset(
     {
         "connection",
@@ -47,22 +49,25 @@
       outcome: The outcome of the request.
       status: The HTTP status of a response other than an answer; None derives
         it from the reason of the outcome.
+
+    Raises:
+      ValueError: A header of the answer cannot be sent.
     """
-    headers = {"Clementine-Request-Id": request_id}
+    headers = {
+        "Clementine-Request-Id": request_id,
+        "Clementine-Outcome": kind(outcome),
+    }
     if isinstance(outcome, types.Answered):
-        headers["Clementine-Outcome"] = "answered"
         result = web.Response(status=outcome.status, body=outcome.body)
         _copy_headers(outcome.headers, result)
         result.headers.update(headers)
         return result
     headers["Clementine-Reason"] = outcome.reason.value
     if isinstance(outcome, types.NotRun):
-        headers["Clementine-Outcome"] = "not-run"
         if outcome.retry_after_s is not None:
             headers["Retry-After"] = str(math.ceil(outcome.retry_after_s))
         default = _STATUS_BY_REASON.get(outcome.reason, _NOT_RUN_STATUS)
     else:
-        headers["Clementine-Outcome"] = "unknown"
         past_deadline = outcome.reason is types.UnknownReason.DEADLINE
         default = _UNKNOWN_DEADLINE_STATUS if past_deadline else _UNKNOWN_STATUS
     return web.json_response(
@@ -70,15 +75,36 @@
     )
 
 
+async def send(http: web.Request, response: web.Response) -> None:
+    """Sends a complete response.
+
+    Args:
+      http: The caller's HTTP request.
+      response: The response.
+
+    Raises:
+      ConnectionError: The caller has disconnected.
+    """
+    await response.prepare(http)
+    await response.write_eof()
+
+
+def kind(outcome: types.Outcome) -> str:
+    """Returns the name of an outcome in headers and log lines."""
+    if isinstance(outcome, types.Answered):
+        return "answered"
+    return "not-run" if isinstance(outcome, types.NotRun) else "unknown"
+
+
 def error_document(outcome: types.Outcome) -> dict:
     """Returns the JSON object for an outcome other than an answer."""
     if isinstance(outcome, types.Answered):
         return {}
-    kind = "not_run" if isinstance(outcome, types.NotRun) else "unknown"
+    error_type = "not_run" if isinstance(outcome, types.NotRun) else "unknown"
     message = outcome.detail or outcome.reason.value.replace("_", " ")
     return {
         "error": {
-            "type": kind,
+            "type": error_type,
             "code": outcome.reason.value,
             "message": message,
         }
@@ -99,18 +125,30 @@
         self._request = request
         self._response: web.StreamResponse | None = None
         self._disconnected = False
+        self._bytes_sent = 0
 
     @property
     def begun(self) -> bool:
         """Whether the head of the response was sent."""
         return self._response is not None
 
+    @property
+    def disconnected(self) -> bool:
+        """Whether the caller has disconnected."""
+        return self._disconnected
+
+    @property
+    def bytes_sent(self) -> int:
+        """The number of bytes of the body that were sent."""
+        return self._bytes_sent
+
     async def head(self, head: request_types.Head) -> None:
         """Sends the head of the response.
 
         Raises:
           CallerDisconnected: The caller disconnected, and its request is
             idempotent, so that it can be cancelled.
+          ValueError: A header of the answer cannot be sent.
         """
         result = web.StreamResponse(status=head.status)
         _copy_headers(head.headers, result)
@@ -137,6 +175,8 @@
             await self._response.write(data)
         except ConnectionError:
             self._on_disconnect()
+            return
+        self._bytes_sent += len(data)
 
     async def end(self, outcome: types.Outcome) -> web.StreamResponse:
         """Ends the response, or aborts it if the answer is incomplete.
@@ -150,12 +190,19 @@
           outcome: The outcome of the request.
         """
         assert self._response is not None
-        if isinstance(outcome, types.Answered) or self._disconnected:
+        if self._disconnected:
+            return self._response
+        if isinstance(outcome, types.Answered):
+            try:
+                await self._response.write_eof()
+            except ConnectionError:
+                self._disconnected = True
             return self._response
         event = f"event: error\ndata: {json.dumps(error_document(outcome))}\n\n"
         try:
             await self._response.write(event.encode())
         except ConnectionError:
+            self._disconnected = True
             return self._response
         if self._http.transport is not None:
             self._http.transport.close()
@@ -171,5 +218,8 @@
     headers: tuple[tuple[str, str], ...], result: web.StreamResponse
 ) -> None:
     for name, value in headers:
-        if name not in _DROPPED_HEADERS:
-            result.headers.add(name, value)
+        if name in _DROPPED_HEADERS:
+            continue
+        if _UNSENDABLE.search(name) or _UNSENDABLE.search(value):
+            raise ValueError(f"header {name!r}: expected one line")
+        result.headers.add(name, value)
--- a/src/clementinegw/requests/http.py
+++ b/src/clementinegw/requests/http.py
@@ -1,6 +1,8 @@
 """HTTP handlers for callers: OpenAI-style completions and plain services."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
+import dataclasses
 import itertools
 import json
 import secrets
@@ -21,6 +23,10 @@
 # the limit of the service is known.
 MAX_COMPLETION_BYTES = 8 << 20
 MAX_BODY_BYTES = 64 << 20
+_MAX_TARGET_CHARS = 120
+_MS_PER_S = 1000.0
+
+_Parser = Callable[[web.Request, str], Awaitable[request_types.Request]]
 
 
 class Handlers:
@@ -39,7 +45,7 @@
         Args:
           pipeline: Runs the requests.
           clock: The source of time.
-          log: Receives the unexpected errors.
+          log: Receives the end of each request.
           counters: Counts the outcomes.
           entry: The instance id of this entry, a part of each request id.
         """
@@ -47,6 +53,7 @@
         self._clock = clock
         self._log = log
         self._counters = counters
+        self._stopping = False
         self._ids = itertools.count(1)
         # A restarted entry must not reuse an id, because an agent may still
         # have a record of the attempts made before the restart.
@@ -58,77 +65,226 @@
         app.router.add_post("/v1/chat/completions", self._completion)
         app.router.add_route("*", "/services/{service}", self._plain)
         app.router.add_route("*", "/services/{service}/{rest:.*}", self._plain)
+        app.on_shutdown.append(self._on_shutdown)
 
     async def _completion(self, http: web.Request) -> web.StreamResponse:
-        request_id = self._next_id()
-        try:
-            body = await _http_parse.read_body(http, MAX_COMPLETION_BYTES)
-            request = _http_parse.parse_completion(
-                http, body, request_id, self._pipeline.rules, self._clock.now()
-            )
-        except _http_parse.BadRequest as error:
-            return self._reject(request_id, error)
-        return await self._respond(http, request)
+        return await self._serve(http, self._parse_completion)
 
     async def _plain(self, http: web.Request) -> web.StreamResponse:
-        request_id = self._next_id()
-        try:
-            request = await _http_parse.parse_plain_call(
-                http,
-                request_id,
-                self._pipeline.rules,
-                self._clock.now(),
-                MAX_BODY_BYTES,
-            )
-        except _http_parse.BadRequest as error:
-            return self._reject(request_id, error)
-        return await self._respond(http, request)
+        return await self._serve(http, self._parse_plain_call)
+
+    async def _parse_completion(
+        self, http: web.Request, request_id: str
+    ) -> request_types.Request:
+        body = await _http_parse.read_body(http, MAX_COMPLETION_BYTES)
+        return _http_parse.parse_completion(
+            http, body, request_id, self._pipeline.rules, self._clock.now()
+        )
+
+    async def _parse_plain_call(
+        self, http: web.Request, request_id: str
+    ) -> request_types.Request:
+        return await _http_parse.parse_plain_call(
+            http,
+            request_id,
+            self._pipeline.rules,
+            self._clock.now(),
+            MAX_BODY_BYTES,
+        )
 
-    async def _respond(
-        self, http: web.Request, request: request_types.Request
+    async def _serve(
+        self, http: web.Request, parse: _Parser
     ) -> web.StreamResponse:
-        sink = _http_reply.HttpSink(http, request) if request.stream else None
+        """Answers one request and records how it ended."""
+        call = _Call(self._next_id(), http.path_qs, self._clock.now())
         try:
-            outcome = await self._run(request, sink)
-        except request_types.CallerDisconnected:
+            outcome, status = await self._determine_outcome(http, call, parse)
+            return await self._send(http, call, outcome, status)
+        except asyncio.CancelledError:
+            self._record_left(call)
+            raise
+        except (request_types.CallerDisconnected, ConnectionError):
+            self._record_left(call)
             # The response is never sent; it only ends the handler.
             return web.Response(status=_http_reply.CALLER_DISCONNECTED_STATUS)
+
+    async def _determine_outcome(
+        self, http: web.Request, call: "_Call", parse: _Parser
+    ) -> tuple[types.Outcome, int | None]:
+        """Parses and runs a request.
+
+        Returns:
+          Its outcome, and the HTTP status of a rejection; None for the status
+          of the outcome.
+
+        Raises:
+          CallerDisconnected: The caller has disconnected.
+          ConnectionError: The same.
+        """
+        try:
+            call.request = request = await parse(http, call.request_id)
+            if request.stream:
+                call.sink = _http_reply.HttpSink(http, request)
+            return await self._run(call, request), None
+        except _http_parse.BadRequest as error:
+            self._counters.add(f"requests.not_run.{error.reason.value}")
+            return types.NotRun(error.reason, None, str(error)), error.status
+        except (request_types.CallerDisconnected, ConnectionError):
+            raise
         except Exception as error:
             # An unexpected error must not result in a plain 500, which would
             # report neither the outcome nor the request id.
-            self._counters.add("requests.handler_failed")
-            self._log.write(
-                _events.HANDLER_FAILED,
-                request=request.request_id,
-                error=f"{type(error).__name__}: {error}",
-            )
-            outcome = types.Unknown(types.UnknownReason.HOLDER_LOST)
+            return self._record_failed(call, error), None
+
+    async def _send(
+        self,
+        http: web.Request,
+        call: "_Call",
+        outcome: types.Outcome,
+        status: int | None,
+    ) -> web.StreamResponse:
+        """Sends the answer, or the rest of a streamed one.
+
+        Raises:
+          ConnectionError: The caller has disconnected.
+        """
+        sink = call.sink
         if sink is not None and sink.begun:
-            return await sink.end(outcome)
-        return _http_reply.to_response(request.request_id, outcome)
+            response = await sink.end(outcome)
+            if sink.disconnected:
+                raise request_types.CallerDisconnected
+            if not isinstance(outcome, types.Answered):
+                self._record_cut_short(call, sink, outcome)
+            self._record_ended(call, outcome, response.status)
+            return response
+        try:
+            response = _http_reply.to_response(call.request_id, outcome, status)
+        except ValueError as error:
+            outcome = self._record_failed(call, error)
+            response = _http_reply.to_response(call.request_id, outcome)
+        await _http_reply.send(http, response)
+        self._record_ended(call, outcome, response.status)
+        return response
 
     async def _run(
-        self,
-        request: request_types.Request,
-        sink: request_types.Sink | None,
+        self, call: "_Call", request: request_types.Request
     ) -> types.Outcome:
         if request.idempotent:
-            return await self._pipeline.run(request, sink)
+            return await self._pipeline.run(request, call.sink)
         # If the caller disconnects, a request that must not run twice still
         # runs to its end, so that a retry with the same key gets its outcome.
-        return await asyncio.shield(
-            asyncio.ensure_future(self._pipeline.run(request, sink))
+        task = asyncio.ensure_future(self._pipeline.run(request, call.sink))
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            task.add_done_callback(
+                lambda task: self._record_undelivered(call, task)
+            )
+            raise
+
+    def _record_ended(
+        self,
+        call: "_Call",
+        outcome: types.Outcome | str,
+        status: int,
+        reason: str = "",
+    ) -> None:
+        kind = (
+            outcome if isinstance(outcome, str) else _http_reply.kind(outcome)
+        )
+        if isinstance(outcome, types.NotRun | types.Unknown):
+            reason = outcome.reason.value
+        request = call.request
+        self._log.write(
+            _events.REQUEST_ENDED,
+            request=call.request_id,
+            service="" if request is None else request.service,
+            customer="" if request is None else request.customer,
+            target=call.target[:_MAX_TARGET_CHARS],
+            outcome=kind,
+            reason=reason,
+            status=status,
+            bytes=0 if call.sink is None else call.sink.bytes_sent,
+            total_ms=round((self._clock.now() - call.started_at) * _MS_PER_S),
+        )
+
+    def _record_left(self, call: "_Call") -> None:
+        """Records that the caller left, or that the entry had to stop."""
+        reason = "stopped" if self._stopping else "closed"
+        self._counters.add("requests.caller_left")
+        self._record_ended(call, "caller_left", 0, reason)
+
+    def _record_cut_short(
+        self,
+        call: "_Call",
+        sink: _http_reply.HttpSink,
+        outcome: types.NotRun | types.Unknown,
+    ) -> None:
+        self._counters.add(f"requests.cut_short.{outcome.reason.value}")
+        self._log.write(
+            _events.ANSWER_CUT_SHORT,
+            request=call.request_id,
+            reason=outcome.reason.value,
+            detail=outcome.detail,
+            bytes=sink.bytes_sent,
+        )
+
+    def _record_failed(self, call: "_Call", error: Exception) -> types.Unknown:
+        """Records an unexpected error and returns the outcome to report."""
+        self._counters.add("requests.handler_failed")
+        self._log.write(
+            _events.HANDLER_FAILED,
+            request=call.request_id,
+            error=f"{type(error).__name__}: {error}",
+            at=logs.innermost_frame(error),
+        )
+        return types.Unknown(types.UnknownReason.HOLDER_LOST)
+
+    def _record_undelivered(
+        self, call: "_Call", task: asyncio.Task[types.Outcome]
+    ) -> None:
+        if task.cancelled():
+            outcome: types.Outcome = types.Unknown(
+                types.UnknownReason.HOLDER_LOST
+            )
+        elif isinstance(error := task.exception(), Exception):
+            outcome = self._record_failed(call, error)
+        else:
+            outcome = task.result()
+        self._log.write(
+            _events.OUTCOME_UNDELIVERED,
+            request=call.request_id,
+            outcome=_http_reply.kind(outcome),
+            reason=""
+            if isinstance(outcome, types.Answered)
+            else outcome.reason.value,
         )
 
     def _next_id(self) -> str:
         return f"{self._id_prefix}-{next(self._ids)}"
 
-    def _reject(
-        self, request_id: str, error: _http_parse.BadRequest
-    ) -> web.Response:
-        outcome = types.NotRun(error.reason, None, str(error))
-        self._counters.add(f"requests.not_run.{error.reason.value}")
-        return _http_reply.to_response(request_id, outcome, error.status)
+    async def _on_shutdown(self, app: web.Application) -> None:
+        del app
+        self._stopping = True
+
+
+@dataclasses.dataclass(slots=True)
+class _Call:
+    """A caller's request, as far as it is known.
+
+    Attributes:
+      request_id: The id of the request.
+      target: The path and query.
+      started_at: When its head was received, in monotonic seconds.
+      request: The request; None until it is parsed.
+      sink: Sends a streamed answer; None for other answers.
+    """
+
+    request_id: str
+    target: str
+    started_at: float
+    request: request_types.Request | None = None
+    sink: _http_reply.HttpSink | None = None
 
 
 def make_app(handlers: Handlers) -> web.Application:
--- /dev/null
+++ b/tests/test_requests_ends.py
@@ -0,0 +1,341 @@
+"""Tests of the ways in which a caller's request can end at an entry."""
+
+import asyncio
+import json
+
+from aiohttp import web
+import pytest
+
+from clementinegw import types
+from clementinegw.requests import http as http_lib
+from clementinegw.requests import rules as rules_lib
+from clementinegw.requests import types as request_types
+from clementinegw.telemetry import counters as counters_lib
+from clementinegw.testing import clock as clocks
+
+_GRACE_S = 0.002
+_EVENT = b"id: 1\ndata: {}\n\n"
+_HEAD = request_types.Head(200, (("content-type", "text/event-stream"),), "v1")
+_STREAM = json.dumps(
+    {"model": "assistent", "prompt": "a", "stream": True}
+).encode()
+_ANSWERED = types.Answered(200, (), b"{}")
+
+
+class _Rules(rules_lib.FixedRules):
+    """The settings in force, which can change."""
+
+    def withdraw(self):
+        """Removes all services."""
+        self.rules = lambda service, customer: None
+
+
+def _rules():
+    return _Rules(
+        {
+            "assistent": rules_lib.Rules(
+                "assistent", types.ServiceKind.MODEL_ENGINE
+            ),
+            "magazijn": rules_lib.Rules(
+                "magazijn",
+                types.ServiceKind.PLAIN,
+                operations=(rules_lib.Operation("POST", "/find*", True),),
+            ),
+        }
+    )
+
+
+class _Log:
+    """Records the lines that are written."""
+
+    def __init__(self):
+        self.lines = []
+
+    def write(self, event, **fields):
+        self.lines.append((event.name, fields))
+
+    def named(self, name):
+        return [fields for event, fields in self.lines if event == name]
+
+
+class _Pipeline:
+    """Runs a function in place of the filters."""
+
+    def __init__(self, run):
+        self.rules = _rules()
+        self.requests = []
+        self._run = run
+
+    async def run(self, request, sink=None):
+        self.requests.append(request)
+        return await self._run(request, sink)
+
+
+class _Site:
+    """An entry's HTTP server, and raw connections to it."""
+
+    def __init__(self, run, clock):
+        self.pipeline = _Pipeline(run)
+        self.log = _Log()
+        self.counters = counters_lib.Counters()
+        handlers = http_lib.Handlers(
+            self.pipeline, clock, self.log, self.counters, "entry-1"
+        )
+        self.runner = http_lib.make_runner(http_lib.make_app(handlers))
+        self._writers = []
+
+    async def start(self):
+        await self.runner.setup()
+        await web.TCPSite(self.runner, "127.0.0.1", 0).start()
+
+    async def stop(self):
+        for writer in self._writers:
+            writer.close()
+        await self.runner.cleanup()
+
+    async def open(self, limit=1 << 16):
+        port = self.runner.addresses[0][1]
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", port, limit=limit
+        )
+        self._writers.append(writer)
+        return reader, writer
+
+    async def post(self, path, body, headers=b""):
+        """Sends a request and returns its connection."""
+        reader, writer = await self.open()
+        writer.write(_encode(path, body, headers))
+        return reader, writer
+
+    def the_end(self):
+        """Returns the only line of a request's end."""
+        (line,) = self.log.named("request_ended")
+        assert line["request"].startswith("entry-1-")
+        return line
+
+
+def _encode(path, body, headers=b""):
+    head = f"POST {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {len(body)}\r\n"
+    return head.encode() + headers + b"\r\n" + body
+
+
+async def _read_answer(reader):
+    """Returns the status, the headers and the body of one answer."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode()
+    first, *rest = head.strip().split("\r\n")
+    headers = dict(line.lower().split(": ", 1) for line in rest)
+    body = await reader.readexactly(int(headers["content-length"]))
+    return int(first.split()[1]), headers, body
+
+
+def _run(test, run):
+    """Runs `test(site)` in virtual time with a pipeline that runs `run`."""
+    clock = clocks.VirtualClock()
+
+    async def main():
+        site = _Site(run, clock)
+        await site.start()
+        try:
+            async with asyncio.timeout(600):
+                await test(site)
+        finally:
+            await site.stop()
+
+    clocks.run(main(), clock, _GRACE_S)
+
+
+async def _answer(request, sink):
+    return _ANSWERED
+
+
+def test_answer_leaves_a_line():
+    """Guards against a request that is answered and leaves no trace."""
+
+    async def test(site):
+        reader, _ = await site.post("/v1/completions", _STREAM)
+        status, headers, _ = await _read_answer(reader)
+        line = site.the_end()
+        assert (status, line["outcome"]) == (200, "answered")
+        assert line["request"] == headers["clementine-request-id"]
+        assert line["service"] == "assistent"
+
+    _run(test, _answer)
+
+
+@pytest.mark.parametrize(
+    ("outcome", "status"),
+    [
+        (types.NotRun(types.NotRunReason.OVERLOADED, 1.0), 503),
+        (types.Unknown(types.UnknownReason.CONNECTION_LOST), 502),
+    ],
+)
+def test_refused_request_leaves_a_line(outcome, status):
+    """Guards against a refusal of which only a counter is known."""
+
+    async def run(request, sink):
+        return outcome
+
+    async def test(site):
+        reader, _ = await site.post("/v1/completions", _STREAM)
+        assert (await _read_answer(reader))[0] == status
+        line = site.the_end()
+        assert line["reason"] == outcome.reason.value
+        assert line["status"] == status
+
+    _run(test, run)
+
+
+@pytest.mark.parametrize(
+    ("path", "body", "reason"),
+    [
+        ("/v1/completions", b"{", "bad_request"),
+        ("/services/no/x", b"", "unknown_service"),
+    ],
+)
+def test_rejected_request_leaves_a_line(path, body, reason):
+    """Guards against a caller whose rejection cannot be found in the log."""
+
+    async def test(site):
+        reader, _ = await site.post(path, body)
+        _, headers, _ = await _read_answer(reader)
+        line = site.the_end()
+        assert line["reason"] == reason
+        assert line["request"] == headers["clementine-request-id"]
+
+    _run(test, _answer)
+
+
+def test_broken_off_answer_leaves_a_line_with_its_reason():
+    """Guards against a stream that breaks off without a reason in the log."""
+
+    async def run(request, sink):
+        await sink.head(_HEAD)
+        await sink.data(_EVENT)
+        return types.Unknown(
+            types.UnknownReason.ANSWER_TRUNCATED, "no server of the version"
+        )
+
+    async def test(site):
+        reader, _ = await site.post("/v1/completions", _STREAM)
+        await reader.read()
+        (line,) = site.log.named("answer_cut_short")
+        assert line["request"] == site.the_end()["request"]
+        assert line["reason"] == "answer_truncated"
+        assert line["detail"] == "no server of the version"
+        assert line["bytes"] == len(_EVENT)
+        assert site.counters.value("requests.cut_short.answer_truncated") == 1
+
+    _run(test, run)
+
+
+def test_error_while_a_request_is_parsed_is_answered(monkeypatch):
+    """Guards against a 500 that has neither the request's id nor a line."""
+
+    def fail(*arguments):
+        raise KeyError("odd")
+
+    async def test(site):
+        monkeypatch.setattr(site.pipeline.rules, "rules", fail)
+        reader, _ = await site.post("/v1/completions", _STREAM)
+        status, headers, _ = await _read_answer(reader)
+        assert status == 502
+        (line,) = site.log.named("handler_failed")
+        assert line["request"] == headers["clementine-request-id"]
+        assert line["at"].startswith("test_requests_ends.py:")
+        assert site.counters.value("requests.handler_failed") == 1
+
+    _run(test, _answer)
+
+
+def test_answer_that_cannot_be_sent_is_replaced_by_an_error():
+    """Guards against an answer whose failure only the HTTP library knows."""
+
+    async def run(request, sink):
+        return types.Answered(200, (("x-a", "b\r\nc"),), b"{}")
+
+    async def test(site):
+        reader, _ = await site.post("/services/magazijn/x", b"")
+        status, headers, _ = await _read_answer(reader)
+        assert status == 502
+        assert headers["clementine-reason"] == "holder_lost"
+        assert site.the_end()["reason"] == "holder_lost"
+        assert len(site.log.named("handler_failed")) == 1
+
+    _run(test, run)
+
+
+def test_stream_whose_head_cannot_be_sent_is_answered():
+    """Guards against a stream that ends without any answer."""
+
+    async def run(request, sink):
+        await sink.head(request_types.Head(200, (("x", "b\r\nc"),), "v1"))
+        return _ANSWERED
+
+    async def test(site):
+        reader, _ = await site.post("/v1/completions", _STREAM)
+        status, _, _ = await _read_answer(reader)
+        assert status == 502
+        assert site.the_end()["outcome"] == "unknown"
+
+    _run(test, run)
+
+
+@pytest.mark.parametrize(
+    "path", ["/services/magazijn/find", "/services/magazijn/x"]
+)
+def test_caller_that_leaves_leaves_a_line(path):
+    """Guards against a caller that left and whose request left no line."""
+    released = asyncio.Event()
+
+    async def run(request, sink):
+        await released.wait()
+        return _ANSWERED
+
+    async def test(site):
+        _, writer = await site.post(path, b"")
+        await asyncio.sleep(1)
+        writer.transport.abort()
+        await asyncio.sleep(1)
+        released.set()
+        await asyncio.sleep(1)
+        line = site.the_end()
+        assert line["outcome"] == "caller_left"
+        assert site.counters.value("requests.caller_left") == 1
+
+    _run(test, run)
+
+
+def test_caller_that_leaves_while_its_body_arrives_leaves_a_line():
+    """Guards against a request that was half read and left no line."""
+
+    async def test(site):
+        _, writer = await site.open()
+        writer.write(_encode("/services/magazijn/x", b"1234567890")[:-5])
+        await asyncio.sleep(1)
+        writer.transport.abort()
+        await asyncio.sleep(1)
+        assert site.the_end()["outcome"] == "caller_left"
+
+    _run(test, _answer)
+
+
+def test_caller_that_leaves_a_stream_leaves_a_line():
+    """Guards against a broken stream that looks as if the entry ended it."""
+
+    async def run(request, sink):
+        await sink.head(_HEAD)
+        for _ in range(20):
+            await sink.data(_EVENT)
+            await asyncio.sleep(1)
+        return _ANSWERED
+
+    async def test(site):
+        reader, writer = await site.post("/v1/completions", _STREAM)
+        await reader.readuntil(_EVENT)
+        writer.transport.abort()
+        await asyncio.sleep(5)
+        line = site.the_end()
+        assert line["outcome"] == "caller_left"
+        assert line["bytes"] >= len(_EVENT)
+
+    _run(test, run)
