Answer a plain call whose service is removed while its body arrives

Callers saw: a 500 without an id around a change of the settings. Cause: the service was looked up before the body was read and asserted to be there after it; new settings can remove it in between. Change: it is looked up again after the body, and the call is refused with unknown_service as if it had arrived then.

--- a/src/clementinegw/requests/_http_parse.py
+++ b/src/clementinegw/requests/_http_parse.py
@@ -145,6 +145,8 @@
         path = "/" + path
     _reject_dot_segments(path)
     body = await read_body(http, min(max_body_bytes, rules.max_body_bytes))
+    # The settings may have changed while the body was received.
+    _rules(source, service, http, types.ServiceKind.PLAIN)
     return _build_request(http, request_id, service, path, body, source, now)
 
 
--- a/tests/test_requests_ends.py
+++ b/tests/test_requests_ends.py
@@ -228,6 +228,24 @@
     _run(test, run)
 
 
+def test_service_that_is_removed_while_a_body_arrives_is_answered():
+    """Guards against a 500 without an id after a change of the settings."""
+
+    async def test(site):
+        reader, writer = await site.open()
+        message = _encode("/services/magazijn/x", b"1234567890")
+        writer.write(message[:-5])
+        await asyncio.sleep(1)
+        site.pipeline.rules.withdraw()
+        writer.write(message[-5:])
+        status, headers, _ = await _read_answer(reader)
+        assert status == 404
+        assert headers["clementine-reason"] == "unknown_service"
+        assert site.the_end()["reason"] == "unknown_service"
+
+    _run(test, _answer)
+
+
 def test_error_while_a_request_is_parsed_is_answered(monkeypatch):
     """Guards against a 500 that has neither the request's id nor a line."""
 
