Reject requests whose text cannot be decoded with a message

Callers saw: a 500, or a 502 "may have run", for a request that nothing had been done with: a header that is not UTF-8, a prompt with half a surrogate pair, a Clementine-Timeout-Ms of thousands of digits or of digits other than 0 to 9. Cause: aiohttp keeps bytes that are not UTF-8 as lone surrogates, which the hash of prefixes, the hash of keys and the messages to agents cannot encode; isdigit is true for digits that int does not read. Change: refused as bad_request, naming the part. Evidence: test_text_that_cannot_be_decoded_is_rejected failed before in all 6 cases: three `502 == 400`; three `200 == 400`, where the fake pipeline of the test took a request that a message to an agent cannot encode.

--- a/src/clementinegw/requests/_http_parse.py
+++ b/src/clementinegw/requests/_http_parse.py
@@ -1,6 +1,8 @@
 """Parses and validates callers' HTTP requests."""
 
+from collections.abc import Mapping
 import json
+import re
 from typing import Any
 import urllib.parse
 
@@ -34,6 +36,7 @@
 _MAX_KEY_CHARS = 255
 _DOT_SEGMENTS = frozenset({".", ".."})
 _MAX_NAME_CHARS = 64
+_TIMEOUT_MS = re.compile(r"[0-9]{1,15}")
 _MAX_TOKENS = 1 << 20
 _MAX_PREFIX_BLOCKS = 64
 _BAD_REQUEST = 400
@@ -108,6 +111,9 @@
         raise _too_large(rules.max_body_bytes)
     try:
         prompt = prefixes.prompt_text(data)
+        hashes = prefixes.block_hashes(prompt, _MAX_PREFIX_BLOCKS)
+    except UnicodeEncodeError:
+        raise BadRequest("body: expected Unicode text") from None
     except ValueError as error:
         raise BadRequest(str(error)) from None
     request = _build_request(
@@ -115,7 +121,7 @@
     )
     request.stream = _bool_field(data, "stream")
     request.tokens = _count_field(data, "max_tokens", rules.max_tokens)
-    request.prefixes = prefixes.block_hashes(prompt, _MAX_PREFIX_BLOCKS)
+    request.prefixes = hashes
     return request
 
 
@@ -162,6 +168,15 @@
         raise BadRequest("path: expected no `.` or `..` segments")
 
 
+def _reject_undecodable(headers: Mapping[str, str]) -> None:
+    """Rejects headers other than UTF-8, which messages cannot contain."""
+    for name, value in headers.items():
+        try:
+            value.encode()
+        except UnicodeEncodeError:
+            raise BadRequest(f"{name}: expected UTF-8") from None
+
+
 def _build_request(
     http: web.Request,
     request_id: str,
@@ -172,6 +187,7 @@
     now: float,
 ) -> request_types.Request:
     headers = http.headers
+    _reject_undecodable(headers)
     customer = headers.get("Clementine-Customer", "")
     if len(customer) > _MAX_NAME_CHARS:
         raise BadRequest("Clementine-Customer: expected at most 64 characters")
@@ -245,7 +261,7 @@
     text = headers.get("Clementine-Timeout-Ms")
     if text is None:
         return rules.deadline_s
-    if not text.isdigit() or not int(text):
+    if not _TIMEOUT_MS.fullmatch(text) or not int(text):
         raise BadRequest("Clementine-Timeout-Ms: expected a number above 0")
     return min(int(text) / 1000.0, rules.max_deadline_s)
 
--- a/tests/test_requests_ends.py
+++ b/tests/test_requests_ends.py
@@ -19,6 +19,9 @@
 _STREAM = json.dumps(
     {"model": "assistent", "prompt": "a", "stream": True}
 ).encode()
+_LONE_SURROGATE = json.dumps(
+    {"model": "assistent", "prompt": "\ud800" + "a" * 600}
+).encode()
 _ANSWERED = types.Answered(200, (), b"{}")
 
 
@@ -246,6 +249,30 @@
     _run(test, _answer)
 
 
+@pytest.mark.parametrize(
+    ("body", "headers"),
+    [
+        (_LONE_SURROGATE, b""),
+        (_STREAM, "Clementine-Timeout-Ms: ²\r\n".encode()),
+        (_STREAM, b"Clementine-Timeout-Ms: " + b"9" * 5_000 + b"\r\n"),
+        (_STREAM, b"X-Name: caf\xe9\r\n"),
+        (_STREAM, b"Clementine-Customer: caf\xe9\r\n"),
+        (_STREAM, b"Idempotency-Key: caf\xe9\r\n"),
+    ],
+)
+def test_text_that_cannot_be_decoded_is_rejected(body, headers):
+    """Guards against a 500 or 502 for a request that is only malformed."""
+
+    async def test(site):
+        reader, _ = await site.post("/v1/completions", body, headers)
+        status, fields, _ = await _read_answer(reader)
+        assert status == 400
+        assert fields["clementine-reason"] == "bad_request"
+        assert site.the_end()["reason"] == "bad_request"
+
+    _run(test, _answer)
+
+
 def test_error_while_a_request_is_parsed_is_answered(monkeypatch):
     """Guards against a 500 that has neither the request's id nor a line."""
 
