Refuse a request whose body stops arriving

Callers saw: no answer, for as long as they kept the connection open. Cause: reading a body had no limit in time. aiohttp gives the reader of a body neither a part nor an error after a malformed chunk, so such a request hung as well. Change: the next part of a body is awaited for 20 s at most, as long as `direct` waits for a body; then the call is refused with 408 and bad_request. Evidence: test_body_that_does_not_arrive_is_refused failed before in both cases: no answer within 600 s.

--- a/src/clementinegw/requests/_http_parse.py
+++ b/src/clementinegw/requests/_http_parse.py
@@ -1,5 +1,6 @@
 """Parses and validates callers' HTTP requests."""
 
+import asyncio
 from collections.abc import Mapping
 import json
 import re
@@ -41,7 +42,11 @@
 _MAX_PREFIX_BLOCKS = 64
 _BAD_REQUEST = 400
 _NOT_FOUND = 404
+_TIMEOUT = 408
 _TOO_LARGE = 413
+# The longest wait for the next part of a body, in seconds. The reader of a body
+# with a malformed chunk gets neither a part nor an error from aiohttp.
+_MAX_BODY_SILENCE_S = 20.0
 
 
 class BadRequest(Exception):  # noqa: N818
@@ -71,13 +76,14 @@
       limit: The maximum size, in bytes.
 
     Raises:
-      BadRequest: The body is larger than the limit.
+      BadRequest: The body is larger than the limit, or its next part does not
+        arrive in time.
     """
     if (http.content_length or 0) > limit:
         raise _too_large(limit)
     chunks = []
     size = 0
-    async for chunk in http.content.iter_any():
+    while chunk := await _read_part(http):
         size += len(chunk)
         if size > limit:
             raise _too_large(limit)
@@ -85,6 +91,14 @@
     return b"".join(chunks)
 
 
+async def _read_part(http: web.Request) -> bytes:
+    try:
+        async with asyncio.timeout(_MAX_BODY_SILENCE_S):
+            return await http.content.readany()
+    except TimeoutError:
+        raise BadRequest("body: not received in time", _TIMEOUT) from None
+
+
 def parse_completion(
     http: web.Request,
     body: bytes,
--- a/tests/test_requests_ends.py
+++ b/tests/test_requests_ends.py
@@ -384,3 +384,21 @@
         assert line["bytes"] >= len(_EVENT)
 
     _run(test, run)
+
+
+@pytest.mark.parametrize("rest", [b"odd\r\n", b""])
+def test_body_that_does_not_arrive_is_refused(rest):
+    """Guards against a request that is read in part and waits for ever."""
+
+    async def test(site):
+        reader, writer = await site.open()
+        head = "POST /services/magazijn/x HTTP/1.1\r\nHost: x\r\n"
+        writer.write(head.encode() + b"Transfer-Encoding: chunked\r\n\r\n")
+        await asyncio.sleep(1)
+        writer.write(rest)
+        status, headers, _ = await _read_answer(reader)
+        assert status == 408
+        assert headers["clementine-reason"] == "bad_request"
+        assert site.the_end()["reason"] == "bad_request"
+
+    _run(test, _answer)
