Close the connections of callers that read nothing of their answer

Callers saw: nothing; a caller that stops reading keeps its connection, a slot of a worker and its part of the customer's limit for as long as it likes. Cause: the wait for a caller to read had no limit, and the request's deadline ends attempts only, not the sending of what was received. Change: while an answer is written, the bytes that are not sent yet are looked at every 5 s; a caller that has read none of them between two checks is cut off, and request_ended says caller_left with reason slow. A slow caller that reads on is not, however long its answer takes. Evidence: test_caller_that_does_not_read_its_stream_is_cut_off and test_caller_that_does_not_read_its_answer_is_cut_off failed before: no end of the request within 60 s. test_caller_that_reads_slowly_gets_its_whole_answer passed before and passes now.

--- a/src/clementinegw/requests/_http_reply.py
+++ b/src/clementinegw/requests/_http_reply.py
@@ -1,5 +1,8 @@
 """Builds the HTTP responses for outcomes of requests."""
 
+import asyncio
+from collections.abc import Iterator
+import contextlib
 import json
 import math
 import re
@@ -26,6 +29,8 @@
     types.NotRunReason.TOO_LARGE: 413,
 }
 _UNKNOWN_DEADLINE_STATUS = 504
+# The interval between checks of whether a caller reads, in seconds.
+_READ_CHECK_INTERVAL_S = 5.0
 _UNSENDABLE = re.compile(r"[\r\n\0]")
 _DROPPED_HEADERS = frozenset(
     {
@@ -75,20 +80,6 @@
     )
 
 
-async def send(http: web.Request, response: web.Response) -> None:
-    """Sends a complete response.
-
-    Args:
-      http: The caller's HTTP request.
-      response: The response.
-
-    Raises:
-      ConnectionError: The caller has disconnected.
-    """
-    await response.prepare(http)
-    await response.write_eof()
-
-
 def kind(outcome: types.Outcome) -> str:
     """Returns the name of an outcome in headers and log lines."""
     if isinstance(outcome, types.Answered):
@@ -111,17 +102,89 @@
     }
 
 
+class Writer:
+    """Writes an answer and closes the connection of a caller that reads none.
+
+    Attributes:
+      slow: Whether the connection was closed for that.
+    """
+
+    def __init__(self, http: web.Request):
+        """Writes nothing yet.
+
+        Args:
+          http: The caller's HTTP request.
+        """
+        self.slow = False
+        self._http = http
+        self._timer: asyncio.TimerHandle | None = None
+
+    async def send(self, response: web.Response) -> None:
+        """Sends a complete response.
+
+        Raises:
+          ConnectionError: The caller has disconnected.
+        """
+        await self.prepare(response)
+        await self.end(response)
+
+    async def prepare(self, response: web.StreamResponse) -> None:
+        """Sends the head of a response; raises as `send` does."""
+        with self._watch():
+            await response.prepare(self._http)
+
+    async def write(self, response: web.StreamResponse, data: bytes) -> None:
+        """Sends a part of a response; raises as `send` does."""
+        with self._watch():
+            await response.write(data)
+
+    async def end(self, response: web.StreamResponse) -> None:
+        """Sends the end of a response; raises as `send` does."""
+        with self._watch():
+            await response.write_eof()
+
+    def close(self) -> None:
+        """Closes the connection once everything was sent."""
+        if self._http.transport is not None:
+            self._http.transport.close()
+
+    @contextlib.contextmanager
+    def _watch(self) -> Iterator[None]:
+        self._schedule_check(math.inf)
+        try:
+            yield
+        finally:
+            assert self._timer is not None
+            self._timer.cancel()
+
+    def _schedule_check(self, unsent_bytes: float) -> None:
+        self._timer = asyncio.get_running_loop().call_later(
+            _READ_CHECK_INTERVAL_S, self._check, unsent_bytes
+        )
+
+    def _check(self, last_unsent_bytes: float) -> None:
+        transport = self._http.transport
+        if transport is None:
+            return
+        unsent_bytes = transport.get_write_buffer_size()
+        if unsent_bytes >= last_unsent_bytes:
+            self.slow = True
+            transport.abort()
+        else:
+            self._schedule_check(unsent_bytes)
+
+
 class HttpSink:
     """Sends a streamed answer to a caller as it is received."""
 
-    def __init__(self, http: web.Request, request: request_types.Request):
+    def __init__(self, writer: Writer, request: request_types.Request):
         """Stores the request; nothing is sent yet.
 
         Args:
-          http: The caller's HTTP request.
+          writer: Writes to the caller's connection.
           request: The request that was parsed from it.
         """
-        self._http = http
+        self._writer = writer
         self._request = request
         self._response: web.StreamResponse | None = None
         self._disconnected = False
@@ -157,7 +220,7 @@
             result.headers["Clementine-Version"] = head.version
         self._response = result
         try:
-            await result.prepare(self._http)
+            await self._writer.prepare(result)
         except ConnectionError:
             self._on_disconnect()
 
@@ -172,7 +235,7 @@
         if self._disconnected:
             return
         try:
-            await self._response.write(data)
+            await self._writer.write(self._response, data)
         except ConnectionError:
             self._on_disconnect()
             return
@@ -194,18 +257,17 @@
             return self._response
         if isinstance(outcome, types.Answered):
             try:
-                await self._response.write_eof()
+                await self._writer.end(self._response)
             except ConnectionError:
                 self._disconnected = True
             return self._response
         event = f"event: error\ndata: {json.dumps(error_document(outcome))}\n\n"
         try:
-            await self._response.write(event.encode())
+            await self._writer.write(self._response, event.encode())
         except ConnectionError:
             self._disconnected = True
             return self._response
-        if self._http.transport is not None:
-            self._http.transport.close()
+        self._writer.close()
         return self._response
 
     def _on_disconnect(self) -> None:
--- a/src/clementinegw/requests/http.py
+++ b/src/clementinegw/requests/http.py
@@ -96,10 +96,15 @@
         self, http: web.Request, parse: _Parser
     ) -> web.StreamResponse:
         """Answers one request and records how it ended."""
-        call = _Call(self._next_id(), http.path_qs, self._clock.now())
+        call = _Call(
+            self._next_id(),
+            http.path_qs,
+            self._clock.now(),
+            _http_reply.Writer(http),
+        )
         try:
             outcome, status = await self._determine_outcome(http, call, parse)
-            return await self._send(http, call, outcome, status)
+            return await self._send(call, outcome, status)
         except asyncio.CancelledError:
             self._record_left(call)
             raise
@@ -124,7 +129,7 @@
         try:
             call.request = request = await parse(http, call.request_id)
             if request.stream:
-                call.sink = _http_reply.HttpSink(http, request)
+                call.sink = _http_reply.HttpSink(call.writer, request)
             return await self._run(call, request), None
         except _http_parse.BadRequest as error:
             self._counters.add(f"requests.not_run.{error.reason.value}")
@@ -138,7 +143,6 @@
 
     async def _send(
         self,
-        http: web.Request,
         call: "_Call",
         outcome: types.Outcome,
         status: int | None,
@@ -162,7 +166,7 @@
         except ValueError as error:
             outcome = self._record_failed(call, error)
             response = _http_reply.to_response(call.request_id, outcome)
-        await _http_reply.send(http, response)
+        await call.writer.send(response)
         self._record_ended(call, outcome, response.status)
         return response
 
@@ -211,6 +215,8 @@
     def _record_left(self, call: "_Call") -> None:
         """Records that the caller left, or that the entry had to stop."""
         reason = "stopped" if self._stopping else "closed"
+        if call.writer.slow:
+            reason = "slow"
         self._counters.add("requests.caller_left")
         self._record_ended(call, "caller_left", 0, reason)
 
@@ -276,6 +282,7 @@
       request_id: The id of the request.
       target: The path and query.
       started_at: When its head was received, in monotonic seconds.
+      writer: Writes to the caller's connection.
       request: The request; None until it is parsed.
       sink: Sends a streamed answer; None for other answers.
     """
@@ -283,6 +290,7 @@
     request_id: str
     target: str
     started_at: float
+    writer: _http_reply.Writer
     request: request_types.Request | None = None
     sink: _http_reply.HttpSink | None = None
 
--- a/tests/test_requests_ends.py
+++ b/tests/test_requests_ends.py
@@ -402,3 +402,59 @@
         assert site.the_end()["reason"] == "bad_request"
 
     _run(test, _answer)
+
+
+def test_caller_that_does_not_read_its_stream_is_cut_off():
+    """Guards against a stalled caller that holds a worker's slot for ever."""
+    ended = asyncio.Event()
+
+    async def run(request, sink):
+        await sink.head(_HEAD)
+        try:
+            while True:
+                await sink.data(b"id: 1\ndata: " + b"x" * (1 << 20) + b"\n\n")
+        finally:
+            ended.set()
+
+    async def test(site):
+        await site.post("/v1/completions", _STREAM)
+        async with asyncio.timeout(60):
+            await ended.wait()
+        await asyncio.sleep(0)
+        line = site.the_end()
+        assert (line["outcome"], line["reason"]) == ("caller_left", "slow")
+
+    _run(test, run)
+
+
+def test_caller_that_does_not_read_its_answer_is_cut_off():
+    """Guards against answers that stay in memory for a stalled caller."""
+
+    async def run(request, sink):
+        return types.Answered(200, (), b"x" * (64 << 20))
+
+    async def test(site):
+        await site.post("/services/magazijn/x", b"")
+        await asyncio.sleep(60)
+        line = site.the_end()
+        assert (line["outcome"], line["reason"]) == ("caller_left", "slow")
+
+    _run(test, run)
+
+
+def test_caller_that_reads_slowly_gets_its_whole_answer():
+    """Guards against callers on slow links that are taken for stalled."""
+    size = 32 << 20
+
+    async def run(request, sink):
+        return types.Answered(200, (), b"x" * size)
+
+    async def test(site):
+        reader, _ = await site.post("/services/magazijn/x", b"")
+        await reader.readuntil(b"\r\n\r\n")
+        for _ in range(32):
+            await reader.readexactly(size // 32)
+            await asyncio.sleep(2)
+        assert site.the_end()["outcome"] == "answered"
+
+    _run(test, run)
