Fail an attempt that an unexpected error ends at the agent

Callers saw: no answer until their deadline, and then a 504. Cause: an error other than those of the backend server or the connection left Runner.run. The endpoint logged it without the request's id and closed the call, but sent the entry nothing, and the gate kept the attempt's slot for good: after as many errors as it has slots an agent accepts nothing, and never finishes leaving. Change: such an error ends the attempt: attempt_failed (608) with request, attempt, error and place, counter gate.failed.error, FAILED to the entry, which retries an idempotent request elsewhere and answers others with holder_lost.

--- a/src/clementinegw/gate/_events.py
+++ b/src/clementinegw/gate/_events.py
@@ -55,3 +55,10 @@
     "The engine no longer has the weights whose load was verified.",
     "The engine was restarted; the weights are loaded again automatically.",
 )
+ATTEMPT_FAILED = events.define(
+    608,
+    "attempt_failed",
+    events.Level.ERROR,
+    "An attempt ended in an unexpected error.",
+    "This is a defect; report it with the log line.",
+)
--- a/src/clementinegw/gate/_run.py
+++ b/src/clementinegw/gate/_run.py
@@ -8,6 +8,7 @@
 from clementinegw.gate import _context
 from clementinegw.gate import _events
 from clementinegw.gate import types
+from clementinegw.telemetry import logs
 
 _MS = 1000.0
 _REFUSAL_BY_CODE = {"wrong_version": types.RefusalReason.WRONG_VERSION}
@@ -53,6 +54,18 @@
                 raise
             task.uncancel()
             return types.Fail(call.id, call.aborted)
+        except Exception as error:
+            # Without an end, the attempt would hold its slot for good, and its
+            # entry would wait until the deadline.
+            self._log.write(
+                _events.ATTEMPT_FAILED,
+                request=call.id.request_id,
+                attempt=call.id.attempt,
+                error=f"{type(error).__name__}: {error}",
+                at=logs.innermost_frame(error),
+            )
+            self.cancel(call.id)
+            return self._fail(call, types.FailureReason.ERROR)
         finally:
             call.set_task(None)
             self._disconnected.discard(call.id)
--- a/src/clementinegw/gate/types.py
+++ b/src/clementinegw/gate/types.py
@@ -116,6 +116,7 @@
     CANCELLED = "cancelled"
     DUPLICATE = "duplicate"
     WRONG_WEIGHTS = "wrong_weights"
+    ERROR = "error"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/clementinegw/requests/_attempt.py
+++ b/src/clementinegw/requests/_attempt.py
@@ -266,4 +266,6 @@
     "fenced": types.NotRunReason.CLAIM_LOST,
     "cancelled": types.NotRunReason.TOMBSTONED,
 }
-_UNKNOWN_REASONS = {reason.value: reason for reason in types.UnknownReason}
+_UNKNOWN_REASONS = {reason.value: reason for reason in types.UnknownReason} | {
+    "error": types.UnknownReason.HOLDER_LOST,
+}
--- /dev/null
+++ b/tests/test_gate_ends.py
@@ -0,0 +1,165 @@
+"""Tests of the ways in which an attempt can end at a gate."""
+
+import requests_script as script
+
+from clementinegw import types
+from clementinegw.backend import types as backend_types
+from clementinegw.bench import _requests_network as network
+from clementinegw.gate import backends
+from clementinegw.gate import service
+from clementinegw.telemetry import counters as counters_lib
+from clementinegw.wire import codec
+from clementinegw.wire import connection
+from clementinegw.wire.gen.requests import ttypes
+
+Kind = connection.Kind
+_FINAL_KINDS = (Kind.ANSWER_END, Kind.REFUSED, Kind.FAILED)
+_HEALTH = backends.Health(True, "v1", "d1", 0.0, 4)
+
+
+class _Log:
+    """Records the lines that are written."""
+
+    def __init__(self):
+        self.lines = []
+
+    def write(self, event, **fields):
+        self.lines.append((event.name, fields))
+
+    def named(self, name):
+        return [fields for event, fields in self.lines if event == name]
+
+
+class _Backend:
+    """A backend server that answers by a script.
+
+    Attributes:
+      answer: Called with a submission; returns an iterator over its events.
+      probe: Returns its health.
+    """
+
+    kind = types.ServiceKind.MODEL_ENGINE
+
+    def __init__(self, answer, probe=None):
+        self.start = answer
+        self.probe = probe or self._probe
+
+    async def _probe(self):
+        return _HEALTH
+
+    async def prefixes(self):
+        return []
+
+    async def cancel(self, request_id):
+        pass
+
+
+class _Site:
+    """A gate on connections in memory, and a connected entry."""
+
+    def __init__(self, clock, backend):
+        self.clock = clock
+        self.log = _Log()
+        self.counters = counters_lib.Counters()
+        network.CURRENT_HOST.set("agent")
+        identity = connection.Identity("agent", types.Role.AGENT, script.PLACE)
+        self._agent = connection.Endpoint(identity, script.KEYS, self.log)
+        self.gate = service.GateService(
+            self._agent,
+            backend,
+            "s",
+            clock=clock,
+            log=self.log,
+            counters=self.counters,
+        )
+
+    async def start(self):
+        address = await self._agent.listen(types.Address("127.0.0.1", 0))
+        await self.gate.start()
+        self.gate.resume("v1", "d1")
+        network.CURRENT_HOST.set("entry")
+        identity = connection.Identity("entry", types.Role.ENTRY, script.PLACE)
+        self._entry = connection.Endpoint(identity, script.KEYS, script.LOG)
+        self.connection = await self._entry.connect(address)
+
+    async def stop(self):
+        await self.gate.stop()
+        await self._entry.close()
+        await self._agent.close()
+
+    async def submit(self, request_id, deadline_s=60.0):
+        """Returns the frames that answer an attempt."""
+        message = ttypes.Submit(
+            request_id=request_id,
+            attempt=1,
+            customer="c",
+            method="POST",
+            path="/v1/completions",
+            headers=[],
+            body=b"{}",
+            deadline_ms=int(deadline_s * 1000),
+            priority=1,
+            idempotent=True,
+            stream=True,
+            fingerprint=b"f" * 16,
+            revision=1,
+            claim_offset=0,
+            idempotency_key="",
+            resume_tokens=0,
+            version="",
+            alone=False,
+            incarnation=0,
+            sent_ms=0,
+        )
+        exchange = self.connection.open()
+        try:
+            await exchange.send(Kind.SUBMIT, codec.encode(message))
+            frames = []
+            while not frames or frames[-1].kind not in _FINAL_KINDS:
+                frames.append(await exchange.receive(deadline_s + 10))
+            return frames
+        finally:
+            exchange.close()
+
+
+def _run(test, answer, probe=None):
+    """Runs `test(site)` in virtual time."""
+
+    async def main(clock, loop):
+        site = _Site(clock, _Backend(answer, probe))
+        await site.start()
+        try:
+            await test(site)
+        finally:
+            await site.stop()
+
+    script.run(main)
+
+
+async def _answer(submit):
+    yield backend_types.Head(200, (), "v1", "d1")
+    yield backend_types.Data(b"data: [DONE]\n\n")
+    yield backend_types.End()
+
+
+def test_unexpected_error_fails_its_attempt_only():
+    """Guards against slots that stay taken, and entries without an answer."""
+
+    async def answer(submit):
+        yield backend_types.Head(200, (), "v1", "d1")
+        if submit.request_id == "odd":
+            raise KeyError("odd")
+        yield backend_types.End()
+
+    async def test(site):
+        frames = await site.submit("odd")
+        assert frames[-1].kind == Kind.FAILED
+        (line,) = site.log.named("attempt_failed")
+        assert (line["request"], line["attempt"]) == ("odd", 1)
+        assert line["error"] == "KeyError: 'odd'"
+        assert line["at"].startswith("test_gate_ends.py:")
+        assert site.counters.value("gate.failed.error") == 1
+        assert site.gate.load.in_flight == 0
+        assert (await site.submit("plain"))[-1].kind == Kind.ANSWER_END
+
+    _run(test, answer)
