Take an engine's odd status for a failed call, not for the agent's end

Callers saw: refusals for want of a worker; the agent's process lived on, but probed nothing, told no load and expired no records. Cause: the fields of an engine's status, cache events and answer to a cancellation were taken from JSON as they were; one that is missing, has another type or is new raised TypeError or AttributeError, which nothing between the client and the gate's probe loop translates. The error crashed GateService, and mode's crash sets should_stop on the whole tree of services. A field added by a newer engine did it. Change: the answers are validated at the border; fields that are not known are ignored, malformed ones are BackendLost, as for any answer that cannot be parsed. Evidence: test_odd_status_of_an_engine_does_not_end_the_agent failed before in all 7 cases: the gate had crashed within 3 s.

--- a/src/clementinegw/backend/engine.py
+++ b/src/clementinegw/backend/engine.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 import multidict
+import pydantic
 
 from clementinegw.backend import _http
 from clementinegw.backend import _stream
@@ -30,6 +31,19 @@
 AnswerStream = _stream.AnswerStream
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _CancelAnswer:
+    """The answer to a cancellation."""
+
+    state: types.CancelState
+
+
+_STATUS = pydantic.TypeAdapter(types.EngineStatus)
+_CACHE_EVENTS = pydantic.TypeAdapter(types.CacheEvents)
+_STAGING_STATUS = pydantic.TypeAdapter(types.StagingStatus)
+_CANCEL_ANSWER = pydantic.TypeAdapter(_CancelAnswer)
+
+
 class EngineClient:
     """Sends requests and orders to one model engine, without retries.
 
@@ -105,7 +119,8 @@
     async def cancel(self, request_id: str) -> types.CancelState:
         """Cancels a request and returns the state it was in."""
         answer = await self._post("/cancel", {"request_id": request_id})
-        return types.CancelState(answer["state"])
+        with _http.translate_errors(f"cancel at {self._base_url}"):
+            return _CANCEL_ANSWER.validate_python(answer).state
 
     async def stage_chunk(
         self, chunk_digest: str, data: bytes
@@ -148,11 +163,8 @@
     async def staging_status(self) -> types.StagingStatus:
         """Returns the staged digests and the memory they use."""
         answer = await self._get("/staging")
-        return types.StagingStatus(
-            tuple(answer["digests"]),
-            answer["used_bytes"],
-            answer["limit_bytes"],
-        )
+        with _http.translate_errors(f"staging at {self._base_url}"):
+            return _STAGING_STATUS.validate_python(answer)
 
     async def load(
         self, order: types.LoadOrder
@@ -191,23 +203,13 @@
         """Returns the status that the engine reports."""
         answer = await self._get("/status")
         with _http.translate_errors(f"status at {self._base_url}"):
-            answer["adapters"] = tuple(sorted(answer["adapters"].items()))
-            answer["role"] = types.EngineRole(answer["role"])
-            return types.EngineStatus(**answer)
+            return _parse_status(answer)
 
     async def cache_events(self, after: int) -> types.CacheEvents:
         """Returns the cache events with a sequence number above `after`."""
         answer = await self._get(f"/cache/events?after={after}")
         with _http.translate_errors(f"cache events at {self._base_url}"):
-            events = tuple(
-                types.CacheEvent(
-                    event["sequence"],
-                    types.CacheChange(event["change"]),
-                    tuple(event["blocks"]),
-                )
-                for event in answer["events"]
-            )
-            return types.CacheEvents(answer["first"], answer["next"], events)
+            return _CACHE_EVENTS.validate_python(answer)
 
     async def export_kv(self, request_id: str) -> bytes | None:
         """Returns the KV cache of a running request; None if it has none."""
@@ -267,6 +269,20 @@
                 return answer
 
 
+def _parse_status(answer: Any) -> types.EngineStatus:
+    """Returns an engine's status; ignores fields that are not known.
+
+    Raises:
+      ValueError: A field is missing or malformed.
+    """
+    if not isinstance(answer, dict):
+        raise ValueError("expected an object")
+    adapters = answer.get("adapters")
+    if isinstance(adapters, dict):
+        adapters = tuple(sorted(adapters.items()))
+    return _STATUS.validate_python({**answer, "adapters": adapters})
+
+
 def _request_headers(
     request: types.Completion,
 ) -> "multidict.CIMultiDict[str]":
--- a/tests/test_gate_ends.py
+++ b/tests/test_gate_ends.py
@@ -1,13 +1,20 @@
 """Tests of the ways in which an attempt can end at a gate."""
 
+import asyncio
+
+from aiohttp import web
+import pytest
 import requests_script as script
 
 from clementinegw import types
+from clementinegw.backend import engine
+from clementinegw.backend import sessions
 from clementinegw.backend import types as backend_types
 from clementinegw.bench import _requests_network as network
 from clementinegw.gate import backends
 from clementinegw.gate import service
 from clementinegw.telemetry import counters as counters_lib
+from clementinegw.testing import clock as clocks
 from clementinegw.wire import codec
 from clementinegw.wire import connection
 from clementinegw.wire.gen.requests import ttypes
@@ -163,3 +170,68 @@
         assert (await site.submit("plain"))[-1].kind == Kind.ANSWER_END
 
     _run(test, answer)
+
+
+_STATUS = {
+    "model": "m",
+    "version": "v1",
+    "digest": "d1",
+    "adapters": {},
+    "role": "mixed",
+    "fencing": 1,
+    "load": 0.0,
+    "running": 0,
+    "waiting": 0,
+    "capacity": 4,
+    "loading": "",
+}
+_EVENTS = {"first": 1, "next": 1, "events": []}
+
+
+@pytest.mark.parametrize(
+    ("status", "cache_events"),
+    [
+        ([], _EVENTS),
+        (_STATUS | {"adapters": None}, _EVENTS),
+        (_STATUS | {"capacity": "many"}, _EVENTS),
+        (_STATUS | {"added": 1}, _EVENTS),
+        (_STATUS, []),
+        (_STATUS, {"first": None, "next": 1, "events": []}),
+        (_STATUS, {"first": 1, "next": 2, "events": [1]}),
+    ],
+)
+def test_odd_status_of_an_engine_does_not_end_the_agent(status, cache_events):
+    """Guards against an agent that lives on and does nothing any more."""
+
+    async def main():
+        bodies = {"/status": status, "/cache/events": cache_events}
+
+        async def respond(request):
+            return web.json_response(bodies[request.path])
+
+        app = web.Application()
+        app.router.add_get("/{path:.*}", respond)
+        runner = web.AppRunner(app)
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        port = runner.addresses[0][1]
+        session = sessions.create()
+        client = engine.EngineClient(f"http://127.0.0.1:{port}", session)
+        identity = connection.Identity("agent", types.Role.AGENT, script.PLACE)
+        gate = service.GateService(
+            connection.Endpoint(identity, script.KEYS, script.LOG),
+            backends.EngineBackend(client),
+            "s",
+            clock=clock,
+        )
+        await gate.start()
+        try:
+            await asyncio.sleep(3)
+            assert not gate.crashed
+        finally:
+            await gate.stop()
+            await session.close()
+            await runner.cleanup()
+
+    clock = clocks.VirtualClock()
+    clocks.run(main(), clock, 0.002)
