Pass on headers of backend servers that are not UTF-8

Cause: aiohttp keeps such bytes as lone surrogates, which no message can contain. Change: the value is read as Latin-1, as headers were before. Evidence: test_header_of_a_server_that_is_not_utf_8_is_passed_on failed before: FAILED with reason error in place of ANSWER_END.

--- a/src/clementinegw/backend/_http.py
+++ b/src/clementinegw/backend/_http.py
@@ -33,12 +33,27 @@
 ) -> types.Headers:
     """Returns an answer's headers without the hop-by-hop ones."""
     return tuple(
-        (name.lower(), value)
+        (name.lower(), _to_text(value))
         for name, value in headers.items()
         if name.lower() not in _HOP_BY_HOP
     )
 
 
+def _to_text(value: str) -> str:
+    """Returns a header's value as text that can be encoded.
+
+    aiohttp keeps bytes that are not UTF-8 as lone surrogates. The value is then
+    read as Latin-1, the former encoding of headers.
+    """
+    if value.isascii():
+        return value
+    data = value.encode("utf-8", "surrogateescape")
+    try:
+        return data.decode()
+    except UnicodeDecodeError:
+        return data.decode("latin-1")
+
+
 def outgoing_headers(headers: types.Headers) -> "multidict.CIMultiDict[str]":
     """Returns a caller's headers without the hop-by-hop ones."""
     result: multidict.CIMultiDict[str] = multidict.CIMultiDict()
--- a/tests/test_gate_ends.py
+++ b/tests/test_gate_ends.py
@@ -3,10 +3,12 @@
 import asyncio
 
 from aiohttp import web
+import multidict
 import pytest
 import requests_script as script
 
 from clementinegw import types
+from clementinegw.backend import _http
 from clementinegw.backend import engine
 from clementinegw.backend import sessions
 from clementinegw.backend import types as backend_types
@@ -235,3 +237,21 @@
 
     clock = clocks.VirtualClock()
     clocks.run(main(), clock, 0.002)
+
+
+def test_header_of_a_server_that_is_not_utf_8_is_passed_on():
+    """Guards against an answer that is lost because of one of its headers."""
+
+    async def answer(submit):
+        received = multidict.CIMultiDict({"X-Name": "caf\udce9"})
+        headers = _http.end_to_end_headers(multidict.CIMultiDictProxy(received))
+        yield backend_types.Head(200, headers, "v1", "d1")
+        yield backend_types.End()
+
+    async def test(site):
+        frames = await site.submit("r1")
+        assert frames[-1].kind == Kind.ANSWER_END
+        head = codec.decode(ttypes.AnswerHead, frames[0].body)
+        assert [(h.name, h.value) for h in head.headers] == [("x-name", "café")]
+
+    _run(test, answer)
