Answer the requests that an entry cannot finish before it stops

Callers saw: a connection that closed without an answer, up to two minutes after the grace time: aiohttp waits 60 s for handlers, and then cancels them. Cause: Pipeline.drain logged how many requests still ran after the grace time and returned; nothing ended them. The same after a second signal, which cancels drain. Change: drain ends each running request, with leaving if no worker was sent it, else with holder_lost; the handler answers, and the attempt is cancelled at its agent. A claim whose request was never sent is settled as not run for the same reason. Evidence: test_request_that_outlasts_the_grace_time_is_answered (both cases) and test_request_that_waits_at_the_end_of_the_grace_time_was_not_run failed before: the runs were still pending 1 s after drain.

--- a/src/clementinegw/requests/pipeline.py
+++ b/src/clementinegw/requests/pipeline.py
@@ -73,6 +73,7 @@
         self._rng = rng
         self._running = 0
         self._draining = False
+        self._scopes: set[asyncio.Timeout] = set()
         self._idle = asyncio.Event()
         self._idle.set()
 
@@ -113,6 +114,9 @@
     async def drain(self, grace_s: float) -> bool:
         """Refuses new requests and waits for the running ones.
 
+        Requests that run longer, or still run if this call is cancelled, end
+        with an outcome, so that their callers are answered.
+
         Args:
           grace_s: The maximum time to wait, in seconds.
 
@@ -124,10 +128,19 @@
         try:
             await asyncio.wait_for(self._idle.wait(), grace_s)
         except TimeoutError:
-            self._log.write(_events.DRAIN_CUT, running=self._running)
+            self._end_running()
             return False
+        except asyncio.CancelledError:
+            self._end_running()
+            raise
         return True
 
+    def _end_running(self) -> None:
+        self._log.write(_events.DRAIN_CUT, running=self._running)
+        now = asyncio.get_running_loop().time()
+        for scope in self._scopes:
+            scope.reschedule(now)
+
     async def _run(
         self, request: Request, sink: request_types.Sink | None
     ) -> types.Outcome:
@@ -158,13 +171,29 @@
         )
         outcome: types.Outcome | None = None
         try:
-            outcome = await self._run_checked(state)
+            outcome = await self._run_until_stopped(state)
             return outcome
         finally:
             used = state.tokens + tokens - request.tokens
             ran = outcome is None or not isinstance(outcome, types.NotRun)
             self._limiter.release(rules, request.customer, tokens, used, ran)
 
+    async def _run_until_stopped(
+        self, state: request_state.RequestState
+    ) -> types.Outcome:
+        """Runs the request until it ends or the entry can wait no longer."""
+        scope = asyncio.timeout(None)
+        self._scopes.add(scope)
+        try:
+            async with scope:
+                return await self._run_checked(state)
+        except TimeoutError:
+            if not scope.expired():
+                raise
+            return _interrupted(state)
+        finally:
+            self._scopes.discard(scope)
+
     def _reject_unresolved(self) -> types.NotRun:
         if not self._rules.ready():
             return types.NotRun(types.NotRunReason.NO_SETTINGS, _RETRY_S)
@@ -193,14 +222,14 @@
         if isinstance(result, request_types.ClaimRefused):
             return result.outcome
         state.claim_offset = result.offset
-        outcome: types.Outcome = types.Unknown(types.UnknownReason.HOLDER_LOST)
+        outcome: types.Outcome | None = None
         try:
             outcome = await self._run_attempts(state)
             return outcome
         finally:
             # Also on cancellation: a claim that is not settled blocks its key
             # until it expires.
-            self._claims.settle(request, outcome)
+            self._claims.settle(request, outcome or _interrupted(state))
 
     async def _run_attempts(
         self, state: request_state.RequestState
@@ -372,6 +401,17 @@
             )
 
 
+def _interrupted(
+    state: request_state.RequestState,
+) -> types.NotRun | types.Unknown:
+    """Returns the outcome of a request whose run was interrupted."""
+    if state.attempt == 0:
+        return types.NotRun(types.NotRunReason.LEAVING, _RETRY_S)
+    return types.Unknown(
+        types.UnknownReason.HOLDER_LOST, "the entry could not wait for its end"
+    )
+
+
 _NOT_READY = frozenset({"not_ready", "loading", "unreachable"})
 
 
--- a/tests/test_requests_ends.py
+++ b/tests/test_requests_ends.py
@@ -5,6 +5,7 @@
 
 from aiohttp import web
 import pytest
+import requests_script as script
 
 from clementinegw import types
 from clementinegw.requests import http as http_lib
@@ -458,3 +459,58 @@
         assert site.the_end()["outcome"] == "answered"
 
     _run(test, run)
+
+
+@pytest.mark.parametrize("second_signal", [False, True])
+def test_request_that_outlasts_the_grace_time_is_answered(second_signal):
+    """Guards against requests that a stopping entry ends without an answer."""
+
+    async def test(clock, loop):
+        agents = await script.start_agents([script.hang])
+        service, _ = await script.start_entry(clock, agents)
+        pipeline = service.pipeline
+        request = script.make_request(clock, wait_s=3_600.0)
+        running = asyncio.ensure_future(pipeline.run(request))
+        await asyncio.sleep(1)
+        draining = asyncio.ensure_future(pipeline.drain(30.0))
+        await asyncio.sleep(10)
+        if second_signal:
+            draining.cancel()
+        else:
+            assert not await draining
+        await asyncio.sleep(1)
+        assert running.done()
+        assert isinstance(running.result(), types.Unknown)
+        assert pipeline.running == 0
+        assert [c.request_id for c in agents[0].cancelled] == ["r1"]
+
+    script.run(test)
+
+
+def test_request_that_waits_at_the_end_of_the_grace_time_was_not_run():
+    """Guards against a 502 for a request that no worker was sent."""
+
+    async def test(clock, loop):
+        agents = await script.start_agents([script.hang] * 200)
+        service, _ = await script.start_entry(
+            clock, agents, target_s=3_600.0, interval_s=3_600.0
+        )
+        pipeline = service.pipeline
+        requests = [
+            script.make_request(clock, number, wait_s=3_600.0)
+            for number in range(200)
+        ]
+        runs = [asyncio.ensure_future(pipeline.run(r)) for r in requests]
+        await asyncio.sleep(1)
+        assert not await pipeline.drain(5.0)
+        await asyncio.sleep(1)
+        sent = {submit.request_id for submit in agents[0].submitted}
+        unsent = [
+            run.result()
+            for request, run in zip(requests, runs, strict=True)
+            if request.request_id not in sent
+        ]
+        assert unsent
+        assert {o.reason for o in unsent} == {types.NotRunReason.LEAVING}
+
+    script.run(test)
