Keep a connection whose frame or end raises in one of its handlers

Callers saw: streams that ended or were resumed because of an error in other work. Cause: handlers of notices and of connections that begin or end ran in the transport's callbacks. An unexpected error in one, as in the dispatch of waiting requests that a status notice triggers, left data_received, at which asyncio closes the connection with all calls that it carries; of the handlers of a lost connection, those after the first error were not called, so that it was not opened again. Change: each handler's error is logged as task_failed with its place, counted as wire.handler_failed, and ends only that handler, as for handlers of calls. Evidence: tests/test_wire_ends.py failed before in all 3 cases: `no frame in time`, a refused handshake, and `[] == [connection]`.

--- a/src/clementinegw/wire/connection.py
+++ b/src/clementinegw/wire/connection.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable, Callable
 import dataclasses
 import ssl
+from typing import Any
 
 from clementinegw import exceptions
 from clementinegw import types
@@ -259,7 +260,7 @@
         connection = Connection(link, peer, is_opener)
         self._links[link] = connection
         for handler in self._connected_handlers:
-            handler(connection)
+            self._run_callback("connected", handler, connection)
         return connection
 
     def _on_notice_frame(
@@ -275,11 +276,29 @@
         if handler is None:
             self._count_dropped(kind)
             return
+        self._run_callback(kind.name, handler, connection, body)
+
+    def _run_callback(
+        self, name: str, callback: Callable[..., None], *arguments: Any
+    ) -> None:
+        """Calls a registered handler, whose errors must not end other work.
+
+        An error raised into a transport's callback would end the connection
+        and with it all calls that it carries.
+        """
         try:
-            handler(connection, body)
+            callback(*arguments)
         except exceptions.DecodeError:
             self._counters.add("wire.malformed")
             self._log.write(events.FRAME_MALFORMED)
+        except Exception as error:
+            self._counters.add("wire.handler_failed")
+            self._log.write(
+                events.TASK_FAILED,
+                task=name,
+                error=f"{type(error).__name__}: {error}",
+                at=logs.innermost_frame(error),
+            )
 
     def _on_call_frame(
         self, connection: Connection, call: int, frame: Frame
@@ -341,7 +360,7 @@
             return
         connection.fail_calls()
         for handler in self._disconnected_handlers:
-            handler(connection)
+            self._run_callback("disconnected", handler, connection)
 
     def _start_pings(self) -> None:
         if self._ping_task is None:
