End only the request whose message is malformed, not its whole connection

Callers saw: streams that ended or were resumed because an agent sent another request's answer in a form that the entry could not decode. Cause: the sender aborted the connection, which carries the answers of all requests at that agent, although the frame around the message had been decoded. Data that are no frames still end the connection.

--- a/src/clementinegw/requests/send.py
+++ b/src/clementinegw/requests/send.py
@@ -167,9 +167,9 @@
         try:
             return await call.collect(exchange)
         except exceptions.DecodeError:
-            # Other data on this connection cannot be trusted either.
+            # The connection itself is in order, as the message's frame was
+            # decoded, and it carries the answers of other requests.
             self._counters.add("requests.frames_malformed")
-            connection.abort()
         except exceptions.ConnectionLost:
             self._counters.add("requests.connection_lost")
         except TimeoutError:
--- a/tests/test_requests_ends.py
+++ b/tests/test_requests_ends.py
@@ -13,7 +13,9 @@
 from clementinegw.requests import types as request_types
 from clementinegw.telemetry import counters as counters_lib
 from clementinegw.testing import clock as clocks
+from clementinegw.wire import connection as connection_lib
 
+Kind = connection_lib.Kind
 _GRACE_S = 0.002
 _EVENT = b"id: 1\ndata: {}\n\n"
 _HEAD = request_types.Head(200, (("content-type", "text/event-stream"),), "v1")
@@ -514,3 +516,38 @@
         assert {o.reason for o in unsent} == {types.NotRunReason.LEAVING}
 
     script.run(test)
+
+
+def test_malformed_message_ends_its_own_request_only():
+    """Guards against all streams of a connection ending for one message."""
+
+    async def send_malformed_head(agent, connection, exchange, submit):
+        await asyncio.sleep(1)
+        await exchange.send(Kind.ANSWER_HEAD, b"\xff")
+        await script.hang(agent, connection, exchange, submit)
+
+    async def answer_late(agent, connection, exchange, submit):
+        await script.head(exchange, submit)
+        await exchange.send(Kind.ANSWER_DATA, script.encode_event(1))
+        await asyncio.sleep(3)
+        await exchange.send(Kind.ANSWER_DATA, script.encode_event(2))
+        await script.end(exchange, submit, 2 * len(script.encode_event(1)), 2)
+
+    async def test(clock, loop):
+        agents = await script.start_agents([answer_late, send_malformed_head])
+        agents[0].proof = False
+        service, counters = await script.start_entry(clock, agents)
+        sink = script.Sink()
+        other = asyncio.ensure_future(
+            service.pipeline.run(
+                script.make_request(clock, 1, stream=True), sink
+            )
+        )
+        await asyncio.sleep(0.5)
+        outcome = await service.pipeline.run(script.make_request(clock, 2))
+        assert isinstance(outcome, types.Unknown)
+        assert counters.value("requests.frames_malformed") == 1
+        assert isinstance(await other, types.Answered)
+        assert not counters.value("requests.agent_disconnected")
+
+    script.run(test)
