Call a backend server stalled after two failed probes, not one

Callers saw: all streams of an agent ended at once with backend_stalled after the agent's process had stood still, though the engine had gone on. Cause: a probe under way during the pause times out with the first turn of the loop, although its answer waits to be read: asyncio.timeout cancels in the turn in which the bytes are read. The silence since the last answer then contains the pause. Change: the silence counts only if two probes in a row failed; the second one began after the pause.

--- a/src/clementinegw/gate/_monitor.py
+++ b/src/clementinegw/gate/_monitor.py
@@ -12,6 +12,9 @@
 from clementinegw.wire.gen.requests import ttypes
 
 Kind = connection_lib.Kind
+# After a pause of this process, one probe may time out although the server's
+# answer has arrived; the next one shows whether the server responds.
+_MIN_FAILED_PROBES = 2
 
 
 class Monitor:
@@ -40,6 +43,7 @@
         self._log = context.log
         self._counters = context.counters
         self._apply = context.apply
+        self._failed_probes = 0
         self._sent_state: tuple = ()
         self._sent_load: tuple[int, int] = (0, 0)
         self._sent_prefixes: frozenset[int] = frozenset()
@@ -125,8 +129,10 @@
                 health = await self._backend.probe()
                 self._backend_state.prefixes = await self._backend.prefixes()
         except (exceptions.BackendError, TimeoutError):
+            self._failed_probes += 1
             self._on_silence()
             return
+        self._failed_probes = 0
         self._backend_state.heard_at = self._clock.now()
         self._backend_state.load = health.load
         if health.capacity > 0:
@@ -201,6 +207,8 @@
         silent_s = self._clock.now() - self._backend_state.heard_at
         if silent_s < self._timing.stall_timeout_s or not self._gate.ready:
             return
+        if self._failed_probes < _MIN_FAILED_PROBES:
+            return
         self._log.write(
             _events.BACKEND_STALLED, in_flight=self._gate.load.in_flight
         )
--- a/tests/test_gate_ends.py
+++ b/tests/test_gate_ends.py
@@ -23,6 +23,8 @@
 
 Kind = connection.Kind
 _FINAL_KINDS = (Kind.ANSWER_END, Kind.REFUSED, Kind.FAILED)
+# Silence of a server ends its attempts before that of an entry.
+_TIMING = service.Timing(stall_timeout_s=2.0)
 _HEALTH = backends.Health(True, "v1", "d1", 0.0, 4)
 
 
@@ -77,6 +79,7 @@
             self._agent,
             backend,
             "s",
+            timing=_TIMING,
             clock=clock,
             log=self.log,
             counters=self.counters,
@@ -255,3 +258,33 @@
         assert [(h.name, h.value) for h in head.headers] == [("x-name", "café")]
 
     _run(test, answer)
+
+
+@pytest.mark.parametrize("stall_s", [0.5, 2.0, 3.0])
+@pytest.mark.parametrize("at_s", [0.1, 0.6, 1.1])
+def test_stall_of_the_agent_does_not_end_its_attempts(stall_s, at_s):
+    """Guards against streams that end because their agent stood still.
+
+    The engine answers probes 0.4 s late, and its answer goes on all the time.
+    """
+
+    async def probe():
+        await asyncio.sleep(0.4)
+        return _HEALTH
+
+    async def answer(submit):
+        yield backend_types.Head(200, (), "v1", "d1")
+        for _ in range(20):
+            await asyncio.sleep(1)
+            yield backend_types.Data(script.encode_event(1))
+        yield backend_types.End()
+
+    async def test(site):
+        running = asyncio.ensure_future(site.submit("r1"))
+        await asyncio.sleep(at_s)
+        site.clock.advance(stall_s)
+        frames = await running
+        assert frames[-1].kind == Kind.ANSWER_END
+        assert not site.counters.value("gate.stalls")
+
+    _run(test, answer, probe)
