--- a/tests/test_requests_ends.py
+++ b/tests/test_requests_ends.py
@@ -551,3 +551,33 @@
         assert not counters.value("requests.agent_disconnected")
 
     script.run(test)
+
+
+@pytest.mark.parametrize("stall_s", [0.5, 2.0, 5.0])
+def test_stream_whose_events_wait_during_a_stall_goes_on(stall_s):
+    """Guards against a stream taken for silent while its events wait."""
+
+    async def stall_after_send(agent, connection, exchange, submit):
+        await script.head(exchange, submit)
+        for token in (1, 2, 3):
+            await asyncio.sleep(0.5)
+            await exchange.send(Kind.ANSWER_DATA, script.encode_event(token))
+            clock.advance(stall_s)
+        await script.end(exchange, submit, 3 * len(script.encode_event(1)), 3)
+
+    async def main():
+        agents = await script.start_agents([stall_after_send])
+        service, counters = await script.start_entry(
+            clock, agents, attempt_timeout_s=0.6
+        )
+        request = script.make_request(
+            clock, idempotent=True, stream=True, wait_s=60.0
+        )
+        outcome = await service.pipeline.run(request, script.Sink())
+        assert isinstance(outcome, types.Answered)
+        assert not counters.value("requests.streams_silent")
+        assert len(agents[0].submitted) == 1
+        await service.stop()
+
+    clock = clocks.VirtualClock()
+    clocks.run(main(), clock, _GRACE_S)
