End only the waiting request whose placement raises

Callers saw: a 502 in place of an answer that the entry had received in full. Cause: a request that ends releases its worker, and the placement of waiting requests runs in its context; an unexpected error there ended the request whose answer was complete, and went on to end each one after it, as the request that caused it stayed in the queue. Change: an error of the choice of a worker ends the request that was to be placed: the choice is repeated without looking ahead, and the first request in turn fails with the error, which its own handler logs with its id and answers. Evidence: test_error_of_a_waiting_request_does_not_end_the_one_before_it and test_error_in_the_placement_of_a_request_ends_that_request_only failed before: the first run raised KeyError('odd') of the second. The error is injected; none is known that the policies raise.

--- a/src/clementinegw/requests/dispatcher.py
+++ b/src/clementinegw/requests/dispatcher.py
@@ -47,7 +47,9 @@
       query: What the choice of the worker depends on.
       worker: The assigned worker.
       rejection: Why it was rejected.
-      waiter: Resolves when it is assigned or rejected; None unless it waits.
+      error: The unexpected error that its placement raised.
+      waiter: Resolves when it is assigned, rejected or failed; None unless it
+        waits.
       queued_at_worker: Whether the worker was full when it was assigned.
     """
 
@@ -56,13 +58,18 @@
     query: route.RoutingQuery
     worker: workers_lib.Worker | None = None
     rejection: admit.Rejection | None = None
+    error: Exception | None = None
     waiter: asyncio.Future[None] | None = None
     queued_at_worker: bool = False
 
     @property
     def resolved(self) -> bool:
-        """Whether it was assigned to a worker or rejected."""
-        return self.worker is not None or self.rejection is not None
+        """Whether it was assigned to a worker, rejected or failed."""
+        return (
+            self.worker is not None
+            or self.rejection is not None
+            or self.error is not None
+        )
 
 
 class Dispatcher:
@@ -199,6 +206,9 @@
           job: The job.
           requeued: Whether it was sent before and goes to the front of its
             customer's queue.
+
+        Raises:
+          Exception: Its placement raised this unexpected error.
         """
         if not self.ready:
             job.rejection = _no_backend()
@@ -207,9 +217,13 @@
         self._queue.push(job.ticket, requeued=requeued)
         self._jobs[job.ticket] = job
         self.dispatch()
-        if job.resolved:
-            return
-        self._enforce_queue_limit()
+        if not job.resolved:
+            self._enforce_queue_limit()
+            await self._wait(job)
+        if job.error is not None:
+            raise job.error
+
+    async def _wait(self, job: Job) -> None:
         job.waiter = asyncio.get_running_loop().create_future()
         self._schedule_recheck()
         try:
@@ -309,7 +323,18 @@
         queries = [self._jobs[ticket].query for ticket in candidates]
         for ticket, query in zip(candidates, queries, strict=True):
             query.within_share = self._demand.is_within_share(ticket.customer)
-        choice = self._policy.choose(self.workers, queries, self._context, now)
+        try:
+            choice = self._policy.choose(
+                self.workers, queries, self._context, now
+            )
+        except Exception as error:
+            # Its cause is one of these requests, not the one whose end made
+            # room for them and which runs this code.
+            if len(candidates) > 1:
+                return self._dispatch_one(candidates[:1])
+            self._queue.remove(candidates[0])
+            self._resolve(self._jobs[candidates[0]], error=error)
+            return True
         if choice is None:
             return False
         ticket = candidates[choice.index]
@@ -326,9 +351,11 @@
         job: Job,
         worker: workers_lib.Worker | None = None,
         rejection: admit.Rejection | None = None,
+        error: Exception | None = None,
     ) -> None:
         job.worker = worker
         job.rejection = rejection
+        job.error = error
         self._jobs.pop(job.ticket, None)
         if job.waiter is not None and not job.waiter.done():
             job.waiter.set_result(None)
--- a/tests/test_requests_ends.py
+++ b/tests/test_requests_ends.py
@@ -9,6 +9,7 @@
 
 from clementinegw import types
 from clementinegw.requests import http as http_lib
+from clementinegw.requests import route
 from clementinegw.requests import rules as rules_lib
 from clementinegw.requests import types as request_types
 from clementinegw.telemetry import counters as counters_lib
@@ -581,3 +582,73 @@
 
     clock = clocks.VirtualClock()
     clocks.run(main(), clock, _GRACE_S)
+
+
+class _Policy:
+    """Uses each worker for one request; raises at one with odd prefixes."""
+
+    def choose(self, workers, queries, context, now):
+        if any(query.prefixes == (666,) for query in queries):
+            raise KeyError("odd")
+        free = [w for w in workers if w.usable(now) and not w.own_requests]
+        return route.Choice(0, free[0]) if free else None
+
+
+def test_error_in_the_placement_of_a_request_ends_that_request_only():
+    """Guards against an answer lost as its worker is given to another."""
+
+    async def answer_late(agent, connection, exchange, submit):
+        await asyncio.sleep(1)
+        await script.answer(agent, connection, exchange, submit)
+
+    async def test(clock, loop):
+        agents = await script.start_agents([answer_late] * 3)
+        service, _ = await script.start_entry(clock, agents)
+        service.fleet.dispatchers()["s"].set_policy(_Policy())
+        requests = [script.make_request(clock, n, True) for n in range(3)]
+        requests[1].prefixes = (666,)
+        runs = []
+        for request in requests:
+            runs.append(asyncio.ensure_future(service.pipeline.run(request)))
+            await asyncio.sleep(0.1)
+        await asyncio.wait(runs)
+        assert isinstance(runs[0].result(), types.Answered)
+        assert isinstance(runs[1].exception(), KeyError)
+        assert isinstance(runs[2].result(), types.Answered)
+        assert service.fleet.dispatchers()["s"].waiting == 0
+
+    script.run(test)
+
+
+class _PolicyOfRelease(_Policy):
+    """Raises at the odd request only once a worker is free."""
+
+    def choose(self, workers, queries, context, now):
+        if any(w.own_requests for w in workers):
+            return None
+        return super().choose(workers, queries, context, now)
+
+
+def test_error_of_a_waiting_request_does_not_end_the_one_before_it():
+    """Guards against an answer that is lost as its worker becomes free."""
+
+    async def answer_late(agent, connection, exchange, submit):
+        await asyncio.sleep(1)
+        await script.answer(agent, connection, exchange, submit)
+
+    async def test(clock, loop):
+        agents = await script.start_agents([answer_late] * 3)
+        service, _ = await script.start_entry(clock, agents)
+        service.fleet.dispatchers()["s"].set_policy(_PolicyOfRelease())
+        requests = [script.make_request(clock, n, True) for n in range(3)]
+        requests[1].prefixes = (666,)
+        runs = []
+        for request in requests:
+            runs.append(asyncio.ensure_future(service.pipeline.run(request)))
+            await asyncio.sleep(0.1)
+        await asyncio.wait(runs)
+        assert isinstance(runs[0].result(), types.Answered)
+        assert isinstance(runs[1].exception(), KeyError)
+        assert isinstance(runs[2].result(), types.Answered)
+
+    script.run(test)
