Answer requests that no route takes with an id and a line

Callers saw: a plain 404 or 405 without an outcome or an id. Cause: aiohttp refuses them before a handler, and so an id, exists. Change: answered as unknown_service with the status as before, and counted and logged like other rejections. Evidence: test_request_to_no_route_leaves_a_line failed before in both cases (KeyError of the header Clementine-Outcome). The test of the half close passed.

--- a/src/clementinegw/requests/http.py
+++ b/src/clementinegw/requests/http.py
@@ -26,6 +26,7 @@
 _MAX_TARGET_CHARS = 120
 _MS_PER_S = 1000.0
 
+_Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 _Parser = Callable[[web.Request, str], Awaitable[request_types.Request]]
 
 
@@ -65,8 +66,28 @@
         app.router.add_post("/v1/chat/completions", self._completion)
         app.router.add_route("*", "/services/{service}", self._plain)
         app.router.add_route("*", "/services/{service}/{rest:.*}", self._plain)
+        app.middlewares.append(self._refuse_unrouted)
         app.on_shutdown.append(self._on_shutdown)
 
+    @web.middleware
+    async def _refuse_unrouted(
+        self, request: web.Request, handler: _Handler
+    ) -> web.StreamResponse:
+        """Answers requests that no route takes, like other rejections."""
+        try:
+            return await handler(request)
+        except (web.HTTPNotFound, web.HTTPMethodNotAllowed) as error:
+            call = self._new_call(request)
+            outcome = types.NotRun(types.NotRunReason.UNKNOWN_SERVICE)
+            self._counters.add(f"requests.not_run.{outcome.reason.value}")
+            response = _http_reply.to_response(
+                call.request_id, outcome, error.status
+            )
+            if "Allow" in error.headers:
+                response.headers["Allow"] = error.headers["Allow"]
+            self._record_ended(call, outcome, error.status)
+            return response
+
     async def _completion(self, http: web.Request) -> web.StreamResponse:
         return await self._serve(http, self._parse_completion)
 
@@ -96,12 +117,7 @@
         self, http: web.Request, parse: _Parser
     ) -> web.StreamResponse:
         """Answers one request and records how it ended."""
-        call = _Call(
-            self._next_id(),
-            http.path_qs,
-            self._clock.now(),
-            _http_reply.Writer(http),
-        )
+        call = self._new_call(http)
         try:
             outcome, status = await self._determine_outcome(http, call, parse)
             return await self._send(call, outcome, status)
@@ -266,8 +282,13 @@
             else outcome.reason.value,
         )
 
-    def _next_id(self) -> str:
-        return f"{self._id_prefix}-{next(self._ids)}"
+    def _new_call(self, http: web.Request) -> "_Call":
+        return _Call(
+            f"{self._id_prefix}-{next(self._ids)}",
+            http.path_qs,
+            self._clock.now(),
+            _http_reply.Writer(http),
+        )
 
     async def _on_shutdown(self, app: web.Application) -> None:
         del app
--- a/tests/test_requests_ends.py
+++ b/tests/test_requests_ends.py
@@ -652,3 +652,45 @@
         assert isinstance(runs[2].result(), types.Answered)
 
     script.run(test)
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "status"),
+    [("POST", "/v1/embeddings", 404), ("GET", "/v1/completions", 405)],
+)
+def test_request_to_no_route_leaves_a_line(method, path, status):
+    """Guards against a refusal that has no id and no line."""
+
+    async def test(site):
+        reader, writer = await site.open()
+        writer.write(f"{method} {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+        answered, headers, _ = await _read_answer(reader)
+        assert answered == status
+        assert headers["clementine-outcome"] == "not-run"
+        line = site.the_end()
+        assert line["request"] == headers["clementine-request-id"]
+        assert (line["status"], line["target"]) == (status, path)
+        assert line["reason"] == headers["clementine-reason"]
+
+    _run(test, _answer)
+
+
+def test_caller_that_closes_its_half_counts_as_gone():
+    """Guards against work for callers that closed, which looks the same."""
+    cancelled = asyncio.Event()
+
+    async def run(request, sink):
+        try:
+            await asyncio.sleep(100)
+        finally:
+            cancelled.set()
+
+    async def test(site):
+        _, writer = await site.post("/services/magazijn/find", b"")
+        await asyncio.sleep(1)
+        writer.write_eof()
+        await asyncio.sleep(1)
+        assert cancelled.is_set()
+        assert site.the_end()["outcome"] == "caller_left"
+
+    _run(test, run)
