Open a connection again that is lost before its owner knows it

Callers saw: fewer workers than there were; with few agents, refusals. Cause: a connection that is lost between its handshake and the next turn of the task that opened it was not registered yet, so that its end was taken for that of another one; then it was registered, the agent counted as connected, and nothing opened it again. Change: a connection that has ended already counts as an attempt that failed. Evidence: test_connection_that_is_lost_at_once_is_opened_again failed before: `1 == 2` connections opened within 10 s.

--- a/src/clementinegw/requests/agent_connections.py
+++ b/src/clementinegw/requests/agent_connections.py
@@ -104,10 +104,13 @@
             try:
                 connection = await self._connector.connect(instance.address)
             except exceptions.ConnectionLost:
-                await asyncio.sleep(delay_s * self._rng.uniform(0.5, 1.5))
-                delay_s = min(_MAX_RECONNECT_DELAY_S, delay_s * 2)
-                continue
-            break
+                pass
+            else:
+                # `on_disconnected` did not know one that was lost meanwhile.
+                if not connection.closed:
+                    break
+            await asyncio.sleep(delay_s * self._rng.uniform(0.5, 1.5))
+            delay_s = min(_MAX_RECONNECT_DELAY_S, delay_s * 2)
         link = self._links.get(instance.instance_id)
         if link is not None:
             link.connection = connection
--- a/tests/test_requests_ends.py
+++ b/tests/test_requests_ends.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import json
+import random
 
 from aiohttp import web
 import pytest
 import requests_script as script
 
 from clementinegw import types
+from clementinegw.bench import _requests_network as network
+from clementinegw.requests import agent_connections
 from clementinegw.requests import http as http_lib
 from clementinegw.requests import route
 from clementinegw.requests import rules as rules_lib
@@ -694,3 +697,48 @@
         assert site.the_end()["outcome"] == "caller_left"
 
     _run(test, run)
+
+
+class _LostAtOnce:
+    """Opens connections; the first one is lost before its caller resumes."""
+
+    def __init__(self, endpoint):
+        self.opened = 0
+        self._endpoint = endpoint
+
+    async def connect(self, address):
+        link = await self._endpoint.connect(address)
+        self.opened += 1
+        if self.opened == 1:
+            link.abort()
+            await asyncio.sleep(1)
+        return link
+
+
+def test_connection_that_is_lost_at_once_is_opened_again():
+    """Guards against an agent that gets no requests though it is there."""
+
+    async def test(clock, loop):
+        (agent,) = await script.start_agents([])
+        network.CURRENT_HOST.set("entry")
+        identity = connection_lib.Identity(
+            "entry", types.Role.ENTRY, script.PLACE, 1
+        )
+        endpoint = connection_lib.Endpoint(identity, script.KEYS, script.LOG)
+        connector = _LostAtOnce(endpoint)
+        changes = []
+        connections = agent_connections.AgentConnections(
+            connector,
+            lambda instance, connected: changes.append(connected),
+            script.LOG,
+            counters_lib.Counters(),
+            random.Random(1),
+        )
+        endpoint.on_disconnected(connections.on_disconnected)
+        connections.set_chosen([agent.instance])
+        await asyncio.sleep(10)
+        assert connector.opened == 2
+        assert changes == [True]
+        connections.close()
+
+    script.run(test)
