Send large answers from the agent in several frames

Callers saw: a 502 answer_truncated for an answer above 8 MiB that the backend server had given in full; for one above 32 MiB, besides, the end of all other requests of the entry at that agent. Cause: a plain service's answer went out as one frame. The receiver drops a frame that does not fit the queue of its call (8 MiB), and ends the whole connection at one above the wire's limit (32 MiB). Change: the body is sent in parts of 256 KiB, each waiting for room to send. Evidence: test_large_answer_of_a_server_arrives failed before: 0 of 9437184 bytes arrived; with 40 MiB the connection broke (ConnectionLost) with the other call open.

--- a/src/clementinegw/gate/_calls.py
+++ b/src/clementinegw/gate/_calls.py
@@ -12,6 +12,9 @@
 
 _PRIORITIES = {int(priority): priority for priority in shared.Priority}
 _MS = 1000.0
+# The largest part of an answer in one frame. A frame above the limit of the
+# wire ends the connection, and one above that of a call ends the call.
+_MAX_DATA_BYTES = 256 << 10
 
 Decision = types.HandOver | types.Refuse | types.Fail | types.FailDuplicate
 
@@ -89,7 +92,9 @@
     async def send_data(self, data: bytes) -> None:
         """Sends the next bytes of the answer's body."""
         self._body_bytes += len(data)
-        await self._exchange.send(connection_lib.Kind.ANSWER_DATA, data)
+        for start in range(0, len(data), _MAX_DATA_BYTES):
+            part = data[start : start + _MAX_DATA_BYTES]
+            await self._exchange.send(connection_lib.Kind.ANSWER_DATA, part)
 
     async def send_end(self, tokens: int, in_flight: int, queued: int) -> None:
         """Sends the explicit end of a complete answer, and the gate's load."""
--- a/tests/test_gate_ends.py
+++ b/tests/test_gate_ends.py
@@ -134,8 +134,8 @@
             exchange.close()
 
 
-def _run(test, answer, probe=None):
-    """Runs `test(site)` in virtual time."""
+def _run(test, answer, probe=None, sockets=False):
+    """Runs `test(site)` in virtual time, in memory or on real sockets."""
 
     async def main(clock, loop):
         site = _Site(clock, _Backend(answer, probe))
@@ -145,7 +145,11 @@
         finally:
             await site.stop()
 
-    script.run(main)
+    if sockets:
+        clock = clocks.VirtualClock()
+        clocks.run(main(clock, None), clock, 0.002)
+    else:
+        script.run(main)
 
 
 async def _answer(submit):
@@ -288,3 +292,28 @@
         assert not site.counters.value("gate.stalls")
 
     _run(test, answer, probe)
+
+
+@pytest.mark.parametrize("size", [9 << 20, 40 << 20])
+def test_large_answer_of_a_server_arrives(size):
+    """Guards against large answers that end a connection and its calls."""
+
+    async def answer(submit):
+        yield backend_types.Head(200, (), "v1", "d1")
+        if submit.request_id == "large":
+            yield backend_types.Data(b"x" * size)
+        else:
+            await asyncio.sleep(5)
+        yield backend_types.End()
+
+    async def test(site):
+        other = asyncio.ensure_future(site.submit("other"))
+        await asyncio.sleep(1)
+        frames = await site.submit("large")
+        assert frames[-1].kind == Kind.ANSWER_END
+        end = codec.decode(ttypes.AnswerEnd, frames[-1].body)
+        data = [f.body for f in frames if f.kind == Kind.ANSWER_DATA]
+        assert sum(map(len, data)) == end.body_bytes == size
+        assert (await other)[-1].kind == Kind.ANSWER_END
+
+    _run(test, answer, sockets=True)
