Refuse bodies that no frame to an agent can carry

Callers saw: 503 tombstoned for a body of 32 to 64 MiB, which max_body_bytes may allow; others saw their streams at the same agents end, since the request was sent to one agent after the other. Cause: SUBMIT is one frame, and a frame above 32 MiB ends the connection. Change: bodies above 28 MiB are refused with too_large; the rest of the frame is for headers. Evidence: test_body_that_no_frame_can_carry_is_refused failed before (`200 == 413` with a fake pipeline), test_largest_body_reaches_its_agent too: NotRun(tombstoned) for the largest body that was let through.

--- a/src/clementinegw/requests/http.py
+++ b/src/clementinegw/requests/http.py
@@ -18,11 +18,14 @@
 from clementinegw.requests import types as request_types
 from clementinegw.telemetry import counters as counters_lib
 from clementinegw.telemetry import logs
+from clementinegw.wire import connection as connection_lib
 
 # The service of a completion is named in the body, so the body is read before
 # the limit of the service is known.
 MAX_COMPLETION_BYTES = 8 << 20
-MAX_BODY_BYTES = 64 << 20
+# A frame above the limit of the wire would end the connection to an agent; a
+# part of it is left to the headers.
+MAX_BODY_BYTES = connection_lib.MAX_FRAME_BYTES - (4 << 20)
 _MAX_TARGET_CHARS = 120
 _MS_PER_S = 1000.0
 
--- a/src/clementinegw/wire/connection.py
+++ b/src/clementinegw/wire/connection.py
@@ -27,6 +27,7 @@
 Exchange = exchange_lib.Exchange
 Frame = exchange_lib.Frame
 Kind = ttypes.Kind
+MAX_FRAME_BYTES = _link.MAX_FRAME_BYTES
 
 CallHandler = Callable[[Connection, Exchange, Frame], Awaitable[None]]
 NoticeHandler = Callable[[Connection, bytes], None]
--- a/tests/test_requests_ends.py
+++ b/tests/test_requests_ends.py
@@ -742,3 +742,35 @@
         connections.close()
 
     script.run(test)
+
+
+def test_body_that_no_frame_can_carry_is_refused():
+    """Guards against a request that ends all others at its agents."""
+    rules = rules_lib.Rules(
+        "magazijn", types.ServiceKind.PLAIN, max_body_bytes=64 << 20
+    )
+
+    async def test(site):
+        site.pipeline.rules.rules = lambda service, customer: rules
+        reader, _ = await site.post("/services/magazijn/x", b"x" * (32 << 20))
+        status, headers, _ = await _read_answer(reader)
+        assert status == 413
+        assert headers["clementine-reason"] == "too_large"
+
+    _run(test, _answer)
+
+
+def test_largest_body_reaches_its_agent():
+    """Guards against a limit that lets through what no frame can carry."""
+
+    async def test(clock, loop):
+        (agent,) = await script.start_agents([])
+        service, _ = await script.start_entry(clock, [agent])
+        request = script.make_request(clock)
+        request.body = b"x" * http_lib.MAX_BODY_BYTES
+        request.headers = (("x-long", "y" * 8_000),) * 50
+        outcome = await service.pipeline.run(request)
+        assert isinstance(outcome, types.Answered)
+        assert len(agent.submitted[0].body) == http_lib.MAX_BODY_BYTES
+
+    script.run(test)
