Take numbers that no message can carry for a failed call to the engine

Callers saw: as with an odd status, an agent that lives on and does nothing. Cause: a capacity above 31 bits or an unsigned 64-bit hash of a cached block, as engines may report it, raised OverflowError when the agent told its entries, in the loop that probes; GateService crashed. Change: the ranges are validated where the engine's answer is read. Evidence: two new cases of test_odd_status_of_an_engine_does_not_end_the_agent failed before: the gate had crashed within 3 s.

--- a/src/clementinegw/backend/types.py
+++ b/src/clementinegw/backend/types.py
@@ -6,8 +6,10 @@
 from collections.abc import Iterable
 import dataclasses
 import enum
+from typing import Annotated
 
 import blake3
+import pydantic
 
 from clementinegw import types
 
@@ -26,6 +28,10 @@
 
 Headers = tuple[tuple[str, str], ...]
 
+# The ranges in which messages to entries carry what an engine reports.
+_Count = Annotated[int, pydantic.Field(ge=0, lt=1 << 31)]
+_Hash = Annotated[int, pydantic.Field(ge=-(1 << 63), lt=1 << 63)]
+
 
 def content_digest(chunk_digests: Iterable[str]) -> str:
     """Returns the digest of weights from the digests of their chunks.
@@ -277,7 +283,7 @@
     load: float
     running: int
     waiting: int
-    capacity: int
+    capacity: _Count
     loading: str
 
 
@@ -295,12 +301,13 @@
     Attributes:
       sequence: The event's sequence number; a gap means that events were lost.
       change: Whether the blocks were stored or evicted.
-      blocks: Hashes of the blocks; see `prefixes.block_hashes`.
+      blocks: Hashes of the blocks, signed integers of 64 bits; see
+        `prefixes.block_hashes`.
     """
 
     sequence: int
     change: CacheChange
-    blocks: tuple[int, ...]
+    blocks: tuple[_Hash, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_gate_ends.py
+++ b/tests/test_gate_ends.py
@@ -194,6 +194,7 @@
     "capacity": 4,
     "loading": "",
 }
+_WIDE_BLOCK = {"sequence": 1, "change": "stored", "blocks": [1 << 63]}
 _EVENTS = {"first": 1, "next": 1, "events": []}
 
 
@@ -207,6 +208,8 @@
         (_STATUS, []),
         (_STATUS, {"first": None, "next": 1, "events": []}),
         (_STATUS, {"first": 1, "next": 2, "events": [1]}),
+        (_STATUS | {"capacity": 1 << 31}, _EVENTS),
+        (_STATUS, _EVENTS | {"next": 2, "events": [_WIDE_BLOCK]}),
     ],
 )
 def test_odd_status_of_an_engine_does_not_end_the_agent(status, cache_events):
