Keep an engine in use whose cache events cannot be read

Callers saw: all streams of an agent ended with backend_stalled. Cause: reading the cached prefixes was a part of the probe, so that its failure counted as silence of the engine, although its status had just arrived. Change: the failure is counted as gate.prefixes_failed, and the known prefixes stay; an engine that does not answer at all is found as before. Evidence: test_engine_with_odd_cache_events_is_not_taken_for_stalled failed before: FAILED with backend_stalled in place of ANSWER_END.

--- a/src/clementinegw/gate/_monitor.py
+++ b/src/clementinegw/gate/_monitor.py
@@ -127,7 +127,7 @@
         try:
             async with asyncio.timeout(self._timing.probe_timeout_s):
                 health = await self._backend.probe()
-                self._backend_state.prefixes = await self._backend.prefixes()
+                await self._read_prefixes()
         except (exceptions.BackendError, TimeoutError):
             self._failed_probes += 1
             self._on_silence()
@@ -144,6 +144,13 @@
         elif self._gate.ready:
             self._close()
 
+    async def _read_prefixes(self) -> None:
+        """Reads which prefixes are cached; without them, requests still run."""
+        try:
+            self._backend_state.prefixes = await self._backend.prefixes()
+        except exceptions.BackendError:
+            self._counters.add("gate.prefixes_failed")
+
     def _state(self) -> tuple:
         return (
             self._gate.ready,
--- a/tests/test_gate_ends.py
+++ b/tests/test_gate_ends.py
@@ -7,6 +7,7 @@
 import pytest
 import requests_script as script
 
+from clementinegw import exceptions
 from clementinegw import types
 from clementinegw.backend import _http
 from clementinegw.backend import engine
@@ -70,6 +71,7 @@
 
     def __init__(self, clock, backend):
         self.clock = clock
+        self.backend = backend
         self.log = _Log()
         self.counters = counters_lib.Counters()
         network.CURRENT_HOST.set("agent")
@@ -320,3 +322,24 @@
         assert (await other)[-1].kind == Kind.ANSWER_END
 
     _run(test, answer, sockets=True)
+
+
+def test_engine_with_odd_cache_events_is_not_taken_for_stalled():
+    """Guards against streams that end because of a list of cached prompts."""
+
+    async def answer(submit):
+        yield backend_types.Head(200, (), "v1", "d1")
+        await asyncio.sleep(10)
+        yield backend_types.End()
+
+    async def fail():
+        raise exceptions.BackendLost("cache events: malformed")
+
+    async def test(site):
+        site.backend.prefixes = fail
+        frames = await site.submit("r1")
+        assert frames[-1].kind == Kind.ANSWER_END
+        assert site.counters.value("gate.prefixes_failed") > 10
+        assert not site.counters.value("gate.stalls")
+
+    _run(test, answer)
