Tell errors of other connections and of a stream's end from a caller that left

Callers saw: an empty 499, or a stream that broke, without a line of the error. Cause: a ConnectionError out of the run was taken for the caller's connection, and an unexpected error while the end of an answer was sent went past the handler's border, to aiohttp. Change: a ConnectionError counts as the caller's only while its body is read or its answer is written; any other error at the end of an answer is logged with the id and still breaks the connection, so that the answer does not look complete. Evidence: test_lost_connection_to_another_process_is_not_the_callers failed before (`499 == 502`), test_error_at_the_end_of_a_stream_leaves_a_line too (no line).

--- a/src/clementinegw/requests/http.py
+++ b/src/clementinegw/requests/http.py
@@ -131,6 +131,11 @@
             self._record_left(call)
             # The response is never sent; it only ends the handler.
             return web.Response(status=_http_reply.CALLER_DISCONNECTED_STATUS)
+        except Exception as error:
+            # The answer has begun or cannot be sent; aiohttp ends the
+            # connection, so that the answer does not look complete.
+            self._record_ended(call, self._record_failed(call, error), 0)
+            raise
 
     async def _determine_outcome(
         self, http: web.Request, call: "_Call", parse: _Parser
@@ -143,23 +148,30 @@
 
         Raises:
           CallerDisconnected: The caller has disconnected.
-          ConnectionError: The same.
         """
         try:
-            call.request = request = await parse(http, call.request_id)
+            call.request = request = await self._parse(http, call, parse)
             if request.stream:
                 call.sink = _http_reply.HttpSink(call.writer, request)
             return await self._run(call, request), None
         except _http_parse.BadRequest as error:
             self._counters.add(f"requests.not_run.{error.reason.value}")
             return types.NotRun(error.reason, None, str(error)), error.status
-        except (request_types.CallerDisconnected, ConnectionError):
+        except request_types.CallerDisconnected:
             raise
         except Exception as error:
             # An unexpected error must not result in a plain 500, which would
             # report neither the outcome nor the request id.
             return self._record_failed(call, error), None
 
+    async def _parse(
+        self, http: web.Request, call: "_Call", parse: _Parser
+    ) -> request_types.Request:
+        try:
+            return await parse(http, call.request_id)
+        except ConnectionError as error:
+            raise request_types.CallerDisconnected from error
+
     async def _send(
         self,
         call: "_Call",
--- a/tests/test_requests_ends.py
+++ b/tests/test_requests_ends.py
@@ -774,3 +774,39 @@
         assert len(agent.submitted[0].body) == http_lib.MAX_BODY_BYTES
 
     script.run(test)
+
+
+def test_lost_connection_to_another_process_is_not_the_callers():
+    """Guards against a caller without an answer that is taken for gone."""
+
+    async def run(request, sink):
+        raise ConnectionResetError("another process")
+
+    async def test(site):
+        reader, _ = await site.post("/v1/completions", _STREAM)
+        assert (await _read_answer(reader))[0] == 502
+        assert site.the_end()["outcome"] == "unknown"
+        assert len(site.log.named("handler_failed")) == 1
+
+    _run(test, run)
+
+
+def test_error_at_the_end_of_a_stream_leaves_a_line(monkeypatch):
+    """Guards against a stream that breaks and leaves no line of its request."""
+
+    async def run(request, sink):
+        await sink.head(_HEAD)
+        await sink.data(_EVENT)
+        monkeypatch.setattr(sink, "end", None)
+        return _ANSWERED
+
+    async def test(site):
+        reader, _ = await site.post("/v1/completions", _STREAM)
+        received = await reader.read()
+        assert _EVENT in received
+        assert not received.endswith(b"0\r\n\r\n")
+        (line,) = site.log.named("handler_failed")
+        assert line["request"] == site.the_end()["request"]
+        assert site.the_end()["outcome"] == "unknown"
+
+    _run(test, run)
