--- a/src/clementinegw/requests/_http_parse.py
+++ b/src/clementinegw/requests/_http_parse.py
@@ -1,6 +1,9 @@
 """Parses and validates callers' HTTP requests."""
 
+import asyncio
+from collections.abc import Mapping
 import json
+import re
 from typing import Any
 import urllib.parse
 
@@ -34,11 +37,16 @@
 _MAX_KEY_CHARS = 255
 _DOT_SEGMENTS = frozenset({".", ".."})
 _MAX_NAME_CHARS = 64
+_TIMEOUT_MS = re.compile(r"[0-9]{1,15}")
 _MAX_TOKENS = 1 << 20
 _MAX_PREFIX_BLOCKS = 64
 _BAD_REQUEST = 400
 _NOT_FOUND = 404
+_TIMEOUT = 408
 _TOO_LARGE = 413
+# The longest wait for the next part of a body, in seconds. The reader of a body
+# with a malformed chunk gets neither a part nor an error from aiohttp.
+_MAX_BODY_SILENCE_S = 20.0
 
 
 class BadRequest(Exception):  # noqa: N818
@@ -68,13 +76,14 @@
       limit: The maximum size, in bytes.
 
     Raises:
-      BadRequest: The body is larger than the limit.
+      BadRequest: The body is larger than the limit, or its next part does not
+        arrive in time.
     """
     if (http.content_length or 0) > limit:
         raise _too_large(limit)
     chunks = []
     size = 0
-    async for chunk in http.content.iter_any():
+    while chunk := await _read_part(http):
         size += len(chunk)
         if size > limit:
             raise _too_large(limit)
@@ -82,6 +91,14 @@
     return b"".join(chunks)
 
 
+async def _read_part(http: web.Request) -> bytes:
+    try:
+        async with asyncio.timeout(_MAX_BODY_SILENCE_S):
+            return await http.content.readany()
+    except TimeoutError:
+        raise BadRequest("body: not received in time", _TIMEOUT) from None
+
+
 def parse_completion(
     http: web.Request,
     body: bytes,
@@ -108,6 +125,9 @@
         raise _too_large(rules.max_body_bytes)
     try:
         prompt = prefixes.prompt_text(data)
+        hashes = prefixes.block_hashes(prompt, _MAX_PREFIX_BLOCKS)
+    except UnicodeEncodeError:
+        raise BadRequest("body: expected Unicode text") from None
     except ValueError as error:
         raise BadRequest(str(error)) from None
     request = _build_request(
@@ -115,7 +135,7 @@
     )
     request.stream = _bool_field(data, "stream")
     request.tokens = _count_field(data, "max_tokens", rules.max_tokens)
-    request.prefixes = prefixes.block_hashes(prompt, _MAX_PREFIX_BLOCKS)
+    request.prefixes = hashes
     return request
 
 
@@ -145,6 +165,8 @@
         path = "/" + path
     _reject_dot_segments(path)
     body = await read_body(http, min(max_body_bytes, rules.max_body_bytes))
+    # The settings may have changed while the body was received.
+    _rules(source, service, http, types.ServiceKind.PLAIN)
     return _build_request(http, request_id, service, path, body, source, now)
 
 
@@ -160,6 +182,15 @@
         raise BadRequest("path: expected no `.` or `..` segments")
 
 
+def _reject_undecodable(headers: Mapping[str, str]) -> None:
+    """Rejects headers other than UTF-8, which messages cannot contain."""
+    for name, value in headers.items():
+        try:
+            value.encode()
+        except UnicodeEncodeError:
+            raise BadRequest(f"{name}: expected UTF-8") from None
+
+
 def _build_request(
     http: web.Request,
     request_id: str,
@@ -170,6 +201,7 @@
     now: float,
 ) -> request_types.Request:
     headers = http.headers
+    _reject_undecodable(headers)
     customer = headers.get("Clementine-Customer", "")
     if len(customer) > _MAX_NAME_CHARS:
         raise BadRequest("Clementine-Customer: expected at most 64 characters")
@@ -243,7 +275,7 @@
     text = headers.get("Clementine-Timeout-Ms")
     if text is None:
         return rules.deadline_s
-    if not text.isdigit() or not int(text):
+    if not _TIMEOUT_MS.fullmatch(text) or not int(text):
         raise BadRequest("Clementine-Timeout-Ms: expected a number above 0")
     return min(int(text) / 1000.0, rules.max_deadline_s)
 
