--- a/src/clementinegw/backend/engine.py
+++ b/src/clementinegw/backend/engine.py
@@ -1,7 +1,7 @@
 """HTTP client of a model engine and of its host's staging memory."""
 
 import dataclasses
-from typing import Any
+from typing import Annotated, Any
 
 import aiohttp
 import multidict
@@ -20,6 +20,11 @@
 _HTTP_NOT_FOUND = 404
 _HTTP_CONFLICT = 409
 
+# Messages to entries carry capacities in 32 bits and hashes in 64 bits, both
+# signed.
+_MAX_CAPACITY = (1 << 31) - 1
+_HASH_END = 1 << 63
+
 _STAGE_RESULTS = {
     _HTTP_OK: types.StageResult.STORED,
     _HTTP_CREATED: types.StageResult.STORED,
@@ -38,8 +43,27 @@
     state: types.CancelState
 
 
-_STATUS = pydantic.TypeAdapter(types.EngineStatus)
-_CACHE_EVENTS = pydantic.TypeAdapter(types.CacheEvents)
+def _check_status(status: types.EngineStatus) -> types.EngineStatus:
+    """Returns a status whose numbers fit into the messages to entries."""
+    if not 0 <= status.capacity <= _MAX_CAPACITY:
+        raise ValueError(f"capacity {status.capacity} is out of range")
+    return status
+
+
+def _check_events(events: types.CacheEvents) -> types.CacheEvents:
+    """Returns cache events whose hashes fit into the messages to entries."""
+    for event in events.events:
+        if not all(-_HASH_END <= block < _HASH_END for block in event.blocks):
+            raise ValueError(f"event {event.sequence} has a block out of range")
+    return events
+
+
+_STATUS = pydantic.TypeAdapter(
+    Annotated[types.EngineStatus, pydantic.AfterValidator(_check_status)]
+)
+_CACHE_EVENTS = pydantic.TypeAdapter(
+    Annotated[types.CacheEvents, pydantic.AfterValidator(_check_events)]
+)
 _STAGING_STATUS = pydantic.TypeAdapter(types.StagingStatus)
 _CANCEL_ANSWER = pydantic.TypeAdapter(_CancelAnswer)
 
--- a/src/clementinegw/backend/types.py
+++ b/src/clementinegw/backend/types.py
@@ -6,10 +6,8 @@
 from collections.abc import Iterable
 import dataclasses
 import enum
-from typing import Annotated
 
 import blake3
-import pydantic
 
 from clementinegw import types
 
@@ -28,10 +26,6 @@
 
 Headers = tuple[tuple[str, str], ...]
 
-# The ranges in which messages to entries carry what an engine reports.
-_Count = Annotated[int, pydantic.Field(ge=0, lt=1 << 31)]
-_Hash = Annotated[int, pydantic.Field(ge=-(1 << 63), lt=1 << 63)]
-
 
 def content_digest(chunk_digests: Iterable[str]) -> str:
     """Returns the digest of weights from the digests of their chunks.
@@ -283,7 +277,7 @@
     load: float
     running: int
     waiting: int
-    capacity: _Count
+    capacity: int
     loading: str
 
 
@@ -307,7 +301,7 @@
 
     sequence: int
     change: CacheChange
-    blocks: tuple[_Hash, ...]
+    blocks: tuple[int, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/clementinegw/gate/_run.py
+++ b/src/clementinegw/gate/_run.py
@@ -8,7 +8,7 @@
 from clementinegw.gate import _context
 from clementinegw.gate import _events
 from clementinegw.gate import types
-from clementinegw.telemetry import logs
+from clementinegw.telemetry import errors
 
 _MS = 1000.0
 _REFUSAL_BY_CODE = {"wrong_version": types.RefusalReason.WRONG_VERSION}
@@ -61,8 +61,7 @@
                 _events.ATTEMPT_FAILED,
                 request=call.id.request_id,
                 attempt=call.id.attempt,
-                error=f"{type(error).__name__}: {error}",
-                at=logs.innermost_frame(error),
+                **errors.describe(error),
             )
             self.cancel(call.id)
             return self._fail(call, types.FailureReason.ERROR)
--- a/src/clementinegw/requests/http.py
+++ b/src/clementinegw/requests/http.py
@@ -17,6 +17,7 @@
 from clementinegw.requests import pipeline as pipeline_lib
 from clementinegw.requests import types as request_types
 from clementinegw.telemetry import counters as counters_lib
+from clementinegw.telemetry import errors
 from clementinegw.telemetry import logs
 from clementinegw.wire import connection as connection_lib
 
@@ -272,8 +273,7 @@
         self._log.write(
             _events.HANDLER_FAILED,
             request=call.request_id,
-            error=f"{type(error).__name__}: {error}",
-            at=logs.innermost_frame(error),
+            **errors.describe(error),
         )
         return types.Unknown(types.UnknownReason.HOLDER_LOST)
 
--- a/src/clementinegw/telemetry/logs.py
+++ b/src/clementinegw/telemetry/logs.py
@@ -1,9 +1,7 @@
 """Structured logs with one JSON line per event."""
 
 import logging
-import pathlib
 import sys
-import traceback
 from typing import Any
 
 import structlog
@@ -49,12 +47,3 @@
         self._logger.log(
             _LEVELS[event.level], event.name, number=event.number, **fields
         )
-
-
-def innermost_frame(error: BaseException) -> str:
-    """Returns the file and the line that raised an error; empty if unknown."""
-    frames = traceback.extract_tb(error.__traceback__)
-    if not frames:
-        return ""
-    frame = frames[-1]
-    return f"{pathlib.PurePath(frame.filename).name}:{frame.lineno}"
--- a/src/clementinegw/wire/connection.py
+++ b/src/clementinegw/wire/connection.py
@@ -14,6 +14,7 @@
 from clementinegw import exceptions
 from clementinegw import types
 from clementinegw.telemetry import counters as counters_lib
+from clementinegw.telemetry import errors
 from clementinegw.telemetry import events
 from clementinegw.telemetry import logs
 from clementinegw.wire import _handshaker
@@ -297,8 +298,7 @@
             self._log.write(
                 events.TASK_FAILED,
                 task=name,
-                error=f"{type(error).__name__}: {error}",
-                at=logs.innermost_frame(error),
+                **errors.describe(error),
             )
 
     def _on_call_frame(
