Serve requests of engines whose reading rate is not positive

Callers saw: with `read_per_s` 0 in a service's engine, a closed connection without an answer, for each new request, for queued streams that a server had begun and for streams that were resumed after their server had broken off.

Cause: `Placer._latest_start` and `Placer.record_first_event` divide by the rate. The first is called for each reservation, also for a resumed stream; the second at the first event of a stream, before its head is sent on.

Evidence: before, the new test failed with statuses {0, 200} and eight lines request_failed "ZeroDivisionError: float division by zero", six at placement.py:273 of new requests, one there of a stream that had begun (begun true, runs 1), one at placement.py:189 of a queued stream after its server's first event.

Fix: the adapter decodes a rate that is not positive as infinite: unknown, so that no reading time is expected. A configuration whose values are changed this way is used and reported (`record_malformed`, counter platform.records.adjusted), since a refusal of the whole configuration would keep out everything else in it, such as a revoked key. An engine without `read_per_s` counted as reading one token a second, which made all its requests late on arrival; it now counts as unknown too.

--- a/src/clementinegw/direct/_events.py
+++ b/src/clementinegw/direct/_events.py
@@ -35,8 +35,9 @@
     "record_malformed",
     _WARNING,
     "A record of the platform cannot be decoded: a server with such a record"
-    " is removed, an operators' record keeps its last valid value. Logged once"
-    " until it can be decoded.",
+    " is removed, an operators' record keeps its last valid value. Or values in"
+    " a configuration cannot be used as written: `reason` says what is used"
+    " instead. Logged once until the record is valid.",
     "Check `reason` and which process wrote the record.",
 )
 WEIGHTS_DECLARED = events.define(
--- a/src/clementinegw/direct/types.py
+++ b/src/clementinegw/direct/types.py
@@ -92,7 +92,7 @@
       step_per_request_s: The time that each running request adds to a step,
         in seconds.
       prefill_tokens_per_s: The rate at which prompts are processed, in tokens
-        per second.
+        per second; infinite if it is unknown.
       steps_per_pass: The number of token steps in one pass.
       layers: The number of layers of a model.
       chunks: The number of chunks of a version's weights.
@@ -197,6 +197,8 @@
       limits: Limits on callers.
       requires_key: Whether callers need an API key. True if there are
         customers, even if none of them has a key any more.
+      adjusted: Which values of the operators could not be used as written, and
+        what is used instead.
     """
 
     version: int
@@ -205,6 +207,7 @@
     customers: Mapping[str, Customer]
     limits: Limits = Limits()
     requires_key: bool = False
+    adjusted: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -509,6 +509,7 @@
         body=b"",
         method="POST",
         headers=(),
+        deadline_ms=2500,
     ):
         """Sends a request."""
         self._number += 1
@@ -516,7 +517,7 @@
             f"{method} {path} HTTP/1.1",
             "Host: h.example",
             f"X-Clementinegw-Attempt-Id: {attempt_id or f'a{self._number}'}",
-            "X-Clementinegw-Deadline-Ms: 2500",
+            f"X-Clementinegw-Deadline-Ms: {deadline_ms}",
             f"Content-Length: {len(body)}",
             *headers,
         ]
--- /dev/null
+++ b/tests/test_platform_odd_configurations.py
@@ -0,0 +1,186 @@
+"""Tests for odd but valid records while requests are under way."""
+
+import asyncio
+import json
+import math
+
+from adapter import records
+import odd_configurations as odd
+import platform_site as sites
+import pytest
+
+ENGINE = {
+    "slots": 16,
+    "step_ms": 10,
+    "models": [{"name": "m"}],
+    "per_seq_ms": 1.0,
+    "read_per_s": 8000.0,
+    "stride": 2,
+    "layers": 16,
+    "usual": {"prompt": 800, "answer": 100},
+}
+HUGE = 1e308
+
+
+def engine(**fields):
+    return {"service": {"engine": {**ENGINE, **fields}}}
+
+
+def route(**fields):
+    return {"route": fields}
+
+
+def limits(**fields):
+    return {"limits": fields}
+
+
+ODD = {
+    "engine appears": engine(),
+    "read_per_s 0": engine(read_per_s=0),
+    "read_per_s negative": engine(read_per_s=-5),
+    "read_per_s tiny": engine(read_per_s=1e-308),
+    "read_per_s huge": engine(read_per_s=HUGE),
+    "slots 0": engine(slots=0),
+    "slots negative": engine(slots=-4),
+    "stride 0": engine(stride=0),
+    "stride negative": engine(stride=-1),
+    "step_ms 0": engine(step_ms=0, per_seq_ms=0),
+    "step_ms negative": engine(step_ms=-10),
+    "layers 0": engine(layers=0),
+    "layers negative": engine(layers=-3),
+    "chunks negative": engine(chunks=-3, chunk_bytes=-1),
+    "usual negative": engine(usual={"prompt": -5, "answer": -5}),
+    "usual huge": engine(usual={"prompt": HUGE, "answer": HUGE}),
+    "models empty": engine(models=[]),
+    "warm_s negative": engine(models=[{"name": "m", "warm_s": -1}]),
+    "max_attempts 0": route(max_attempts=0),
+    "max_attempts negative": route(max_attempts=-3),
+    "max_attempts huge": route(max_attempts=10**30),
+    "timeout_ms 0": route(timeout_ms=0),
+    "timeout_ms negative": route(timeout_ms=-1000),
+    "timeout_ms huge": route(timeout_ms=HUGE),
+    "target_latency_ms 0": route(target_latency_ms=0),
+    "target_latency_ms negative": route(target_latency_ms=-1),
+    "target_latency_ms huge": route(target_latency_ms=HUGE),
+    "gap_target_ms negative": route(gap_target_ms=-1),
+    "gap_target_ms huge": route(gap_target_ms=HUGE),
+    "priority huge": route(priority=-(10**30)),
+    "weights 0": route(
+        backends=[{"service": s, "weight": 0} for s in ("plain", "gone")]
+    ),
+    "weights negative": route(
+        backends=[{"service": s, "weight": -1} for s in ("plain", "gone")]
+    ),
+    "weights mixed": route(
+        backends=[
+            {"service": "gone", "weight": -1},
+            {"service": "plain", "weight": 2},
+            {"service": "gone", "weight": 0},
+        ]
+    ),
+    "service unknown": route(service="unknown"),
+    "route duplicate": {
+        "routes": odd.config(1)["routes"] + odd.config(1)["routes"]
+    },
+    "routes empty": {"routes": []},
+    "host empty": route(host=""),
+    "host non-latin": route(host="ğ.example"),
+    "services empty": {"services": []},
+    "max_connections 0": {"service": {"max_connections": 0}},
+    "max_connections huge": {"service": {"max_connections": 10**400}},
+    "max_header_bytes 0": limits(max_header_bytes=0),
+    "max_header_bytes 1": limits(max_header_bytes=1),
+    "max_header_bytes huge": limits(max_header_bytes=10**30),
+    "max_body_bytes 0": limits(max_body_bytes=0),
+    "max_body_bytes negative": limits(max_body_bytes=-1),
+    "idle_timeout_ms huge": limits(idle_timeout_ms=HUGE),
+    "header_timeout_ms huge": limits(header_timeout_ms=HUGE),
+    "key taken away": {"tenants": [{"name": "one", "api_keys": ["other"]}]},
+    "tenants empty": {"tenants": []},
+    "tenant non-latin": {"tenants": [{"name": "ğ日", "api_keys": [sites.KEY]}]},
+    "tenant empty": {"tenants": [{"name": "", "api_keys": [sites.KEY]}]},
+}
+
+
+# The statuses of requests that come after an odd configuration, if not 200.
+STATUSES = {
+    "timeout_ms 0": {504},
+    "timeout_ms negative": {504},
+    # Such requests are always late and get leftover capacity only.
+    "target_latency_ms 0": {200, 503},
+    "target_latency_ms negative": {200, 503},
+    "read_per_s tiny": {200, 503},
+    "service unknown": {503},
+    "routes empty": {404},
+    "host empty": {404},
+    "host non-latin": {404},
+    "key taken away": {401},
+}
+
+
+@pytest.mark.parametrize("name", ODD)
+def test_an_odd_configuration_ends_no_request_without_an_answer(name):
+    """Guards against requests that end with a closed connection."""
+
+    async def play():
+        async with odd.Site() as site:
+            traffic = odd.Traffic(site)
+            await traffic.open_all()
+            await site.put(**ODD[name])
+            assert site.in_force()
+            later = odd.Traffic(site)
+            later.open_each(headers=(odd.TOKEN_USAGE,))
+            await asyncio.sleep(0.5)
+            site.break_a_stream()
+            await asyncio.sleep(0.5)
+            site.let_go()
+            later.open_each(headers=(odd.TOKEN_USAGE,))
+            assert await traffic.statuses() == {200}
+            assert await later.statuses() == STATUSES.get(name, {200})
+            await site.put()
+            after = odd.Traffic(site)
+            after.open_each()
+            assert await after.statuses() == {200}
+            assert site.counters.value("direct.request_failed") == 0
+            assert site.errors == []
+
+    sites.run(play())
+
+
+def test_an_adjusted_configuration_is_in_force_and_reported():
+    """Guards against a record that is refused as a whole, or changed unseen.
+
+    A refused configuration would keep out the key that it takes away.
+    """
+
+    async def play():
+        async with odd.Site() as site:
+            changed = {"tenants": [{"name": "one", "api_keys": []}]}
+            await site.put(**ODD["read_per_s 0"], **changed)
+            answer = await site.ask()
+            return answer.status, site.counters.value(
+                "platform.records.adjusted"
+            )
+
+    assert sites.run(play()) == (401, 1)
+
+
+def decode(**fields):
+    """Returns the decoded configuration."""
+    return records.decode_configuration(
+        json.dumps(odd.config(2, **fields)).encode()
+    )
+
+
+def test_an_engine_without_a_reading_rate_reads_in_no_time():
+    """Guards against a rate of zero by which request handlers divide."""
+    for read_per_s in (0, -5):
+        decoded = decode(**engine(read_per_s=read_per_s))
+        assert decoded.services["plain"].engine.prefill_tokens_per_s == math.inf
+        assert decoded.adjusted == (
+            "plain read_per_s: prompts take no time to read",
+        )
+    unset = {k: v for k, v in ENGINE.items() if k != "read_per_s"}
+    decoded = decode(service={"engine": unset})
+    assert decoded.services["plain"].engine.prefill_tokens_per_s == math.inf
+    assert decoded.adjusted == ()
