Bound numbers of routes and engines that overflow in calculations

Callers saw: a closed connection without an answer, with a `stride` that is too large for a float and with weights of a route whose sum is infinite; with the former also streams that a server had begun.

Cause: `Engine.pass_s` converts its product to a float, and `random.choices` refuses an infinite sum; both run in the handlers of requests.

`slots` from 2^31 on also fit into no agent's report, and `layers` 0 let servers without weights count as ready.

Fix: the adapter bounds the numbers of routes and engines where it decodes them, to what has a meaning, and reports each change with the configuration. A reused route keeps what was changed in it. `max_attempts` below 1 is 1: a request is always sent once.

--- a/tests/test_platform_odd_configurations.py
+++ b/tests/test_platform_odd_configurations.py
@@ -4,6 +4,7 @@
 import json
 import math
 
+from adapter import configurations
 from adapter import records
 import odd_configurations as odd
 import platform_site as sites
@@ -44,6 +45,12 @@
     "slots negative": engine(slots=-4),
     "stride 0": engine(stride=0),
     "stride negative": engine(stride=-1),
+    "stride huge": engine(stride=10**400),
+    "weights huge": route(
+        backends=[{"service": s, "weight": HUGE} for s in ("plain", "plain")]
+    ),
+    "slots huge": engine(slots=10**30),
+    "step_ms huge": engine(step_ms=HUGE, per_seq_ms=HUGE),
     "step_ms 0": engine(step_ms=0, per_seq_ms=0),
     "step_ms negative": engine(step_ms=-10),
     "layers 0": engine(layers=0),
@@ -110,6 +117,9 @@
     "target_latency_ms 0": {200, 503},
     "target_latency_ms negative": {200, 503},
     "read_per_s tiny": {200, 503},
+    "stride huge": {200, 503},
+    "slots huge": {200, 503},
+    "step_ms huge": {200, 503},
     "service unknown": {503},
     "routes empty": {404},
     "host empty": {404},
@@ -184,3 +194,66 @@
     decoded = decode(service={"engine": unset})
     assert decoded.services["plain"].engine.prefill_tokens_per_s == math.inf
     assert decoded.adjusted == ()
+
+
+def test_numbers_of_an_engine_are_bounded():
+    """Guards against arithmetic that overflows, or divides by zero layers."""
+    for fields, expected in (
+        ({"slots": 0}, {"slots": 1}),
+        ({"slots": 10**30}, {"slots": 2**31 - 1}),
+        ({"stride": -1}, {"steps_per_pass": 1}),
+        ({"stride": 10**400}, {"steps_per_pass": 2**31 - 1}),
+        ({"layers": 0}, {"layers": 1}),
+        ({"chunks": -3}, {"chunks": 0}),
+        ({"chunk_bytes": 10**30}, {"chunk_bytes": 2**31 - 1}),
+        ({"step_ms": -10}, {"step_s": 0.0}),
+        ({"step_ms": HUGE}, {"step_s": 86_400.0}),
+        ({"per_seq_ms": HUGE}, {"step_per_request_s": 86_400.0}),
+        ({"usual": {"prompt": HUGE}}, {"typical_prompt_tokens": 2.0**31 - 1}),
+        ({"usual": {"answer": -1}}, {"typical_answer_tokens": 0.0}),
+        ({"models": [{"name": "m", "warm_s": -1}]}, {"load_s": 0.0}),
+    ):
+        decoded = decode(**engine(**fields))
+        found = decoded.services["plain"].engine
+        assert {name: getattr(found, name) for name in expected} == expected
+        assert len(decoded.adjusted) == 1, fields
+        assert math.isfinite(found.pass_s)
+
+
+def test_numbers_of_a_route_are_bounded():
+    """Guards against arithmetic that overflows."""
+    for fields, expected in (
+        ({"timeout_ms": -1}, {"timeout_s": 0.0}),
+        ({"timeout_ms": HUGE}, {"timeout_s": 86_400.0}),
+        ({"target_latency_ms": HUGE}, {"objective_s": 86_400.0}),
+        ({"gap_target_ms": -1}, {"max_gap_s": 0.0}),
+        ({"max_attempts": 0}, {"max_attempts": 1}),
+        ({"max_attempts": 10**30}, {"max_attempts": 2**31 - 1}),
+    ):
+        decoded = decode(**route(**fields))
+        found = decoded.routes[0]
+        assert {name: getattr(found, name) for name in expected} == expected
+        # Each of the three routes.
+        assert len(decoded.adjusted) == 3, fields
+
+
+def test_the_share_of_a_target_is_never_negative():
+    """Guards against a draw by weights whose sum is infinite or negative."""
+    targets = [{"service": s, "weight": w} for s, w in (("a", -1), ("b", 1))]
+    decoded = decode(**route(backends=targets))
+    assert [t.weight for t in decoded.routes[0].targets] == [0.0, 1.0]
+    targets = [{"service": s, "weight": HUGE} for s in ("a", "b")]
+    decoded = decode(**route(backends=targets))
+    assert sum(t.weight for t in decoded.routes[0].targets) == 2e9
+
+
+@pytest.mark.parametrize("decoder", [records, configurations.Decoder()])
+def test_an_unchanged_route_is_reported_with_each_configuration(decoder):
+    """Guards against adjustments that are lost with the reuse of a route."""
+    value = json.dumps(odd.config(2, **route(timeout_ms=-1))).encode()
+    for _ in range(2):
+        decoded = decoder.decode_configuration(value)
+        assert decoded.adjusted == tuple(
+            f"route {kind} timeout_ms: out of range, 0.0 is used"
+            for kind in ("safe", "once", "stream")
+        )
