--- a/tests/test_platform_odd_configurations.py
+++ b/tests/test_platform_odd_configurations.py
@@ -98,6 +98,10 @@
     "max_header_bytes 0": limits(max_header_bytes=0),
     "max_header_bytes 1": limits(max_header_bytes=1),
     "max_header_bytes huge": limits(max_header_bytes=10**30),
+    "max_header_bytes negative": limits(max_header_bytes=-1),
+    "idle_timeout_ms 0": limits(idle_timeout_ms=0),
+    "idle_timeout_ms negative": limits(idle_timeout_ms=-1),
+    "header_timeout_ms 0": limits(header_timeout_ms=0),
     "max_body_bytes 0": limits(max_body_bytes=0),
     "max_body_bytes negative": limits(max_body_bytes=-1),
     "idle_timeout_ms huge": limits(idle_timeout_ms=HUGE),
@@ -257,3 +261,39 @@
             f"route {kind} timeout_ms: out of range, 0.0 is used"
             for kind in ("safe", "once", "stream")
         )
+
+
+def test_limits_of_callers_are_bounded():
+    """Guards against an entry that closes each new connection unread."""
+    for fields, expected in (
+        ({"max_header_bytes": -1}, {"header_bytes": 512}),
+        ({"max_header_bytes": 10**30}, {"header_bytes": 1 << 20}),
+        ({"max_body_bytes": -1}, {"body_bytes": 0}),
+        ({"max_body_bytes": 10**30}, {"body_bytes": 2**31 - 1}),
+        ({"header_timeout_ms": 0}, {"header_timeout_s": 0.25}),
+        ({"idle_timeout_ms": 0}, {"idle_timeout_s": 0.25}),
+        ({"idle_timeout_ms": HUGE}, {"idle_timeout_s": 86_400.0}),
+    ):
+        decoded = decode(**limits(**fields))
+        found = decoded.limits
+        assert {name: getattr(found, name) for name in expected} == expected
+        assert len(decoded.adjusted) == 1, fields
+
+
+def test_a_request_in_parts_is_answered_without_a_header_timeout():
+    """Guards against a connection that closes between two parts of a head."""
+
+    async def play():
+        async with odd.Site() as site:
+            site.let_go()
+            await site.put(**limits(header_timeout_ms=0, max_header_bytes=0))
+            async with sites.Caller(site) as caller:
+                caller.writer.write(b"GET /safe/1 HTTP/1.1\r\n")
+                await asyncio.sleep(0.1)
+                caller.writer.write(
+                    b"Host: h.example\r\nX-Clementinegw-Attempt-Id: a\r\n"
+                    b"Authorization: Token " + sites.KEY.encode() + b"\r\n\r\n"
+                )
+                return (await caller.answer()).status
+
+    assert sites.run(play()) == 200
