Accept no keys of customers whose name cannot be sent in a header

Callers saw: 502 for each request with a key of a customer whose name has a line break, or a space at an end, though no server got the request.

Cause: the name is sent in a header, and h11 refuses to write it. The error was taken for an answer that a server broke off: the server's failure rate rose, a crash was recorded for the request, a retry was sent and the connection closed.

Evidence: before, the tests failed with {502} where {401} is right, and with two attempts that count as broken at healthy servers for one request.

Fix: the adapter leaves out the keys of such a customer, so that its callers get 401 and nothing is sent, and reports it. All other customers and changes of the configuration are in force. The name is not altered: servers would be told of a customer that the operators did not name.

--- a/tests/test_platform_odd_configurations.py
+++ b/tests/test_platform_odd_configurations.py
@@ -108,6 +108,12 @@
     "header_timeout_ms huge": limits(header_timeout_ms=HUGE),
     "key taken away": {"tenants": [{"name": "one", "api_keys": ["other"]}]},
     "tenants empty": {"tenants": []},
+    "tenant with line break": {
+        "tenants": [{"name": "o\r\nne", "api_keys": [sites.KEY]}]
+    },
+    "tenant with spaces": {
+        "tenants": [{"name": " one ", "api_keys": [sites.KEY]}]
+    },
     "tenant non-latin": {"tenants": [{"name": "ğ日", "api_keys": [sites.KEY]}]},
     "tenant empty": {"tenants": [{"name": "", "api_keys": [sites.KEY]}]},
 }
@@ -129,6 +135,8 @@
     "host empty": {404},
     "host non-latin": {404},
     "key taken away": {401},
+    "tenant with line break": {401},
+    "tenant with spaces": {401},
 }
 
 
@@ -297,3 +305,48 @@
                 return (await caller.answer()).status
 
     assert sites.run(play()) == 200
+
+
+def test_a_customer_whose_name_is_no_header_crashes_no_server():
+    """Guards against requests that count as crashes of healthy servers."""
+
+    async def play():
+        async with odd.Site() as site:
+            site.let_go()
+            tenants = [
+                {"name": "o\r\nne", "api_keys": ["odd", "odd-2"]},
+                {"name": "two", "api_keys": [sites.KEY]},
+            ]
+            await site.put(tenants=tenants)
+            sent_before = sum(len(s.calls) for s in site.servers)
+            odd_answer = await site.ask(key="odd")
+            assert sum(len(s.calls) for s in site.servers) == sent_before
+            assert site.counters.value("direct.attempt.broken") == 0
+            assert site.counters.value("platform.records.adjusted") == 1
+            answer = await site.ask()
+            call = [c for s in site.servers for c in s.calls][-1]
+            return (
+                odd_answer.status,
+                answer.status,
+                call.headers["x-clementinegw-tenant"],
+            )
+
+    assert sites.run(play()) == (401, 200, "two")
+
+
+@pytest.mark.parametrize("name", ["a\nb", " a", "a ", "a\t", "a\0b", "a\x1fb"])
+def test_a_name_that_cannot_stand_in_a_header_has_no_keys(name):
+    """Guards against a request that cannot be written to a connection."""
+    decoded = decode(tenants=[{"name": name, "api_keys": ["k"]}])
+    assert (dict(decoded.customers), decoded.requires_key) == ({}, True)
+    assert decoded.adjusted == (
+        f"tenant {name!a}: not valid in a header, its keys are not accepted",
+    )
+
+
+@pytest.mark.parametrize("name", ["", "a b", "ğ日", "a-1"])
+def test_other_names_are_accepted(name):
+    """Guards against keys that are refused for no reason."""
+    decoded = decode(tenants=[{"name": name, "api_keys": ["k"]}])
+    assert decoded.customers["k"].name == name
+    assert decoded.adjusted == ()
