--- a/tests/test_platform_odd_configurations.py
+++ b/tests/test_platform_odd_configurations.py
@@ -90,6 +90,15 @@
         "routes": odd.config(1)["routes"] + odd.config(1)["routes"]
     },
     "routes empty": {"routes": []},
+    "prefix without slashes": {
+        "routes": [
+            {**r, "path_prefix": r["path_prefix"].strip("/")}
+            for r in odd.config(1)["routes"]
+        ]
+    },
+    "prefix empty": {
+        "routes": [{**odd.config(1)["routes"][0], "path_prefix": ""}]
+    },
     "host empty": route(host=""),
     "host non-latin": route(host="ğ.example"),
     "services empty": {"services": []},
@@ -350,3 +359,15 @@
     decoded = decode(tenants=[{"name": name, "api_keys": ["k"]}])
     assert decoded.customers["k"].name == name
     assert decoded.adjusted == ()
+
+
+@pytest.mark.parametrize(
+    ("prefix", "expected"),
+    [("a", "/a/"), ("/a", "/a/"), ("a/", "/a/"), ("", "/"), ("//a//", "//a//")],
+)
+def test_a_prefix_begins_and_ends_with_a_slash(prefix, expected):
+    """Guards against a route that no path can match."""
+    routes = [{**odd.config(2)["routes"][0], "path_prefix": prefix}]
+    decoded = decode(routes=routes)
+    assert decoded.routes[0].prefix == expected
+    assert len(decoded.adjusted) == (prefix != expected)
