--- a/tests/test_platform_odd_configurations.py
+++ b/tests/test_platform_odd_configurations.py
@@ -174,6 +174,7 @@
             assert await after.statuses() == {200}
             assert site.counters.value("direct.request_failed") == 0
             assert site.errors == []
+            assert not site.entry.crashed
 
     sites.run(play())
 
@@ -371,3 +372,28 @@
     decoded = decode(routes=routes)
     assert decoded.routes[0].prefix == expected
     assert len(decoded.adjusted) == (prefix != expected)
+
+
+def test_a_declared_version_out_of_range_is_refused():
+    """Guards against a subscription that cannot be encoded.
+
+    The error stopped the entry, and all its requests with it.
+    """
+
+    async def play():
+        async with odd.Site() as site:
+            traffic = odd.Traffic(site)
+            await site.put(**engine())
+            await traffic.open_all()
+            for version in (10**30, -(10**30), -1):
+                declared = {"model": "m", "version": version}
+                site.store.put("keyed.op", "version/m", declared)
+                await asyncio.sleep(odd.APPLY_S)
+            site.let_go()
+            traffic.open_each()
+            assert await traffic.statuses() == {200}
+            assert site.errors == []
+            assert not site.entry.crashed
+            assert site.counters.value("platform.records.unreadable") == 3
+
+    sites.run(play())
