--- a/tests/odd_configurations.py
+++ b/tests/odd_configurations.py
@@ -77,6 +77,13 @@
         """The version of the configuration in force."""
         return self.entry._config_view.catalog.version
 
+    @property
+    def has_crashed(self):
+        """Whether the entry or one of its readers of topics has ended."""
+        entry = self.entry
+        services = (entry, entry._relay, entry._operators, entry._server_list)
+        return any(service.crashed for service in services)
+
     def in_force(self):
         """Returns whether the newest configuration is in force."""
         return self.version == self._version
@@ -85,6 +92,10 @@
         """Lets the servers answer all requests."""
         self._go.set()
 
+    def hold(self):
+        """Makes the servers hold further requests."""
+        self._go = asyncio.Event()
+
     def break_a_stream(self):
         """Breaks a stream that a server has begun."""
         for server in self.servers:
--- a/tests/test_platform_odd_configurations.py
+++ b/tests/test_platform_odd_configurations.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import math
+import random
 
 from adapter import configurations
 from adapter import records
@@ -174,7 +175,7 @@
             assert await after.statuses() == {200}
             assert site.counters.value("direct.request_failed") == 0
             assert site.errors == []
-            assert not site.entry.crashed
+            assert not site.has_crashed
 
     sites.run(play())
 
@@ -393,7 +394,154 @@
             traffic.open_each()
             assert await traffic.statuses() == {200}
             assert site.errors == []
-            assert not site.entry.crashed
+            assert not site.has_crashed
             assert site.counters.value("platform.records.unreadable") == 3
 
     sites.run(play())
+
+
+_DRAINING = "draining"
+# Changes of the records of all servers, and whether requests are served then.
+ODD_SERVERS = {
+    "slots shrink": ({"slots": 1}, True),
+    "slots 0": ({"slots": 0}, False),
+    "slots huge": ({"slots": 2**31 - 1}, True),
+    "slots too large": ({"slots": 10**30}, False),
+    "weights of an older version": (
+        {
+            "models": [
+                {
+                    "name": "m",
+                    "version": 0,
+                    "layers": {"from": 0, "target": 64, "version": 0},
+                }
+            ]
+        },
+        True,
+    ),
+    "weights without a gap": (
+        {"layers": {"from": 8, "target": 4}, "models": []},
+        True,
+    ),
+    "another service": ({"service": "other"}, False),
+    "service empty": ({"service": ""}, False),
+    "zone unknown": ({"zone": "nowhere"}, True),
+    "state unknown": ({"state": "odd"}, False),
+    _DRAINING: ({"state": "draining"}, False),
+    "address without a listener": ({"address": "127.0.0.1:1"}, False),
+    "address of another family": ({"address": "::1:1"}, False),
+    "address malformed": ({"address": "nowhere"}, False),
+    "another start": ({"born": 2**53}, True),
+    "sequence too large": ({"sequence": 10**30}, False),
+}
+
+
+@pytest.mark.parametrize("name", ODD_SERVERS)
+@pytest.mark.parametrize("has_engine", [False, True])
+def test_an_odd_server_record_ends_no_request_without_an_answer(
+    name, has_engine
+):
+    """Guards against requests that end with a closed connection."""
+    fields, is_served = ODD_SERVERS[name]
+    is_served = is_served and not (has_engine and "weights" in name)
+
+    async def play():
+        async with odd.Site() as site:
+            if has_engine:
+                await site.put(**engine())
+            traffic = odd.Traffic(site)
+            await traffic.open_all()
+            for server in site.servers:
+                site.list_server(server, **fields)
+            await asyncio.sleep(odd.APPLY_S)
+            later = odd.Traffic(site)
+            later.open_each()
+            await asyncio.sleep(0.5)
+            site.let_go()
+            begun = await traffic.statuses()
+            assert begun <= {200, 503}
+            assert await later.statuses() <= (
+                {200} if is_served else {200, 503}
+            )
+            for server in site.servers:
+                site.list_server(server, sequence=2)
+            await asyncio.sleep(odd.APPLY_S + 4.0)
+            after = odd.Traffic(site)
+            after.open_each()
+            # A start that leaves never comes back.
+            expected = {503} if name == _DRAINING else {200}
+            assert await after.statuses() == expected
+            assert site.counters.value("direct.request_failed") == 0
+            assert site.errors == []
+            assert not site.has_crashed
+
+    sites.run(play())
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_odd_records_in_series_end_no_request_without_an_answer(seed):
+    """Guards against states that only several odd records lead to."""
+    rng = random.Random(seed)
+    server_names = sorted(ODD_SERVERS.keys() - {_DRAINING})
+
+    async def play():
+        async with odd.Site() as site:
+            for _ in range(12):
+                traffic = odd.Traffic(site)
+                await traffic.open_all()
+                for name in rng.sample(sorted(ODD), 3):
+                    await site.put(**ODD[name])
+                    traffic.open_each(headers=(odd.TOKEN_USAGE,))
+                name = rng.choice(server_names)
+                site.list_server(
+                    rng.choice(site.servers), **ODD_SERVERS[name][0]
+                )
+                await asyncio.sleep(odd.APPLY_S)
+                await site.put()
+                traffic.open_each()
+                site.let_go()
+                assert 0 not in await traffic.statuses()
+                site.hold()
+                for server in site.servers:
+                    site.list_server(server)
+                await asyncio.sleep(odd.APPLY_S)
+            site.let_go()
+            await asyncio.sleep(4.0)
+            traffic = odd.Traffic(site)
+            traffic.open_each()
+            assert await traffic.statuses() == {200}
+            assert site.counters.value("direct.request_failed") == 0
+            assert site.errors == []
+            assert not site.has_crashed
+
+    sites.run(play())
+
+
+def test_a_server_is_listed_under_a_huge_limit_of_connections():
+    """Guards against an error that ends the reading of the server list."""
+
+    async def play():
+        async with odd.Site() as site:
+            site.let_go()
+            await site.put(service={"max_connections": 10**400})
+            site.list_server(site.servers[0], address="127.0.0.1:1")
+            await asyncio.sleep(odd.APPLY_S)
+            site.list_server(site.servers[0], sequence=2)
+            site.list_server(site.servers[1], state="draining")
+            await asyncio.sleep(odd.APPLY_S)
+            traffic = odd.Traffic(site)
+            traffic.open_each()
+            assert await traffic.statuses() == {200}
+            assert not site.entry._server_list.crashed
+
+    sites.run(play())
+
+
+def test_numbers_of_a_service_are_bounded():
+    """Guards against arithmetic that overflows."""
+    fields = {"max_connections": 0, "origin": "10.0.0.1:80", "link_mbps": HUGE}
+    service = decode(service=fields).services["plain"]
+    assert service.max_connections == service.origin.max_connections == 1
+    assert math.isfinite(service.origin.link_bytes_per_s)
+    service = decode(service={"max_connections": 10**400}).services["plain"]
+    assert service.max_connections == 2**31 - 1
