--- a/tests/test_platform_odd_configurations.py
+++ b/tests/test_platform_odd_configurations.py
@@ -378,7 +378,7 @@
 def test_a_declared_version_out_of_range_is_refused():
     """Guards against a subscription that cannot be encoded.
 
-    The error stopped the entry, and all its requests with it.
+    The error ended the entry's tasks: it read no topic any more.
     """
 
     async def play():
