--- a/tests/test_platform_odd_configurations.py
+++ b/tests/test_platform_odd_configurations.py
@@ -545,3 +545,31 @@
     assert math.isfinite(service.origin.link_bytes_per_s)
     service = decode(service={"max_connections": 10**400}).services["plain"]
     assert service.max_connections == 2**31 - 1
+
+
+def test_a_stream_whose_event_ids_end_with_a_space_is_resumed():
+    """Guards against a stream that is broken off though it could go on.
+
+    The id is sent to the next server in a header, which cannot end with one.
+    """
+
+    async def play():
+        async def answer(call):
+            call.begin_stream()
+            if "last-event-id" in call.headers:
+                call.event(2)
+                call.end_stream()
+                return
+            event = b"id: 1 \ndata: 1\n\n"
+            call.send(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            await asyncio.sleep(0.1)
+            call.reset()
+
+        async with sites.Site("i-1", "i-2", on_call=answer) as site:
+            stream = await site.ask("/stream/1")
+            return stream.complete, stream.body
+
+    assert sites.run(play()) == (
+        True,
+        b"id: 1 \ndata: 1\n\nid: 2\ndata: 2\n\n",
+    )
