Answer refused HEAD requests without a body, and say when a process cut an answer

Callers of HEAD requests that an entry refuses saw the connection break after the head of the answer: h11 accepts no body there. The line of an answer that a stopping process cut said that the caller had closed its connection in order.

--- a/src/clementinegw/direct/finisher.py
+++ b/src/clementinegw/direct/finisher.py
@@ -99,6 +99,9 @@
             age_s=round(min(self._config_view.age_s(), 9_999.0), 3),
             after_ms=round((self._clock() - request.arrived_at) * 1000, 1),
         )
+        if responder.begun:
+            responder.abort()
+            return
         headers: client.Headers = [(b"content-type", b"application/json")]
         if refusal.retry_after_s is not None:
             text = f"{refusal.retry_after_s:.2f}"
@@ -110,8 +113,6 @@
             )
         except channel.ChannelClosed:
             responder.abort()
-            if job is not None:
-                self.record_done(job, "caller_left", 0, responder.departure)
 
     async def refuse_unfinished(
         self,
--- a/src/clementinegw/direct/server.py
+++ b/src/clementinegw/direct/server.py
@@ -92,8 +92,9 @@
       aborted: Whether the handler broke the answer off.
     """
 
-    def __init__(self, session: "_Session"):
+    def __init__(self, session: "_Session", method: str):
         self._session = session
+        self._method = method
         self.begun = False
         self.ended = False
         self.aborted = False
@@ -138,7 +139,7 @@
         sized = client.without_headers(headers, _FRAMING_HEADERS)
         sized.append((b"content-length", str(len(body)).encode()))
         await self._begin(status, sized, close)
-        if body:
+        if body and self._method != "HEAD":
             await self._session.send(h11.Data(data=body))
         await self.end()
 
@@ -223,6 +224,7 @@
       limits: Bounds of requests and connections.
       closing: Whether answers announce that their connection closes.
       closes_idle: Whether connections close as soon as they are idle.
+      stopped: Whether `stop` was called.
       requests: How many requests were passed to the handler.
     """
 
@@ -247,7 +249,7 @@
         self._server: asyncio.Server | None = None
         self._sessions: dict[_Session, asyncio.Task] = {}
         self._channels: set[channels.Channel] = set()
-        self._stopped = False
+        self.stopped = False
         self._body_bytes = 0
         self._changed = asyncio.Event()
         self.limits = direct_types.Limits()
@@ -307,7 +309,7 @@
         Waits until all handlers have ended. Answers have only a short time to
         be sent, as the process may be killed if it takes longer to end.
         """
-        self._stopped = True
+        self.stopped = True
         self.close_idle()
         tasks = list(self._sessions.values())
         for task in tasks:
@@ -376,7 +378,7 @@
         )
 
     def _start_session(self, channel: channels.Channel) -> None:
-        if self._stopped:
+        if self.stopped:
             channel.abort()
             return
         self._channels.add(channel)
@@ -444,7 +446,7 @@
         """How the connection ended; `STOPPED` while the caller is there."""
         if self._slow:
             return Departure.SLOW
-        if not self.channel.ended:
+        if self._server.stopped or not self.channel.ended:
             return Departure.STOPPED
         return Departure.CLOSED if self.channel.clean else Departure.RESET
 
@@ -537,7 +539,7 @@
         request = await self._read()
         if request is None:
             return False
-        self._responder = Responder(self)
+        self._responder = Responder(self, request.method)
         self.busy = True
         self._server.requests += 1
         try:
