--- a/src/clementinegw/direct/attempt.py
+++ b/src/clementinegw/direct/attempt.py
@@ -12,6 +12,7 @@
 from clementinegw.direct import queue
 from clementinegw.direct import server as servers
 from clementinegw.direct import sse
+from clementinegw.direct import timeouts
 from clementinegw.direct import types
 from clementinegw.direct import version_timeouts
 
@@ -25,10 +26,8 @@
 _MIN_SILENCE_S = 0.6
 _SILENCE_PER_OBJECTIVE = 2.0
 _SILENCE_PER_GAP = 3.0
-# Interval between checks for a silent server, and the lag of a check from which
-# on the event loop counts as stalled, in seconds.
+# Interval between checks for a silent server, in seconds.
 _SILENCE_CHECK_S = 0.2
-_MAX_CHECK_LAG_S = 0.05
 _MISDIRECTED_REQUEST = 421
 # Statuses that promise the caller that its request was not run.
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -451,11 +450,13 @@
                 # Bytes and reports that arrived while the event loop stood
                 # still are read before the server is judged.
                 silent_since = max(silent_since, self.backend.heard_at) + lag_s
-                stalled = lag_s > _MAX_CHECK_LAG_S and not stalled
+                lagged = lag_s > timeouts.MAX_LAG_S
+                stalled = lagged and not stalled
                 if stalled:
                     continue
                 silent = now - silent_since >= silence_limit_s
-                silent = silent or self.backend.is_silent(now)
+                if not lagged:
+                    silent = silent or self.backend.is_silent(now)
                 if silent and self._take_over():
                     raise _ServerSilent from error
 
--- a/src/clementinegw/direct/client.py
+++ b/src/clementinegw/direct/client.py
@@ -199,18 +199,44 @@
       ConnectFailed: The connection failed or timed out; nothing was sent.
     """
     loop = asyncio.get_running_loop()
+    opening = asyncio.ensure_future(
+        loop.create_connection(channels.Channel, address.host, address.port)
+    )
+    channel: channels.Channel | None = None
     try:
-        async with asyncio.timeout(timeout_s):
-            _, channel = await loop.create_connection(
-                channels.Channel, address.host, address.port
-            )
-    except TimeoutError as error:
-        raise ConnectFailed(f"{address}: no connection") from error
+        if not await _ends_within(opening, timeout_s):
+            raise ConnectFailed(f"{address}: no connection")
+        _, channel = opening.result()
     except OSError as error:
         raise ConnectFailed(f"{address}: {error.strerror or error}") from error
+    finally:
+        if channel is None:
+            opening.cancel()
+            opening.add_done_callback(_abort_opened)
     return Connection(channel)
 
 
+async def _ends_within(task: asyncio.Task, timeout_s: float) -> bool:
+    """Returns whether a task ends in time; waits twice if the loop stalls.
+
+    After a stall of the event loop a timer ends before the task has seen what
+    happened meanwhile.
+    """
+    loop = asyncio.get_running_loop()
+    due = loop.time() + timeout_s
+    await asyncio.wait({task}, timeout=timeout_s)
+    if not task.done() and loop.time() - due > timeouts_lib.MAX_LAG_S:
+        await asyncio.wait({task}, timeout=timeout_s)
+    return task.done()
+
+
+def _abort_opened(opening: asyncio.Task) -> None:
+    """Closes a connection that was opened after it was given up."""
+    if not opening.cancelled() and opening.exception() is None:
+        transport, _ = opening.result()
+        transport.abort()
+
+
 class Pool:
     """A pool of connections to one address that reuses the last one first."""
 
