Let streams wait out rejections, and requests that may have run a little longer

Callers saw streams close midway with most of their time left: after three rejections by servers (attempts_used with 2440 of 2500 ms left) and after connections that timed out. A safe request taken from a silent server for one that rejected it got 502. Cause: bounds for requests that can still be refused held for those that can only be broken off. Change: rejections no longer end a begun stream; its deadline and the retry budget do, and it is not resumed when its next event could not come in time. A request that may have run waits for half of its time. A line says not_resumable, not_repeatable, no_server, or why no server went on after a failure, where it said attempts_used, busy or failed_at_server. A request has one final line also if its caller leaves as the process stops.

--- a/src/clementinegw/direct/_events.py
+++ b/src/clementinegw/direct/_events.py
@@ -107,7 +107,10 @@
     "An attempt at a backend server ended without an answer to forward.",
 )
 REQUEST_REFUSED = events.define(
-    912, "request_refused", _INFO, "A request was refused: it was not run."
+    912,
+    "request_refused",
+    _INFO,
+    "A request was refused; a status of 502 or 504 says that it may have run.",
 )
 REQUEST_FAILED = events.define(
     925,
--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -50,6 +50,8 @@
 # A server works until the deadline that it is given; this is set aside for its
 # answer's way back, in seconds.
 _ANSWER_TRANSIT_S = 0.02
+# Pause of a request that was withdrawn so often, in seconds.
+_WITHDRAWN_PAUSE_S = 0.1
 # Interval between checks for a free retry budget, in seconds.
 _BUDGET_CHECK_S = 0.1
 _BAD_GATEWAY = 502
@@ -140,21 +142,36 @@
                 raise channel.ChannelClosed(clean=False)
             await self._finish(job, task.result())
         except channel.ChannelClosed:
+            self._record_departure(job)
             await _cancel(task)
-            responder.abort()
-            self._finisher.record_done(
-                job, "caller_left", 0, responder.departure
-            )
         except asyncio.CancelledError:
-            outcome = await _cancel(task)
-            if outcome is None or responder.incomplete:
-                await self._finisher.refuse_unfinished(
-                    job.request, responder, Reason.STOPPING, job
-                )
-            else:
-                await self._finish(job, outcome)
+            await self._stop(job, await _cancel(task))
             raise
 
+    async def _stop(self, job: attempts.Job, outcome: _Outcome | None) -> None:
+        """Ends a request because the process ends.
+
+        Args:
+          job: The request.
+          outcome: Its outcome; None if it has none yet.
+        """
+        if outcome is None or job.responder.incomplete:
+            await self._finisher.refuse_unfinished(
+                job.request, job.responder, Reason.STOPPING, job
+            )
+            return
+        try:
+            await self._finish(job, outcome)
+        except channel.ChannelClosed:
+            self._record_departure(job)
+
+    def _record_departure(self, job: attempts.Job) -> None:
+        """Ends a request whose caller's connection has ended."""
+        job.responder.abort()
+        self._finisher.record_done(
+            job, "caller_left", 0, job.responder.departure
+        )
+
     async def _finish(self, job: attempts.Job, outcome: _Outcome) -> None:
         """Answers the caller, unless a server's answer was relayed already.
 
@@ -221,17 +238,20 @@
                     if not self._may_retry(job, outcome):
                         outcome = self._give_up(job, outcome)
                         break
+                    if job.withdrawals >= _MAX_SENDS:
+                        await asyncio.sleep(_WITHDRAWN_PAUSE_S)
         except TimeoutError:
             outcome = outcomes.Refusal(_GATEWAY_TIMEOUT, Reason.TIMEOUT)
         finally:
             if job.takeover is not None:
                 job.takeover.release()
-        if isinstance(outcome, outcomes.Refusal) and failed is not None:
+        if job.responder.begun:
+            if isinstance(outcome, outcomes.Failed):
+                # Another server's events were sent: no second head can follow.
+                return outcomes.Refusal(_BAD_GATEWAY, Reason.FAILED_AT_SERVER)
+        elif isinstance(outcome, outcomes.Refusal) and failed is not None:
             # The server's own error is more informative than a refusal.
-            outcome = failed
-        if isinstance(outcome, outcomes.Failed) and job.responder.begun:
-            # Another server's events were sent, and no other head can follow.
-            return outcomes.Refusal(_BAD_GATEWAY, Reason.FAILED_AT_SERVER)
+            return failed
         return outcome
 
     async def _attempt_once(
@@ -427,18 +447,26 @@
         """Returns whether another attempt may be made; counts withdrawals."""
         if not self._may_send_again(job):
             return False
-        if _is_unreachable(outcome):
-            return job.responder.begun or self._placer.may_reconnect(job)
         if isinstance(outcome, outcomes.NotRun):
             job.withdrawals += outcome.reason in _WITHDRAWN_REASONS
+            if job.responder.begun:
+                return True
+            if _is_unreachable(outcome):
+                return self._placer.may_reconnect(job)
             return job.withdrawals < _MAX_SENDS
         if isinstance(outcome, outcomes.Failed) and outcome.head.status < 500:
             return False
         return self._may_run_again(job, job.runs)
 
     def _may_send_again(self, job: attempts.Job) -> bool:
-        resumable = not job.responder.begun or job.last_event_id is not None
-        return resumable and job.sends < _MAX_SENDS
+        """Returns whether a request may be sent to another server.
+
+        One that has begun can only be broken off, so that the retry budget and
+        its deadline bound how often it is sent.
+        """
+        if job.responder.begun:
+            return self._is_resumable(job)
+        return job.sends < _MAX_SENDS
 
     def _may_run_again(self, job: attempts.Job, runs: int) -> bool:
         """Returns whether a request may run again after that many runs."""
@@ -456,8 +484,16 @@
             return outcome
         if _is_unreachable(outcome):
             return self._placer.refuse_unreachable(job)
+        if job.responder.begun and not self._is_resumable(job):
+            return self._placer.refuse(job, Reason.NOT_RESUMABLE)
+        if job.runs and not job.match.route.idempotent:
+            return self._placer.refuse(job, Reason.NOT_REPEATABLE)
         return self._placer.refuse(job, Reason.ATTEMPTS_USED)
 
+    def _is_resumable(self, job: attempts.Job) -> bool:
+        """Returns whether the rest of an answer may come from another server."""
+        return job.match.route.idempotent and job.last_event_id is not None
+
     def _budget(self, service: str) -> budgets.RetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
--- a/src/clementinegw/direct/outcomes.py
+++ b/src/clementinegw/direct/outcomes.py
@@ -97,6 +97,8 @@
     BACKOFF = "backoff"
     NO_BUDGET = "no_budget"
     ATTEMPTS_USED = "attempts_used"
+    NOT_RESUMABLE = "not_resumable"
+    NOT_REPEATABLE = "not_repeatable"
     TIMEOUT = "timeout"
     MAY_HAVE_RUN = "may_have_run"
     FAILED_AT_SERVER = "failed_at_server"
--- a/src/clementinegw/direct/placement.py
+++ b/src/clementinegw/direct/placement.py
@@ -46,6 +46,9 @@
 # fraction of the request's time. After a longer wait the answer could not
 # complete in time.
 _MAX_WAIT_SHARE = 0.5
+# Upper bound on the time that is set aside for the next event of a stream that
+# is resumed, as a fraction of the request's time.
+_MAX_RESUMPTION_SHARE = 0.2
 # When the caller should retry, as a fraction of its remaining time: if all
 # servers are full, and if no server is ready. Callers wait for at most a third
 # of their time, and a request that is refused twice is lost.
@@ -58,11 +61,14 @@
     Reason.LIMITED: _RETRY_FULL,
     Reason.NO_BUDGET: _RETRY_FULL,
     Reason.ATTEMPTS_USED: _RETRY_FULL,
+    Reason.NOT_RESUMABLE: _RETRY_NEVER,
+    Reason.NOT_REPEATABLE: _RETRY_NEVER,
     Reason.CRASHES_SERVERS: _RETRY_NEVER,
+    Reason.NO_SERVER: _RETRY_NOT_READY,
 }
 # A request that has begun stops waiting this long before its deadline, so that
 # its line says what it waited for. Seconds.
-GIVE_UP_MARGIN_S = 0.05
+GIVE_UP_MARGIN_S = 0.1
 _BAD_GATEWAY = 502
 
 
@@ -110,10 +116,13 @@
         give_up_at = max(arrived_at, latest_start)
         if job.spent_s or job.sends:
             give_up_at = arrived_at + _RETRIED_WAIT_SHARE * timeout_s
+        if job.runs:
+            # Its refusal would not say that it may be sent again.
+            give_up_at = arrived_at + _MAX_WAIT_SHARE * timeout_s
         if job.responder.begun:
             # It cannot be refused any more, only broken off; its caller leaves
             # when the pause gets too long.
-            give_up_at = job.deadline - GIVE_UP_MARGIN_S
+            give_up_at = self._latest_resumption(job)
         elif not self._balancer.candidates(self._requirements(job)):
             ready_in_s = self._balancer.ready_in_s(job.service)
             if ready_in_s > _READY_WAIT_SHARE * timeout_s:
@@ -140,6 +149,10 @@
         now = self._clock()
         job.waited_s += now - queued_at
         if reservation is None:
+            if job.responder.begun and not self._balancer.candidates(
+                self._requirements(job)
+            ):
+                return self.refuse(job, Reason.NO_SERVER)
             if self._balancer.cooldown_ends_in_s(self._requirements(job)):
                 return self.refuse_unreachable(job)
             backoff_ends_in_s = self._balancer.backoff_ends_in_s(
@@ -294,13 +307,31 @@
         engine = self._config_view.engine(job.service)
         if engine is None:
             return at
-        at -= self._estimator(job.service, engine).estimate_s
-        at -= job.metadata.prompt_tokens / engine.prefill_tokens_per_s
+        at -= self._first_event_s(job, engine)
         if job.spent_s or job.sends:
             return at
         min_start_s = _MIN_START_SHARE * job.match.route.objective_s
         return max(at, job.request.arrived_at + min_start_s)
 
+    def _latest_resumption(self, job: attempts.Job) -> float:
+        """Returns the latest time at which a begun stream may be resumed.
+
+        In monotonic seconds. A server that starts it later reads the prompt in
+        vain.
+        """
+        engine = self._config_view.engine(job.service)
+        needed_s = self._first_event_s(job, engine) if engine else 0.0
+        timeout_s = job.deadline - job.request.arrived_at
+        needed_s = min(needed_s, _MAX_RESUMPTION_SHARE * timeout_s)
+        return job.deadline - max(GIVE_UP_MARGIN_S, needed_s)
+
+    def _first_event_s(self, job: attempts.Job, engine: types.Engine) -> float:
+        """Returns the estimated time to the first event, in seconds."""
+        return (
+            self._estimator(job.service, engine).estimate_s
+            + job.metadata.prompt_tokens / engine.prefill_tokens_per_s
+        )
+
     def _estimator(
         self, service: str, engine: types.Engine
     ) -> latency_estimator.LatencyEstimator:
--- /dev/null
+++ b/tests/test_direct_resumption.py
@@ -0,0 +1,272 @@
+"""Tests how streams go on at another server, and what ends them."""
+
+import asyncio
+
+import platform_site as sites
+import pytest
+import structlog
+import test_direct_stream_ends as ends
+
+from clementinegw.direct import budget
+from clementinegw.direct import client
+
+WHOLE = ends.WHOLE
+
+
+def broken_off(log):
+    """Returns why each answer was broken off."""
+    return [
+        line["cause"] for line in log if line["event"] == "answer_broken_off"
+    ]
+
+
+@pytest.mark.parametrize("path", ["/nowhere/1", "/safe/1"])
+def test_a_head_request_is_answered(path):
+    """A refused HEAD request ended with a broken connection."""
+
+    async def play():
+        async with sites.Site() as site, sites.Caller(site) as caller:
+            caller.send(path, method="HEAD")
+            data = await caller.reader.read(65536)
+            return data
+
+    with structlog.testing.capture_logs() as log:
+        data = sites.run(play())
+    assert data.startswith(b"HTTP/1.1 ") and data.endswith(b"\r\n\r\n")
+    failed = ("request_failed", "request_unanswered")
+    assert [line for line in log if line["event"] in failed] == []
+
+
+def test_a_broken_stream_outlives_connections_that_time_out(monkeypatch):
+    """A stream was broken off after 0.3 of its time in failed connections."""
+    connect = client.connect
+    state = {"down": False}
+
+    async def failing_connect(address, timeout_s):
+        if state["down"]:
+            await asyncio.sleep(timeout_s)
+            raise client.ConnectFailed(f"{address}: no connection")
+        return await connect(address, timeout_s)
+
+    async def play():
+        async with sites.Site("i-1", "i-2", on_call=ends.break_off) as site:
+            monkeypatch.setattr(client, "connect", failing_connect)
+            stream = asyncio.ensure_future(site.ask("/stream/1"))
+            await asyncio.sleep(0.03)
+            state["down"] = True
+            await asyncio.sleep(1.0)
+            state["down"] = False
+            return await stream
+
+    with structlog.testing.capture_logs() as log:
+        answer = sites.run(play())
+    assert broken_off(log) == []
+    assert (answer.complete, answer.body.decode()) == (True, WHOLE)
+
+
+def test_a_broken_stream_outlives_servers_that_shed_it():
+    """A stream was broken off after three sheds, with most of its time left."""
+
+    async def play():
+        shedding = True
+
+        async def serve(call):
+            if ends.begun_at(call) and shedding:
+                call.reject()
+            else:
+                await ends.break_off(call)
+
+        async with sites.Site("i-1", "i-2", "i-3", on_call=serve) as site:
+            site.entry._forwarder.set_retry_limits(budget.Limits(slack=1e4))
+            stream = asyncio.ensure_future(site.ask("/stream/1"))
+            await asyncio.sleep(0.8)
+            shedding = False
+            return await stream
+
+    with structlog.testing.capture_logs() as log:
+        answer = sites.run(play())
+    assert broken_off(log) == []
+    assert (answer.complete, answer.body.decode()) == (True, WHOLE)
+
+
+def test_the_line_of_a_stream_without_servers_says_so():
+    """The line of a broken stream said `busy` when there was no server."""
+
+    async def play():
+        async with sites.Site("i-1", on_call=ends.break_off) as site:
+            stream = asyncio.ensure_future(site.ask("/stream/1"))
+            await asyncio.sleep(0.03)
+            site.store.put("keyed.servers", "i-1", None)
+            site.entry._fleet.find("i-1").gone = True
+            return await stream
+
+    with structlog.testing.capture_logs() as log:
+        sites.run(play())
+    assert broken_off(log) == ["no_server"]
+
+
+def test_a_stream_is_not_resumed_when_it_cannot_complete():
+    """A server was given a stream 60 ms before its deadline."""
+    deadlines = []
+
+    async def serve(call):
+        deadlines.append(int(call.headers["x-clementinegw-deadline-ms"]))
+        await ends.break_off(call)
+
+    async def play():
+        async with ends.LoadedSite("i-1", "i-2", on_call=serve) as site:
+            await site.report_for(0.5, "i-2")
+            stream = asyncio.ensure_future(site.ask("/stream/1"))
+            await asyncio.sleep(0.03)
+            site.entry._fleet.find("i-1").gone = True
+            for _ in range(242):
+                site.report("i-2")
+                await asyncio.sleep(0.01)
+            site.report()
+            return await stream
+
+    assert not sites.run(play()).complete
+    assert len(deadlines) == 1
+
+
+def test_the_line_of_a_stream_says_why_no_server_goes_on_after_a_failure():
+    """The line said `failed_at_server` for a stream that waited in vain."""
+
+    async def play():
+        async with sites.Site("i-1", "i-2", on_call=serve) as site:
+            config = sites.config(2)
+            for route in config["routes"]:
+                route["max_attempts"] = 4
+            site.store.put("keyed.op", "config", config)
+            await asyncio.sleep(0.1)
+            fleets.append(site.entry._fleet)
+            return await site.ask("/stream/1")
+
+    async def serve(call):
+        if not ends.begun_at(call):
+            await ends.break_off(call)
+            return
+        for backend in fleets[0].all():
+            backend.gone = True
+        call.answer(b"not now", status=500)
+
+    fleets = []
+    with structlog.testing.capture_logs() as log:
+        assert not sites.run(play()).complete
+    assert broken_off(log) == ["no_server"]
+
+
+def test_a_request_outlives_a_silence_if_the_other_server_sheds_it():
+    """A safe request got 502 with most of its time left."""
+
+    async def serve(call):
+        servers.append(ends.server_of(call))
+        if len(servers) == 1:
+            await asyncio.sleep(1.3)
+        if len(servers) == 2:
+            call.reject()
+        else:
+            call.answer()
+
+    servers = []
+
+    async def play():
+        async with sites.Site("i-1", "i-2", on_call=serve) as site:
+            limits = budget.Limits(slack=1e4)
+            site.entry._forwarder.set_retry_limits(limits)
+            return await site.ask("/safe/1")
+
+    assert sites.run(play()).status == 200
+
+
+def test_the_line_of_a_stream_that_cannot_be_resumed_says_so():
+    """The line said `attempts_used` though no attempt could be made."""
+
+    async def serve(call):
+        call.begin_stream()
+        data = b"data: no id\n\n"
+        call.send(f"{len(data):x}\r\n".encode() + data + b"\r\n")
+        await asyncio.sleep(0.02)
+        call.reset()
+
+    async def play():
+        async with sites.Site("i-1", "i-2", on_call=serve) as site:
+            return await site.ask("/stream/1")
+
+    with structlog.testing.capture_logs() as log:
+        sites.run(play())
+    assert broken_off(log) == ["not_resumable"]
+
+
+def test_a_takeover_whose_caller_left_releases_its_slot():
+    """A slot of the server that was to take over stayed reserved."""
+
+    async def play():
+        silent = ends.Servers(pause_s=5.0)
+        async with sites.Site("i-1", "i-2", on_call=silent.serve) as site:
+            limits = budget.Limits(slack=1e4)
+            site.entry._forwarder.set_retry_limits(limits)
+            stream = asyncio.ensure_future(site.ask("/stream/1"))
+            await asyncio.sleep(1.0)
+            stream.cancel()
+            await asyncio.sleep(0.5)
+            fleet = site.entry._fleet
+            return [fleet.find(name).in_flight for name in ("i-1", "i-2")]
+
+    assert sites.run(play()) == [0, 0]
+
+
+FINAL_EVENTS = frozenset(
+    {
+        "request_done",
+        "request_refused",
+        "answer_broken_off",
+        "request_failed",
+        "request_unanswered",
+    }
+)
+
+
+@pytest.mark.parametrize("turns", range(6))
+def test_a_caller_that_leaves_as_the_process_stops_leaves_one_line(turns):
+    """A request had no line, or two, when its cancellation was cancelled."""
+
+    async def work_on(call):
+        del call
+        await asyncio.sleep(30.0)
+
+    async def play():
+        async with sites.Site("i-1", on_call=work_on) as site:
+            async with sites.Caller(site) as caller:
+                caller.send()
+                await asyncio.sleep(0.1)
+                sessions = site.entry._server._sessions
+                (session,) = [s for s in sessions if s.busy]
+                session.channel.connection_lost(None)
+                for _ in range(turns):
+                    await asyncio.sleep(0)
+                await site.entry._server.stop()
+            await asyncio.sleep(0.1)
+
+    with structlog.testing.capture_logs() as log:
+        sites.run(play())
+    assert len([x for x in log if x["event"] in FINAL_EVENTS]) == 1
+
+
+def test_a_process_that_cuts_an_answer_does_not_say_that_its_caller_left():
+    """A line said that the caller had closed its connection in order."""
+
+    async def serve(call):
+        call.answer(b"x" * (8 << 20), status=500)
+
+    async def play():
+        async with sites.Site("i-1", on_call=serve) as site:
+            async with sites.Caller(site) as caller:
+                caller.send("/once/1")
+                await asyncio.sleep(0.5)
+                await site.entry._server.stop()
+
+    with structlog.testing.capture_logs() as log:
+        sites.run(play())
+    last = [line for line in log if "request" in line][-1]
+    assert last["cause"] in ("stopped", "stopping")
--- a/tests/test_direct_stream_ends.py
+++ b/tests/test_direct_stream_ends.py
@@ -88,7 +88,7 @@
 
 @pytest.mark.parametrize("path", ["/once/1", "/stream/1"])
 def test_a_request_that_may_not_repeat_outlives_the_silence_of_an_agent(path):
-    """A request that may run once was given up when an agent fell silent."""
+    """Guards requests that may run once against the silence of an agent."""
 
     async def serve(call):
         await asyncio.sleep(1.5)
