--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -491,7 +491,7 @@
         return self._placer.refuse(job, Reason.ATTEMPTS_USED)
 
     def _is_resumable(self, job: attempts.Job) -> bool:
-        """Returns whether the rest of an answer may come from another server."""
+        """Returns whether another server may send the rest of an answer."""
         return job.match.route.idempotent and job.last_event_id is not None
 
     def _budget(self, service: str) -> budgets.RetryBudget:
--- a/tests/test_direct_resumption.py
+++ b/tests/test_direct_resumption.py
@@ -27,8 +27,7 @@
     async def play():
         async with sites.Site() as site, sites.Caller(site) as caller:
             caller.send(path, method="HEAD")
-            data = await caller.reader.read(65536)
-            return data
+            return await caller.reader.read(65536)
 
     with structlog.testing.capture_logs() as log:
         data = sites.run(play())
@@ -260,11 +259,11 @@
         call.answer(b"x" * (8 << 20), status=500)
 
     async def play():
-        async with sites.Site("i-1", on_call=serve) as site:
-            async with sites.Caller(site) as caller:
-                caller.send("/once/1")
-                await asyncio.sleep(0.5)
-                await site.entry._server.stop()
+        site = sites.Site("i-1", on_call=serve)
+        async with site, sites.Caller(site) as caller:
+            caller.send("/once/1")
+            await asyncio.sleep(0.5)
+            await site.entry._server.stop()
 
     with structlog.testing.capture_logs() as log:
         sites.run(play())
