Soak entries with many streams and ever new configurations

The soak took a connection that ended without an answer for nothing, changed configurations rarely, and compared no log with what servers saw.

The subject `streams` keeps some 48 streams open at four entries while odd configurations follow each other every 0.1 to 1 s, entries are restarted, reloaded, killed and suspended, links to servers fall silent or are cut, and callers keep connections, read slowly, close their half or leave. Each request must end with an answer, unless its server, its caller, a kill, the grace time or its deadline ended it, and each request that a server saw must have a line.

Ports of entries are taken from below the ephemeral range: an entry once found its port in use at its first start.

--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -9,7 +9,7 @@
     """A request as its caller sent it.
 
     Attributes:
-      kind: safe, once or stream.
+      kind: safe, once, stream, or stream_once for one that is not resumed.
       key: Its API key.
       sent_at: When it was sent, in seconds.
       status: The status of its complete answer; 0 for none.
@@ -73,7 +73,7 @@
             self._add_violation(
                 "wrong server", f"{attempt_id} ran on {server.name}"
             )
-        if sent.kind == "once" and self.runs[attempt_id] > 1:
+        if sent.kind.endswith("once") and self.runs[attempt_id] > 1:
             self._add_violation("at most once", f"{attempt_id} ran again")
         revoked_at = self.revoked_at.get(sent.key)
         if revoked_at is not None and sent.sent_at > revoked_at + 5.0:
@@ -92,7 +92,7 @@
         sent.status = answer.status if answer.complete else 0
         if answer.status != 200 or not answer.complete:
             return
-        if sent.kind == "stream":
+        if sent.kind.startswith("stream"):
             numbers = [
                 int(line[4:])
                 for line in answer.body.split(b"\n")
--- a/tests/soak/entries.py
+++ b/tests/soak/entries.py
@@ -33,6 +33,10 @@
       kinds: The kinds of routes that callers use.
       headers: Headers that every request carries besides.
       bounds: Bounds in the entries' instance files besides the retry limits.
+      entry_count: The number of entries.
+      caller_count: The number of callers.
+      fault_interval_s: The shortest and the longest time between two faults.
+      retry_limits: The retries allowed for each request, and besides those.
       entry_of: The entry that each attempt id was sent to.
       plan: The faults injected, as pairs of a time and a kind.
     """
@@ -40,6 +44,10 @@
     kinds = ("safe", "once", "stream")
     headers = ()
     bounds = {}
+    entry_count = ENTRIES
+    caller_count = CALLERS
+    fault_interval_s = (0.3, 1.5)
+    retry_limits = (RETRY_RATIO, RETRY_SLACK)
 
     def __init__(self, seed, seconds, code, folder):
         self._rng = random.Random(seed)
@@ -51,7 +59,7 @@
         self._keys = list(KEYS)
         self._reject_share = 0.03
         self._started_at = 0.0
-        self.checker = checkers.Checker(RETRY_RATIO, RETRY_SLACK)
+        self.checker = checkers.Checker(*self.retry_limits)
         self.store = sites.Store()
         self.servers = []
         self.server_proxies = []
@@ -77,14 +85,15 @@
         store_port = await self.store_proxy.start()
         await self._add_servers()
         self._put_config()
-        for number in range(ENTRIES):
+        ratio, slack = self.retry_limits
+        for number in range(self.entry_count):
             entry = processes.Entry(
                 number,
                 self._code,
                 self._folder,
                 {
-                    "repeat_ratio": RETRY_RATIO,
-                    "repeat_slack": RETRY_SLACK,
+                    "repeat_ratio": ratio,
+                    "repeat_slack": slack,
                     **self.bounds,
                 },
             )
@@ -92,7 +101,8 @@
             await entry.start(store_port)
         await asyncio.sleep(1.5)
         callers = [
-            asyncio.create_task(self._run_caller()) for _ in range(CALLERS)
+            asyncio.create_task(self._run_caller())
+            for _ in range(self.caller_count)
         ]
         faults = asyncio.create_task(self._run_faults(store_port))
         while not faults.done():
@@ -104,9 +114,7 @@
         for caller in callers:
             caller.cancel()
         await asyncio.gather(*callers, return_exceptions=True)
-        for entry in self.entries:
-            entry.poll()
-            await entry.end(signal.SIGKILL)
+        await self._end_entries()
         self._finish(quiet_since)
         for proxy in self.server_proxies:
             await proxy.stop()
@@ -116,6 +124,11 @@
         await self.store.stop()
         return self.checker.violations
 
+    async def _end_entries(self):
+        for entry in self.entries:
+            entry.poll()
+            await entry.end(signal.SIGKILL)
+
     async def _wait_until_quiet(self):
         """Waits for a quiet period without stalls; returns when it began.
 
@@ -279,7 +292,7 @@
             kind = self._rng.choice(sorted(actions))
             self.plan.append((round(self.now, 1), kind))
             running.add(asyncio.create_task(actions[kind]()))
-            await asyncio.sleep(self._rng.uniform(0.3, 1.5))
+            await asyncio.sleep(self._rng.uniform(*self.fault_interval_s))
         await asyncio.gather(*running)
 
     async def _fault_link(self):
--- a/tests/soak/process.py
+++ b/tests/soak/process.py
@@ -1,6 +1,7 @@
 """Starts and ends the real daemons as separate processes."""
 
 import asyncio
+import itertools
 import json
 import os
 import pathlib
@@ -12,6 +13,9 @@
 # before it is used. With one address for several soaks at once, callers of one
 # reached the readiness page of another's entry and got 232 empty answers.
 HOST = f"127.{1 + os.getpid() // 256 % 200}.{os.getpid() % 256}.200"
+# Below the ports that the kernel hands out, so that no other socket gets one
+# between the check and its use.
+_PORTS = itertools.count(20_000)
 
 
 class Process:
@@ -69,22 +73,30 @@
         cannot prevent that. Seen on a loaded machine with seed 1: exit code -1
         and an empty log.
         """
-        if self._process is None or self._process.returncode is not None:
-            return False
-        status = pathlib.Path(f"/proc/{self._process.pid}/status")
         masks = [
             int(line.split()[1], 16)
-            for line in status.read_text().splitlines()
+            for line in self._status_lines()
             if line.startswith(("SigIgn", "SigCgt"))
         ]
         return any(mask >> (signal_number - 1) & 1 for mask in masks)
 
+    def _status_lines(self):
+        """Returns the lines of the kernel's status; none after the exit."""
+        if self._process is None or self._process.returncode is not None:
+            return []
+        status = pathlib.Path(f"/proc/{self._process.pid}/status")
+        try:
+            return status.read_text().splitlines()
+        except (FileNotFoundError, ProcessLookupError):
+            # Already reaped, but the event loop does not know yet.
+            return []
+
     async def end(self, signal_number):
-        """Sends a signal and waits until the process has exited."""
+        """Sends a signal, waits for the exit and returns the exit code."""
         self.exit_expected = True
         self.signal(signal.SIGCONT)
         self.signal(signal_number)
-        await self._process.wait()
+        return await self._process.wait()
 
     def poll(self):
         """Records an unexpected exit and the resident memory."""
@@ -94,8 +106,7 @@
             self.unexpected_exit = f"code {self._process.returncode}"
             self.exit_expected = True
             return
-        status = pathlib.Path(f"/proc/{self._process.pid}/status")
-        for line in status.read_text().splitlines():
+        for line in self._status_lines():
             if line.startswith("VmRSS"):
                 self.peak_mb = max(self.peak_mb, int(line.split()[1]) / 1024)
 
@@ -180,6 +191,10 @@
 
 
 def free_port():
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
+    for port in _PORTS:
+        with socket.socket() as sock:
+            try:
+                sock.bind((HOST, port))
+            except OSError:
+                continue
+            return port
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -7,9 +7,10 @@
     """Forwards connections to one loopback port and injects faults.
 
     Attributes:
-      mode: What happens to data: "pass"; "delay"; "silence", which drops both
-        directions; "one_way", which drops what the server sends; or "reset",
-        which refuses new connections with a reset.
+      mode: What happens to data: "pass"; "delay"; "hold", which delivers
+        nothing until the mode changes; "silence", which drops both directions;
+        "one_way", which drops what the server sends; or "reset", which refuses
+        new connections with a reset.
     """
 
     def __init__(self, port):
@@ -66,6 +67,8 @@
             while data := await reader.read(65536):
                 if self.mode == "delay":
                     await asyncio.sleep(0.2)
+                while self.mode == "hold":
+                    await asyncio.sleep(0.02)
                 dropped = self.mode == "silence" or (
                     self.mode == "one_way" and to_client
                 )
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -4,6 +4,7 @@
 processes in front of stand-ins, with a proxy on each link, injects faults drawn
 from the seed, and checks guarantees by what callers and servers observe.
 `--subject=signals` has servers that report limits, leave or ask for backoff;
+`--subject=streams` has many open streams beside ever new configurations;
 `--subject=weights` has agents beside model servers; `--subject=versions` has
 entries that restart while a version of weights is due. `--guard=NAME` disables
 one guard in a copy of the code: the checks must then find violations.
@@ -26,12 +27,14 @@
 
 import entries  # noqa: E402
 import server_signals  # noqa: E402
+import streams  # noqa: E402
 import versions  # noqa: E402
 import weights  # noqa: E402
 
 SUBJECTS = {
     "requests": entries.Soak,
     "signals": server_signals.Soak,
+    "streams": streams.Soak,
     "versions": versions.Soak,
     "weights": weights.Soak,
 }
