--- a/tests/soak/entries.py
+++ b/tests/soak/entries.py
@@ -113,7 +113,9 @@
         quiet_since = await self._wait_until_quiet()
         for caller in callers:
             caller.cancel()
-        await asyncio.gather(*callers, return_exceptions=True)
+        for result in await asyncio.gather(*callers, return_exceptions=True):
+            if isinstance(result, Exception):
+                raise result
         await self._end_entries()
         self._finish(quiet_since)
         for proxy in self.server_proxies:
--- a/tests/soak/process.py
+++ b/tests/soak/process.py
@@ -191,8 +191,9 @@
 
 
 def free_port():
-    for port in _PORTS:
-        with socket.socket() as sock:
+    with socket.socket() as sock:
+        while True:
+            port = next(_PORTS)
             try:
                 sock.bind((HOST, port))
             except OSError:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -78,10 +78,45 @@
         "        self.leaving = False",
     ),
     "server_backoff": (
-        "src/clementinegw/direct/fleet.py",
+        "src/clementinegw/direct/backend.py",
         "return self.signals.backoff_until > now",
         "return False",
     ),
+    "drain": (
+        "src/clementinegw/direct/entry.py",
+        "await self._server.wait_idle()",
+        "pass",
+    ),
+    "close_idle": (
+        "src/clementinegw/direct/server.py",
+        "            if session.idle:\n",
+        "            if True:\n",
+    ),
+    "open_connections": (
+        "src/clementinegw/direct/entry.py",
+        "self._server.limits = configuration.limits",
+        "[s.channel.abort() for s in self._server._sessions]",
+    ),
+    "no_engine": (
+        "src/clementinegw/direct/placement.py",
+        "if engine is None or job.first_event_at is None:",
+        "if job.first_event_at is None:",
+    ),
+    "silent_server": (
+        "src/clementinegw/direct/attempt.py",
+        "                    and self._has_alternative()\n",
+        "",
+    ),
+    "line_of_broken_off": (
+        "src/clementinegw/direct/finisher.py",
+        "self._log.write(\n            _events.ANSWER_BROKEN_OFF,",
+        "dict(",
+    ),
+    "line_of_done": (
+        "src/clementinegw/direct/finisher.py",
+        "self._log.write(\n            _events.REQUEST_DONE,",
+        "dict(",
+    ),
     "true_refusal": (
         "src/clementinegw/direct/placement.py",
         "if job.runs:\n            return outcomes.Refusal(_BAD_GATEWAY",
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -56,3 +56,13 @@
     assert violations == []
     assert requests > 0
     assert faults > 0
+
+
+def test_streams_end_with_an_answer_beside_ever_new_configurations():
+    """A stream ended with a closed connection and no line of its id."""
+    violations, requests, faults = run.run_seed(
+        1, seconds=6.0, subject="streams"
+    )
+    assert violations == []
+    assert requests > 0
+    assert faults > 0
