--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -79,8 +79,8 @@
     ),
     "server_backoff": (
         "src/clementinegw/direct/backend.py",
-        "return self.signals.backoff_until > now",
-        "return False",
+        "signals.backoff_until > now",
+        "signals.backoff_until > now + 1e9",
     ),
     "drain": (
         "src/clementinegw/direct/entry.py",
