Judge a lost stream of the soak by the server that had it at its end

A request that a silent link held reached its server after its caller's connection had closed, and was taken for the last run: the reset link to the server that had begun it counted for nothing. A caller that closes its half of a connection that was just reset ended the soak.

--- a/tests/soak/losses.py
+++ b/tests/soak/losses.py
@@ -139,7 +139,10 @@
         sent_at, ended_at = exchange.sent_at, exchange.ended_at
         killed_at = self.killed.get(exchange.entry, float("inf"))
         term_at = self.terminated.get(exchange.entry, float("inf"))
-        runs = self.runs[attempt_id]
+        # A request that a silent link held may arrive after the end.
+        runs = sorted(
+            self.runs[attempt_id], key=lambda run: (run.at <= ended_at, run.at)
+        )
         excuses = {
             "killed": ended_at >= killed_at,
             "grace": ended_at >= term_at + self._grace_s * 5 / 6,
--- a/tests/soak/streams.py
+++ b/tests/soak/streams.py
@@ -206,7 +206,11 @@
             exchange.ended_at = self.now
             return False
         if manner == "half-closing":
-            caller.writer.write_eof()
+            try:
+                caller.writer.write_eof()
+            except OSError:
+                exchange.end, exchange.ended_at = "closed", self.now
+                return False
         return await self._await_answer(caller, attempt_id, exchange)
 
     async def _await_answer(self, caller, attempt_id, exchange):
