--- a/tests/soak/losses.py
+++ b/tests/soak/losses.py
@@ -146,7 +146,6 @@
         excuses = {
             "killed": ended_at >= killed_at,
             "grace": ended_at >= term_at + self._grace_s * 5 / 6,
-            "half-closed": exchange.manner == "half-closing",
             "deadline": ended_at >= sent_at + exchange.limit_s - _SEEN_S,
             "server": runs and self._is_broken(runs[-1], ended_at),
             "crossing": not runs
