--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -4,6 +4,7 @@
 processes in front of stand-ins, with a proxy on each link, injects faults drawn
 from the seed, and checks guarantees by what callers and servers observe.
 `--subject=signals` has servers that report limits, leave or ask for backoff;
+`--subject=streams` has many open streams beside ever new configurations;
 `--subject=weights` has agents beside model servers; `--subject=versions` has
 entries that restart while a version of weights is due. `--guard=NAME` disables
 one guard in a copy of the code: the checks must then find violations.
@@ -26,12 +27,14 @@
 
 import entries  # noqa: E402
 import server_signals  # noqa: E402
+import streams  # noqa: E402
 import versions  # noqa: E402
 import weights  # noqa: E402
 
 SUBJECTS = {
     "requests": entries.Soak,
     "signals": server_signals.Soak,
+    "streams": streams.Soak,
     "versions": versions.Soak,
     "weights": weights.Soak,
 }
@@ -75,9 +78,44 @@
         "        self.leaving = False",
     ),
     "server_backoff": (
-        "src/clementinegw/direct/fleet.py",
-        "return self.signals.backoff_until > now",
-        "return False",
+        "src/clementinegw/direct/backend.py",
+        "signals.backoff_until > now",
+        "signals.backoff_until > now + 1e9",
+    ),
+    "drain": (
+        "src/clementinegw/direct/entry.py",
+        "await self._server.wait_idle()",
+        "pass",
+    ),
+    "close_idle": (
+        "src/clementinegw/direct/server.py",
+        "            if session.idle:\n",
+        "            if True:\n",
+    ),
+    "open_connections": (
+        "src/clementinegw/direct/entry.py",
+        "self._server.limits = configuration.limits",
+        "[s.channel.abort() for s in self._server._sessions]",
+    ),
+    "no_engine": (
+        "src/clementinegw/direct/placement.py",
+        "if engine is None or job.first_event_at is None:",
+        "if job.first_event_at is None:",
+    ),
+    "silent_server": (
+        "src/clementinegw/direct/attempt.py",
+        "                    and self._has_alternative()\n",
+        "",
+    ),
+    "line_of_broken_off": (
+        "src/clementinegw/direct/finisher.py",
+        "self._log.write(\n            _events.ANSWER_BROKEN_OFF,",
+        "dict(",
+    ),
+    "line_of_done": (
+        "src/clementinegw/direct/finisher.py",
+        "self._log.write(\n            _events.REQUEST_DONE,",
+        "dict(",
     ),
     "true_refusal": (
         "src/clementinegw/direct/placement.py",
