--- a/src/clementinegw/direct/budget.py
+++ b/src/clementinegw/direct/budget.py
@@ -63,7 +63,7 @@
         return True
 
     def refund(self) -> None:
-        """Uncounts a retry that was not sent after all."""
+        """Removes the newest retry from the count: it was not sent."""
         if self._retries:
             self._retries.pop()
 
--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -245,6 +245,7 @@
         finally:
             if job.takeover is not None:
                 job.takeover.release()
+                self._budget(job.service).refund()
         if job.responder.begun:
             if isinstance(outcome, outcomes.Failed):
                 # Another server's events were sent: no second head can follow.
@@ -278,30 +279,33 @@
             return takeover
         if self._is_suspect(job):
             return self._placer.refuse(job, Reason.CRASHES_SERVERS)
+        begun = job.responder.begun
         while True:
+            # A request that has begun cannot be refused any more, only broken
+            # off, so it waits for the budget.
+            if begun and not await self._wait_for_budget(job):
+                return self._placer.refuse(job, Reason.NO_BUDGET)
             reservation = await self._placer.reserve(job)
             if isinstance(reservation, outcomes.Refusal) or not job.sends:
                 return reservation
             if self._budget(job.service).try_acquire(self._clock()):
                 return reservation
             reservation.release()
-            # A request that has begun cannot be refused any more, only broken
-            # off, so it waits for the budget.
-            if not job.responder.begun or not await self._wait_for_budget(job):
+            if not begun:
                 return self._placer.refuse(job, Reason.NO_BUDGET)
 
     async def _wait_for_budget(self, job: attempts.Job) -> bool:
         """Waits until the retry budget allows another attempt.
 
         Returns:
-          False if the request's time runs out before.
+          False if it does not before the request can be resumed no more.
         """
         retry_budget = self._budget(job.service)
-        give_up_at = job.deadline - placement.GIVE_UP_MARGIN_S
+        latest = self._placer.latest_resumption(job)
         while not retry_budget.allows(now := self._clock()):
-            if now >= give_up_at:
+            if now >= latest:
                 return False
-            await asyncio.sleep(min(_BUDGET_CHECK_S, give_up_at - now))
+            await asyncio.sleep(min(_BUDGET_CHECK_S, latest - now))
         return True
 
     def _take_over(
--- a/src/clementinegw/direct/placement.py
+++ b/src/clementinegw/direct/placement.py
@@ -68,7 +68,7 @@
 }
 # A request that has begun stops waiting this long before its deadline, so that
 # its line says what it waited for. Seconds.
-GIVE_UP_MARGIN_S = 0.1
+_GIVE_UP_MARGIN_S = 0.1
 _BAD_GATEWAY = 502
 
 
@@ -120,9 +120,8 @@
             # Its refusal would not say that it may be sent again.
             give_up_at = arrived_at + _MAX_WAIT_SHARE * timeout_s
         if job.responder.begun:
-            # It cannot be refused any more, only broken off; its caller leaves
-            # when the pause gets too long.
-            give_up_at = self._latest_resumption(job)
+            # It cannot be refused any more, only broken off.
+            give_up_at = self.latest_resumption(job)
         elif not self._balancer.candidates(self._requirements(job)):
             ready_in_s = self._balancer.ready_in_s(job.service)
             if ready_in_s > _READY_WAIT_SHARE * timeout_s:
@@ -313,7 +312,7 @@
         min_start_s = _MIN_START_SHARE * job.match.route.objective_s
         return max(at, job.request.arrived_at + min_start_s)
 
-    def _latest_resumption(self, job: attempts.Job) -> float:
+    def latest_resumption(self, job: attempts.Job) -> float:
         """Returns the latest time at which a begun stream may be resumed.
 
         In monotonic seconds. A server that starts it later reads the prompt in
@@ -323,7 +322,7 @@
         needed_s = self._first_event_s(job, engine) if engine else 0.0
         timeout_s = job.deadline - job.request.arrived_at
         needed_s = min(needed_s, _MAX_RESUMPTION_SHARE * timeout_s)
-        return job.deadline - max(GIVE_UP_MARGIN_S, needed_s)
+        return job.deadline - max(_GIVE_UP_MARGIN_S, needed_s)
 
     def _first_event_s(self, job: attempts.Job, engine: types.Engine) -> float:
         """Returns the estimated time to the first event, in seconds."""
--- a/tests/test_direct_resumption.py
+++ b/tests/test_direct_resumption.py
@@ -9,6 +9,7 @@
 
 from clementinegw.direct import budget
 from clementinegw.direct import client
+from clementinegw.direct import reports
 
 WHOLE = ends.WHOLE
 
@@ -138,6 +139,8 @@
                 route["max_attempts"] = 4
             site.store.put("keyed.op", "config", config)
             await asyncio.sleep(0.1)
+            limits = budget.Limits(slack=1e4)
+            site.entry._forwarder.set_retry_limits(limits)
             fleets.append(site.entry._fleet)
             return await site.ask("/stream/1")
 
@@ -269,3 +272,150 @@
         sites.run(play())
     last = [line for line in log if "request" in line][-1]
     assert last["cause"] in ("stopped", "stopping")
+
+
+def test_a_broken_stream_waits_for_a_server_to_be_listed():
+    """Guards against a stream that ends because no server is listed."""
+
+    async def play():
+        async with sites.Site("i-1", on_call=ends.break_off) as site:
+            stream = asyncio.ensure_future(site.ask("/stream/1"))
+            await asyncio.sleep(0.03)
+            site.store.put("keyed.servers", "i-1", None)
+            site.entry._fleet.find("i-1").gone = True
+            await asyncio.sleep(1.2)
+            assert not site.entry._fleet.all()
+            site.store.put("keyed.servers", "i-9", other.record())
+            return await stream
+
+    async def play_with_other():
+        nonlocal other
+        other = sites.Server("i-9", ends.break_off)
+        await other.start()
+        try:
+            return await play()
+        finally:
+            await other.stop()
+
+    other = None
+    answer = sites.run(play_with_other())
+    assert (answer.complete, answer.body.decode()) == (True, ends.WHOLE)
+
+
+def test_a_broken_stream_goes_before_an_earlier_deadline():
+    """Guards against a stream that waits behind requests that come later."""
+
+    async def serve(call):
+        if call.head.target.startswith(b"/stream"):
+            order.append("stream")
+            await ends.break_off(call)
+        else:
+            order.append("safe")
+            await asyncio.sleep(0.05)
+            call.answer()
+
+    order = []
+
+    async def play():
+        async with ends.LoadedSite("i-1", "i-2", on_call=serve) as site:
+            config = sites.config(2)
+            config["routes"][2]["target_latency_ms"] = 2_400
+            site.store.put("keyed.op", "config", config)
+            await site.report_for(0.5, "i-2")
+            stream = asyncio.ensure_future(site.ask("/stream/1"))
+            await asyncio.sleep(0.03)
+            site.entry._fleet.find("i-1").gone = True
+            await asyncio.sleep(0.05)
+            await site.report_for(0.6, "i-2")
+            asks = [
+                asyncio.ensure_future(site.ask(f"/safe/{n}")) for n in range(4)
+            ]
+            await asyncio.sleep(0.05)
+            order.clear()
+            server = site.servers[1]
+            for _ in range(5):
+                site.entry._on_report(
+                    "127.0.0.1",
+                    reports.Report(server.name, 7, 0, 8, entries=1),
+                )
+                await asyncio.sleep(0.03)
+            await asyncio.gather(*asks, return_exceptions=True)
+            return await stream
+
+    answer = sites.run(play())
+    assert order[0] == "stream"
+    assert answer.complete
+
+
+def test_a_stream_outlives_the_silence_of_its_last_permitted_server():
+    """Guards against a takeover that the next attempt is not allowed."""
+
+    async def serve(call):
+        begun = ends.begun_at(call)
+        call.begin_stream()
+        for number in range(begun + 1, ends.EVENTS + 1):
+            call.event(number)
+            await asyncio.sleep(1.0 if begun and number == 5 else 0.02)
+            if number == 3 and not begun:
+                call.reset()
+                return
+        call.end_stream()
+
+    async def play():
+        async with sites.Site("i-1", "i-2", "i-3", on_call=serve) as site:
+            limits = budget.Limits(slack=1e4)
+            site.entry._forwarder.set_retry_limits(limits)
+            return await site.ask("/stream/1")
+
+    answer = sites.run(play())
+    assert (answer.complete, answer.body.decode()) == (True, ends.WHOLE)
+
+
+def test_a_resumed_stream_is_charged_to_the_retry_budget():
+    """Guards against retries that the budget does not see."""
+
+    async def play():
+        async with sites.Site("i-1", "i-2", on_call=ends.break_off) as site:
+            forwarder = site.entry._forwarder
+            forwarder.set_retry_limits(budget.Limits(slack=1e4))
+            await site.ask("/stream/1")
+            return len(forwarder._budgets["plain"]._retries)
+
+    assert sites.run(play()) == 1
+
+
+def test_a_stream_without_event_ids_is_not_resumed():
+    """Guards against events that the caller receives twice."""
+
+    async def serve(call):
+        call.begin_stream()
+        data = b"data: no id\n\n"
+        call.send(f"{len(data):x}\r\n".encode() + data + b"\r\n")
+        await asyncio.sleep(0.02)
+        if len(calls) == 0:
+            calls.append(call)
+            call.reset()
+        else:
+            calls.append(call)
+            call.end_stream()
+
+    calls = []
+
+    async def play():
+        async with sites.Site("i-1", "i-2", on_call=serve) as site:
+            return await site.ask("/stream/1")
+
+    answer = sites.run(play())
+    assert (answer.complete, len(calls)) == (False, 1)
+
+
+def test_requests_of_a_kept_connection_release_their_bodies():
+    """Guards against a connection whose bodies use up the memory for all."""
+
+    async def play():
+        async with sites.Site("i-1") as site, sites.Caller(site) as caller:
+            for _ in range(3):
+                await caller.ask("/safe/1", body=b"x" * 1000)
+            return site.entry._server._body_bytes
+
+    assert sites.run(play()) == 0
