--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -58,8 +58,8 @@
     ),
     "budget": (
         "src/clementinegw/direct/budget.py",
-        "if len(self._retries) + 1 > limit:",
-        "if False:",
+        "return len(self._retries) + 1 <= limit",
+        "return True",
     ),
     "digest_check": (
         "src/clementinegw/direct/fetcher.py",
@@ -114,8 +114,8 @@
     ),
     "true_refusal": (
         "src/clementinegw/direct/placement.py",
-        "if job.runs:\n            return outcomes.Refusal(_BAD_GATEWAY",
-        "if False:\n            return outcomes.Refusal(_BAD_GATEWAY",
+        "if job.runs:\n            return outcomes.Refusal(",
+        "if False:\n            return outcomes.Refusal(",
     ),
 }
 
