--- a/tests/soak/entries.py
+++ b/tests/soak/entries.py
@@ -78,6 +78,14 @@
 
     async def run(self):
         """Runs the seed and returns the violations."""
+        try:
+            return await self._run()
+        finally:
+            # After an error of the soak itself they would run on.
+            for entry in self.entries:
+                entry.signal(signal.SIGKILL)
+
+    async def _run(self):
         loop = asyncio.get_running_loop()
         self._started_at = loop.time()
         await self.store.start()
