--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -50,7 +50,8 @@
 # A server works until the deadline that it is given; this is set aside for its
 # answer's way back, in seconds.
 _ANSWER_TRANSIT_S = 0.02
-# Pause of a request that was withdrawn so often, in seconds.
+# Pause before each further server for a request that was withdrawn often, in
+# seconds.
 _WITHDRAWN_PAUSE_S = 0.1
 # Interval between checks for a free retry budget, in seconds.
 _BUDGET_CHECK_S = 0.1
--- a/tests/test_direct_stream_ends.py
+++ b/tests/test_direct_stream_ends.py
@@ -505,3 +505,25 @@
         cut.clear()
         answer = sites.run(play())
         assert (answer.complete, answer.body.decode()) == (True, WHOLE)
+
+
+def test_a_stream_whose_time_is_over_leaves_its_line():
+    """Guards the line of a stream that its server does not end in time."""
+
+    async def serve(call):
+        call.begin_stream()
+        for number in range(1, 100):
+            call.event(number)
+            await asyncio.sleep(0.1)
+
+    async def play():
+        async with sites.Site("i-1", on_call=serve) as site:
+            return await site.ask("/stream/1")
+
+    with structlog.testing.capture_logs() as log:
+        answer = sites.run(play())
+    assert (answer.status, answer.complete) == (200, False)
+    lines = [line for line in log if line["event"] == "answer_broken_off"]
+    assert [(line["cause"], line["left_ms"]) for line in lines] == [
+        ("timeout", 0.0)
+    ]
