Agree on the interfaces of ranks, places, cold starts and demand

Two customers ask for ranks of requests, places, evacuations, cold starts and shares by demand. This commit holds what the parts share, so that each can be built by itself: the fields of routes, customers, servers and reports, the optional fields on the wire (an older process skips them), the reasons of refusals, the bounds of the instance file, and the order of the queue as a module of the new package scheduling. A request's rank is its customer's priority and then its route's; it goes before the latest start. Nothing reads the other fields yet.

--- a/src/clementinegw/direct/attempt.py
+++ b/src/clementinegw/direct/attempt.py
@@ -15,6 +15,7 @@
 from clementinegw.direct import timeouts
 from clementinegw.direct import types
 from clementinegw.direct import version_timeouts
+from clementinegw.scheduling import rank as ranks
 
 # Answers other than streams are buffered until they are complete, so that a
 # caller never receives a truncated one. Bytes.
@@ -94,6 +95,14 @@
         """The name of the customer; empty for an anonymous caller."""
         return self.match.customer.name if self.match.customer else ""
 
+    @property
+    def rank(self) -> ranks.Rank:
+        """The rank of the request."""
+        customer = self.match.customer
+        return ranks.of(
+            customer.priority if customer else None, self.match.route.priority
+        )
+
     @property
     def streaming(self) -> bool:
         """Whether the answer is a stream."""
--- a/src/clementinegw/direct/backend.py
+++ b/src/clementinegw/direct/backend.py
@@ -61,6 +61,9 @@
       ready_at: When it is predicted to be ready, in monotonic seconds.
       weights_incomplete: Whether its agent reported that layers are missing.
       replaced: Whether another start answers at its address.
+      evacuated: Whether its agent reported that the operators want no requests
+        in its failure domain.
+      cold_until: When it stops being cold, in monotonic seconds.
     """
 
     def __init__(
@@ -93,6 +96,8 @@
         self._rng = rng
         self.weights_incomplete = False
         self.replaced = False
+        self.evacuated = False
+        self.cold_until = -math.inf
         self._cooldown_s = _MIN_COOLDOWN_S
         self._other_requests = 0.0
         self._load_at = -math.inf
@@ -176,6 +181,7 @@
         self.loading = report.loading
         self.yielding = report.yielding
         self.entries = report.entries
+        self.evacuated = report.evacuated
         self.ready_at = math.inf
         if report.ready_in_s >= 0.0:
             self.ready_at = now + report.ready_in_s
--- a/src/clementinegw/direct/finisher.py
+++ b/src/clementinegw/direct/finisher.py
@@ -96,6 +96,8 @@
             sends=job.sends if job else 0,
             runs=job.runs if job else 0,
             spent_ms=round(job.spent_s * 1e3) if job else 0,
+            rank=str(job.rank) if job else None,
+            customer=job.customer_name if job else "",
             age_s=round(min(self._config_view.age_s(), 9_999.0), 3),
             after_ms=round((self._clock() - request.arrived_at) * 1000, 1),
         )
@@ -218,6 +220,8 @@
             _events.REQUEST_DONE,
             request=job.metadata.attempt_id,
             route=job.match.route.name,
+            rank=str(job.rank),
+            customer=job.customer_name,
             outcome=outcome,
             cause=cause,
             status=status,
--- a/src/clementinegw/direct/instance.py
+++ b/src/clementinegw/direct/instance.py
@@ -33,6 +33,12 @@
       repeat_ratio: The allowed retries per request, over all entries.
       repeat_slack: The retries allowed in a window in addition.
       repeat_window_s: The length of the window, in seconds.
+      cold_ratio: The factor of the requests per second that a cold server
+        bears, up to which all entries together may send to it; None if no
+        bound is set.
+      cold_slack: The requests in a second that are allowed in addition.
+      evacuation_ms: A failure domain that is evacuated gets its last request
+        within this time, in milliseconds; None if no bound is set.
     """
 
     keys_ms: float = 5_000.0
@@ -44,6 +50,9 @@
     repeat_ratio: float = 0.2
     repeat_slack: float = 100.0
     repeat_window_s: float = 10.0
+    cold_ratio: float | None = None
+    cold_slack: float | None = None
+    evacuation_ms: float | None = None
 
 
 class _File(msgspec.Struct):
--- a/src/clementinegw/direct/outcomes.py
+++ b/src/clementinegw/direct/outcomes.py
@@ -103,6 +103,11 @@
     MAY_HAVE_RUN = "may_have_run"
     FAILED_AT_SERVER = "failed_at_server"
     CRASHES_SERVERS = "crashes_servers"
+    NO_ALLOWED_SERVER = "no_allowed_server"
+    EVACUATED = "evacuated"
+    COLD = "cold"
+    OUTRANKED = "outranked"
+    OVER_SHARE = "over_share"
     STOPPING = "stopping"
     INTERNAL_ERROR = "internal_error"
 
--- a/src/clementinegw/direct/placement.py
+++ b/src/clementinegw/direct/placement.py
@@ -65,6 +65,11 @@
     Reason.NOT_REPEATABLE: _RETRY_NEVER,
     Reason.CRASHES_SERVERS: _RETRY_NEVER,
     Reason.NO_SERVER: _RETRY_NOT_READY,
+    Reason.NO_ALLOWED_SERVER: _RETRY_NOT_READY,
+    Reason.EVACUATED: _RETRY_NOT_READY,
+    Reason.COLD: _RETRY_FULL,
+    Reason.OUTRANKED: _RETRY_FULL,
+    Reason.OVER_SHARE: _RETRY_FULL,
 }
 # A request that has begun stops waiting this long before its deadline, so that
 # its line says what it waited for. Seconds.
@@ -144,6 +149,8 @@
             latest_start,
             give_up_at,
             begun=job.responder.begun,
+            rank=job.rank,
+            customer=job.customer_name,
         )
         now = self._clock()
         job.waited_s += now - queued_at
--- a/src/clementinegw/direct/queue.py
+++ b/src/clementinegw/direct/queue.py
@@ -14,11 +14,14 @@
 from clementinegw.direct import balance
 from clementinegw.direct import late_limit
 from clementinegw.direct import types
+from clementinegw.scheduling import order
+from clementinegw.scheduling import rank as ranks
 
 # Period of dispatching in addition to the dispatches triggered by finished
 # requests and load reports, in seconds.
 _DISPATCH_INTERVAL_S = 0.02
 
+_DEFAULT_RANK = ranks.Rank()
 _NO_STARTS: frozenset[types.ServerStart] = frozenset()
 
 # Requirements that no server could meet during this dispatch, with whether the
@@ -62,6 +65,8 @@
       queued_at: When it was queued, in monotonic seconds.
       counted: Whether it was already counted as late.
       begun: Whether its answer has begun; it goes first and is never late.
+      rank: Its rank.
+      customer: Name of its customer; empty for an anonymous caller.
     """
 
     requirements: Callable[[], balance.Requirements]
@@ -72,6 +77,8 @@
     queued_at: float
     counted: bool = False
     begun: bool = False
+    rank: ranks.Rank = ranks.Rank()
+    customer: str = ""
 
     def is_late(self, now: float) -> bool:
         """Returns whether it can no longer be on time."""
@@ -158,6 +165,8 @@
         latest_start: float,
         give_up_at: float,
         begun: bool = False,
+        rank: ranks.Rank = _DEFAULT_RANK,
+        customer: str = "",
     ) -> Reservation | None:
         """Returns a reservation; None if no server has capacity in time.
 
@@ -168,6 +177,8 @@
           latest_start: When it must start to be on time, in monotonic seconds.
           give_up_at: When it stops waiting, in monotonic seconds.
           begun: Whether the caller has received a part of its answer.
+          rank: The request's rank.
+          customer: Name of its customer; empty for an anonymous caller.
         """
         future = asyncio.get_running_loop().create_future()
         now = self._clock()
@@ -183,6 +194,8 @@
             now,
             counted=counted,
             begun=begun,
+            rank=rank,
+            customer=customer,
         )
         self._waiters.append(waiter)
         try:
@@ -323,9 +336,14 @@
     def _in_order(self, now: float) -> list[Waiter]:
         return sorted(
             self._waiters,
-            key=lambda w: (not w.begun, w.is_late(now), w.latest_start),
+            key=lambda w: order.sort_key(w, now, self._is_over_share),
         )
 
+    def _is_over_share(self, customer: str) -> bool:
+        """Returns whether a customer uses more than its share."""
+        del customer
+        return False
+
     def _choose(
         self, waiter: Waiter, late: bool, unmet: _Unmet
     ) -> backend_lib.Backend | None:
--- a/src/clementinegw/direct/reports.py
+++ b/src/clementinegw/direct/reports.py
@@ -86,6 +86,11 @@
         name; negative if this report does not have it.
       follower_rank: The same among `followers`.
       limit: The newest observation of the server's rate limit by any entry.
+      demand: The requests per second that all followers together want to send
+        to the server; None if one of them does not tell.
+      cold_s: How much longer the server is cold, in seconds.
+      evacuated: Whether the operators want no requests in the server's failure
+        domain.
     """
 
     server_id: str
@@ -106,6 +111,9 @@
     rank: int = -1
     follower_rank: int = -1
     limit: rate_limit.Observation | None = None
+    demand: float | None = None
+    cold_s: float = 0.0
+    evacuated: bool = False
 
     @property
     def start(self) -> servers.ServerStart:
@@ -136,11 +144,14 @@
       changes_only: Whether the entry sends no requests to the agent's server
         and therefore gets changes of its state only, and not its load.
       limit: The entry's own last observation of the server's rate limit.
+      demand: The requests per second that the entry wants to send to the
+        server; None if it does not tell.
     """
 
     far: bool
     changes_only: bool = False
     limit: rate_limit.Observation | None = None
+    demand: float | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -490,6 +501,7 @@
                     subscription.far,
                     subscription.changes_only or None,
                     _limit_to_wire(subscription.limit),
+                    subscription.demand,
                     ages_ms=ages_ms or None,
                     suspicions=suspicion_codec.to_wire(suspicions),
                 )
@@ -527,6 +539,9 @@
             None if report.rank < 0 else report.rank,
             None if report.follower_rank < 0 else report.follower_rank,
             _limit_to_wire(report.limit),
+            report.demand,
+            int(1e3 * report.cold_s) or None,
+            report.evacuated or None,
             born=report.started_ms,
             ages_ms=ages_ms or None,
             suspicions=suspicion_codec.to_wire(suspicions),
@@ -554,6 +569,9 @@
         -1 if message.rank is None else message.rank,
         -1 if message.follower_rank is None else message.follower_rank,
         _limit_from_wire(message.limit, asyncio.get_running_loop().time()),
+        message.demand,
+        max(0, message.cold_ms or 0) / 1e3,
+        bool(message.evacuated),
     )
 
 
--- a/src/clementinegw/direct/types.py
+++ b/src/clementinegw/direct/types.py
@@ -58,6 +58,7 @@
       resumable: Whether a broken stream may resume at another server.
       max_gap_s: The latency objective of the gap between two events of a
         stream, in seconds; 0 if none is set.
+      regions: The regions that may serve its requests; empty for any.
     """
 
     name: str
@@ -72,6 +73,7 @@
     anonymous: bool = False
     resumable: bool = False
     max_gap_s: float = 0.0
+    regions: frozenset[str] = frozenset()
 
     @property
     def idempotent(self) -> bool:
@@ -137,6 +139,20 @@
     link_bytes_per_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ColdStart:
+    """How slowly the servers of a service work after a start.
+
+    Attributes:
+      duration_s: How long a server is cold after its start, in seconds.
+      requests_per_s: The requests per second that a cold server bears from all
+        entries together.
+    """
+
+    duration_s: float
+    requests_per_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
     """A service of the configuration.
@@ -147,12 +163,14 @@
         callers together.
       engine: Its model engines; None for a plain service.
       origin: Set if the service is an origin of weights.
+      cold_start: Set if its servers bear few requests after a start.
     """
 
     name: str
     max_connections: int
     engine: Engine | None = None
     origin: Origin | None = None
+    cold_start: ColdStart | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -179,10 +197,12 @@
     Attributes:
       name: The customer's name.
       priority: The priority of its requests; None for that of the route.
+      regions: The regions that may serve its requests; empty for any.
     """
 
     name: str
     priority: int | None = None
+    regions: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -223,6 +243,19 @@
     version: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Evacuation:
+    """The operators want no requests at the servers of a failure domain.
+
+    It holds until its record is deleted.
+
+    Attributes:
+      failure_domain: The failure domain.
+    """
+
+    failure_domain: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class HeldWeights:
     """A model's weights that a server has loaded.
@@ -295,6 +328,7 @@
       started_ms: When it started, in Unix milliseconds; 0 if it is not known.
       sequence: Increases with each record of one start; orders the records
         and has no other meaning.
+      cold_s: How much longer it was cold when it wrote the record, in seconds.
     """
 
     server_id: str
@@ -306,6 +340,7 @@
     held: tuple[HeldWeights, ...] = ()
     started_ms: int = 0
     sequence: int = dataclasses.field(default=0, compare=False)
+    cold_s: float = dataclasses.field(default=0.0, compare=False)
 
     @property
     def start(self) -> ServerStart:
@@ -341,11 +376,14 @@
       running: The number of running requests.
       waiting: The number of queued requests.
       slots: The number of requests that it runs concurrently.
+      pace: How many times longer than usual work takes on its machine now; None
+        if it does not report it.
     """
 
     running: int
     waiting: int
     slots: int
+    pace: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -395,6 +433,8 @@
       leaving: Whether the server reports that it is leaving.
       backoff_s: How long a server that rejected the request wants no other
         request from this entry, in seconds; 0 if it does not say.
+      cold_s: How much longer the server is cold, in seconds; None if it does
+        not say.
       malformed: The names of those of these fields whose header cannot be
         parsed; the value that the server reported before stays in force.
     """
@@ -409,6 +449,7 @@
     limit_per_s: float | None = None
     leaving: bool = False
     backoff_s: float = 0.0
+    cold_s: float | None = None
     malformed: frozenset[str] = frozenset()
 
 
--- a/src/clementinegw/wire/gen/reports/ttypes.py
+++ b/src/clementinegw/wire/gen/reports/ttypes.py
@@ -324,6 +324,7 @@
      - far
      - changes_only
      - limit
+     - demand
      - ages_ms
      - suspicions
 
@@ -335,17 +336,19 @@
         'far',
         'changes_only',
         'limit',
+        'demand',
         'ages_ms',
         'suspicions',
     )
 
 
-    def __init__(self, instance_id=None, declared=None, far=False, changes_only=False, limit=None, ages_ms=None, suspicions=None,):
+    def __init__(self, instance_id=None, declared=None, far=False, changes_only=False, limit=None, demand=None, ages_ms=None, suspicions=None,):
         self.instance_id = instance_id
         self.declared = declared
         self.far = far
         self.changes_only = changes_only
         self.limit = limit
+        self.demand = demand
         self.ages_ms = ages_ms
         self.suspicions = suspicions
 
@@ -390,6 +393,11 @@
                     self.limit.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.DOUBLE:
+                    self.demand = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             elif fid == 20:
                 if ftype == TType.MAP:
                     self.ages_ms = {}
@@ -452,6 +460,10 @@
             oprot.writeFieldBegin('limit', TType.STRUCT, 5)
             self.limit.write(oprot)
             oprot.writeFieldEnd()
+        if self.demand is not None:
+            oprot.writeFieldBegin('demand', TType.DOUBLE, 6)
+            oprot.writeDouble(self.demand)
+            oprot.writeFieldEnd()
         if self.ages_ms is not None:
             oprot.writeFieldBegin('ages_ms', TType.MAP, 20)
             oprot.writeMapBegin(TType.STRING, TType.MAP, len(self.ages_ms))
@@ -519,6 +531,9 @@
      - rank
      - follower_rank
      - limit
+     - demand
+     - cold_ms
+     - evacuated
      - ages_ms
      - born
      - suspicions
@@ -542,13 +557,16 @@
         'rank',
         'follower_rank',
         'limit',
+        'demand',
+        'cold_ms',
+        'evacuated',
         'ages_ms',
         'born',
         'suspicions',
     )
 
 
-    def __init__(self, server_id=None, running=None, waiting=None, slots=None, model=None, version=None, whole=None, loading=None, pace=None, yielding=None, entries=None, ready_in_s=None, followers=None, rank=None, follower_rank=None, limit=None, ages_ms=None, born=None, suspicions=None,):
+    def __init__(self, server_id=None, running=None, waiting=None, slots=None, model=None, version=None, whole=None, loading=None, pace=None, yielding=None, entries=None, ready_in_s=None, followers=None, rank=None, follower_rank=None, limit=None, demand=None, cold_ms=None, evacuated=None, ages_ms=None, born=None, suspicions=None,):
         self.server_id = server_id
         self.running = running
         self.waiting = waiting
@@ -565,6 +583,9 @@
         self.rank = rank
         self.follower_rank = follower_rank
         self.limit = limit
+        self.demand = demand
+        self.cold_ms = cold_ms
+        self.evacuated = evacuated
         self.ages_ms = ages_ms
         self.born = born
         self.suspicions = suspicions
@@ -659,6 +680,21 @@
                     self.limit.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.DOUBLE:
+                    self.demand = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.I32:
+                    self.cold_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.BOOL:
+                    self.evacuated = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             elif fid == 20:
                 if ftype == TType.MAP:
                     self.ages_ms = {}
@@ -760,6 +796,18 @@
             oprot.writeFieldBegin('limit', TType.STRUCT, 16)
             self.limit.write(oprot)
             oprot.writeFieldEnd()
+        if self.demand is not None:
+            oprot.writeFieldBegin('demand', TType.DOUBLE, 17)
+            oprot.writeDouble(self.demand)
+            oprot.writeFieldEnd()
+        if self.cold_ms is not None:
+            oprot.writeFieldBegin('cold_ms', TType.I32, 18)
+            oprot.writeI32(self.cold_ms)
+            oprot.writeFieldEnd()
+        if self.evacuated is not None:
+            oprot.writeFieldBegin('evacuated', TType.BOOL, 19)
+            oprot.writeBool(self.evacuated)
+            oprot.writeFieldEnd()
         if self.ages_ms is not None:
             oprot.writeFieldBegin('ages_ms', TType.MAP, 20)
             oprot.writeMapBegin(TType.I64, TType.I64, len(self.ages_ms))
@@ -855,7 +903,7 @@
     (3, TType.BOOL, 'far', None, False, ),  # 3
     (4, TType.BOOL, 'changes_only', None, False, ),  # 4
     (5, TType.STRUCT, 'limit', [Limit, None], None, ),  # 5
-    None,  # 6
+    (6, TType.DOUBLE, 'demand', None, None, ),  # 6
     None,  # 7
     None,  # 8
     None,  # 9
@@ -910,9 +958,9 @@
     (14, TType.I32, 'rank', None, None, ),  # 14
     (15, TType.I32, 'follower_rank', None, None, ),  # 15
     (16, TType.STRUCT, 'limit', [Limit, None], None, ),  # 16
-    None,  # 17
-    None,  # 18
-    None,  # 19
+    (17, TType.DOUBLE, 'demand', None, None, ),  # 17
+    (18, TType.I32, 'cold_ms', None, None, ),  # 18
+    (19, TType.BOOL, 'evacuated', None, None, ),  # 19
     (20, TType.MAP, 'ages_ms', (TType.I64, None, TType.I64, None, False), None, ),  # 20
     None,  # 21
     None,  # 22
--- a/src/clementinegw/wire/reports.thrift
+++ b/src/clementinegw/wire/reports.thrift
@@ -37,6 +37,9 @@
   4: optional bool changes_only = false,
   // The entry's own latest observation.
   5: optional Limit limit,
+  // Requests per second that the entry wants to send to servers of this service,
+  // each counted as the part of it that this server may get.
+  6: optional double demand,
   // By model and version: milliseconds since it was declared, if known.
   20: optional map<string, map<i64, i64>> ages_ms,
   // The entry's own recent observations; rarely any.
@@ -69,6 +72,12 @@
   15: optional i32 follower_rank,
   // The latest observation of any entry.
   16: optional Limit limit,
+  // The demand of all followers together; unset if one of them tells none.
+  17: optional double demand,
+  // How much longer the server is cold; unset if it is not.
+  18: optional i32 cold_ms,
+  // The operators want no requests in the server's failure domain.
+  19: optional bool evacuated,
   // By version of the model: milliseconds since it was declared, if known and
   // not sent to the entry recently.
   20: optional map<i64, i64> ages_ms,
--- a/tests/overload_site.py
+++ b/tests/overload_site.py
@@ -59,6 +59,7 @@
       prompt: Mean number of prompt tokens.
       events: Mean number of events in the answer.
       objective_s: Objective for the time to the first event, in seconds.
+      priority: The priority of its route.
     """
 
     name: str
@@ -66,6 +67,7 @@
     prompt: float
     events: float
     objective_s: float
+    priority: int = 1
 
 
 KINDS = (
@@ -84,6 +86,7 @@
     prompt: int
     events: int
     deadline_s: float = DEADLINE_S
+    customer: str = ""
     first_at: float = math.inf
     ended_at: float = math.inf
     gap_s: float = 0.0
@@ -166,6 +169,8 @@
         follow_all=True,
         figures=None,
         kinds=KINDS,
+        customers=None,
+        entry_weights=None,
     ):
         """Starts the engines.
 
@@ -178,10 +183,15 @@
           follow_all: Whether each entry follows all engines.
           figures: Parameters of the engines; None for the default.
           kinds: The kinds of requests.
+          customers: Weight of each customer's callers, by name; None for
+            anonymous callers.
+          entry_weights: Weight of each entry's callers; None for equal ones.
         """
         self._domains = domains
         self.figures = figures or engine_model.EngineParameters()
         self.kinds = kinds
+        self.customers = customers or {"": 1.0}
+        self.entry_weights = entry_weights
         self.engines = {
             n: engine_model.Engine(self.figures) for n in range(engines)
         }
@@ -288,12 +298,24 @@
             max(1, prompt),
             max(1, events),
             timeout_factor * DEADLINE_S,
+            self._customer(),
         )
         self.callers.append(caller)
         return caller
 
+    def _customer(self):
+        names = list(self.customers)
+        if len(names) == 1:
+            return names[0]
+        return self._arrivals.choices(names, list(self.customers.values()))[0]
+
+    def _entry(self):
+        if self.entry_weights is None:
+            return self.rng.choice(self.entries)
+        return self.rng.choices(self.entries, self.entry_weights)[0]
+
     async def _call(self, caller):
-        entry = self.rng.choice(self.entries)
+        entry = self._entry()
         wait_s = await self._ask(caller, entry, caller.deadline_s)
         if wait_s is None:
             return
@@ -317,7 +339,10 @@
         job = attempts.Job(
             builtin_types.SimpleNamespace(arrived_at=now),
             metadata,
-            catalog.RouteMatch(route, None),
+            catalog.RouteMatch(
+                route,
+                types.Customer(caller.customer) if caller.customer else None,
+            ),
             SERVICE,
             builtin_types.SimpleNamespace(begun=False),
             now + left_s,
@@ -467,7 +492,7 @@
         targets=(types.Target(SERVICE, 1.0),),
         timeout_s=DEADLINE_S,
         objective_s=kind.objective_s,
-        priority=1,
+        priority=kind.priority,
         max_attempts=2,
         resumable=True,
         max_gap_s=MAX_GAP_S,
