Serve requests only in their allowed regions

Every selection of a server starts from the allowed ones, and a request is checked again right before it is sent. Without an allowed server it is refused at once. Entries follow at least eight serving servers in each region that requests are restricted to. Evacuated failure domains are left out of the same selection; nothing sets them yet.

--- a/src/clementinegw/direct/_events.py
+++ b/src/clementinegw/direct/_events.py
@@ -36,6 +36,33 @@
 CONFIGURATION_TAKEN = events.define(
     903, "configuration_taken", _INFO, "A new configuration is in force."
 )
+REGIONS_UNKNOWN = events.define(
+    939,
+    "regions_unknown",
+    _WARNING,
+    "A configuration restricts requests to regions in which the instance file"
+    " has no failure domain. Logged once until these regions change.",
+    "Check `regions`; requests that may be served only there are refused.",
+)
+EVACUATION_BEGUN = events.define(
+    936,
+    "evacuation_begun",
+    _INFO,
+    "The servers of a failure domain get no more requests.",
+)
+EVACUATION_ENDED = events.define(
+    937,
+    "evacuation_ended",
+    _INFO,
+    "The servers of a failure domain get requests again.",
+)
+EVACUATION_UNKNOWN = events.define(
+    938,
+    "evacuation_unknown",
+    _WARNING,
+    "Operators evacuate a failure domain that the instance file does not have.",
+    "Check the spelling of `domain`; no server is affected.",
+)
 CONFIGURATION_OLD = events.define(
     904,
     "configuration_old",
--- a/src/clementinegw/direct/attempt.py
+++ b/src/clementinegw/direct/attempt.py
@@ -15,6 +15,7 @@
 from clementinegw.direct import timeouts
 from clementinegw.direct import types
 from clementinegw.direct import version_timeouts
+from clementinegw.scheduling import places
 from clementinegw.scheduling import rank as ranks
 
 # Answers other than streams are buffered until they are complete, so that a
@@ -95,6 +96,14 @@
         """The name of the customer; empty for an anonymous caller."""
         return self.match.customer.name if self.match.customer else ""
 
+    @property
+    def regions(self) -> places.Regions:
+        """The regions that may serve it; None for any."""
+        customer = self.match.customer
+        return places.intersect(
+            self.match.route.regions, customer.regions if customer else None
+        )
+
     @property
     def rank(self) -> ranks.Rank:
         """The rank of the request."""
@@ -117,6 +126,9 @@
         codec: header_codec.HeaderCodec,
         clock: Callable[[], float],
         on_first_event: Callable[[Job], None] = lambda job: None,
+        withdrawal_reason: Callable[
+            [Job, backend_lib.Backend], outcomes.NotRunReason | None
+        ] = lambda job, backend: None,
     ):
         """Stores its collaborators; `run` makes the attempts.
 
@@ -124,10 +136,13 @@
           codec: Translates the platform's headers.
           clock: Returns monotonic seconds.
           on_first_event: Called when a request's first event has arrived.
+          withdrawal_reason: Returns why operators no longer want a request at
+            its server; None if they allow it.
         """
         self._codec = codec
         self._clock = clock
         self._on_first_event = on_first_event
+        self._operators_reason = withdrawal_reason
 
     async def run(
         self,
@@ -241,7 +256,10 @@
             ),
             (version_timeout.outdated, outcomes.NotRunReason.TOO_OLD),
         )
-        return next((reason for holds, reason in checks if holds), None)
+        return next(
+            (reason for holds, reason in checks if holds),
+            self._operators_reason(job, backend),
+        )
 
     async def _call(
         self,
--- a/src/clementinegw/direct/balance.py
+++ b/src/clementinegw/direct/balance.py
@@ -1,6 +1,6 @@
 """Selects the backend server for each request."""
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 import dataclasses
 import random
 
@@ -9,6 +9,7 @@
 from clementinegw.direct import cooldown
 from clementinegw.direct import fleet
 from clementinegw.direct import types
+from clementinegw.scheduling import places
 
 # Costs added to the load of servers in the same failure domain, another one of
 # the region and another region, as fractions of their slots. Traffic between
@@ -43,6 +44,7 @@
       max_utilization: Only servers below this utilization are eligible.
       allow_cooldown: Whether a server in cooldown is eligible if all others
         are in cooldown, too.
+      regions: Regions that its server may be in; None for any.
     """
 
     service: str
@@ -51,10 +53,15 @@
     preferred_version: int = 0
     max_utilization: float = 3.0
     allow_cooldown: bool = True
+    regions: places.Regions = None
 
 
 class Balancer:
-    """Selects servers by their load and state as known to this entry."""
+    """Selects servers by their load and state as known to this entry.
+
+    Attributes:
+      evacuated: Failure domains whose servers get no requests.
+    """
 
     def __init__(
         self,
@@ -71,23 +78,62 @@
         self._clock = clock
         self._cooldowns = cooldown.Cooldowns()
         self._distances: dict[str, float] = {}
+        self.evacuated: frozenset[str] = frozenset()
 
     @property
     def entries(self) -> int:
         """Number of entries as reported by agents; 0 if none reports it."""
         return max((b.entries for b in self._servers.all()), default=0)
 
-    def ready_in_s(self, service: str) -> float:
+    def set_regions(self, regions: dict[str, str]) -> None:
+        """Sets the region of each failure domain."""
+        self._regions = regions
+        self._distances.clear()
+
+    def is_evacuated(self, backend: backend_lib.Backend) -> bool:
+        """Returns whether a server is in an evacuated failure domain."""
+        return backend.server.failure_domain in self.evacuated
+
+    def is_allowed(
+        self, backend: backend_lib.Backend, regions: places.Regions
+    ) -> bool:
+        """Returns whether a request may be served by a server, busy or not.
+
+        Args:
+          backend: The server.
+          regions: Regions that the request may be served in.
+        """
+        domain = backend.server.failure_domain
+        return places.is_allowed(domain, regions, self._regions)
+
+    def is_listed(self, service: str) -> bool:
+        """Returns whether a service has a server that is not leaving."""
+        return any(not b.retired for b in self._servers.of(service))
+
+    def is_usable(self, service: str, regions: places.Regions = None) -> bool:
+        """Returns whether a service has a server that may get requests.
+
+        Args:
+          service: Name of the service.
+          regions: Regions that the requests may be served in.
+        """
+        return any(not b.retired for b in self._usable(service, regions))
+
+    def ready_in_s(self, service: str, regions: places.Regions = None) -> float:
         """Returns the estimated time until a server is ready, in seconds.
 
         This is infinite if no agent predicts it, or if the predicted time has
         passed.
+
+        Args:
+          service: Name of the service.
+          regions: Regions that the server may be in.
         """
         now = self._clock()
         at = min(
             (
                 backend.ready_at
-                for backend in self._servers.of(service)
+                for backend in self._usable(service, regions)
                 if not backend.retired
                 and backend.ready_at > now - _READY_GRACE_S
             ),
@@ -101,7 +147,9 @@
         """Returns the servers that could run the request, busy or not."""
         return [
             backend
-            for backend in self._servers.of(requirements.service)
+            for backend in self._usable(
+                requirements.service, requirements.regions
+            )
             if not backend.retired
             and (
                 not requirements.layers
@@ -150,8 +198,7 @@
         """
         now = self._clock()
         return any(
-            b.has_share(now) and b.accepts(now)
-            for b in self._servers.of(service)
+            b.has_share(now) and b.accepts(now) for b in self._usable(service)
         )
 
     def record_sent(self, backend: backend_lib.Backend) -> None:
@@ -189,6 +236,8 @@
           service: Name of the service.
         """
         now = self._clock()
+        if self.evacuated and not self.is_usable(service):
+            return self.is_listed(service)
         return any(
             b.cooldown_until > now
             or b.signals.backoff_until > now
@@ -200,6 +249,10 @@
         """Returns whether all servers are unavailable or rate-limited."""
         now = self._clock()
         candidates = self.candidates(requirements)
+        if self.evacuated and not candidates:
+            return not self.is_usable(
+                requirements.service, requirements.regions
+            )
         return bool(candidates) and all(
             b.available_at(now) > now or b.signals.limited for b in candidates
         )
@@ -221,6 +274,22 @@
             if b.available_at(now) < until
         )
 
+    def _usable(
+        self, service: str, regions: places.Regions = None
+    ) -> Iterable[backend_lib.Backend]:
+        """Returns the servers that may get requests, leaving ones included.
+
+        Every selection of a server starts from these.
+        """
+        backends = self._servers.of(service)
+        if regions is None and not self.evacuated:
+            return backends
+        return [
+            b
+            for b in backends
+            if not self.is_evacuated(b) and self.is_allowed(b, regions)
+        ]
+
     def _reachable(
         self,
         backends: list[backend_lib.Backend],
--- a/src/clementinegw/direct/catalog.py
+++ b/src/clementinegw/direct/catalog.py
@@ -26,6 +26,7 @@
 
     Attributes:
       configuration: The configuration.
+      restricting_regions: The regions that any requests are restricted to.
     """
 
     def __init__(self, configuration: types.Configuration):
@@ -34,6 +35,7 @@
         for route in configuration.routes:
             prefixes = self._hosts.setdefault(route.host, {})
             prefixes[route.prefix] = route
+        self.restricting_regions = _find_restricting_regions(configuration)
 
     @property
     def version(self) -> int:
@@ -65,3 +67,11 @@
     def keyed(self) -> bool:
         """Whether requests need an API key."""
         return self.configuration.requires_key
+
+
+def _find_restricting_regions(
+    configuration: types.Configuration,
+) -> frozenset[str]:
+    limits = {route.regions for route in configuration.routes}
+    limits.update(c.regions for c in configuration.customers.values())
+    return frozenset().union(*(limit for limit in limits if limit))
--- a/src/clementinegw/direct/entry.py
+++ b/src/clementinegw/direct/entry.py
@@ -176,10 +176,12 @@
             clock,
             log,
             counters,
+            lambda: self._balancer.evacuated,
         )
         self._steps = steps.Steps(log, counters)
         self._leaving = False
         self._ready = False
+        self._unknown_regions: frozenset[str] = frozenset()
 
     @property
     def ready(self) -> bool:
@@ -217,6 +219,7 @@
         self._versions.due_s = bounds.weights_ms / 1e3
         self._fleet.listing_expiry.times = _listing_times(bounds)
         self._forwarder.set_retry_limits(_retry_limits(bounds))
+        self._balancer.set_regions(instance.regions)
 
     async def drain(self) -> None:
         """Stops accepting callers and finishes the requests in progress."""
@@ -364,6 +367,16 @@
             keys=len(configuration.customers),
             was=catalog.version if catalog else None,
         )
+        self._log_unknown_regions()
+
+    def _log_unknown_regions(self) -> None:
+        """Logs regions that restrict requests and that no server is in."""
+        catalog = self._config_view.catalog
+        restricting = catalog.restricting_regions if catalog else frozenset()
+        unknown = restricting.difference(self._instance.regions.values())
+        if unknown and unknown != self._unknown_regions:
+            self._log.write(_events.REGIONS_UNKNOWN, regions=sorted(unknown))
+        self._unknown_regions = unknown
 
     def _on_servers(self, batch: topic_watch.Batch, is_snapshot: bool) -> None:
         self._fleet.apply(
--- a/src/clementinegw/direct/finisher.py
+++ b/src/clementinegw/direct/finisher.py
@@ -100,6 +100,7 @@
             customer=job.customer_name if job else "",
             age_s=round(min(self._config_view.age_s(), 9_999.0), 3),
             after_ms=round((self._clock() - request.arrived_at) * 1000, 1),
+            **_place_fields(job),
         )
         if responder.begun:
             responder.abort()
@@ -234,3 +235,10 @@
             total_ms=round((now - arrived) * 1e3),
             age_s=round(min(self._config_view.age_s(), 9_999.0), 3),
         )
+
+
+def _place_fields(job: attempts.Job | None) -> dict[str, list[str]]:
+    """Returns the log field of a request that few regions may serve."""
+    if job is None or job.regions is None:
+        return {}
+    return {"regions": sorted(job.regions)}
--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -40,6 +40,8 @@
         outcomes.NotRunReason.LEFT,
         outcomes.NotRunReason.LIMITED,
         outcomes.NotRunReason.TOO_OLD,
+        outcomes.NotRunReason.EVACUATED,
+        outcomes.NotRunReason.NOT_ALLOWED,
     }
 )
 # A server that rejected a request unrun is skipped for this long, in seconds.
@@ -104,7 +106,10 @@
             config_view, balancer, versions, rng, clock
         )
         self._attempt_runner = attempts.AttemptRunner(
-            codec, clock, self._placer.record_first_event
+            codec,
+            clock,
+            self._placer.record_first_event,
+            self._placer.withdrawal_reason,
         )
         self._version_timeouts = version_timeouts.VersionTimeouts(
             versions, clock
--- a/src/clementinegw/direct/outcomes.py
+++ b/src/clementinegw/direct/outcomes.py
@@ -16,6 +16,8 @@
     LIMITED = "limited"
     BACKOFF = "backoff"
     TOO_OLD = "too_old"
+    EVACUATED = "evacuated"
+    NOT_ALLOWED = "not_allowed"
 
 
 class LostReason(enum.StrEnum):
--- a/src/clementinegw/direct/placement.py
+++ b/src/clementinegw/direct/placement.py
@@ -128,7 +128,10 @@
             # It cannot be refused any more, only broken off.
             give_up_at = self.latest_resumption(job)
         elif not self._balancer.candidates(self._requirements(job)):
-            ready_in_s = self._balancer.ready_in_s(job.service)
+            barred = self._barred_reason(job)
+            if barred is not None:
+                return self.refuse(job, barred)
+            ready_in_s = self._balancer.ready_in_s(job.service, job.regions)
             if ready_in_s > _READY_WAIT_SHARE * timeout_s:
                 return self._refuse_until_ready(
                     job, Reason.NO_SERVER, ready_in_s
@@ -158,7 +161,12 @@
             if job.responder.begun and not self._balancer.candidates(
                 self._requirements(job)
             ):
-                return self.refuse(job, Reason.NO_SERVER)
+                return self.refuse(
+                    job, self._barred_reason(job) or Reason.NO_SERVER
+                )
+            barred = self._barred_reason(job)
+            if barred is not None:
+                return self.refuse(job, barred)
             if self._balancer.cooldown_ends_in_s(self._requirements(job)):
                 return self.refuse_unreachable(job)
             backoff_ends_in_s = self._balancer.backoff_ends_in_s(
@@ -239,6 +247,33 @@
             return ""
         return job.metadata.model or engine.models[0]
 
+    def withdrawal_reason(
+        self, job: attempts.Job, backend: backend_lib.Backend
+    ) -> outcomes.NotRunReason | None:
+        """Returns why a request may not be sent to its server; None if it may.
+
+        Operators may have decided so after the server was reserved.
+        """
+        if self._balancer.is_evacuated(backend):
+            return outcomes.NotRunReason.EVACUATED
+        if not self._balancer.is_allowed(backend, job.regions):
+            return outcomes.NotRunReason.NOT_ALLOWED
+        return None
+
+    def _barred_reason(self, job: attempts.Job) -> Reason | None:
+        """Returns why no listed server may get a request; None if one may.
+
+        Waiting does not help: only the operators' next record changes it.
+        """
+        service = job.service
+        if self._balancer.is_usable(service, job.regions):
+            return None
+        if not self._balancer.is_listed(service):
+            return None
+        if job.regions is not None:
+            return Reason.NO_ALLOWED_SERVER
+        return Reason.EVACUATED
+
     def refuse(self, job: attempts.Job, reason: Reason) -> outcomes.Refusal:
         """Returns the refusal of a request that gets no server."""
         return self._refusal(
@@ -362,6 +397,7 @@
             self.layers(job.service),
             min_version,
             self._versions.preferred(model, now),
+            regions=job.regions,
         )
 
     def _queue(self, service: str) -> queue.Queue:
--- a/src/clementinegw/direct/subscriptions.py
+++ b/src/clementinegw/direct/subscriptions.py
@@ -41,6 +41,7 @@
         clock: Callable[[], float],
         log: logs.Log,
         counters: counters_lib.Counters,
+        evacuated: Callable[[], frozenset[str]] = frozenset,
     ):
         """Subscribes to nothing until `subscribe_changed` or `renew`.
 
@@ -54,6 +55,7 @@
           clock: Returns monotonic seconds.
           log: Log for changes of the followed servers.
           counters: Holds the gauge of followed servers.
+          evacuated: Returns the failure domains whose servers get no requests.
         """
         self._instance = instance
         self._config_view = config_view
@@ -64,6 +66,7 @@
         self._clock = clock
         self._log = log
         self._counters = counters
+        self._evacuated = evacuated
         self._subscribed: dict[shared_types.Address, reports.Subscription] = {}
         self._followed: set[str] = set()
         self._serving: dict[str, bool] = {}
@@ -121,6 +124,8 @@
     def _update_followed(self) -> None:
         """Selects the servers that the entry follows."""
         self._serving = self._find_serving()
+        catalog = self._config_view.catalog
+        restricting = catalog.restricting_regions if catalog else frozenset()
         followed: set[str] = set()
         for service in self._fleet.services():
             backends = [b for b in self._fleet.of(service) if not b.retired]
@@ -128,14 +133,35 @@
                 # Plain servers have no agent to report on them, and are few.
                 followed.update(b.server.server_id for b in backends)
             else:
-                followed |= subsetting.select_followed(
-                    self._instance.name, [self._candidate(b) for b in backends]
-                )
+                followed |= self._select_followed(backends, restricting)
         self._fleet.set_followed(followed, self._clock())
         if followed != self._followed:
             self._followed = followed
             self._log_followed(followed)
 
+    def _select_followed(
+        self,
+        backends: list[backend_lib.Backend],
+        restricting_regions: frozenset[str],
+    ) -> set[str]:
+        """Returns the servers of a service to follow, by id.
+
+        Those in evacuated failure domains take no request, so others have to
+        be followed in their place. They stay followed, since some still run
+        requests.
+        """
+        evacuated = self._evacuated()
+        free = []
+        followed = set()
+        for backend in backends:
+            if backend.server.failure_domain not in evacuated:
+                free.append(self._candidate(backend))
+            elif backend.server.server_id in self._followed:
+                followed.add(backend.server.server_id)
+        return followed | subsetting.select_followed(
+            self._instance.name, free, restricting_regions
+        )
+
     def _log_followed(self, followed: set[str]) -> None:
         self._counters.gauge("direct.servers.followed", len(followed))
         self._log.write(
@@ -151,6 +177,7 @@
             server_id,
             not self._is_far(backend.server),
             self._serving.get(server_id, False),
+            self._instance.regions.get(backend.server.failure_domain, ""),
         )
 
     def _find_serving(self) -> dict[str, bool]:
--- a/src/clementinegw/direct/subsetting.py
+++ b/src/clementinegw/direct/subsetting.py
@@ -10,7 +10,7 @@
 does not affect the others, and all servers have about as many followers.
 """
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 import dataclasses
 import hashlib
 
@@ -24,6 +24,9 @@
 # Minimum number of servers where a request may start. If few have the required
 # version, all entries need those, in any region.
 _MIN_SERVING = 8
+# The same in each region that some requests are restricted to: these cannot
+# use the servers of any other region.
+_MIN_IN_REGION = 8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -34,21 +37,26 @@
       server_id: Id of the server.
       near: Whether it is in the entry's region.
       serves: Whether a request may start there now.
+      region: Its region.
     """
 
     server_id: str
     near: bool
     serves: bool
+    region: str = ""
 
 
 def select_followed(
-    entry: str, candidates: Sequence[Candidate]
+    entry: str,
+    candidates: Sequence[Candidate],
+    restricting_regions: Collection[str] = (),
 ) -> frozenset[str]:
     """Returns the ids of the servers that an entry follows.
 
     Args:
       entry: Name of the entry.
       candidates: All servers of one service.
+      restricting_regions: Regions that some requests are restricted to.
     """
     ranked = sorted(candidates, key=lambda c: _hash(entry, c.server_id))
     near = [c for c in ranked if c.near][:_MAX_NEAR]
@@ -58,6 +66,9 @@
     missing = _MIN_SERVING - sum(c.serves for c in followed)
     extra = [c for c in ranked if c.serves and c.server_id not in chosen]
     chosen.update(c.server_id for c in extra[: max(0, missing)])
+    for region in restricting_regions:
+        inside = [c for c in ranked if c.serves and c.region == region]
+        chosen.update(c.server_id for c in inside[:_MIN_IN_REGION])
     return frozenset(chosen)
 
 
--- a/src/clementinegw/direct/types.py
+++ b/src/clementinegw/direct/types.py
@@ -58,7 +58,7 @@
       resumable: Whether a broken stream may resume at another server.
       max_gap_s: The latency objective of the gap between two events of a
         stream, in seconds; 0 if none is set.
-      regions: The regions that may serve its requests; empty for any.
+      regions: The regions that may serve its requests; None for any.
     """
 
     name: str
@@ -73,7 +73,7 @@
     anonymous: bool = False
     resumable: bool = False
     max_gap_s: float = 0.0
-    regions: frozenset[str] = frozenset()
+    regions: frozenset[str] | None = None
 
     @property
     def idempotent(self) -> bool:
@@ -197,12 +197,12 @@
     Attributes:
       name: The customer's name.
       priority: The priority of its requests; None for that of the route.
-      regions: The regions that may serve its requests; empty for any.
+      regions: The regions that may serve its requests; None for any.
     """
 
     name: str
     priority: int | None = None
-    regions: frozenset[str] = frozenset()
+    regions: frozenset[str] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -293,8 +293,11 @@
     Attributes:
       name: The server's id.
       on_call: Handles a call; answers it by default.
+      domain: The failure domain that it is listed in.
     """
 
+    domain = "d1"
+
     def __init__(self, name, on_call=None):
         self.name = name
         self.on_call = on_call or (lambda call: call.answer())
@@ -317,7 +320,7 @@
         return {
             "service": service,
             "address": self.address,
-            "zone": "d1",
+            "zone": self.domain,
             "version": "v1",
             "slots": 8,
             "state": "ready",
@@ -399,8 +402,11 @@
 
     Attributes:
       suspended_s: How long the machine was suspended, in seconds.
+      regions: The region of each failure domain.
     """
 
+    regions = {"d1": "r1"}
+
     def __init__(self, *names, on_call=None):
         self.store = Store()
         self.servers = [Server(name, on_call) for name in names]
@@ -423,7 +429,7 @@
         instance = instances.Instance(
             name="entry-1",
             place=shared_types.Place("r1", "d1"),
-            regions={"d1": "r1"},
+            regions=self.regions,
             host="127.0.0.1",
             peer_ports=(0, 0),
             store=self.store.address,
