Send nothing to evacuated failure domains

Cause: an operators' record that evacuates a failure domain had no effect.

Change: entries take such records from the operators' topic and leave out the servers of the domain at once: in every selection, right before a request is sent, and among the servers that they follow in a large fleet. Agents report the evacuation of their own domain, which counts at entries whose records are older than 2.5 s. If all servers are evacuated, requests are refused at once, those that wait too. A route with several services uses one that has an allowed server.

--- a/src/clementinegw/direct/_events.py
+++ b/src/clementinegw/direct/_events.py
@@ -48,7 +48,8 @@
     936,
     "evacuation_begun",
     _INFO,
-    "The servers of a failure domain get no more requests.",
+    "The servers of a failure domain get no more requests. `declared` is false"
+    " if only agents report it, while this process has no current records.",
 )
 EVACUATION_ENDED = events.define(
     937,
--- a/src/clementinegw/direct/agent.py
+++ b/src/clementinegw/direct/agent.py
@@ -18,6 +18,7 @@
 from clementinegw.direct import _events
 from clementinegw.direct import agent_interfaces
 from clementinegw.direct import declarations
+from clementinegw.direct import evacuation_watch
 from clementinegw.direct import fetcher as fetcher_lib
 from clementinegw.direct import instance as instances
 from clementinegw.direct import raw
@@ -104,6 +105,12 @@
             boot_clock,
         )
         self._operators, self._server_list = topics.operators, topics.servers
+        self._evacuations = evacuation_watch.EvacuationWatch(
+            lambda: self._instance.regions,
+            lambda: self._operators.age_s,
+            log,
+            counters,
+        )
         self._me = self._agent_instance(instance.host, instance.place)
         self._fetcher = fetcher_lib.Fetcher(
             self._me,
@@ -174,7 +181,8 @@
     def _on_operators(
         self, batch: topic_watch.Batch, is_snapshot: bool
     ) -> None:
-        del is_snapshot
+        self._evacuations.apply(batch, is_snapshot)
+        self._evacuations.update()
         for record in batch.records:
             if isinstance(record.value, types.Configuration):
                 self._apply_configuration(record.value)
@@ -377,6 +385,8 @@
                     best is not None and self._updater.is_complete(best)
                 ),
                 ages_s=self._declared.ages_s(self._context.model),
+                evacuated=self._instance.place.failure_domain
+                in self._evacuations.domains,
             ),
             self._suspicions(),
         )
--- a/src/clementinegw/direct/attempt.py
+++ b/src/clementinegw/direct/attempt.py
@@ -99,10 +99,7 @@
     @property
     def regions(self) -> places.Regions:
         """The regions that may serve it; None for any."""
-        customer = self.match.customer
-        return places.intersect(
-            self.match.route.regions, customer.regions if customer else None
-        )
+        return self.match.regions
 
     @property
     def rank(self) -> ranks.Rank:
--- a/src/clementinegw/direct/balance.py
+++ b/src/clementinegw/direct/balance.py
@@ -106,18 +106,20 @@
         domain = backend.server.failure_domain
         return places.is_allowed(domain, regions, self._regions)
 
-    def is_listed(self, service: str) -> bool:
-        """Returns whether a service has a server that is not leaving."""
-        return any(not b.retired for b in self._servers.of(service))
+    def is_barred(self, service: str, regions: places.Regions = None) -> bool:
+        """Returns whether operators allow no server of a service.
 
-    def is_usable(self, service: str, regions: places.Regions = None) -> bool:
-        """Returns whether a service has a server that may get requests.
+        This is false if none is listed.
 
         Args:
           service: Name of the service.
           regions: Regions that the requests may be served in.
         """
-        return any(not b.retired for b in self._usable(service, regions))
+        if regions is None and not self.evacuated:
+            return False
+        if any(not b.retired for b in self._usable(service, regions)):
+            return False
+        return any(not b.retired for b in self._servers.of(service))
 
     def ready_in_s(self, service: str, regions: places.Regions = None) -> float:
         """Returns the estimated time until a server is ready, in seconds.
@@ -236,8 +238,8 @@
           service: Name of the service.
         """
         now = self._clock()
-        if self.evacuated and not self.is_usable(service):
-            return self.is_listed(service)
+        if self.is_barred(service):
+            return True
         return any(
             b.cooldown_until > now
             or b.signals.backoff_until > now
@@ -249,11 +251,9 @@
         """Returns whether all servers are unavailable or rate-limited."""
         now = self._clock()
         candidates = self.candidates(requirements)
-        if self.evacuated and not candidates:
-            return not self.is_usable(
-                requirements.service, requirements.regions
-            )
-        return bool(candidates) and all(
+        if not candidates:
+            return self.is_barred(requirements.service, requirements.regions)
+        return all(
             b.available_at(now) > now or b.signals.limited for b in candidates
         )
 
@@ -284,11 +284,13 @@
         backends = self._servers.of(service)
         if regions is None and not self.evacuated:
             return backends
-        return [
-            b
-            for b in backends
-            if not self.is_evacuated(b) and self.is_allowed(b, regions)
-        ]
+        usable = {
+            domain
+            for domain in {b.server.failure_domain for b in backends}
+            if domain not in self.evacuated
+            and places.is_allowed(domain, regions, self._regions)
+        }
+        return [b for b in backends if b.server.failure_domain in usable]
 
     def _reachable(
         self,
@@ -353,11 +355,27 @@
     return 1 if regions.get(domain) == place.region else 2
 
 
-def draw_service(route: types.Route, rng: random.Random) -> str:
-    """Returns a service of a route, drawn at random by weight."""
-    if len(route.targets) == 1:
-        return route.targets[0].service
-    weights = [target.weight for target in route.targets]
+def draw_service(
+    route: types.Route,
+    rng: random.Random,
+    is_barred: Callable[[str], bool] = lambda service: False,
+) -> str:
+    """Returns a service of a route, drawn at random by weight.
+
+    Args:
+      route: The route.
+      rng: Draws the service.
+      is_barred: Returns whether operators allow no server of a service; it is
+        drawn only if that holds for all.
+    """
+    targets = route.targets
+    if len(targets) > 1:
+        targets = (
+            tuple(t for t in targets if not is_barred(t.service)) or targets
+        )
+    if len(targets) == 1:
+        return targets[0].service
+    weights = [target.weight for target in targets]
     if sum(weights) <= 0:
-        return route.targets[0].service
-    return rng.choices(route.targets, weights)[0].service
+        return targets[0].service
+    return rng.choices(targets, weights)[0].service
--- a/src/clementinegw/direct/catalog.py
+++ b/src/clementinegw/direct/catalog.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from clementinegw.direct import types
+from clementinegw.scheduling import places
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -18,6 +19,13 @@
     route: types.Route
     customer: types.Customer | None
 
+    @property
+    def regions(self) -> places.Regions:
+        """The regions that both of them allow; None for any."""
+        return places.intersect(
+            self.route.regions, self.customer.regions if self.customer else None
+        )
+
 
 class Catalog:
     """An index of one configuration.
--- a/src/clementinegw/direct/entry.py
+++ b/src/clementinegw/direct/entry.py
@@ -15,6 +15,7 @@
 from clementinegw.direct import budget
 from clementinegw.direct import catalog as catalogs
 from clementinegw.direct import declarations
+from clementinegw.direct import evacuation_watch
 from clementinegw.direct import fleet as fleets
 from clementinegw.direct import forward
 from clementinegw.direct import header_codec as header_codec_lib
@@ -146,6 +147,12 @@
         self._balancer = balance.Balancer(
             self._fleet, instance.place, instance.regions, rng, clock
         )
+        self._evacuations = evacuation_watch.EvacuationWatch(
+            lambda: self._instance.regions,
+            lambda: self._operators.age_s,
+            log,
+            counters,
+        )
         self.histograms = histograms.Histograms()
         self._forwarder = forward.Forwarder(
             platform.header_codec(),
@@ -254,6 +261,8 @@
             self._record_lag(self._clock() - due)
             with self._steps.guard("maintain_servers"):
                 self._maintain_servers()
+            with self._steps.guard("update_evacuated"):
+                self._update_evacuated()
             with self._steps.guard("check_clock"):
                 self._forwarder.check_clock()
             with self._steps.guard("refresh_subscriptions"):
@@ -291,11 +300,14 @@
         backend = self._fleet.match_report(report, host)
         if backend is None:
             return
+        was_evacuated = backend.evacuated
         backend.apply_report(
             report,
             self._clock(),
             self._typical_prefill_s(backend.server.service),
         )
+        if backend.evacuated != was_evacuated:
+            self._update_evacuated()
         self._forwarder.dispatch_for(backend)
 
     def _typical_prefill_s(self, service: str) -> float:
@@ -325,13 +337,29 @@
     def _on_operators(
         self, batch: topic_watch.Batch, is_snapshot: bool
     ) -> None:
-        del is_snapshot
+        self._evacuations.apply(batch, is_snapshot)
+        self._update_evacuated()
         for record in batch.records:
             if isinstance(record.value, types.Configuration):
                 self._apply_configuration(record.value)
             elif isinstance(record.value, types.DeclaredVersion):
                 self._apply_declared_version(record.value)
 
+    def _update_evacuated(self) -> None:
+        """Applies a change of the evacuated failure domains."""
+        # An entry that is cut off from the operators' records still hears the
+        # agents. One report counts for the whole failure domain, since plain
+        # servers have no agent.
+        reported = {
+            backend.server.failure_domain
+            for backend in self._fleet.all()
+            if backend.evacuated
+        }
+        if self._evacuations.update(reported):
+            self._balancer.evacuated = self._evacuations.domains
+            self._subscriptions.subscribe_changed()
+            self._forwarder.dispatch()
+
     def _apply_declared_version(self, declared: types.DeclaredVersion) -> None:
         lag_s = self._operators.lag_s
         change = self._versions.record_declared(declared, lag_s)
--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -215,7 +215,11 @@
         if metadata.timeout_s is not None:
             timeout_s = min(timeout_s, metadata.timeout_s)
         spent_s = self._caller_timeouts.spent_s(route.name, metadata.timeout_s)
-        service = balance.draw_service(route, self._rng)
+        service = balance.draw_service(
+            route,
+            self._rng,
+            lambda s: self._balancer.is_barred(s, matched.regions),
+        )
         self._budget(service).record_request(self._clock())
         return attempts.Job(
             request,
--- a/src/clementinegw/direct/placement.py
+++ b/src/clementinegw/direct/placement.py
@@ -265,10 +265,7 @@
 
         Waiting does not help: only the operators' next record changes it.
         """
-        service = job.service
-        if self._balancer.is_usable(service, job.regions):
-            return None
-        if not self._balancer.is_listed(service):
+        if not self._balancer.is_barred(job.service, job.regions):
             return None
         if job.regions is not None:
             return Reason.NO_ALLOWED_SERVER
--- a/src/clementinegw/direct/reports.py
+++ b/src/clementinegw/direct/reports.py
@@ -428,6 +428,7 @@
             report.loading,
             report.yielding,
             report.limit and report.limit.per_s,
+            report.evacuated,
         )
         changed = state != self._last_state
         self._last_state = state
--- a/tests/test_direct_places.py
+++ b/tests/test_direct_places.py
@@ -1,6 +1,7 @@
 """Tests that requests are served only in their allowed regions."""
 
 import asyncio
+import dataclasses
 import math
 import random
 import types as builtin_types
@@ -291,6 +292,31 @@
             assert len(some) >= min(8, len(inside))
 
 
+def test_a_route_uses_its_service_that_has_an_allowed_server():
+    """A part of a route's requests goes to a service without one."""
+    targets = tuple(types.Target(s, 1.0) for s in ("plain", "other"))
+    route = dataclasses.replace(Fleet().job().match.route, targets=targets)
+
+    def draw(barred):
+        rng = random.Random(1)
+        return {
+            balance.draw_service(route, rng, lambda s: s in barred)
+            for _ in range(50)
+        }
+
+    assert draw(()) == {"plain", "other"}
+    assert draw({"other"}) == {"plain"}
+    assert draw({"plain", "other"}) == {"plain", "other"}
+
+
+def test_a_service_is_barred_only_by_operators():
+    """A service without any server is drawn and refused as before."""
+    balancer = Fleet("d1").balancer
+    assert not balancer.is_barred("plain", HOME)
+    assert balancer.is_barred("plain", frozenset({"r2"}))
+    assert not balancer.is_barred("other", HOME)
+
+
 # Over sockets.
 
 
