--- a/src/clementinegw/direct/balance.py
+++ b/src/clementinegw/direct/balance.py
@@ -200,7 +200,8 @@
         """
         now = self._clock()
         return any(
-            b.has_share(now) and b.accepts(now) for b in self._usable(service)
+            b.has_share(now) and b.accepts(now) and not self.is_evacuated(b)
+            for b in self._servers.of(service)
         )
 
     def record_sent(self, backend: backend_lib.Backend) -> None:
--- a/src/clementinegw/direct/evacuation_watch.py
+++ b/src/clementinegw/direct/evacuation_watch.py
@@ -50,6 +50,7 @@
                 for record in batch.records
             },
             is_snapshot,
+            batch.next_offset,
         )
 
     def update(self, reported: Collection[str] = ()) -> bool:
--- a/src/clementinegw/direct/finisher.py
+++ b/src/clementinegw/direct/finisher.py
@@ -185,6 +185,7 @@
             after_ms=round((now - job.request.arrived_at) * 1e3, 1),
             left_ms=round((job.deadline - now) * 1e3, 1),
             age_s=round(min(self._config_view.age_s(), 9_999.0), 3),
+            **_place_fields(job),
         )
         job.responder.abort()
 
--- a/src/clementinegw/scheduling/evacuations.py
+++ b/src/clementinegw/scheduling/evacuations.py
@@ -16,6 +16,7 @@
 
     def __init__(self) -> None:
         self._domains: dict[str, str] = {}
+        self._next_offset = 0
 
     @property
     def domains(self) -> frozenset[str]:
@@ -23,17 +24,25 @@
         return frozenset(self._domains.values())
 
     def apply(
-        self, changes: Mapping[str, str | None], is_snapshot: bool
+        self,
+        changes: Mapping[str, str | None],
+        is_snapshot: bool,
+        next_offset: int = 0,
     ) -> None:
         """Applies records.
 
+        A snapshot that another process took before what is known here ends
+        nothing.
+
         Args:
           changes: The failure domain that a record evacuates, by key; None if
             the record is not an evacuation any more.
           is_snapshot: Whether evacuations that are missing have ended.
+          next_offset: The offset in the log up to which the records are known.
         """
-        if is_snapshot:
+        if is_snapshot and next_offset >= self._next_offset:
             self._domains = {}
+        self._next_offset = max(self._next_offset, next_offset)
         for key, domain in changes.items():
             if domain is None:
                 self._domains.pop(key, None)
--- a/tests/test_direct_evacuation.py
+++ b/tests/test_direct_evacuation.py
@@ -46,6 +46,17 @@
     assert known.domains == {"d2"}
 
 
+def test_a_snapshot_from_a_process_that_is_behind_ends_nothing():
+    """Requests go back for a moment after the history is lost."""
+    known = evacuations.Evacuations()
+    known.apply({"config": None}, True, 7)
+    known.apply({"e/d1": "d1"}, False, 8)
+    known.apply({"config": None}, True, 7)
+    assert known.domains == {"d1"}
+    known.apply({"config": None}, True, 9)
+    assert known.domains == frozenset()
+
+
 @pytest.mark.parametrize(
     ("age_s", "reported", "expected"),
     [
