Test that places change nothing without restrictions

Cause: only the restricted side was tested.

Change: a test that every listed server stays a candidate and the same servers are followed.

Measured: tests/test_direct_places.py passes.

--- a/tests/test_direct_places.py
+++ b/tests/test_direct_places.py
@@ -142,6 +142,19 @@
     assert fleet.balancer.candidates(RESTRICTED) == [fleet.backend(1)]
 
 
+def test_without_restrictions_every_listed_server_is_a_candidate():
+    fleet = Fleet("d1", "d2", "unknown")
+    requirements = balance.Requirements("plain")
+    assert fleet.balancer.candidates(requirements) == [*fleet.fleet.all()]
+    assert not fleet.balancer.is_barred("plain")
+    names = [f"s{n}" for n in range(100)]
+    near = [subsetting.Candidate(n, n < "s5", True, "r1") for n in names]
+    plain = [subsetting.Candidate(n, n < "s5", True) for n in names]
+    assert subsetting.select_followed("e", near) == (
+        subsetting.select_followed("e", plain)
+    )
+
+
 def test_a_retry_is_allowed():
     """The only allowed server was tried; no other one takes its place."""
     fleet = Fleet("d1", "d2")
