--- a/src/clementinegw/direct/catalog.py
+++ b/src/clementinegw/direct/catalog.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from clementinegw.direct import types
+from clementinegw.scheduling import places
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -18,6 +19,13 @@
     route: types.Route
     customer: types.Customer | None
 
+    @property
+    def regions(self) -> places.Regions:
+        """The regions that both of them allow; None for any."""
+        return places.intersect(
+            self.route.regions, self.customer.regions if self.customer else None
+        )
+
 
 class Catalog:
     """An index of one configuration.
@@ -26,6 +34,7 @@
 
     Attributes:
       configuration: The configuration.
+      restricting_regions: The regions that any requests are restricted to.
     """
 
     def __init__(self, configuration: types.Configuration):
@@ -34,6 +43,7 @@
         for route in configuration.routes:
             prefixes = self._hosts.setdefault(route.host, {})
             prefixes[route.prefix] = route
+        self.restricting_regions = _find_restricting_regions(configuration)
 
     @property
     def version(self) -> int:
@@ -65,3 +75,11 @@
     def keyed(self) -> bool:
         """Whether requests need an API key."""
         return self.configuration.requires_key
+
+
+def _find_restricting_regions(
+    configuration: types.Configuration,
+) -> frozenset[str]:
+    limits = {route.regions for route in configuration.routes}
+    limits.update(c.regions for c in configuration.customers.values())
+    return frozenset().union(*(limit for limit in limits if limit))
--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -40,6 +40,8 @@
         outcomes.NotRunReason.LEFT,
         outcomes.NotRunReason.LIMITED,
         outcomes.NotRunReason.TOO_OLD,
+        outcomes.NotRunReason.EVACUATED,
+        outcomes.NotRunReason.NOT_ALLOWED,
     }
 )
 # A server that rejected a request unrun is skipped for this long, in seconds.
@@ -104,7 +106,10 @@
             config_view, balancer, versions, rng, clock
         )
         self._attempt_runner = attempts.AttemptRunner(
-            codec, clock, self._placer.record_first_event
+            codec,
+            clock,
+            self._placer.record_first_event,
+            self._placer.withdrawal_reason,
         )
         self._version_timeouts = version_timeouts.VersionTimeouts(
             versions, clock
@@ -210,7 +215,11 @@
         if metadata.timeout_s is not None:
             timeout_s = min(timeout_s, metadata.timeout_s)
         spent_s = self._caller_timeouts.spent_s(route.name, metadata.timeout_s)
-        service = balance.draw_service(route, self._rng)
+        service = balance.draw_service(
+            route,
+            self._rng,
+            lambda s: self._balancer.is_barred(s, matched.regions),
+        )
         self._budget(service).record_request(self._clock())
         return attempts.Job(
             request,
