Limit what cold servers get from all entries together

A server that comes back empty looks like the best choice to every entry, and a cold one that gets much more than it bears fails again. Its rate is kept by the time slots that reported limits use already, with slots that stay valid for a quarter of a second, since the bound holds for each second. The end of the cold time comes from the platform's list by sequence, and from agents' reports for entries that are cut off from the platform.

--- a/src/clementinegw/direct/agent.py
+++ b/src/clementinegw/direct/agent.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+import dataclasses
 import random
 from typing import Protocol
 
@@ -51,6 +52,18 @@
 _SUSPICIONS_INTERVAL_S = 0.5
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Cold:
+    """Until when a start of the server is cold, in monotonic seconds."""
+
+    start: types.ServerStart = types.ServerStart("")
+    until: float = 0.0
+
+    def left_s(self, start: types.ServerStart, now: float) -> float:
+        """Returns how much longer a start is cold, in seconds."""
+        return max(0.0, self.until - now) if start == self.start else 0.0
+
+
 class Platform(raw.Platform, Protocol):
     """The platform calls that an agent makes."""
 
@@ -137,6 +150,7 @@
         self._initialized = asyncio.Event()
         self._server_records = server_records.ServerRecords(log)
         self._knows_servers = False
+        self._cold = _Cold()
         self._steps = steps.Steps(log, counters)
 
     async def on_start(self) -> None:
@@ -290,6 +304,8 @@
             return
         server = self._server_records.accept(record.value)
         if server is not None and server.service == self._instance.service:
+            if server.cold_s and server.address == self._instance.backend:
+                self._cold = _Cold(server.start, self._clock() + server.cold_s)
             # Re-inserted so that the most recently listed server comes last.
             self._context.servers.pop(record.key, None)
             self._context.servers[record.key] = server
@@ -377,6 +393,7 @@
                     best is not None and self._updater.is_complete(best)
                 ),
                 ages_s=self._declared.ages_s(self._context.model),
+                cold_s=self._cold.left_s(start, self._clock()),
             ),
             self._suspicions(),
         )
--- a/src/clementinegw/direct/backend.py
+++ b/src/clementinegw/direct/backend.py
@@ -64,6 +64,7 @@
       evacuated: Whether its agent reported that the operators want no requests
         in its failure domain.
       cold_until: When it stops being cold, in monotonic seconds.
+      cold_sequence: The record from which `cold_until` was learned last.
     """
 
     def __init__(
@@ -98,6 +99,7 @@
         self.replaced = False
         self.evacuated = False
         self.cold_until = -math.inf
+        self.cold_sequence = -1
         self._cooldown_s = _MIN_COOLDOWN_S
         self._other_requests = 0.0
         self._load_at = -math.inf
@@ -182,6 +184,8 @@
         self.yielding = report.yielding
         self.entries = report.entries
         self.evacuated = report.evacuated
+        if report.cold_s:
+            self.cold_until = max(self.cold_until, now + report.cold_s)
         self.ready_at = math.inf
         if report.ready_in_s >= 0.0:
             self.ready_at = now + report.ready_in_s
--- a/src/clementinegw/direct/balance.py
+++ b/src/clementinegw/direct/balance.py
@@ -182,6 +182,11 @@
         candidates = self.candidates(requirements)
         return bool(candidates) and all(b.signals.limited for b in candidates)
 
+    def is_cold(self, requirements: Requirements) -> bool:
+        """Returns whether all servers for a request are cold."""
+        candidates = self.candidates(requirements)
+        return bool(candidates) and all(b.signals.cold for b in candidates)
+
     def has_restricted(self, service: str) -> bool:
         """Returns whether a server is unavailable or rate-limited.
 
--- a/src/clementinegw/direct/entry.py
+++ b/src/clementinegw/direct/entry.py
@@ -29,6 +29,7 @@
 from clementinegw.direct import topic_watch
 from clementinegw.direct import types
 from clementinegw.direct import version_policy
+from clementinegw.scheduling import cold_starts
 from clementinegw.telemetry import counters as counters_lib
 from clementinegw.telemetry import events
 from clementinegw.telemetry import histograms
@@ -139,7 +140,9 @@
             entry=instance.name,
             wall_clock=wall_clock,
             counters=counters,
+            cold_start=self._cold_start,
         )
+        self._fleet.cold_bound = _cold_bound(bounds)
         self._versions = version_policy.VersionPolicy(
             bounds.weights_ms / 1e3, boot_clock, bounds.settled_ms / 1e3
         )
@@ -216,6 +219,7 @@
         )
         self._versions.due_s = bounds.weights_ms / 1e3
         self._fleet.listing_expiry.times = _listing_times(bounds)
+        self._fleet.cold_bound = _cold_bound(bounds)
         self._forwarder.set_retry_limits(_retry_limits(bounds))
 
     async def drain(self) -> None:
@@ -261,7 +265,9 @@
         self._fleet.drop_missing(self._server_list.available_s, self._clock())
         self._fleet.prune()
         self._fleet.update_position()
+        self._fleet.update_cold(self._clock())
         self._counters.gauge("direct.servers.limited", self._fleet.limited)
+        self._counters.gauge("direct.servers.cold", self._fleet.cold)
 
     def _record_lag(self, lag_s: float) -> None:
         """Records by how much the event loop was late, in seconds."""
@@ -379,6 +385,18 @@
         known = self._config_view.service(service)
         return known.max_connections if known else 32
 
+    def _cold_start(self, service: str) -> types.ColdStart | None:
+        known = self._config_view.service(service)
+        return known.cold_start if known else None
+
+
+def _cold_bound(bounds: instances.Bounds) -> cold_starts.Bound:
+    default = cold_starts.Bound()
+    return cold_starts.Bound(
+        default.ratio if bounds.cold_ratio is None else bounds.cold_ratio,
+        default.slack if bounds.cold_slack is None else bounds.cold_slack,
+    )
+
 
 def _listing_times(bounds: instances.Bounds) -> outage.ListingTimes:
     return outage.ListingTimes(bounds.drain_ms / 1e3, bounds.listing_ms / 1e3)
--- a/src/clementinegw/direct/fleet.py
+++ b/src/clementinegw/direct/fleet.py
@@ -15,6 +15,7 @@
 from clementinegw.direct import signals as signals_lib
 from clementinegw.direct import topic_watch
 from clementinegw.direct import types
+from clementinegw.scheduling import cold_starts
 from clementinegw.telemetry import counters as counters_lib
 from clementinegw.telemetry import logs
 
@@ -29,7 +30,12 @@
 
 
 class Fleet:
-    """All backend servers, by service."""
+    """All backend servers, by service.
+
+    Attributes:
+      listing_expiry: How long servers are kept that are no longer listed.
+      cold_bound: What operators allow a cold server to get in any second.
+    """
 
     def __init__(
         self,
@@ -41,6 +47,7 @@
         entry: str = "",
         wall_clock: Callable[[], float] = time.time,
         counters: counters_lib.Counters | None = None,
+        cold_start: Callable[[str], types.ColdStart | None] = lambda _: None,
     ):
         """Initializes an empty fleet.
 
@@ -54,6 +61,8 @@
           wall_clock: Returns the time of day in seconds; entries share rate
             limits based on it.
           counters: Counters for what servers report about themselves.
+          cold_start: Returns what the cold servers of a service bear; None if
+            they bear as much as warm ones.
         """
         self._position = rate_limit.Position.assumed(entry)
         self._signals = signals_lib.Registry(
@@ -65,6 +74,8 @@
         self.listing_expiry = outage.ListingExpiry(
             listing_times or outage.ListingTimes()
         )
+        self.cold_bound = cold_starts.Bound()
+        self._cold_start = cold_start
         self._log = log
         self._rng = rng
         self._max_connections = max_connections
@@ -84,6 +95,11 @@
         """Returns the services that have any backend server."""
         return self._of_service.keys()
 
+    @property
+    def cold(self) -> int:
+        """Number of cold servers."""
+        return sum(b.signals.cold for b in self._backends.values())
+
     @property
     def limited(self) -> int:
         """Number of servers with a rate limit in force."""
@@ -146,7 +162,7 @@
             left_s = 0.0
         for record in batch.records:
             if isinstance(record.value, types.Server):
-                self._apply_listed(record.key, record.value)
+                self._apply_listed(record.key, record.value, now)
             elif record.value is not None and record.key in self._backends:
                 # The record no longer lists a usable server.
                 self._drop(record.key)
@@ -196,12 +212,30 @@
                 self._drop(key)
         self._rebuild_index()
 
+    def update_cold(self, now: float) -> None:
+        """Begins and ends the rate limits of cold servers.
+
+        Args:
+          now: Monotonic seconds.
+        """
+        for backend in self._backends.values():
+            self._update_cold(backend, now)
+
+    def _update_cold(self, backend: backend_lib.Backend, now: float) -> None:
+        cold_start = self._cold_start(backend.server.service)
+        if cold_start is None or backend.cold_until <= now:
+            backend.signals.set_cold(None)
+            return
+        backend.signals.set_cold(
+            cold_starts.rate(cold_start.requests_per_s, self.cold_bound)
+        )
+
     def prune(self) -> None:
         """Closes idle connections that have expired."""
         for backend in self._backends.values():
             backend.pool.prune()
 
-    def _apply_listed(self, key: str, listed: types.Server) -> None:
+    def _apply_listed(self, key: str, listed: types.Server, now: float) -> None:
         server = self._server_records.accept(listed)
         if server is None:
             return
@@ -222,6 +256,7 @@
         elif backend.server.address != server.address:
             backend.pool.close()
             backend.pool = self._pool(server)
+        self._apply_cold(backend, server, now)
         changed = backend.server != server
         if changed:
             self._log_listed(server)
@@ -230,6 +265,25 @@
             backend.version = 0
         backend.server = server
         backend.missing = False
+        self._update_cold(backend, now)
+
+    def _apply_cold(
+        self, backend: backend_lib.Backend, server: types.Server, now: float
+    ) -> None:
+        """Updates until when a server is cold from a record."""
+        if server.sequence <= backend.cold_sequence:
+            # A record that is read again says nothing about the present.
+            return
+        backend.cold_sequence = server.sequence
+        if server.cold_s is None:
+            self._log.write(
+                _events.SERVER_SIGNAL_MALFORMED,
+                server=server.server_id,
+                born=server.started_ms,
+                field="cold_s",
+            )
+            return
+        backend.cold_until = now + server.cold_s
 
     def _pool(self, server: types.Server) -> client.Pool:
         share = self._max_connections(server.service) * _CONNECTION_SHARE
--- a/src/clementinegw/direct/placement.py
+++ b/src/clementinegw/direct/placement.py
@@ -168,6 +168,8 @@
                 return self._refuse_until_ready(
                     job, Reason.BACKOFF, backoff_ends_in_s
                 )
+            if self._balancer.is_cold(self._requirements(job)):
+                return self.refuse(job, Reason.COLD)
             if self._balancer.is_limited(self._requirements(job)):
                 return self.refuse(job, Reason.LIMITED)
             return self.refuse(job, Reason.BUSY)
--- a/src/clementinegw/direct/rate_limit.py
+++ b/src/clementinegw/direct/rate_limit.py
@@ -8,7 +8,8 @@
 that the limit has changed or ended.
 
 An unused slot stays valid for a while. In any span of s seconds all entries
-together send at most `limit * (s + _VALID_S) + _VALID_SLOTS + 1` requests.
+together send at most `limit * (s + validity.seconds) + validity.slots + 1`
+requests.
 """
 
 from collections.abc import Callable
@@ -18,11 +19,6 @@
 
 from clementinegw.direct import types
 
-# How long an unused slot stays valid: this many seconds plus this many slots.
-# Requests arrive at any time, so at low traffic most slots would otherwise
-# expire unused.
-_VALID_S = 1.5
-_VALID_SLOTS = 2.0
 # Lower limits are raised to this, in requests per second. A server that reports
 # 0 thus gets occasional probes, which detect the end of the limit.
 _MIN_PER_S = 0.1
@@ -30,6 +26,25 @@
 _ASSUMED_ENTRIES = 50
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Validity:
+    """How long an unused slot stays valid.
+
+    Requests arrive at any time, so at low traffic most slots would otherwise
+    expire unused.
+
+    Attributes:
+      seconds: A part of this time, in seconds.
+      slots: The other part, in slots.
+    """
+
+    seconds: float = 1.5
+    slots: float = 2.0
+
+
+_DEFAULT_VALIDITY = Validity()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Position:
     """An entry's position among the entries that send to a server.
@@ -88,6 +103,7 @@
         self._position = position
         self._wall_clock = wall_clock
         self._per_s: float | None = None
+        self._validity = _DEFAULT_VALIDITY
         self._used_at = -math.inf
 
     @property
@@ -100,15 +116,19 @@
         """The limit in force, in requests per second; None if none is."""
         return self._per_s
 
-    def set_limit(self, per_s: float | None) -> None:
-        """Sets the limit reported by the server, in requests per second.
+    def set_limit(
+        self, per_s: float | None, validity: Validity = _DEFAULT_VALIDITY
+    ) -> None:
+        """Sets the limit of the server, in requests per second.
 
         Args:
           per_s: The limit; None ends it.
+          validity: How long an unused slot stays valid.
         """
         if per_s is not None:
             per_s = max(per_s, _MIN_PER_S)
         self._per_s = per_s
+        self._validity = validity
 
     def is_open(self) -> bool:
         """Returns whether a request may be sent now."""
@@ -143,11 +163,12 @@
         assert self._per_s is not None
         now, per_s, position = self._wall_clock(), self._per_s, self._position()
         round_s = position.entries / per_s
-        if self._used_at > now + round_s + _VALID_S:
+        validity = self._validity
+        if self._used_at > now + round_s + validity.seconds:
             # The time of day was set back. Slots used at times that are now in
             # the future must not block the server until they are reached.
             self._used_at = now
-        valid_from = (now - _VALID_S) * per_s - _VALID_SLOTS
+        valid_from = (now - validity.seconds) * per_s - validity.slots
         unused_from = self._used_at * per_s + 0.5
         first = math.ceil(max(valid_from, unused_from))
         own = (position.rank + self._offset) % position.entries
--- a/src/clementinegw/direct/signals.py
+++ b/src/clementinegw/direct/signals.py
@@ -11,9 +11,13 @@
 from clementinegw.direct import _events
 from clementinegw.direct import rate_limit
 from clementinegw.direct import types
+from clementinegw.scheduling import cold_starts
 from clementinegw.telemetry import counters as counters_lib
 from clementinegw.telemetry import logs
 
+_COLD_VALIDITY = rate_limit.Validity(
+    cold_starts.VALID_S, cold_starts.VALID_SLOTS
+)
 # How long an observation is relayed to other entries, in seconds: several
 # subscription rounds.
 _RELAY_FOR_S = 10.0
@@ -32,8 +36,10 @@
       leaving: Whether the server reported that it is leaving; this is final.
       backoff_until: End of the backoff that it asked this entry for, in
         monotonic seconds.
-      limited: Whether a rate limit is in force.
-      limiter: Limits this entry to its share of the server's rate limit.
+      limited: Whether a rate limit is in force: one that the server reported,
+        or that of a cold server.
+      cold: Whether the server is cold.
+      limiter: Limits this entry to its share of the stricter one.
       position: This entry's position among the entries that send to the server,
         as reported by the server's agent; None if unknown.
       entry_position: This entry's position among all entries, likewise.
@@ -51,6 +57,7 @@
         self.leaving = False
         self.backoff_until = -math.inf
         self.limited = False
+        self.cold = False
         self.position: rate_limit.Position | None = None
         self.entry_position: rate_limit.Position | None = None
         self.limiter = rate_limit.Limiter(
@@ -62,6 +69,8 @@
         self._counters = counters
         self._observed: rate_limit.Observation | None = None
         self._limit_at = -math.inf
+        self._reported_per_s: float | None = None
+        self._cold_per_s: float | None = None
         self._malformed: frozenset[str] = frozenset()
 
     def recent_observation(self, now: float) -> rate_limit.Observation | None:
@@ -126,7 +135,7 @@
             # Answers on different connections may be reordered, so only a
             # request sent after the last report shows that the limit has ended.
             return
-        if per_s is None and self.limiter.per_s is None:
+        if per_s is None and self._reported_per_s is None:
             return
         self._observed = rate_limit.Observation(self.start, per_s, now)
         self._set_limit(self._observed, "answer")
@@ -137,13 +146,43 @@
         if same and observation.at > self._limit_at:
             self._set_limit(observation, "agent")
 
+    def set_cold(self, per_s: float | None) -> None:
+        """Sets the rate of requests while the server is cold.
+
+        Args:
+          per_s: Requests per second of all entries together; None once it is
+            warm.
+        """
+        if per_s == self._cold_per_s:
+            return
+        self._cold_per_s = per_s
+        self.cold = per_s is not None
+        self._update_limiter("cold")
+
     def _set_limit(
         self, observation: rate_limit.Observation, source: str
     ) -> None:
         self._limit_at = observation.at
+        self._reported_per_s = observation.per_s
+        self._update_limiter(source)
+
+    def _update_limiter(self, source: str) -> None:
+        """Applies the stricter one of the limits in force."""
         was = self.limiter.per_s
-        self.limiter.set_limit(observation.per_s)
-        self.limited = observation.per_s is not None
+        limits = [
+            (per_s, validity)
+            for per_s, validity in (
+                (self._cold_per_s, _COLD_VALIDITY),
+                (self._reported_per_s, rate_limit.Validity()),
+            )
+            if per_s is not None
+        ]
+        self.limited = bool(limits)
+        if limits:
+            validity = limits[0][1]
+            self.limiter.set_limit(min(per_s for per_s, _ in limits), validity)
+        else:
+            self.limiter.set_limit(None)
         if self.limiter.per_s != was:
             self._counters.add("direct.server_limit.changed")
             self._log.write(
--- a/src/clementinegw/direct/types.py
+++ b/src/clementinegw/direct/types.py
@@ -328,7 +328,8 @@
       started_ms: When it started, in Unix milliseconds; 0 if it is not known.
       sequence: Increases with each record of one start; orders the records
         and has no other meaning.
-      cold_s: How much longer it was cold when it wrote the record, in seconds.
+      cold_s: How much longer it was cold when it wrote the record, in seconds;
+        None if that is malformed, and the former time stays in force.
     """
 
     server_id: str
@@ -340,7 +341,7 @@
     held: tuple[HeldWeights, ...] = ()
     started_ms: int = 0
     sequence: int = dataclasses.field(default=0, compare=False)
-    cold_s: float = dataclasses.field(default=0.0, compare=False)
+    cold_s: float | None = dataclasses.field(default=0.0, compare=False)
 
     @property
     def start(self) -> ServerStart:
@@ -433,8 +434,6 @@
       leaving: Whether the server reports that it is leaving.
       backoff_s: How long a server that rejected the request wants no other
         request from this entry, in seconds; 0 if it does not say.
-      cold_s: How much longer the server is cold, in seconds; None if it does
-        not say.
       malformed: The names of those of these fields whose header cannot be
         parsed; the value that the server reported before stays in force.
     """
@@ -449,7 +448,6 @@
     limit_per_s: float | None = None
     leaving: bool = False
     backoff_s: float = 0.0
-    cold_s: float | None = None
     malformed: frozenset[str] = frozenset()
 
 
