Probe each seed once soon after the start of a joining process

Cause: a process without peers pinged three random seeds of its list a second.

Change: while a process is alone, seeds that it has not tried since then are pinged three each 0.2 s (join_untried_s). Once each was tried, the rate is three a second as before; with three seeds or fewer nothing changes.

--- a/src/clementinegw/membership/_probing.py
+++ b/src/clementinegw/membership/_probing.py
@@ -25,6 +25,8 @@
         self._options = core.options
         self._random_rounds = detector.RandomRounds(core.rng)
         self._seeds: list[view.Seed] = []
+        # The seeds probed since this process knows no peer.
+        self._tried_seeds: set[types.Address] = set()
         self._successor_index = 0
         self._remote_domain_index = 0
         options = core.options
@@ -54,6 +56,12 @@
                 self._probe_remote_domain,
             ),
             _Timer(now, options.join_s, 0.0, self._probe_seeds),
+            _Timer(
+                now,
+                options.join_untried_s,
+                1.0,
+                self._probe_untried_seeds,
+            ),
             _Timer(
                 now,
                 options.rejoin_s,
@@ -322,16 +330,38 @@
         return self.ping(core.rng.choice(usable), now)
 
     def _probe_seeds(self, now: float) -> list[actions.Action]:
-        core = self._core
-        if len(core.table.domain(core.own_domain).ring) > 1:
+        if not self._is_alone():
+            self._tried_seeds.clear()
+            return []
+        return self._ping_seeds(
+            self._untried_seeds() or self._local_seeds(), now
+        )
+
+    def _probe_untried_seeds(self, now: float) -> list[actions.Action]:
+        # Most seeds may have gone, and the others may be about to leave. With
+        # only some seeds probed each `join_s`, this process could miss the
+        # last ones that know the other members and stay alone.
+        if not self._is_alone():
             return []
-        usable = self._local_seeds()
-        chosen = core.rng.sample(usable, min(len(usable), _JOIN_PROBES))
+        return self._ping_seeds(self._untried_seeds(), now)
+
+    def _ping_seeds(
+        self, usable: list[types.Address], now: float
+    ) -> list[actions.Action]:
+        chosen = self._core.rng.sample(usable, min(len(usable), _JOIN_PROBES))
+        self._tried_seeds.update(chosen)
         result: list[actions.Action] = []
         for seed in chosen:
             result += self.ping(seed, now)
         return result
 
+    def _untried_seeds(self) -> list[types.Address]:
+        return [s for s in self._local_seeds() if s not in self._tried_seeds]
+
+    def _is_alone(self) -> bool:
+        core = self._core
+        return len(core.table.domain(core.own_domain).ring) <= 1
+
     def _probe_lost_member(self, now: float) -> list[actions.Action]:
         # After a partition each half considers the other dead and would never
         # contact it again. One probe each period to a random lost member or
--- a/src/clementinegw/membership/parameters.py
+++ b/src/clementinegw/membership/parameters.py
@@ -59,6 +59,7 @@
         requests.
       rejoin_s: The period of the probes of lost members and unknown seeds.
       join_s: The period of the probes of seeds while no peer is known.
+      join_untried_s: The same for seeds that have not been probed since then.
       disputed_per_tick: The maximum number of members pinged in one tick that
         are dead in this process's view and alive in a peer's.
       bridges: The number of members of a failure domain that probe the others.
@@ -103,6 +104,7 @@
     sync_answers_rate: float = 8.0
     rejoin_s: float = 5.0
     join_s: float = 1.0
+    join_untried_s: float = 0.2
     disputed_per_tick: int = 2
     bridges: int = 2
     bridge_s: float = 1.0
--- a/tests/membership_network.py
+++ b/tests/membership_network.py
@@ -56,9 +56,20 @@
         self._order = itertools.count()
         self._ports = itertools.count(1)
 
-    def add(self, name, domain="a", role=types.Role.AGENT, seeds=None):
-        """Starts a process; it may replace an earlier one of that name."""
-        port = next(self._ports)
+    def add(
+        self, name, domain="a", role=types.Role.AGENT, seeds=None, port=None
+    ):
+        """Starts a process; it may replace an earlier one of that name.
+
+        Args:
+          name: Its id.
+          domain: Its failure domain.
+          role: Its role.
+          seeds: Its seeds; the first processes by default.
+          port: The port of an earlier process, for its address; None for a
+            new address.
+        """
+        port = next(self._ports) if port is None else port
         address = types.Address(f"127.0.{port // 250}.{port % 250}", 1000)
         instance = types.Instance(
             name,
