Move the tracker of customers' demand to scheduling

Both request paths decide who is within its share. The module has no input or output, so it goes where both may import it. The test changed by its import.

--- a/src/clementinegw/requests/dispatcher.py
+++ b/src/clementinegw/requests/dispatcher.py
@@ -8,13 +8,13 @@
 from clementinegw import clock as clock_lib
 from clementinegw import types
 from clementinegw.requests import admit
-from clementinegw.requests import demand
 from clementinegw.requests import fair_queue
 from clementinegw.requests import prefix
 from clementinegw.requests import retry
 from clementinegw.requests import route
 from clementinegw.requests import rules as rules_lib
 from clementinegw.requests import workers as workers_lib
+from clementinegw.scheduling import demand
 
 # Interval between checks of the queue when no event triggers one: workers warm
 # up, cooldowns end and deadlines pass without an event. Seconds.
--- a/tests/test_requests_queue.py
+++ b/tests/test_requests_queue.py
@@ -6,11 +6,11 @@
 
 from clementinegw import types
 from clementinegw.requests import admit
-from clementinegw.requests import demand
 from clementinegw.requests import fair_queue
 from clementinegw.requests import limit
 from clementinegw.requests import rules as rules_lib
 from clementinegw.requests import shares
+from clementinegw.scheduling import demand
 
 _NORMAL = types.Priority.NORMAL
 _HIGH = types.Priority.HIGH
