Let customers within their share go first in the direct path

Under 1.5 times what engines can serve, customers were served alike whatever they sent, and one that repeats refused requests at once better than the others.

An entry measures each customer's demand and what it placed in the same time, and computes max-min fair shares with the tracker of the path through agents. Customers over theirs go last within a rank, leave up to 0.4 of a server's slots free if their rank has no room, and are refused with over_share.

New tests and tests/test_requests_queue.py, tests/test_direct_{queue,overload, decisions,entry,resumption,server_limit,stream_ends,costs}.py, tests/test_rate_limit.py, tests/test_requests_pipeline.py: passed.

--- a/src/clementinegw/direct/placement.py
+++ b/src/clementinegw/direct/placement.py
@@ -170,6 +170,8 @@
                 )
             if self._balancer.is_limited(self._requirements(job)):
                 return self.refuse(job, Reason.LIMITED)
+            if self._queue(job.service).is_over_share(job.customer_name):
+                return self.refuse(job, Reason.OVER_SHARE)
             return self.refuse(job, Reason.BUSY)
         self._assign(job, reservation)
         return reservation
--- a/src/clementinegw/direct/queue.py
+++ b/src/clementinegw/direct/queue.py
@@ -14,6 +14,7 @@
 from clementinegw.direct import balance
 from clementinegw.direct import late_limit
 from clementinegw.direct import types
+from clementinegw.scheduling import fairness
 from clementinegw.scheduling import order
 from clementinegw.scheduling import rank as ranks
 
@@ -25,8 +26,10 @@
 _NO_STARTS: frozenset[types.ServerStart] = frozenset()
 
 # Requirements that no server could meet during this dispatch, with whether the
-# request was late and which servers were excluded.
-_Unmet = set[tuple[balance.Requirements, bool, frozenset[types.ServerStart]]]
+# request was late, its customer's limit and which servers were excluded.
+_Unmet = set[
+    tuple[balance.Requirements, bool, float, frozenset[types.ServerStart]]
+]
 # Number of requests with the same requirements that go first; see
 # `Queue._will_expire`.
 _Ahead = dict[balance.Requirements, int | None]
@@ -155,6 +158,7 @@
         self._late_limit = late_limit.LateLimit(
             policy.late_limit_low, policy.late_limit_high
         )
+        self._shares = fairness.CustomerShares()
         self._waiters: list[Waiter] = []
         self._timer: asyncio.TimerHandle | None = None
 
@@ -198,6 +202,7 @@
             customer=customer,
         )
         self._waiters.append(waiter)
+        self._shares.record_arrival(customer, rank, now)
         try:
             self.dispatch()
             return await future
@@ -211,6 +216,10 @@
             if waiter in self._waiters:
                 self._waiters.remove(waiter)
 
+    def is_over_share(self, customer: str) -> bool:
+        """Returns whether a customer uses more than its share."""
+        return self._shares.is_over_share(customer)
+
     def reserve_server(self, backend: backend_lib.Backend) -> Reservation:
         """Returns a reservation of a server that was found to have capacity."""
         self._balancer.record_sent(backend)
@@ -271,6 +280,7 @@
         self._record_wait(waiter, late, backend is not None, now)
         if backend is not None:
             reservation = self.reserve_server(backend)
+            self._shares.record_placed(waiter.customer, now - waiter.queued_at)
             self._waiters.remove(waiter)
             waiter.reservation.set_result(reservation)
             # The chosen server may now be full, which can change the preferred
@@ -282,6 +292,7 @@
             and not waiter.begun
             and self._will_expire(waiter, dispatch.ahead)
         ):
+            self._shares.record_refused(waiter.rank)
             self._waiters.remove(waiter)
             waiter.reservation.set_result(None)
 
@@ -336,14 +347,9 @@
     def _in_order(self, now: float) -> list[Waiter]:
         return sorted(
             self._waiters,
-            key=lambda w: order.sort_key(w, now, self._is_over_share),
+            key=lambda w: order.sort_key(w, now, self.is_over_share),
         )
 
-    def _is_over_share(self, customer: str) -> bool:
-        """Returns whether a customer uses more than its share."""
-        del customer
-        return False
-
     def _choose(
         self, waiter: Waiter, late: bool, unmet: _Unmet
     ) -> backend_lib.Backend | None:
@@ -354,15 +360,23 @@
         of the entry's time.
         """
         base = waiter.requirements()
+        share_limit = (
+            1.0
+            if waiter.begun
+            else self._shares.limit(waiter.customer, waiter.rank)
+        )
         for tried in (waiter.tried, _NO_STARTS):
-            key = (base, late, tried)
+            key = (base, late, share_limit, tried)
             if key in unmet:
                 continue
             max_utilization = (
                 self._late_limit.limit if late else self._policy.max_utilization
             )
             requirements = dataclasses.replace(
-                base, max_utilization=max_utilization
+                base,
+                max_utilization=min(
+                    max_utilization, share_limit * self._policy.max_utilization
+                ),
             )
             backend = self._balancer.choose(requirements, tried)
             if backend is not None:
--- a/src/clementinegw/scheduling/demand.py
+++ b/src/clementinegw/scheduling/demand.py
@@ -37,6 +37,7 @@
         self._customers: dict[str, _Customer] = {}
         self._period_start: float | None = None
         self._mixed = False
+        self._fair_rate = math.inf
 
     def record_request(
         self, name: str, weight: float, cost: float, now: float
@@ -62,6 +63,11 @@
         customer = self._customers.get(name)
         return customer is None or customer.within_share
 
+    @property
+    def fair_rate(self) -> float:
+        """The max-min fair cost per second and unit of weight."""
+        return self._fair_rate
+
     @property
     def mixed(self) -> bool:
         """Whether customers within their share compete with others.
@@ -97,9 +103,9 @@
             customer.cost = 0.0
             if customer.rate < _NEGLIGIBLE_RATE:
                 del self._customers[name]
-        fair_rate = self._fair_rate(capacity)
+        self._fair_rate = self._find_fair_rate(capacity)
         for customer in self._customers.values():
-            limit = customer.weight * fair_rate * _SHARE_MARGIN
+            limit = customer.weight * self._fair_rate * _SHARE_MARGIN
             customer.within_share = customer.rate <= limit
         within_share = [
             c.rate for c in self._customers.values() if c.within_share
@@ -109,7 +115,7 @@
             and sum(within_share) >= _MIN_WITHIN_SHARE_LOAD * capacity
         )
 
-    def _fair_rate(self, capacity: float) -> float:
+    def _find_fair_rate(self, capacity: float) -> float:
         """Returns the max-min fair rate per unit of weight."""
         remaining = capacity
         weights = sum(c.weight for c in self._customers.values())
--- a/tests/overload_site.py
+++ b/tests/overload_site.py
@@ -44,6 +44,8 @@
 # A caller leaves if nothing arrives for this time, in seconds.
 IDLE_TIMEOUT_S = 3.2
 MAX_GAP_S = 0.4
+# How often a caller that does not wait after a refusal repeats its request.
+REPEATS = 3
 LATENCY_S = 0.004
 # The time of day at the start, in Unix seconds.
 WALL_S = 1_790_000_000.0
@@ -171,6 +173,7 @@
         kinds=KINDS,
         customers=None,
         entry_weights=None,
+        repeating=frozenset(),
     ):
         """Starts the engines.
 
@@ -186,12 +189,15 @@
           customers: Weight of each customer's callers, by name; None for
             anonymous callers.
           entry_weights: Weight of each entry's callers; None for equal ones.
+          repeating: Names of the customers whose callers repeat a refused
+            request at once.
         """
         self._domains = domains
         self.figures = figures or engine_model.EngineParameters()
         self.kinds = kinds
         self.customers = customers or {"": 1.0}
         self.entry_weights = entry_weights
+        self.repeating = repeating
         self.engines = {
             n: engine_model.Engine(self.figures) for n in range(engines)
         }
@@ -320,6 +326,9 @@
         if wait_s is None:
             return
         caller.refusals += 1
+        if caller.customer in self.repeating:
+            await self._repeat(caller, entry)
+            return
         left_s = caller.deadline_s - (self.now - caller.arrived_at)
         await asyncio.sleep(min(wait_s, left_s / 3))
         left_s = caller.deadline_s - (self.now - caller.arrived_at)
@@ -329,6 +338,13 @@
         if await self._ask(caller, other_entry, left_s) is not None:
             caller.refusals += 1
 
+    async def _repeat(self, caller, entry):
+        for _ in range(REPEATS):
+            left_s = caller.deadline_s - (self.now - caller.arrived_at)
+            if await self._ask(caller, entry, left_s) is None:
+                return
+            caller.refusals += 1
+
     async def _ask(self, caller, entry, left_s):
         """Sends a request; returns the retry delay, or None if not refused."""
         now = self._clock()
