Leave every customer a part of the retry budget

The budget is counted for each service. Requests of one customer that fail wherever they run took all of it, and no other request could be sent to a second server. With several customers, one may use half of an entry's budget, or the part of the requests that are its own if that is more. A refund returns the retry of its customer, not the newest of all.

--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -211,8 +211,7 @@
             timeout_s = min(timeout_s, metadata.timeout_s)
         spent_s = self._caller_timeouts.spent_s(route.name, metadata.timeout_s)
         service = balance.draw_service(route, self._rng)
-        self._budget(service).record_request(self._clock())
-        return attempts.Job(
+        job = attempts.Job(
             request,
             metadata,
             matched,
@@ -221,6 +220,8 @@
             request.arrived_at + timeout_s,
             spent_s,
         )
+        self._budget(service).record_request(self._clock(), job.customer_name)
+        return job
 
     # Serving.
 
@@ -246,7 +247,7 @@
         finally:
             if job.takeover is not None:
                 job.takeover.release()
-                self._budget(job.service).refund()
+                self._budget(job.service).refund(job.customer_name)
         if job.responder.begun:
             if isinstance(outcome, outcomes.Failed):
                 # Another server's events were sent: no second head can follow.
@@ -269,7 +270,7 @@
             reservation.release()
             if sends and job.sends == sends:
                 # Nothing reached the server.
-                self._budget(job.service).refund()
+                self._budget(job.service).refund(job.customer_name)
 
     async def _reserve(
         self, job: attempts.Job
@@ -289,7 +290,9 @@
             reservation = await self._placer.reserve(job)
             if isinstance(reservation, outcomes.Refusal) or not job.sends:
                 return reservation
-            if self._budget(job.service).try_acquire(self._clock()):
+            if self._budget(job.service).try_acquire(
+                self._clock(), job.customer_name
+            ):
                 return reservation
             reservation.release()
             if not begun:
@@ -303,7 +306,7 @@
         """
         retry_budget = self._budget(job.service)
         latest = self._placer.latest_resumption(job)
-        while not retry_budget.allows(now := self._clock()):
+        while not retry_budget.allows(now := self._clock(), job.customer_name):
             if now >= latest:
                 return False
             await asyncio.sleep(min(_BUDGET_CHECK_S, latest - now))
@@ -324,13 +327,13 @@
         if (
             not self._may_run_again(job, job.runs + 1)
             or self._is_suspect(job)
-            or not retry_budget.allows(self._clock())
+            or not retry_budget.allows(self._clock(), job.customer_name)
         ):
             return False
         reservation = self._placer.reserve_alternative(job, backend)
         if reservation is None:
             return False
-        if not retry_budget.try_acquire(self._clock()):
+        if not retry_budget.try_acquire(self._clock(), job.customer_name):
             reservation.release()
             return False
         job.takeover = reservation
--- a/tests/test_direct_decisions.py
+++ b/tests/test_direct_decisions.py
@@ -544,6 +544,41 @@
     assert one.try_acquire(10.1)
 
 
+def test_customer_whose_requests_fail_leaves_others_a_part_of_the_budget():
+    """Guards others against one customer that uses up all retries.
+
+    Every attempt for one customer failed wherever it ran. After a server broke
+    down, no request of the others could be sent to another one.
+    """
+    one = budget.RetryBudget(budget.Limits(0.2, 0.0, 10.0))
+    for number in range(100):
+        one.record_request(number * 0.05, "failing" if number % 4 else "b")
+    one.record_request(5.0, "c")
+    for _ in range(100):
+        one.try_acquire(5.0, "failing")
+    assert one.try_acquire(5.0, "b")
+    assert one.try_acquire(5.0, "c")
+
+
+def test_only_customer_may_use_the_whole_budget():
+    one = budget.RetryBudget(budget.Limits(0.2, 0.0, 10.0))
+    for _ in range(100):
+        one.record_request(0.0, "a")
+    assert sum(one.try_acquire(0.0, "a") for _ in range(100)) == 18
+
+
+def test_refund_returns_the_retry_of_its_customer():
+    one = budget.RetryBudget(budget.Limits(0.2, 0.0, 10.0))
+    for _ in range(50):
+        one.record_request(0.0, "a")
+        one.record_request(0.0, "b")
+    assert sum(one.try_acquire(0.0, "a") for _ in range(20)) == 9
+    assert one.try_acquire(0.0, "b")
+    one.refund("a")
+    assert one.try_acquire(0.0, "a")
+    assert not one.try_acquire(0.0, "a")
+
+
 # Routes.
 
 
