--- a/tests/overload_site.py
+++ b/tests/overload_site.py
@@ -93,6 +93,7 @@
     ended_at: float = math.inf
     gap_s: float = 0.0
     refusals: int = 0
+    reasons: list = dataclasses.field(default_factory=list)
 
     @property
     def served(self):
@@ -370,6 +371,7 @@
         except TimeoutError:
             return None
         if not isinstance(reservation, queue.Reservation):
+            caller.reasons.append(reservation.reason)
             return reservation.retry_after_s
         await self._run(caller, entry, job, reservation, left_s)
         return None
--- a/tests/test_scheduling_fairness.py
+++ b/tests/test_scheduling_fairness.py
@@ -8,6 +8,7 @@
 import overload_site
 import pytest
 
+from clementinegw.direct import outcomes
 from clementinegw.scheduling import fairness
 from clementinegw.scheduling import rank as ranks
 from clementinegw.testing import clock as clocks
@@ -114,6 +115,12 @@
     return min(served(of(callers, name)) for name in names) / served(callers)
 
 
+def over_share_ratio(callers):
+    """Returns the fraction of refusals that say so."""
+    reasons = [reason for caller in callers for reason in caller.reasons]
+    return reasons.count(outcomes.RefusalReason.OVER_SHARE) / len(reasons)
+
+
 @pytest.mark.parametrize(
     "repeating", [frozenset(), frozenset({LARGE})], ids=["once", "repeating"]
 )
@@ -133,6 +140,9 @@
     assert in_time(of(callers, LARGE)) < others
     assert in_time(callers) >= 0.97 * in_time(former)
     assert worst_served_ratio(callers) >= 0.5
+    assert over_share_ratio(of(callers, LARGE)) >= 0.9
+    assert over_share_ratio(without(callers, LARGE)) <= 0.1
+    assert not over_share_ratio(former)
 
 
 def test_customers_of_different_sizes_are_served_half_as_often_as_all():
