--- a/src/clementinegw/direct/queue.py
+++ b/src/clementinegw/direct/queue.py
@@ -280,7 +280,9 @@
         self._record_wait(waiter, late, backend is not None, now)
         if backend is not None:
             reservation = self.reserve_server(backend)
-            self._shares.record_placed(waiter.customer, now - waiter.queued_at)
+            self._shares.record_placed(
+                waiter.customer, waiter.rank, now - waiter.queued_at
+            )
             self._waiters.remove(waiter)
             waiter.reservation.set_result(reservation)
             # The chosen server may now be full, which can change the preferred
--- a/src/clementinegw/scheduling/fairness.py
+++ b/src/clementinegw/scheduling/fairness.py
@@ -39,6 +39,9 @@
 _KEPT_FREE = 0.4
 # A rank has room if no more than this fraction of its requests is refused.
 _MAX_REFUSED_RATIO = 0.1
+# Slots kept free by a rank go to less urgent ones if these get more than this
+# fraction of all placements.
+_MAX_LESS_URGENT_RATIO = 0.1
 
 
 @dataclasses.dataclass(slots=True)
@@ -79,8 +82,7 @@
         self._period_start: float | None = None
         self._contended = False
         self._over: frozenset[str] = frozenset()
-        # The most urgent rank without room; None if all have room.
-        self._contended_rank: ranks.Rank | None = None
+        self._limited_ranks: frozenset[ranks.Rank] = frozenset()
         self._limit = 1.0
 
     def __len__(self) -> int:
@@ -99,18 +101,16 @@
     def limit(self, customer: str, rank: ranks.Rank) -> float:
         """Returns the fraction of a server's slots that a request may use.
 
-        Ranks that have room are not limited: their requests are served anyway,
-        and less urgent ones would get the slots.
+        Ranks that have room are not limited, since their requests are served
+        anyway, nor ranks whose slots less urgent requests would get.
 
         Args:
           customer: Name of the request's customer.
           rank: The request's rank.
         """
-        if customer not in self._over:
-            return 1.0
-        if self._contended_rank is None or rank < self._contended_rank:
-            return 1.0
-        return self._limit
+        if customer in self._over and rank in self._limited_ranks:
+            return self._limit
+        return 1.0
 
     def record_arrival(
         self, customer: str, rank: ranks.Rank, now: float
@@ -132,14 +132,18 @@
         self._customers[customer].arrived += 1.0
         self._ranks[rank].arrived += 1.0
 
-    def record_placed(self, customer: str, waited_s: float) -> None:
+    def record_placed(
+        self, customer: str, rank: ranks.Rank, waited_s: float
+    ) -> None:
         """Records that a request got a server.
 
         Args:
           customer: Name of its customer.
+          rank: Its rank.
           waited_s: How long it waited, in seconds.
         """
         self._customers[customer].placed += 1.0
+        self._ranks[rank].placed += 1.0
         if waited_s > _MAX_IMMEDIATE_WAIT_S:
             self._contended = True
 
@@ -160,14 +164,7 @@
             self._customers[name].arrived for name in self._over
         )
         self._limit = 1.0 - _KEPT_FREE * min(1.0, within / max(1.0, placed))
-        self._contended_rank = min(
-            (
-                rank
-                for rank, counts in self._ranks.items()
-                if counts.refused > _MAX_REFUSED_RATIO * counts.arrived
-            ),
-            default=None,
-        )
+        self._limited_ranks = frozenset(self._find_limited_ranks(placed))
         self._contended = False
         self._elapsed_s *= _DECAY
         _decay(self._customers)
@@ -195,6 +192,20 @@
             ):
                 yield name
 
+    def _find_limited_ranks(self, placed: float) -> Iterable[ranks.Rank]:
+        """Yields the ranks in which customers over their share are limited.
+
+        Args:
+          placed: Count of all requests that got a server.
+        """
+        less_urgent = 0.0
+        for rank, counts in sorted(self._ranks.items(), reverse=True):
+            if less_urgent > _MAX_LESS_URGENT_RATIO * placed:
+                return
+            if counts.refused > _MAX_REFUSED_RATIO * counts.arrived:
+                yield rank
+            less_urgent += counts.placed
+
 
 def _decay(counts_by_key: dict) -> None:
     """Reduces counts and removes the negligible ones."""
