Bound what an entry holds for all slow callers and servers together

direct.buffer_budget counts unread and unsent bytes of all connections, bodies and buffered answers against half of the memory that the instance file names beyond the process itself. Above three quarters new requests get 503 with a time to come back (request_invalid.no_memory), connections that hold bytes get small buffers, and callers that accept nothing for 2 s instead of 10 s are cut off (caller_slow.memory). A whole answer without room fails alone (attempt.no_memory). Without memory_mb nothing changes.

A server breaks off a stream that its caller leaves unread. That counted as a failure of the server, and as a crash caused by the request; now the attempt ends as unread and blames nobody.

--- a/src/clementinegw/direct/attempt.py
+++ b/src/clementinegw/direct/attempt.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from clementinegw.direct import backend as backend_lib
+from clementinegw.direct import buffer_budget
 from clementinegw.direct import catalog
 from clementinegw.direct import client
 from clementinegw.direct import header_codec
@@ -28,6 +29,9 @@
 _MIN_SILENCE_S = 0.6
 _SILENCE_PER_OBJECTIVE = 2.0
 _SILENCE_PER_GAP = 3.0
+# An answer that was not read for this long may be broken off by its server
+# because of that. Seconds.
+_UNREAD_S = 1.0
 # Interval between checks for a silent server, in seconds.
 _SILENCE_CHECK_S = 0.2
 _MISDIRECTED_REQUEST = 421
@@ -67,6 +71,7 @@
       takeover: The server that is reserved to take it over from a silent one;
         the retry budget is charged already.
       tried: The server starts where it may have run without success.
+      answer_memory: The memory of answers that are buffered for it.
     """
 
     request: servers.Request
@@ -90,6 +95,11 @@
     server_id: str = ""
     takeover: queue.Reservation | None = None
     tried: set[types.ServerStart] = dataclasses.field(default_factory=set)
+    answer_memory: buffer_budget.AnswerMemory = dataclasses.field(
+        default_factory=lambda: buffer_budget.AnswerMemory(
+            buffer_budget.BufferBudget()
+        )
+    )
 
     @property
     def customer_name(self) -> str:
@@ -218,9 +228,13 @@
             complete = not isinstance(outcome, outcomes.Lost)
             return outcome
         except client.AnswerBroken:
+            if receiver.unread:
+                return outcomes.Lost(outcomes.LostReason.UNREAD)
             if not backend.yielding:
                 backend.record_failure()
             return outcomes.Lost(outcomes.LostReason.BROKEN)
+        except buffer_budget.OutOfMemory:
+            return outcomes.Lost(outcomes.LostReason.NO_MEMORY)
         except _ServerSilent:
             receiver.record_unreachable()
             return outcomes.Lost(outcomes.LostReason.SILENT)
@@ -298,7 +312,7 @@
         if metadata.not_run or head.status == _MISDIRECTED_REQUEST:
             if head.status == _MISDIRECTED_REQUEST and metadata.server_id:
                 backend.record_identity(metadata.server_id)
-            return await self._read_not_run(connection, backend, head)
+            return await self._read_not_run(job, connection, backend, head)
         if metadata.version is not None:
             backend.set_version(metadata.version)
         if 200 <= head.status < 300:
@@ -316,18 +330,19 @@
             # Relayed, it would promise that the request was not run, which
             # this server did not say.
             return outcomes.Lost(outcomes.LostReason.FALSE_PROMISE)
-        body = await connection.body(_MAX_BODY_BYTES)
+        body = await _read_body(job, connection)
         if head.status >= 500:
             backend.record_failure()
         return outcomes.Failed(head, body)
 
     async def _read_not_run(
         self,
+        job: Job,
         connection: client.Connection,
         backend: backend_lib.Backend,
         head: client.Head,
     ) -> outcomes.NotRun:
-        await connection.body(_MAX_BODY_BYTES)
+        await _read_body(job, connection)
         backend.heard_at = self._clock()
         if head.status == _MISDIRECTED_REQUEST:
             return outcomes.NotRun(outcomes.NotRunReason.WRONG_SERVER)
@@ -340,10 +355,7 @@
         connection: client.Connection,
         head: client.Head,
     ) -> None:
-        async def read() -> bytes:
-            return await connection.body(_MAX_BODY_BYTES)
-
-        body = await receiver.receive(read, None)
+        body = await receiver.receive(lambda: _read_body(job, connection), None)
         await job.responder.answer(
             head.status, self._codec.to_caller_headers(head), body
         )
@@ -379,7 +391,9 @@
                 job.first_event_at = self._clock()
                 self._on_first_event(job)
             await self._begin_answer(job, head)
+            began_at = self._clock()
             await job.responder.send(b"".join(e.data for e in new_events))
+            receiver.record_pause(self._clock() - began_at)
             job.events += len(new_events)
             if new_events[-1].event_id is not None:
                 job.last_event_id = new_events[-1].event_id
@@ -396,8 +410,32 @@
             )
 
 
+async def _read_body(job: Job, connection: client.Connection) -> bytes:
+    """Returns a complete body, whose memory the request then holds.
+
+    Raises:
+      client.AnswerBroken: It is incomplete or too large.
+      buffer_budget.OutOfMemory: There is no memory for it.
+    """
+    held = 0
+
+    def reserve(received: int) -> None:
+        nonlocal held
+        job.answer_memory.add(received - held)
+        held = received
+
+    return await connection.body(_MAX_BODY_BYTES, reserve)
+
+
 class _AnswerReceiver:
-    """Receives the answer of one server and detects when it stops sending."""
+    """Receives the answer of one server and detects when it stops sending.
+
+    Attributes:
+      backend: The server.
+      unread: Whether the answer was left unread because the caller accepted
+        nothing. A server breaks off such an answer, which is no failure of the
+        server.
+    """
 
     def __init__(
         self,
@@ -409,6 +447,11 @@
         self._take_over = take_over
         self._clock = clock
         self._probing = backend.cooldown_until > clock()
+        self.unread = False
+
+    def record_pause(self, pause_s: float) -> None:
+        """Records for how long the caller kept the answer from being read."""
+        self.unread = self.unread or pause_s >= _UNREAD_S
 
     async def receive_head(
         self, connection: client.Connection, silence_limit_s: float | None
--- a/src/clementinegw/direct/channel.py
+++ b/src/clementinegw/direct/channel.py
@@ -5,10 +5,17 @@
 import struct
 
 from clementinegw import exceptions
+from clementinegw.direct import buffer_budget
 
 # Reading pauses above this, so that a peer that sends faster than its data is
 # consumed cannot exhaust the memory. Bytes.
 _READ_HIGH_WATER_BYTES = 256 << 10
+# The same, and the bytes to send above which writes wait, on connections that
+# hold bytes while the process is short of memory.
+_SHORT_HIGH_WATER_BYTES = 16 << 10
+# Fewer received bytes are not counted: most are read in the same turn of the
+# event loop.
+_MIN_COUNTED_BYTES = 4 << 10
 # The connection ends when sent bytes stay unacknowledged, or cannot be sent
 # because the peer accepts none, for this long, in seconds. A machine that lost
 # power does not answer, and the kernel's own limit is a quarter of an hour.
@@ -30,7 +37,11 @@
 
 
 class Channel(asyncio.Protocol):
-    """Reads and writes the bytes of one connection."""
+    """Reads and writes the bytes of one connection.
+
+    Attributes:
+      budget: Counts the bytes in the buffers; None if they are not counted.
+    """
 
     def __init__(
         self,
@@ -45,6 +56,9 @@
           kernel_timeout_s: How long the peer may acknowledge or accept nothing
             of what is sent, in seconds.
         """
+        self.budget: buffer_budget.BufferBudget | None = None
+        self._counted_bytes = 0
+        self._limited = False
         self._kernel_timeout_s = kernel_timeout_s
         self._half_close = half_close
         self._lost = False
@@ -116,6 +130,8 @@
                 self._waiter = None
         data = bytes(self._buffer)
         self._buffer.clear()
+        if self._counted_bytes:
+            self._count_buffers()
         if self._transport is not None and not self._ended:
             self._transport.resume_reading()
         return data
@@ -138,6 +154,7 @@
         if self.closed or self._transport is None:
             raise ChannelClosed(self._clean)
         self._transport.write(data)
+        self._count_buffers()
 
     async def drain(self) -> None:
         """Waits until the write buffer has drained enough.
@@ -158,6 +175,7 @@
         """Sends bytes, then closes the connection."""
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
+            self._count_buffers()
         self.close()
 
     def close(self) -> None:
@@ -200,8 +218,10 @@
     def data_received(self, data: bytes) -> None:
         """Buffers bytes until they are read."""
         self._buffer += data
+        if self._counted_bytes or len(self._buffer) > _MIN_COUNTED_BYTES:
+            self._count_buffers()
         if (
-            len(self._buffer) > _READ_HIGH_WATER_BYTES
+            len(self._buffer) > self._read_high_water_bytes
             and self._transport is not None
         ):
             self._transport.pause_reading()
@@ -215,6 +235,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Ends reading and writing."""
         self._lost = True
+        self._count_buffers()
         self._end(clean=exc is None)
         _wake(self._writable)
 
@@ -225,8 +246,29 @@
     def resume_writing(self) -> None:
         """Lets `write` return."""
         self._paused_writing = False
+        self._count_buffers()
         _wake(self._writable)
 
+    @property
+    def _read_high_water_bytes(self) -> int:
+        if self.budget is not None and self.budget.short:
+            return _SHORT_HIGH_WATER_BYTES
+        return _READ_HIGH_WATER_BYTES
+
+    def _count_buffers(self) -> None:
+        """Updates the budget from the sizes of the buffers."""
+        if self.budget is None:
+            return
+        held = 0
+        if self._transport is not None and not self._lost:
+            held = len(self._buffer) + self._transport.get_write_buffer_size()
+        self.budget.change(held - self._counted_bytes)
+        self._counted_bytes = held
+        if held and self.budget.short and not self._limited:
+            self._limited = True
+            assert self._transport is not None
+            self._transport.set_write_buffer_limits(_SHORT_HIGH_WATER_BYTES)
+
     def _end(self, clean: bool) -> None:
         if not self._ended:
             self._ended = True
--- a/src/clementinegw/direct/client.py
+++ b/src/clementinegw/direct/client.py
@@ -13,6 +13,7 @@
 
 from clementinegw import exceptions
 from clementinegw import types
+from clementinegw.direct import buffer_budget
 from clementinegw.direct import channel as channels
 from clementinegw.direct import timeouts as timeouts_lib
 
@@ -83,6 +84,10 @@
             and self._http.our_state is h11.IDLE
         )
 
+    def count_buffers(self, budget: buffer_budget.BufferBudget) -> None:
+        """Counts the bytes that wait in the connection's buffers."""
+        self._channel.budget = budget
+
     def start_next_call(self) -> None:
         """Prepares for another call after a complete answer."""
         done = (self._http.our_state, self._http.their_state)
@@ -246,6 +251,7 @@
         max_open: int,
         connect_timeout_s: float,
         idle_s: float,
+        buffers: buffer_budget.BufferBudget | None = None,
     ):
         """Starts without connections.
 
@@ -255,7 +261,9 @@
             callers check `full` first.
           connect_timeout_s: How long opening one may take, in seconds.
           idle_s: How long one is kept when idle, in seconds.
+          buffers: Counts the bytes in the connections' buffers.
         """
+        self._buffers = buffers
         self._address = address
         self._max_open = max_open
         self._connect_timeout_s = connect_timeout_s
@@ -297,6 +305,8 @@
         except BaseException:
             self._open -= 1
             raise
+        if self._buffers is not None:
+            connection.count_buffers(self._buffers)
         return connection, False
 
     async def call(
--- a/src/clementinegw/direct/entry.py
+++ b/src/clementinegw/direct/entry.py
@@ -13,6 +13,7 @@
 from clementinegw.direct import admit
 from clementinegw.direct import balance
 from clementinegw.direct import budget
+from clementinegw.direct import buffer_budget
 from clementinegw.direct import catalog as catalogs
 from clementinegw.direct import declarations
 from clementinegw.direct import evacuation_watch
@@ -144,6 +145,10 @@
             cold_start=self._cold_start,
         )
         self._fleet.cold_bound = _cold_bound(bounds)
+        self._buffers = buffer_budget.BufferBudget(
+            buffer_budget.limit_for(instance.memory_bytes)
+        )
+        self._fleet.buffers = self._buffers
         self._versions = version_policy.VersionPolicy(
             bounds.weights_ms / 1e3, boot_clock, bounds.settled_ms / 1e3
         )
@@ -168,8 +173,11 @@
             log,
             counters,
             self.histograms,
+            self._buffers,
+        )
+        self._server = servers.Server(
+            self._forwarder.handle, log, counters, self._buffers
         )
-        self._server = servers.Server(self._forwarder.handle, log, counters)
         self._health = servers.Server(self._answer_readiness, log, counters)
         self._reports = reports.Listener(
             instance.name,
@@ -229,6 +237,9 @@
         self._versions.due_s = bounds.weights_ms / 1e3
         self._fleet.listing_expiry.times = _listing_times(bounds)
         self._fleet.cold_bound = _cold_bound(bounds)
+        self._buffers.limit_bytes = buffer_budget.limit_for(
+            instance.memory_bytes
+        )
         self._forwarder.set_retry_limits(_retry_limits(bounds))
         self._balancer.set_regions(instance.regions)
 
@@ -280,6 +291,7 @@
         self._fleet.update_cold(self._clock())
         self._counters.gauge("direct.servers.limited", self._fleet.limited)
         self._counters.gauge("direct.servers.cold", self._fleet.cold)
+        self._counters.gauge("direct.buffers", self._buffers.held_bytes)
 
     def _record_lag(self, lag_s: float) -> None:
         """Records by how much the event loop was late, in seconds."""
--- a/src/clementinegw/direct/fleet.py
+++ b/src/clementinegw/direct/fleet.py
@@ -7,6 +7,7 @@
 
 from clementinegw.direct import _events
 from clementinegw.direct import backend as backend_lib
+from clementinegw.direct import buffer_budget
 from clementinegw.direct import client
 from clementinegw.direct import outage
 from clementinegw.direct import rate_limit
@@ -35,6 +36,8 @@
     Attributes:
       listing_expiry: How long servers are kept that are no longer listed.
       cold_bound: What operators allow a cold server to get in any second.
+      buffers: Counts the bytes in buffers of new connections; None if they are
+        not counted.
     """
 
     def __init__(
@@ -75,6 +78,7 @@
             listing_times or outage.ListingTimes()
         )
         self.cold_bound = cold_starts.Bound()
+        self.buffers: buffer_budget.BufferBudget | None = None
         self._cold_start = cold_start
         self._log = log
         self._rng = rng
@@ -289,7 +293,11 @@
         share = self._max_connections(server.service) * _CONNECTION_SHARE
         most = max(_MIN_CONNECTIONS, int(share))
         return client.Pool(
-            server.address, most, _CONNECT_TIMEOUT_S, _MAX_IDLE_S
+            server.address,
+            most,
+            _CONNECT_TIMEOUT_S,
+            _MAX_IDLE_S,
+            self.buffers,
         )
 
     def _apply_unlisted(self, key: str, now: float, left_s: float) -> None:
--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -10,6 +10,7 @@
 from clementinegw.direct import backend as backend_lib
 from clementinegw.direct import balance
 from clementinegw.direct import budget as budgets
+from clementinegw.direct import buffer_budget
 from clementinegw.direct import channel
 from clementinegw.direct import finisher
 from clementinegw.direct import header_codec
@@ -78,6 +79,7 @@
         log: logs.Log,
         counters: counters_lib.Counters,
         histograms: histograms_lib.Histograms,
+        buffers: buffer_budget.BufferBudget | None = None,
     ):
         """Stores its collaborators; `handle` serves the requests.
 
@@ -92,7 +94,9 @@
           log: Takes the log events.
           counters: Count attempts, answers and refusals by reason.
           histograms: Take the times of answers.
+          buffers: Bounds the bytes of answers; unbounded by default.
         """
+        self._buffers = buffers or buffer_budget.BufferBudget()
         self._codec = codec
         self._config_view = config_view
         self._balancer = balancer
@@ -137,6 +141,12 @@
             await self._finisher.fail(request, responder, error, job)
 
     async def _handle_admitted(self, job: attempts.Job) -> None:
+        try:
+            await self._answer(job)
+        finally:
+            job.answer_memory.release()
+
+    async def _answer(self, job: attempts.Job) -> None:
         responder = job.responder
         task = asyncio.ensure_future(self._serve(job))
         try:
@@ -229,6 +239,7 @@
             responder,
             request.arrived_at + timeout_s,
             spent_s,
+            answer_memory=buffer_budget.AnswerMemory(self._buffers),
         )
 
     # Serving.
--- a/src/clementinegw/direct/instance.py
+++ b/src/clementinegw/direct/instance.py
@@ -67,6 +67,7 @@
     backend_address: str | None = None
     service: str | None = None
     link_mbps: float = 1_000.0
+    memory_mb: float | None = None
     bounds: Bounds | None = None
 
 
@@ -88,6 +89,8 @@
       service: The service of that server; empty for an entry.
       link_bytes_per_s: The rate of the machine's link, in bytes per second.
       bounds: The bounds that the platform's operators set for the system.
+      memory_bytes: The memory that the process may use, in bytes; None if it is
+        unknown.
     """
 
     name: str
@@ -102,6 +105,7 @@
     service: str
     link_bytes_per_s: float
     bounds: Bounds
+    memory_bytes: float | None = None
 
 
 def read(path: pathlib.Path) -> Instance:
@@ -133,6 +137,7 @@
         service=file.service or "",
         link_bytes_per_s=file.link_mbps * 125_000.0,
         bounds=file.bounds or Bounds(),
+        memory_bytes=file.memory_mb and file.memory_mb * 1e6,
     )
 
 
--- a/src/clementinegw/direct/outcomes.py
+++ b/src/clementinegw/direct/outcomes.py
@@ -29,6 +29,8 @@
     UNSEALED = "unsealed"
     FALSE_PROMISE = "false_promise"
     OUTDATED = "outdated"
+    UNREAD = "unread"
+    NO_MEMORY = "no_memory"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/clementinegw/direct/request_reader.py
+++ b/src/clementinegw/direct/request_reader.py
@@ -28,7 +28,7 @@
       HEAD_TIMEOUT: Its head did not arrive completely in time.
       BODY_TOO_LARGE: Its body is larger than the limit.
       BODY_TIMEOUT: Its body did not arrive completely in time.
-      NO_MEMORY: The bodies of all requests together are too large.
+      NO_MEMORY: All requests and answers together need too much memory.
       INCOMPLETE: The caller's sending side ended within it.
       STOPPED: The process ends.
     """
@@ -61,7 +61,10 @@
     """Bounds the memory that the bodies of all requests take together."""
 
     def reserve(self, count: int) -> bool:
-        """Reserves bytes for a body; returns False if they exceed the bound."""
+        """Reserves bytes for a body; returns False if they exceed the bound.
+
+        With 0 bytes, it says whether a request without a body has room.
+        """
 
     def release(self, count: int) -> None:
         """Releases reserved bytes."""
@@ -140,6 +143,8 @@
             await self._send(
                 h11.InformationalResponse(status_code=100, headers=[])
             )
+        if not self._memory.reserve(0):
+            raise RequestRefused(_UNAVAILABLE, Reason.NO_MEMORY)
         body = bytearray()
         deadline = asyncio.get_running_loop().time() + _BODY_TIMEOUT_S
         while True:
--- a/src/clementinegw/direct/server.py
+++ b/src/clementinegw/direct/server.py
@@ -13,6 +13,7 @@
 
 from clementinegw import types
 from clementinegw.direct import _events
+from clementinegw.direct import buffer_budget
 from clementinegw.direct import channel as channels
 from clementinegw.direct import client
 from clementinegw.direct import request_reader
@@ -24,6 +25,8 @@
 # How long a caller may accept no byte of an answer that waits to be sent, in
 # seconds.
 _WRITE_TIMEOUT_S = 10.0
+# The same while the process is short of memory, in seconds.
+_SHORT_WRITE_TIMEOUT_S = 2.0
 # Interval between checks for a caller that accepts nothing, in seconds.
 _WRITE_CHECK_S = 1.0
 # The kernel's limit for the same is longer, so that the one above applies.
@@ -233,6 +236,7 @@
         handler: Handler,
         log: logs.Log | None = None,
         counters: counters_lib.Counters | None = None,
+        buffers: buffer_budget.BufferBudget | None = None,
     ):
         """Accepts nothing before `listen`.
 
@@ -242,8 +246,10 @@
             breaks the connection if the answer has begun.
           log: Receives the log events; a log without fields by default.
           counters: Count requests that are refused or get no answer.
+          buffers: Bounds the bytes held for callers; unbounded by default.
         """
         self._handler = handler
+        self._buffers = buffers or buffer_budget.BufferBudget()
         self.log = log or logs.Log()
         self.counters = counters or counters_lib.Counters()
         self._server: asyncio.Server | None = None
@@ -262,6 +268,12 @@
         """The number of requests whose handler is running."""
         return sum(session.busy for session in self._sessions)
 
+    @property
+    def write_timeout_s(self) -> float:
+        """How long a caller may accept no byte that waits, in seconds."""
+        short = self._buffers.short
+        return _SHORT_WRITE_TIMEOUT_S if short else _WRITE_TIMEOUT_S
+
     @property
     def _working(self) -> bool:
         return not all(session.idle for session in self._sessions) or any(
@@ -330,12 +342,15 @@
         """Reserves bytes for a body; returns False if they exceed the bound."""
         if self._body_bytes + count > _MAX_BODIES_BYTES:
             return False
+        if not self._buffers.reserve_new(count):
+            return False
         self._body_bytes += count
         return True
 
     def release(self, count: int) -> None:
         """Releases reserved bytes."""
         self._body_bytes -= count
+        self._buffers.change(-count)
 
     def record_refused(
         self, status: int, reason: request_reader.Reason, target: str
@@ -355,6 +370,11 @@
             target=target[:120],
         )
 
+    def record_slow(self) -> None:
+        """Records that a caller accepted nothing for too long."""
+        cause = "memory" if self._buffers.short else "time"
+        self.counters.add(f"direct.caller_slow.{cause}")
+
     def record_unanswered(
         self,
         target: str,
@@ -382,6 +402,7 @@
             channel.abort()
             return
         self._channels.add(channel)
+        channel.budget = self._buffers
         session = _Session(self, channel)
         task = asyncio.ensure_future(session.run(self._handler))
         self._sessions[session] = task
@@ -520,7 +541,7 @@
         # Checks are counted, as a loop that stood still says nothing about the
         # caller.
         unchanged = 0
-        while unchanged < _WRITE_TIMEOUT_S / _WRITE_CHECK_S:
+        while unchanged < self._server.write_timeout_s / _WRITE_CHECK_S:
             unsent_bytes = self.channel.unsent_bytes
             try:
                 async with asyncio.timeout(_WRITE_CHECK_S):
@@ -532,6 +553,7 @@
                 else:
                     unchanged += 1
         self._slow = True
+        self._server.record_slow()
         self.break_off()
         raise channels.ChannelClosed(clean=False)
 
