Send servers no more requests than fit into their memory

The tokens that an engine's memory holds are read from the configuration. The balancer leaves out servers where this request, this entry's others and those of other entries do not fit; others' are known from their number and, where a quarter or more is in use, from the agent's report (new optional field 21 on the wire). Free memory is divided between the followers until the next report, like free slots. A request that no empty server could hold is refused at once and for good (too_large).

--- a/src/clementinegw/direct/agent.py
+++ b/src/clementinegw/direct/agent.py
@@ -404,6 +404,7 @@
                 evacuated=self._instance.place.failure_domain
                 in self._evacuations.domains,
                 cold_s=self._cold.left_s(start, self._clock()),
+                memory_used=state.memory_used,
             ),
             self._suspicions(),
         )
--- a/src/clementinegw/direct/agent_interfaces.py
+++ b/src/clementinegw/direct/agent_interfaces.py
@@ -21,6 +21,7 @@
       waiting: The number of requests in its queue.
       pace: How many times slower than usual it runs.
       started_ms: When it started, in Unix milliseconds; 0 if unreported.
+      memory_used: The share of its memory that requests use; 0 if unreported.
     """
 
     held: tuple[types.HeldWeights, ...]
@@ -30,6 +31,7 @@
     waiting: int
     pace: float
     started_ms: int = 0
+    memory_used: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/clementinegw/direct/attempt.py
+++ b/src/clementinegw/direct/attempt.py
@@ -18,6 +18,7 @@
 from clementinegw.direct import version_timeouts
 from clementinegw.scheduling import places
 from clementinegw.scheduling import rank as ranks
+from clementinegw.scheduling import server_memory
 
 # Answers other than streams are buffered until they are complete, so that a
 # caller never receives a truncated one. Bytes.
@@ -72,6 +73,7 @@
         the retry budget is charged already.
       tried: The server starts where it may have run without success.
       answer_memory: The memory of answers that are buffered for it.
+      memory: The memory that it needs at its server; None if unknown.
     """
 
     request: servers.Request
@@ -100,6 +102,7 @@
             buffer_budget.BufferBudget()
         )
     )
+    memory: server_memory.Need | None = None
 
     @property
     def customer_name(self) -> str:
--- a/src/clementinegw/direct/backend.py
+++ b/src/clementinegw/direct/backend.py
@@ -8,6 +8,7 @@
 from clementinegw.direct import reports
 from clementinegw.direct import signals as signals_lib
 from clementinegw.direct import types
+from clementinegw.scheduling import server_memory
 
 # Weight of the newest answer in the failure rate, and bounds on the cooldown
 # after a failed connection, in seconds. The cooldown doubles with each failure.
@@ -42,6 +43,7 @@
       pool: Connections to the server.
       signals: What this start reported about itself.
       in_flight: Requests of this entry at the server.
+      held_tokens: Tokens that these requests hold, as far as they are known.
       unread_tokens: Prompt tokens of this entry that it has yet to read.
       gone: Whether this start is no longer listed, or was succeeded by another.
       missing: Whether it is no longer listed, but perhaps only because of an
@@ -78,6 +80,7 @@
         self.pool = pool
         self.signals = signals
         self.in_flight = 0
+        self.held_tokens = 0
         self.unread_tokens = 0
         self.gone = False
         self.missing = False
@@ -101,6 +104,10 @@
         self.cold_until = -math.inf
         self.cold_sequence = -1
         self._cooldown_s = _MIN_COOLDOWN_S
+        self._last_report: reports.Report | None = None
+        self._held_at_report = 0
+        self._sent_tokens = 0
+        self._memory_draw: float | None = None
         self._other_requests = 0.0
         self._load_at = -math.inf
         self._last_report_at = -math.inf
@@ -163,6 +170,7 @@
         report: reports.Report,
         now: float,
         reading_s: float = 0.0,
+        memory_requests: float = math.inf,
     ) -> None:
         """Applies a report from the server's agent.
 
@@ -171,9 +179,14 @@
           now: Monotonic seconds.
           reading_s: Time the engine takes to read a typical prompt, in seconds;
             0 if unknown.
+          memory_requests: Number of typical requests that its memory holds.
         """
         interval_s = min(now - self._last_report_at, _MAX_INTERVAL_S)
         self._last_report_at = now
+        self._last_report = report
+        self._held_at_report = self.held_tokens
+        self._sent_tokens = 0
+        self._memory_draw = None
         self._report_interval_s += _INTERVAL_GAIN * (
             interval_s - self._report_interval_s
         )
@@ -190,7 +203,9 @@
         if report.ready_in_s >= 0.0:
             self.ready_at = now + report.ready_in_s
         readable_prompts = interval_s / reading_s if reading_s else math.inf
-        self._update_share(report, readable_prompts)
+        self._update_share(
+            report, min(readable_prompts, memory_requests - report.running)
+        )
         if report.limit is not None:
             self.signals.apply_relayed(report.limit)
         if 0 <= report.follower_rank < report.followers:
@@ -220,14 +235,41 @@
             return now >= self._first_report_due_at and not self.unread_tokens
         return self._share >= 1.0
 
-    def begin_request(self) -> None:
-        """Counts a request that is sent to the server."""
+    def has_memory(self, need: server_memory.Need, now: float) -> bool:
+        """Returns whether a request fits into the server's memory."""
+        others = self.estimated_requests(now) - self.in_flight
+        report = self._last_report
+        if report is None or now - self._last_report_at > _MAX_REPORT_AGE_S:
+            return need.fits(self.held_tokens, others)
+        used = report.memory_used * need.capacity_tokens
+        if not need.fits(
+            self.held_tokens, others, max(0.0, used - self._held_at_report)
+        ):
+            return False
+        taken = max(
+            used, (report.running + report.waiting) * need.typical_tokens
+        )
+        followers = report.followers or report.entries
+        if need.fits_share(taken, followers, self._sent_tokens, 1.0):
+            return True
+        if self._memory_draw is None:
+            self._memory_draw = self._rng.random()
+        return need.fits_share(
+            taken, followers, self._sent_tokens, self._memory_draw
+        )
+
+    def begin_request(self, tokens: int = 0) -> None:
+        """Counts a request that is sent to the server, and its tokens."""
         self.in_flight += 1
+        self.held_tokens += tokens
+        self._sent_tokens += tokens
         self._share -= 1.0
 
-    def end_request(self) -> None:
+    def end_request(self, tokens: int = 0) -> None:
         """Counts a request that has ended; this entry may reuse its slot."""
         self.in_flight -= 1
+        self.held_tokens -= tokens
+        self._sent_tokens -= tokens
         self._share += 1.0
 
     def _update_share(
--- a/src/clementinegw/direct/balance.py
+++ b/src/clementinegw/direct/balance.py
@@ -10,6 +10,7 @@
 from clementinegw.direct import fleet
 from clementinegw.direct import types
 from clementinegw.scheduling import places
+from clementinegw.scheduling import server_memory
 
 # Costs added to the load of servers in the same failure domain, another one of
 # the region and another region, as fractions of their slots. Traffic between
@@ -45,6 +46,7 @@
       allow_cooldown: Whether a server in cooldown is eligible if all others
         are in cooldown, too.
       regions: Regions that its server may be in; None for any.
+      memory: The memory that it needs; None if servers tell no memory.
     """
 
     service: str
@@ -54,6 +56,7 @@
     max_utilization: float = 3.0
     allow_cooldown: bool = True
     regions: places.Regions = None
+    memory: server_memory.Need | None = None
 
 
 class Balancer:
@@ -184,6 +187,10 @@
             and backend.accepts(now)
             and not backend.pool.full
             and self.utilization(backend, now) < requirements.max_utilization
+            and (
+                requirements.memory is None
+                or backend.has_memory(requirements.memory, now)
+            )
         ]
         for preferred in self._preferences(requirements, now):
             available = [b for b in available if preferred(b)] or available
--- a/src/clementinegw/direct/entry.py
+++ b/src/clementinegw/direct/entry.py
@@ -32,6 +32,7 @@
 from clementinegw.direct import types
 from clementinegw.direct import version_policy
 from clementinegw.scheduling import cold_starts
+from clementinegw.scheduling import server_memory
 from clementinegw.telemetry import counters as counters_lib
 from clementinegw.telemetry import events
 from clementinegw.telemetry import histograms
@@ -323,6 +324,7 @@
             report,
             self._clock(),
             self._typical_prefill_s(backend.server.service),
+            self._memory_requests(backend.server.service),
         )
         if backend.evacuated != was_evacuated:
             self._update_evacuated()
@@ -335,6 +337,17 @@
             return 0.0
         return engine.typical_prompt_tokens / engine.prefill_tokens_per_s
 
+    def _memory_requests(self, service: str) -> float:
+        """Returns how many typical requests a server's memory holds."""
+        engine = self._config_view.engine(service)
+        if engine is None:
+            return float("inf")
+        return server_memory.typical_requests(
+            engine.memory_tokens,
+            engine.typical_prompt_tokens,
+            engine.typical_answer_tokens,
+        )
+
     def _log_readiness(self) -> None:
         if self.ready == self._ready:
             return
--- a/src/clementinegw/direct/outcomes.py
+++ b/src/clementinegw/direct/outcomes.py
@@ -112,6 +112,7 @@
     COLD = "cold"
     OUTRANKED = "outranked"
     OVER_SHARE = "over_share"
+    TOO_LARGE = "too_large"
     STOPPING = "stopping"
     INTERNAL_ERROR = "internal_error"
 
--- a/src/clementinegw/direct/placement.py
+++ b/src/clementinegw/direct/placement.py
@@ -13,6 +13,7 @@
 from clementinegw.direct import queue
 from clementinegw.direct import types
 from clementinegw.direct import version_policy
+from clementinegw.scheduling import server_memory
 
 Reason = outcomes.RefusalReason
 
@@ -54,7 +55,8 @@
 # of their time, and a request that is refused twice is lost.
 _RETRY_FULL = (admit.MIN_RETRY_SHARE, 0.3)
 _RETRY_NOT_READY = (0.27, 0.33)
-# A request that crashes servers would crash them again, so it is not retried.
+# A request that crashes servers would crash them again, and one that exceeds
+# their memory fits at no time, so neither is retried.
 _RETRY_NEVER = (1.0, 1.0)
 _RETRY_SHARES = {
     Reason.BUSY: _RETRY_FULL,
@@ -64,6 +66,7 @@
     Reason.NOT_RESUMABLE: _RETRY_NEVER,
     Reason.NOT_REPEATABLE: _RETRY_NEVER,
     Reason.CRASHES_SERVERS: _RETRY_NEVER,
+    Reason.TOO_LARGE: _RETRY_NEVER,
     Reason.NO_SERVER: _RETRY_NOT_READY,
     Reason.NO_ALLOWED_SERVER: _RETRY_NOT_READY,
     Reason.EVACUATED: _RETRY_NOT_READY,
@@ -112,6 +115,9 @@
         self, job: attempts.Job
     ) -> queue.Reservation | outcomes.Refusal:
         """Returns a reservation of a server, or a refusal."""
+        job.memory = self._memory_need(job)
+        if job.memory and job.memory.too_large and not job.responder.begun:
+            return self.refuse(job, Reason.TOO_LARGE)
         arrived_at = job.request.arrived_at
         timeout_s = job.deadline - arrived_at
         latest_start = self._latest_start(job)
@@ -215,7 +221,9 @@
         alternative = self._balancer.choose(requirements, tried)
         if alternative is None:
             return None
-        reservation = self._queue(job.service).reserve_server(alternative)
+        reservation = self._queue(job.service).reserve_server(
+            alternative, job.memory
+        )
         self._assign(job, reservation)
         return reservation
 
@@ -397,6 +405,20 @@
             min_version,
             self._versions.preferred(model, now),
             regions=job.regions,
+            memory=job.memory,
+        )
+
+    def _memory_need(self, job: attempts.Job) -> server_memory.Need | None:
+        """Returns the memory that a request needs; None if it is unknown."""
+        engine = self._config_view.engine(job.service)
+        if engine is None:
+            return None
+        return server_memory.need_of(
+            job.metadata.prompt_tokens,
+            job.metadata.output_tokens,
+            engine.memory_tokens,
+            engine.typical_prompt_tokens,
+            engine.typical_answer_tokens,
         )
 
     def _queue(self, service: str) -> queue.Queue:
--- a/src/clementinegw/direct/queue.py
+++ b/src/clementinegw/direct/queue.py
@@ -16,6 +16,7 @@
 from clementinegw.direct import types
 from clementinegw.scheduling import order
 from clementinegw.scheduling import rank as ranks
+from clementinegw.scheduling import server_memory
 
 # Period of dispatching in addition to the dispatches triggered by finished
 # requests and load reports, in seconds.
@@ -114,19 +115,23 @@
     """
 
     def __init__(
-        self, backend: backend_lib.Backend, on_release: Callable[[], None]
+        self,
+        backend: backend_lib.Backend,
+        on_release: Callable[[], None],
+        tokens: int = 0,
     ):
         self.backend = backend
+        self._tokens = tokens
         self.permitted = backend.signals.limiter.take_slot()
         self._on_release = on_release
         self._held = True
-        backend.begin_request()
+        backend.begin_request(tokens)
 
     def release(self) -> None:
         """Releases the slot; further calls have no effect."""
         if self._held:
             self._held = False
-            self.backend.end_request()
+            self.backend.end_request(self._tokens)
             self._on_release()
 
 
@@ -211,10 +216,20 @@
             if waiter in self._waiters:
                 self._waiters.remove(waiter)
 
-    def reserve_server(self, backend: backend_lib.Backend) -> Reservation:
-        """Returns a reservation of a server that was found to have capacity."""
+    def reserve_server(
+        self,
+        backend: backend_lib.Backend,
+        memory: server_memory.Need | None = None,
+    ) -> Reservation:
+        """Returns a reservation of a server that was found to have capacity.
+
+        Args:
+          backend: The server.
+          memory: The memory that the request needs; None if unknown.
+        """
         self._balancer.record_sent(backend)
-        return Reservation(backend, self.dispatch)
+        tokens = memory.tokens if memory else 0
+        return Reservation(backend, self.dispatch, tokens)
 
     def dispatch(self) -> None:
         """Reserves servers for all queued requests that can have one now.
@@ -270,7 +285,9 @@
         )
         self._record_wait(waiter, late, backend is not None, now)
         if backend is not None:
-            reservation = self.reserve_server(backend)
+            reservation = self.reserve_server(
+                backend, waiter.requirements().memory
+            )
             self._waiters.remove(waiter)
             waiter.reservation.set_result(reservation)
             # The chosen server may now be full, which can change the preferred
--- a/src/clementinegw/direct/reports.py
+++ b/src/clementinegw/direct/reports.py
@@ -27,6 +27,9 @@
 # with a hundred entries renewals were most of what an agent received.
 _CHANGES_SUBSCRIPTION_S = 12.0
 _MAX_SUBSCRIBERS = 512
+# Less use of a server's memory is not reported, which saves bytes where memory
+# is ample.
+_MIN_MEMORY_USED = 0.25
 # An entry in another region gets one of this many reports, unless the server's
 # weights have changed. Traffic between regions is billed, and with 43 entries
 # reports took a tenth of a machine's link. Distant servers get few requests.
@@ -91,6 +94,8 @@
       cold_s: How much longer the server is cold, in seconds.
       evacuated: Whether the operators want no requests in the server's failure
         domain.
+      memory_used: The share of the server's memory that requests use; 0 if it
+        is little or unknown.
     """
 
     server_id: str
@@ -114,6 +119,7 @@
     demand: float | None = None
     cold_s: float = 0.0
     evacuated: bool = False
+    memory_used: float = 0.0
 
     @property
     def start(self) -> servers.ServerStart:
@@ -545,6 +551,7 @@
             report.evacuated or None,
             born=report.started_ms,
             ages_ms=ages_ms or None,
+            memory_percent=_to_percent(report.memory_used),
             suspicions=suspicion_codec.to_wire(suspicions),
         )
     )
@@ -573,9 +580,17 @@
         message.demand,
         max(0, message.cold_ms or 0) / 1e3,
         bool(message.evacuated),
+        max(0, message.memory_percent or 0) / 100,
     )
 
 
+def _to_percent(memory_used: float) -> int | None:
+    """Returns a share in percent; None if it is too little to be reported."""
+    if memory_used < _MIN_MEMORY_USED:
+        return None
+    return math.ceil(100 * min(1.0, memory_used))
+
+
 def _limit_to_wire(
     observed: rate_limit.Observation | None,
 ) -> ttypes.Limit | None:
--- a/src/clementinegw/direct/types.py
+++ b/src/clementinegw/direct/types.py
@@ -102,6 +102,8 @@
       typical_prompt_tokens: The tokens of a typical prompt.
       typical_answer_tokens: The tokens of a typical answer.
       load_s: The time to load all layers, in seconds.
+      memory_tokens: The tokens of requests that the memory of one engine holds;
+        0 if unknown.
     """
 
     models: tuple[str, ...]
@@ -116,6 +118,7 @@
     typical_prompt_tokens: float = 0.0
     typical_answer_tokens: float = 0.0
     load_s: float = 0.0
+    memory_tokens: int = 0
 
     @property
     def pass_s(self) -> float:
--- a/src/clementinegw/wire/gen/reports/ttypes.py
+++ b/src/clementinegw/wire/gen/reports/ttypes.py
@@ -535,6 +535,7 @@
      - cold_ms
      - evacuated
      - ages_ms
+     - memory_percent
      - born
      - suspicions
 
@@ -561,12 +562,13 @@
         'cold_ms',
         'evacuated',
         'ages_ms',
+        'memory_percent',
         'born',
         'suspicions',
     )
 
 
-    def __init__(self, server_id=None, running=None, waiting=None, slots=None, model=None, version=None, whole=None, loading=None, pace=None, yielding=None, entries=None, ready_in_s=None, followers=None, rank=None, follower_rank=None, limit=None, demand=None, cold_ms=None, evacuated=None, ages_ms=None, born=None, suspicions=None,):
+    def __init__(self, server_id=None, running=None, waiting=None, slots=None, model=None, version=None, whole=None, loading=None, pace=None, yielding=None, entries=None, ready_in_s=None, followers=None, rank=None, follower_rank=None, limit=None, demand=None, cold_ms=None, evacuated=None, ages_ms=None, memory_percent=None, born=None, suspicions=None,):
         self.server_id = server_id
         self.running = running
         self.waiting = waiting
@@ -587,6 +589,7 @@
         self.cold_ms = cold_ms
         self.evacuated = evacuated
         self.ages_ms = ages_ms
+        self.memory_percent = memory_percent
         self.born = born
         self.suspicions = suspicions
 
@@ -706,6 +709,11 @@
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.I32:
+                    self.memory_percent = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             elif fid == 30:
                 if ftype == TType.I64:
                     self.born = iprot.readI64()
@@ -816,6 +824,10 @@
                 oprot.writeI64(viter55)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
+        if self.memory_percent is not None:
+            oprot.writeFieldBegin('memory_percent', TType.I32, 21)
+            oprot.writeI32(self.memory_percent)
+            oprot.writeFieldEnd()
         if self.born is not None:
             oprot.writeFieldBegin('born', TType.I64, 30)
             oprot.writeI64(self.born)
@@ -962,7 +974,7 @@
     (18, TType.I32, 'cold_ms', None, None, ),  # 18
     (19, TType.BOOL, 'evacuated', None, None, ),  # 19
     (20, TType.MAP, 'ages_ms', (TType.I64, None, TType.I64, None, False), None, ),  # 20
-    None,  # 21
+    (21, TType.I32, 'memory_percent', None, None, ),  # 21
     None,  # 22
     None,  # 23
     None,  # 24
--- a/src/clementinegw/wire/reports.thrift
+++ b/src/clementinegw/wire/reports.thrift
@@ -81,6 +81,8 @@
   // By version of the model: milliseconds since it was declared, if known and
   // not sent to the entry recently.
   20: optional map<i64, i64> ages_ms,
+  // Percent of the server's memory that requests use; unset if it is little.
+  21: optional i32 memory_percent,
   // When the server started, in Unix milliseconds; 0 if not reported.
   30: optional i64 born,
   // The combined observations of all entries; rarely any.
--- a/tests/overload_site.py
+++ b/tests/overload_site.py
@@ -27,6 +27,7 @@
 from clementinegw.direct import topic_watch
 from clementinegw.direct import types
 from clementinegw.direct import version_policy
+from clementinegw.scheduling import server_memory
 from clementinegw.telemetry import logs
 from clementinegw.testing import engine_model
 
@@ -171,6 +172,7 @@
         kinds=KINDS,
         customers=None,
         entry_weights=None,
+        memory_tokens=0,
     ):
         """Starts the engines.
 
@@ -186,6 +188,8 @@
           customers: Weight of each customer's callers, by name; None for
             anonymous callers.
           entry_weights: Weight of each entry's callers; None for equal ones.
+          memory_tokens: Tokens that an engine's memory holds, as entries know
+            it; 0 if they do not.
         """
         self._domains = domains
         self.figures = figures or engine_model.EngineParameters()
@@ -195,7 +199,10 @@
         self.engines = {
             n: engine_model.Engine(self.figures) for n in range(engines)
         }
-        self.configuration = _configuration(self.figures, kinds)
+        self.configuration = _configuration(self.figures, kinds, memory_tokens)
+        self.memory_tokens = memory_tokens
+        self.held_tokens = dict.fromkeys(self.engines, 0)
+        self.peak_tokens = 0
         self.rng = random.Random(seed)
         # A separate generator, so that callers do not depend on decisions.
         self._arrivals = random.Random(seed)
@@ -333,7 +340,9 @@
         """Sends a request; returns the retry delay, or None if not refused."""
         now = self._clock()
         metadata = types.RequestMetadata(
-            timeout_s=left_s, prompt_tokens=caller.prompt
+            timeout_s=left_s,
+            prompt_tokens=caller.prompt,
+            output_tokens=caller.events,
         )
         route = _route(caller.kind)
         job = attempts.Job(
@@ -388,6 +397,8 @@
         work = engine_model.Request(
             caller.prompt, caller.events, on_event, ended.set
         )
+        tokens = caller.prompt + caller.events
+        self._hold(number, tokens)
         await asyncio.sleep(LATENCY_S)
         engine.submit(work)
         try:
@@ -398,8 +409,14 @@
             engine.cancel(work)
             if caller.first_at == math.inf:
                 backend.unread_tokens -= caller.prompt
+        self._hold(number, -tokens)
         reservation.release()
 
+    def _hold(self, number, tokens):
+        """Counts tokens of requests at an engine, all as if written at once."""
+        self.held_tokens[number] += tokens
+        self.peak_tokens = max(self.peak_tokens, self.held_tokens[number])
+
     async def _await_events(self, event_received, ended):
         while not ended.is_set():
             async with asyncio.timeout(IDLE_TIMEOUT_S):
@@ -412,12 +429,14 @@
         report_count = self.rng.randrange(FAR_EVERY)
         # The load that a server reports to its agent is slightly outdated.
         past_loads = collections.deque(
-            [(0, 0)] * LAG_REPORTS, maxlen=LAG_REPORTS
+            [(0, 0, 0)] * LAG_REPORTS, maxlen=LAG_REPORTS
         )
         while True:
             engine = self.engines[number]
-            running, waiting = past_loads[0]
-            past_loads.append((engine.running, engine.waiting))
+            running, waiting, tokens = past_loads[0]
+            past_loads.append(
+                (engine.running, engine.waiting, self.held_tokens[number])
+            )
             observed = [
                 limit
                 for entry in self.entries
@@ -448,6 +467,9 @@
                 ready_in_s=max(0.0, self.outage[1] - self.now)
                 if self.outage[0] <= self.now < self.outage[1]
                 else 0.0,
+                memory_used=tokens / self.memory_tokens
+                if self.memory_tokens
+                else 0.0,
             )
             report_count += 1
             for rank, entry in enumerate(followers):
@@ -469,7 +491,13 @@
         )
         reading_s /= self.figures.prefill_tokens_per_s
         backend = entry.fleet.find(f"s{number}")
-        backend.apply_report(report, self._clock(), reading_s)
+        engine = self.configuration.services[SERVICE].engine
+        memory_requests = server_memory.typical_requests(
+            engine.memory_tokens,
+            engine.typical_prompt_tokens,
+            engine.typical_answer_tokens,
+        )
+        backend.apply_report(report, self._clock(), reading_s, memory_requests)
         entry.placer.dispatch_for(backend)
 
     def _spawn(self, coroutine):
@@ -499,7 +527,8 @@
     )
 
 
-def _configuration(figures, kinds):
+def _configuration(figures, kinds, memory_tokens):
+    total = sum(kind.per_s for kind in kinds)
     engine = types.Engine(
         ("m",),
         figures.slots,
@@ -510,8 +539,9 @@
         1,
         96,
         24_576,
-        typical_prompt_tokens=980.0,
+        typical_prompt_tokens=sum(k.prompt * k.per_s for k in kinds) / total,
         typical_answer_tokens=95.0,
+        memory_tokens=memory_tokens,
     )
     service = types.Service(SERVICE, 274, engine)
     return types.Configuration(
