Let a flapping server's cooldown outlast its failures

A success ended all memory of failed connections, so a server that was down and up by turns, three seconds each, cost four failed connections at each turn, each up to 0.25 s of a caller's time.

--- a/src/clementinegw/direct/backend.py
+++ b/src/clementinegw/direct/backend.py
@@ -15,6 +15,10 @@
 _FAILURE_GAIN = 0.2
 _MIN_COOLDOWN_S = 0.25
 _MAX_COOLDOWN_S = 4.0
+# A server has recovered once it has answered for this many times its next
+# cooldown without a failed connection. One that goes down and up by turns
+# answers in between, and each time requests would wait for connections to it.
+_STEADY_COOLDOWNS = 4.0
 # Decay time constant of the last known number of requests from other entries,
 # in seconds.
 _LOAD_DECAY_S = 0.7
@@ -104,6 +108,7 @@
         self.cold_until = -math.inf
         self.cold_sequence = -1
         self._cooldown_s = _MIN_COOLDOWN_S
+        self._answering_since = math.inf
         self._last_report: reports.Report | None = None
         self._held_at_report = 0
         self._sent_tokens = 0
@@ -314,7 +319,10 @@
     def record_success(self, now: float) -> None:
         """Records a complete answer."""
         self.heard_at = now
-        self._cooldown_s = _MIN_COOLDOWN_S
+        self._answering_since = min(self._answering_since, now)
+        steady_s = now - self._answering_since
+        if steady_s >= _STEADY_COOLDOWNS * self._cooldown_s:
+            self._cooldown_s = _MIN_COOLDOWN_S
         self.failure_rate *= 1.0 - _FAILURE_GAIN
 
     def record_failure(self) -> None:
@@ -324,6 +332,7 @@
     def record_unreachable(self, now: float) -> None:
         """Records a failed or reset connection and starts a cooldown."""
         self.record_failure()
+        self._answering_since = math.inf
         self.cooldown_until = now + self._cooldown_s
         self._cooldown_s = min(2 * self._cooldown_s, _MAX_COOLDOWN_S)
 
