--- a/src/clementinegw/direct/buffer_budget.py
+++ b/src/clementinegw/direct/buffer_budget.py
@@ -91,8 +91,8 @@
     """Returns the limit for a process, in bytes; infinite without a bound.
 
     Args:
-      memory_bytes: The memory that the process may use; None if unknown.
+      memory_bytes: The memory that the process may use; None or 0 if unknown.
     """
-    if memory_bytes is None:
+    if not memory_bytes:
         return math.inf
     return max(_MIN_LIMIT_BYTES, _BUFFER_SHARE * (memory_bytes - _BASE_BYTES))
--- a/tests/test_direct_buffers.py
+++ b/tests/test_direct_buffers.py
@@ -175,6 +175,7 @@
     """Guards against a limit that counts memory the process needs itself."""
     assert buffer_budget.limit_for(200e6) == 68e6
     assert buffer_budget.limit_for(30e6) > 0
+    assert buffer_budget.limit_for(0.0) == math.inf
 
 
 @pytest.mark.parametrize("path", ["/safe/1", "/once/1"])
