--- a/src/clementinegw/direct/entry.py
+++ b/src/clementinegw/direct/entry.py
@@ -13,6 +13,7 @@
 from clementinegw.direct import admit
 from clementinegw.direct import balance
 from clementinegw.direct import budget
+from clementinegw.direct import buffer_budget
 from clementinegw.direct import catalog as catalogs
 from clementinegw.direct import declarations
 from clementinegw.direct import evacuation_watch
@@ -31,6 +32,7 @@
 from clementinegw.direct import types
 from clementinegw.direct import version_policy
 from clementinegw.scheduling import cold_starts
+from clementinegw.scheduling import server_memory
 from clementinegw.telemetry import counters as counters_lib
 from clementinegw.telemetry import events
 from clementinegw.telemetry import histograms
@@ -144,6 +146,10 @@
             cold_start=self._cold_start,
         )
         self._fleet.cold_bound = _cold_bound(bounds)
+        self._buffers = buffer_budget.BufferBudget(
+            buffer_budget.limit_for(instance.memory_bytes)
+        )
+        self._fleet.buffers = self._buffers
         self._versions = version_policy.VersionPolicy(
             bounds.weights_ms / 1e3, boot_clock, bounds.settled_ms / 1e3
         )
@@ -168,8 +174,11 @@
             log,
             counters,
             self.histograms,
+            self._buffers,
+        )
+        self._server = servers.Server(
+            self._forwarder.handle, log, counters, self._buffers
         )
-        self._server = servers.Server(self._forwarder.handle, log, counters)
         self._health = servers.Server(self._answer_readiness, log, counters)
         self._reports = reports.Listener(
             instance.name,
@@ -229,6 +238,9 @@
         self._versions.due_s = bounds.weights_ms / 1e3
         self._fleet.listing_expiry.times = _listing_times(bounds)
         self._fleet.cold_bound = _cold_bound(bounds)
+        self._buffers.limit_bytes = buffer_budget.limit_for(
+            instance.memory_bytes
+        )
         self._forwarder.set_retry_limits(_retry_limits(bounds))
         self._balancer.set_regions(instance.regions)
 
@@ -280,6 +292,7 @@
         self._fleet.update_cold(self._clock())
         self._counters.gauge("direct.servers.limited", self._fleet.limited)
         self._counters.gauge("direct.servers.cold", self._fleet.cold)
+        self._counters.gauge("direct.buffers", self._buffers.held_bytes)
 
     def _record_lag(self, lag_s: float) -> None:
         """Records by how much the event loop was late, in seconds."""
@@ -311,6 +324,7 @@
             report,
             self._clock(),
             self._typical_prefill_s(backend.server.service),
+            self._memory_requests(backend.server.service),
         )
         if backend.evacuated != was_evacuated:
             self._update_evacuated()
@@ -323,6 +337,17 @@
             return 0.0
         return engine.typical_prompt_tokens / engine.prefill_tokens_per_s
 
+    def _memory_requests(self, service: str) -> float:
+        """Returns how many typical requests a server's memory holds."""
+        engine = self._config_view.engine(service)
+        if engine is None:
+            return float("inf")
+        return server_memory.typical_requests(
+            engine.memory_tokens,
+            engine.typical_prompt_tokens,
+            engine.typical_answer_tokens,
+        )
+
     def _log_readiness(self) -> None:
         if self.ready == self._ready:
             return
--- a/src/clementinegw/direct/outcomes.py
+++ b/src/clementinegw/direct/outcomes.py
@@ -29,6 +29,8 @@
     UNSEALED = "unsealed"
     FALSE_PROMISE = "false_promise"
     OUTDATED = "outdated"
+    UNREAD = "unread"
+    NO_MEMORY = "no_memory"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -110,6 +112,7 @@
     COLD = "cold"
     OUTRANKED = "outranked"
     OVER_SHARE = "over_share"
+    TOO_LARGE = "too_large"
     STOPPING = "stopping"
     INTERNAL_ERROR = "internal_error"
 
