Keep room at servers for more urgent requests, by rank

Bulk may wait longer, so that some of it waits at every entry and takes each share of a free slot; the order of one entry's queue decides little, and the rank was passed nowhere.

Change, only where requests of a service differ in rank: - scheduling.headroom: slots that are kept from a rank at each server, from the arrivals of more urgent ranks, entries, servers and the time that requests hold a slot (at most 0.3 s). At most half of the slots. A rank that is placed at less than a quarter of the mean share goes first until that is made up. - A limit for late requests for each rank; a miss lowers that of its own and of less urgent ranks. - A request from which slots were kept is refused as OUTRANKED at its latest start; gauge direct.slots_kept. - The rank is passed to servers as a priority from 0 to 9. The engine model admits waiting requests by it, the earliest first as before. Late urgent requests stay behind bulk that can be on time.

test_scheduling_rank, and test_direct_{overload,queue,costs,entry,decisions} and test_direct_{s,l,f,r}*: all passed.

--- a/src/clementinegw/direct/backend.py
+++ b/src/clementinegw/direct/backend.py
@@ -93,6 +93,11 @@
         self.followed = True
         self.ready_at = math.inf
         self._share = 1.0
+        self._free_slots = 0.0
+        self._readable_prompts = math.inf
+        self._sharing = 1.0
+        self._offered = 1.0
+        self._draw = 0.0
         self._rng = rng
         self.weights_incomplete = False
         self.replaced = False
@@ -201,7 +206,7 @@
         self.set_version(report.version if report.whole else 0)
         self.weights_incomplete = not report.whole
 
-    def has_share(self, now: float) -> bool:
+    def has_share(self, now: float, kept: float = 0.0) -> bool:
         """Returns whether this entry may use one more of the free slots.
 
         While no agent reports, each entry lets the server read one prompt at a
@@ -209,12 +214,21 @@
         within 250 ms, all of which were late. When a server becomes followed,
         its first report is awaited, as many entries may start to follow it at
         the same time.
+
+        Args:
+          now: Monotonic seconds.
+          kept: Part of its slots that is kept for more urgent requests.
         """
         if not self.followed:
             return False
         if now - self._last_report_at > _MAX_REPORT_AGE_S or not self.entries:
             return now >= self._first_report_due_at and not self.unread_tokens
-        return self._share >= 1.0
+        if not kept or self._share < 1.0:
+            return self._share >= 1.0
+        free = self._free_slots - kept * self.server.slots
+        share = min(free, self._readable_prompts) / self._sharing
+        used = self._offered - self._share
+        return self._round_share(share) - used >= 1.0
 
     def begin_request(self) -> None:
         """Counts a request that is sent to the server."""
@@ -245,10 +259,18 @@
         # A server that has just loaded reports all of its slots free; the last
         # of 16 requests would wait until the prompts of all others are read.
         capacity = min(free, readable_prompts - report.waiting)
-        share = max(0.0, capacity / max(1, report.followers or report.entries))
-        whole_slots = int(share)
-        extra_slot = self._rng.random() < share - whole_slots
-        self._share = float(whole_slots + extra_slot)
+        self._sharing = float(max(1, report.followers or report.entries))
+        self._free_slots = free
+        self._readable_prompts = readable_prompts - report.waiting
+        self._draw = self._rng.random()
+        self._offered = self._round_share(capacity / self._sharing)
+        self._share = self._offered
+
+    def _round_share(self, slots: float) -> float:
+        """Returns a share as whole slots, rounded by this report's draw."""
+        slots = max(0.0, slots)
+        whole_slots = int(slots)
+        return float(whole_slots + (self._draw < slots - whole_slots))
 
     def estimated_requests(self, now: float) -> float:
         """Returns the estimated number of requests at the server."""
--- a/src/clementinegw/direct/balance.py
+++ b/src/clementinegw/direct/balance.py
@@ -9,6 +9,7 @@
 from clementinegw.direct import cooldown
 from clementinegw.direct import fleet
 from clementinegw.direct import types
+from clementinegw.scheduling import headroom
 
 # Costs added to the load of servers in the same failure domain, another one of
 # the region and another region, as fractions of their slots. Traffic between
@@ -43,6 +44,7 @@
       max_utilization: Only servers below this utilization are eligible.
       allow_cooldown: Whether a server in cooldown is eligible if all others
         are in cooldown, too.
+      kept: Part of a server's slots that is kept for more urgent requests.
     """
 
     service: str
@@ -51,6 +53,7 @@
     preferred_version: int = 0
     max_utilization: float = 3.0
     allow_cooldown: bool = True
+    kept: float = 0.0
 
 
 class Balancer:
@@ -77,6 +80,14 @@
         """Number of entries as reported by agents; 0 if none reports it."""
         return max((b.entries for b in self._servers.all()), default=0)
 
+    def size(self, service: str) -> headroom.Fleet:
+        """Returns the size of the fleet that serves a service."""
+        servers = [b for b in self._servers.of(service) if not b.retired]
+        slots = sum(b.server.slots for b in servers)
+        return headroom.Fleet(
+            max(1, self.entries), len(servers), slots / max(1, len(servers))
+        )
+
     def ready_in_s(self, service: str) -> float:
         """Returns the estimated time until a server is ready, in seconds.
 
@@ -139,18 +150,24 @@
             available = [b for b in available if preferred(b)] or available
         # Checked after the preferences: a request waits for the next report
         # rather than go to a server that will soon interrupt it.
-        with_share = [b for b in available if b.has_share(now)]
+        kept = requirements.kept
+        with_share = [b for b in available if b.has_share(now, kept)]
         return min(with_share, key=lambda b: self._score(b, now), default=None)
 
-    def has_capacity(self, service: str) -> bool:
+    def has_capacity(self, service: str, kept: float = 0.0) -> bool:
         """Returns whether this entry may use a slot of any server.
 
         Call this before choosing servers for several requests. It is cheap, and
         under overload almost every dispatch ends here.
+
+        Args:
+          service: Name of the service.
+          kept: The smallest part of a server's slots that is kept from any of
+            the requests.
         """
         now = self._clock()
         return any(
-            b.has_share(now) and b.accepts(now)
+            b.has_share(now, kept) and b.accepts(now)
             for b in self._servers.of(service)
         )
 
--- a/src/clementinegw/direct/catalog.py
+++ b/src/clementinegw/direct/catalog.py
@@ -4,6 +4,10 @@
 import dataclasses
 
 from clementinegw.direct import types
+from clementinegw.scheduling import rank as ranks
+
+# The least urgent priority that servers know; 0 is the most urgent one.
+_MAX_SERVER_PRIORITY = 9
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -34,6 +38,7 @@
         for route in configuration.routes:
             prefixes = self._hosts.setdefault(route.host, {})
             prefixes[route.prefix] = route
+        self._server_priorities = _server_priorities(configuration)
 
     @property
     def version(self) -> int:
@@ -61,7 +66,43 @@
         """Returns the customer of an API key; None if the key is unknown."""
         return self.configuration.customers.get(key)
 
+    def server_priority(self, service: str, rank: ranks.Rank) -> int | None:
+        """Returns the priority of requests at the servers of a service.
+
+        Args:
+          service: Name of the service.
+          rank: The rank of the requests.
+
+        Returns:
+          0 to 9, where 0 is the highest; None if all requests of the service
+          have the same rank, or if the rank is not of this configuration.
+        """
+        return self._server_priorities.get(service, {}).get(rank)
+
     @property
     def keyed(self) -> bool:
         """Whether requests need an API key."""
         return self.configuration.requires_key
+
+
+def _server_priorities(
+    configuration: types.Configuration,
+) -> dict[str, dict[ranks.Rank, int]]:
+    """Returns the servers' priority of each rank, by service."""
+    priorities = {c.priority for c in configuration.customers.values()}
+    found: dict[str, set[ranks.Rank]] = {}
+    for route in configuration.routes:
+        customer_priorities = set(priorities)
+        if route.anonymous or not priorities:
+            customer_priorities.add(None)
+        route_ranks = {ranks.of(p, route.priority) for p in customer_priorities}
+        for target in route.targets:
+            found.setdefault(target.service, set()).update(route_ranks)
+    return {
+        service: {
+            rank: index * _MAX_SERVER_PRIORITY // (len(of_service) - 1)
+            for index, rank in enumerate(sorted(of_service))
+        }
+        for service, of_service in found.items()
+        if len(of_service) > 1
+    }
--- a/src/clementinegw/direct/entry.py
+++ b/src/clementinegw/direct/entry.py
@@ -262,6 +262,7 @@
         self._fleet.prune()
         self._fleet.update_position()
         self._counters.gauge("direct.servers.limited", self._fleet.limited)
+        self._counters.gauge("direct.slots_kept", self._forwarder.kept)
 
     def _record_lag(self, lag_s: float) -> None:
         """Records by how much the event loop was late, in seconds."""
--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -352,7 +352,7 @@
             max(0.001, job.deadline - now - _ANSWER_TRANSIT_S),
             job.customer_name,
             self._versions.expected(model, held, self._versions.now),
-            None,
+            self._placer.server_priority(job),
             job.last_event_id,
         )
         outcome = await self._attempt_runner.run(
@@ -373,6 +373,11 @@
             self._record_failure(job, backend, outcome)
         return outcome
 
+    @property
+    def kept(self) -> float:
+        """Largest part of a server's slots that is kept from a request."""
+        return self._placer.kept
+
     def dispatch(self) -> None:
         """Sends waiting requests on after several servers reported load."""
         self._placer.dispatch()
--- a/src/clementinegw/direct/late_limit.py
+++ b/src/clementinegw/direct/late_limit.py
@@ -7,8 +7,14 @@
 
 How many slots new requests will need is unknown, so the limit adapts: it
 shrinks whenever a request finds no capacity in time, and grows while all do.
+
+Each rank has its own limit, which follows the requests of this rank and of more
+urgent ones: a miss of a less urgent request must not keep a more urgent one
+from a slot.
 """
 
+from clementinegw.scheduling import rank as ranks
+
 # Factor of the limit for each new request that found no capacity in time, and
 # increment for each one that found capacity immediately. Five misses halve the
 # limit, and ten immediate placements make up for one miss.
@@ -47,3 +53,46 @@
     def record_miss(self) -> None:
         """Records that a request found no capacity in time."""
         self._limit = max(self._low, self._limit * _DECREASE_FACTOR)
+
+
+class LateLimits:
+    """The limits for late requests of each rank of a service."""
+
+    def __init__(self, low: float, high: float):
+        """Starts all limits at `high`.
+
+        Args:
+          low: Smallest limit.
+          high: Largest limit.
+        """
+        self._low = low
+        self._high = high
+        self._limits: dict[ranks.Rank, LateLimit] = {}
+
+    def limit(self, rank: ranks.Rank) -> float:
+        """Returns the utilization below which servers accept late requests.
+
+        Args:
+          rank: The rank of the late requests.
+        """
+        return self._of(rank).limit
+
+    def record_placed(self, rank: ranks.Rank, waited_s: float) -> None:
+        """Records that a request that can be on time was placed."""
+        self._of(rank)
+        for other, limit in self._limits.items():
+            if rank <= other:
+                limit.record_placed(waited_s)
+
+    def record_miss(self, rank: ranks.Rank) -> None:
+        """Records that a request found no capacity in time."""
+        self._of(rank)
+        for other, limit in self._limits.items():
+            if rank <= other:
+                limit.record_miss()
+
+    def _of(self, rank: ranks.Rank) -> LateLimit:
+        limit = self._limits.get(rank)
+        if limit is None:
+            limit = self._limits[rank] = LateLimit(self._low, self._high)
+        return limit
--- a/src/clementinegw/direct/placement.py
+++ b/src/clementinegw/direct/placement.py
@@ -108,6 +108,11 @@
         self._clock = clock
         self._queues: dict[str, queue.Queue] = {}
 
+    @property
+    def kept(self) -> float:
+        """Largest part of a server's slots that is kept from a request."""
+        return max((q.kept for q in self._queues.values()), default=0.0)
+
     async def reserve(
         self, job: attempts.Job
     ) -> queue.Reservation | outcomes.Refusal:
@@ -154,7 +159,7 @@
         )
         now = self._clock()
         job.waited_s += now - queued_at
-        if reservation is None:
+        if not isinstance(reservation, queue.Reservation):
             if job.responder.begun and not self._balancer.candidates(
                 self._requirements(job)
             ):
@@ -170,7 +175,7 @@
                 )
             if self._balancer.is_limited(self._requirements(job)):
                 return self.refuse(job, Reason.LIMITED)
-            return self.refuse(job, Reason.BUSY)
+            return self.refuse(job, reservation or Reason.BUSY)
         self._assign(job, reservation)
         return reservation
 
@@ -239,6 +244,13 @@
             return ""
         return job.metadata.model or engine.models[0]
 
+    def server_priority(self, job: attempts.Job) -> int | None:
+        """Returns the priority of a request at its server, if it has one."""
+        catalog = self._config_view.catalog
+        if catalog is None:
+            return None
+        return catalog.server_priority(job.service, job.rank)
+
     def refuse(self, job: attempts.Job, reason: Reason) -> outcomes.Refusal:
         """Returns the refusal of a request that gets no server."""
         return self._refusal(
--- a/src/clementinegw/direct/queue.py
+++ b/src/clementinegw/direct/queue.py
@@ -9,24 +9,38 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
+import math
 
 from clementinegw.direct import backend as backend_lib
 from clementinegw.direct import balance
 from clementinegw.direct import late_limit
+from clementinegw.direct import outcomes
 from clementinegw.direct import types
+from clementinegw.scheduling import headroom
 from clementinegw.scheduling import order
 from clementinegw.scheduling import rank as ranks
 
 # Period of dispatching in addition to the dispatches triggered by finished
 # requests and load reports, in seconds.
 _DISPATCH_INTERVAL_S = 0.02
+# How often it is found out what is kept from each rank, in seconds.
+_KEPT_INTERVAL_S = 0.1
 
 _DEFAULT_RANK = ranks.Rank()
 _NO_STARTS: frozenset[types.ServerStart] = frozenset()
 
 # Requirements that no server could meet during this dispatch, with whether the
-# request was late and which servers were excluded.
-_Unmet = set[tuple[balance.Requirements, bool, frozenset[types.ServerStart]]]
+# request was late, its rank, whether it was patient and which servers were
+# excluded.
+_Unmet = set[
+    tuple[
+        balance.Requirements,
+        bool,
+        ranks.Rank,
+        bool,
+        frozenset[types.ServerStart],
+    ]
+]
 # Number of requests with the same requirements that go first; see
 # `Queue._will_expire`.
 _Ahead = dict[balance.Requirements, int | None]
@@ -73,7 +87,7 @@
     tried: frozenset[types.ServerStart]
     latest_start: float
     give_up_at: float
-    reservation: asyncio.Future["Reservation | None"]
+    reservation: asyncio.Future["Reservation | outcomes.RefusalReason | None"]
     queued_at: float
     counted: bool = False
     begun: bool = False
@@ -84,6 +98,12 @@
         """Returns whether it can no longer be on time."""
         return not self.begun and self.latest_start < now
 
+    @property
+    def patient(self) -> bool:
+        """Whether it can wait until a freed slot shows, or is late anyway."""
+        wait_s = self.latest_start - self.queued_at
+        return not 0.0 <= wait_s < headroom.REACTION_S
+
 
 @dataclasses.dataclass(slots=True)
 class _Dispatch:
@@ -152,12 +172,26 @@
         self._balancer = balancer
         self._policy = policy
         self._clock = clock
-        self._late_limit = late_limit.LateLimit(
+        self._late_limits = late_limit.LateLimits(
             policy.late_limit_low, policy.late_limit_high
         )
+        self._headroom = headroom.Headroom()
+        self._kept: dict[tuple[ranks.Rank, bool], float] = {}
+        self._kept_until = -math.inf
+        self._starving: frozenset[ranks.Rank] = frozenset()
         self._waiters: list[Waiter] = []
         self._timer: asyncio.TimerHandle | None = None
 
+    @property
+    def kept(self) -> float:
+        """Largest part of a server's slots that is kept from a request.
+
+        Only requests that wait count.
+        """
+        now = self._clock()
+        kept = (self._kept_from(waiter, now) for waiter in self._waiters)
+        return max(kept, default=0.0)
+
     async def reserve(
         self,
         requirements: Callable[[], balance.Requirements],
@@ -167,9 +201,12 @@
         begun: bool = False,
         rank: ranks.Rank = _DEFAULT_RANK,
         customer: str = "",
-    ) -> Reservation | None:
+    ) -> Reservation | outcomes.RefusalReason | None:
         """Returns a reservation; None if no server has capacity in time.
 
+        If servers had capacity for more urgent requests only, OUTRANKED is
+        returned.
+
         Args:
           requirements: Returns the current requirements; a newer version of the
             weights may become mandatory while the request waits.
@@ -197,6 +234,8 @@
             rank=rank,
             customer=customer,
         )
+        if not counted:
+            self._headroom.record_arrival(rank, now)
         self._waiters.append(waiter)
         try:
             self.dispatch()
@@ -204,7 +243,7 @@
         except asyncio.CancelledError:
             if future.done() and not future.cancelled():
                 reservation = None if future.exception() else future.result()
-                if reservation is not None:
+                if isinstance(reservation, Reservation):
                     reservation.release()
             raise
         finally:
@@ -214,7 +253,13 @@
     def reserve_server(self, backend: backend_lib.Backend) -> Reservation:
         """Returns a reservation of a server that was found to have capacity."""
         self._balancer.record_sent(backend)
-        return Reservation(backend, self.dispatch)
+        reserved_at = self._clock()
+
+        def on_release() -> None:
+            self._headroom.record_held(self._clock() - reserved_at)
+            self.dispatch()
+
+        return Reservation(backend, on_release)
 
     def dispatch(self) -> None:
         """Reserves servers for all queued requests that can have one now.
@@ -246,7 +291,7 @@
         dispatch = _Dispatch(
             now,
             self._balancer.has_restricted(self._service),
-            self._balancer.has_capacity(self._service),
+            self._has_capacity(now),
         )
         # The order only matters if some request can be placed, or if the
         # number of requests that can be placed is limited.
@@ -254,6 +299,13 @@
             return self._in_order(now), dispatch
         return [*self._waiters], dispatch
 
+    def _has_capacity(self, now: float) -> bool:
+        """Returns whether this entry may use a slot for any request."""
+        kept = (self._kept_from(waiter, now) for waiter in self._waiters)
+        return self._balancer.has_capacity(
+            self._service, min(kept, default=0.0)
+        )
+
     def _place(self, waiter: Waiter, dispatch: _Dispatch) -> None:
         """Reserves a server for a request, or ends its wait when it is over."""
         if waiter.reservation.done():
@@ -261,10 +313,10 @@
             return
         now = dispatch.now
         if dispatch.has_capacity is None:
-            dispatch.has_capacity = self._balancer.has_capacity(self._service)
+            dispatch.has_capacity = self._has_capacity(now)
         late = waiter.is_late(now)
         backend = (
-            self._choose(waiter, late, dispatch.unmet)
+            self._choose(waiter, late, dispatch)
             if dispatch.has_capacity
             else None
         )
@@ -273,6 +325,10 @@
             reservation = self.reserve_server(backend)
             self._waiters.remove(waiter)
             waiter.reservation.set_result(reservation)
+            if not waiter.begun:
+                self._headroom.record_placed(waiter.rank, now)
+                if waiter.rank in self._starving:
+                    self._kept_until = now
             # The chosen server may now be full, which can change the preferred
             # servers for the other requests.
             dispatch.unmet.clear()
@@ -283,7 +339,11 @@
             and self._will_expire(waiter, dispatch.ahead)
         ):
             self._waiters.remove(waiter)
-            waiter.reservation.set_result(None)
+            waiter.reservation.set_result(
+                outcomes.RefusalReason.OUTRANKED
+                if self._kept_from(waiter, now)
+                else None
+            )
 
     def _fail(self, waiter: Waiter, error: Exception) -> None:
         """Ends the wait of a request with an error, which its task raises."""
@@ -303,9 +363,9 @@
             # If no server may start the request, late requests did not take
             # its capacity.
             if self._balancer.candidates(waiter.requirements()):
-                self._late_limit.record_miss()
+                self._late_limits.record_miss(waiter.rank)
         elif placed:
-            self._late_limit.record_placed(now - waiter.queued_at)
+            self._late_limits.record_placed(waiter.rank, now - waiter.queued_at)
 
     def _will_expire(self, waiter: Waiter, ahead: _Ahead) -> bool:
         """Returns whether a request will expire before it gets a server.
@@ -336,7 +396,9 @@
     def _in_order(self, now: float) -> list[Waiter]:
         return sorted(
             self._waiters,
-            key=lambda w: order.sort_key(w, now, self._is_over_share),
+            key=lambda w: order.sort_key(
+                w, now, self._is_over_share, self._starving
+            ),
         )
 
     def _is_over_share(self, customer: str) -> bool:
@@ -345,7 +407,7 @@
         return False
 
     def _choose(
-        self, waiter: Waiter, late: bool, unmet: _Unmet
+        self, waiter: Waiter, late: bool, dispatch: _Dispatch
     ) -> backend_lib.Backend | None:
         """Returns a server with capacity and records unmet requirements.
 
@@ -354,18 +416,39 @@
         of the entry's time.
         """
         base = waiter.requirements()
+        kept = self._kept_from(waiter, dispatch.now)
+        max_utilization = self._policy.max_utilization - kept
+        if late:
+            max_utilization = min(
+                max_utilization, self._late_limits.limit(waiter.rank)
+            )
+        requirements = dataclasses.replace(
+            base, max_utilization=max_utilization, kept=kept
+        )
         for tried in (waiter.tried, _NO_STARTS):
-            key = (base, late, tried)
-            if key in unmet:
+            key = (base, late, waiter.rank, waiter.patient, tried)
+            if key in dispatch.unmet:
                 continue
-            max_utilization = (
-                self._late_limit.limit if late else self._policy.max_utilization
-            )
-            requirements = dataclasses.replace(
-                base, max_utilization=max_utilization
-            )
             backend = self._balancer.choose(requirements, tried)
             if backend is not None:
                 return backend
-            unmet.add(key)
+            dispatch.unmet.add(key)
         return None
+
+    def _kept_from(self, waiter: Waiter, now: float) -> float:
+        """Returns the part of a server's slots that is kept from a request."""
+        if waiter.begun or not self._headroom.ranked:
+            return 0.0
+        if now >= self._kept_until:
+            self._kept.clear()
+            self._starving = self._headroom.starving(now)
+            self._kept_until = now + _KEPT_INTERVAL_S
+        if waiter.rank in self._starving:
+            return 0.0
+        key = (waiter.rank, waiter.patient)
+        kept = self._kept.get(key)
+        if kept is None:
+            kept = self._kept[key] = self._headroom.kept(
+                *key, self._balancer.size(self._service), now
+            )
+        return kept
--- a/src/clementinegw/scheduling/order.py
+++ b/src/clementinegw/scheduling/order.py
@@ -2,10 +2,11 @@
 
 It answers a load that exceeds the free slots for some seconds: first what can
 no longer be refused, then what can still be on time, and among those the more
-urgent rank.
+urgent rank. A late request goes behind all that can be on time, whatever its
+rank: served first, it would stay late and make another one late.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Protocol
 
 from clementinegw.scheduling import rank as ranks
@@ -31,8 +32,11 @@
 
 
 def sort_key(
-    request: Queued, now: float, is_over_share: Callable[[str], bool]
-) -> tuple[bool, bool, ranks.Rank, bool, float]:
+    request: Queued,
+    now: float,
+    is_over_share: Callable[[str], bool],
+    starving: Collection[ranks.Rank] = (),
+) -> tuple[bool, bool, bool, ranks.Rank, bool, float]:
     """Returns the key by which queued requests are sorted.
 
     Args:
@@ -40,10 +44,12 @@
       now: Monotonic seconds.
       is_over_share: Returns whether a customer uses more than its share, so
         that others of the same rank go first.
+      starving: Ranks that go before others because they are served too little.
     """
     return (
         not request.begun,
         request.is_late(now),
+        request.rank not in starving,
         request.rank,
         is_over_share(request.customer),
         request.latest_start,
--- a/src/clementinegw/testing/engine_model.py
+++ b/src/clementinegw/testing/engine_model.py
@@ -13,6 +13,8 @@
 
 # The time that each decoding request adds to a token step, in seconds.
 _STEP_TIME_PER_REQUEST_S = 0.04e-3
+# The priority of a request that names none.
+DEFAULT_PRIORITY = 5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,12 +51,14 @@
       remaining_events: The stream events that are not yet sent.
       on_event: Called at each event.
       on_end: Called after the last event.
+      priority: Waiting requests with smaller values are admitted first.
     """
 
     remaining_prompt_tokens: int
     remaining_events: int
     on_event: Callable[[], None]
     on_end: Callable[[], None]
+    priority: int = DEFAULT_PRIORITY
 
 
 class Engine:
@@ -111,7 +115,9 @@
         at the start of a pass; later ones wait for the next pass.
         """
         while self._waiting and self.running < self._parameters.slots:
-            self._running.append(self._waiting.pop(0))
+            request = min(self._waiting, key=lambda r: r.priority)
+            self._waiting.remove(request)
+            self._running.append(request)
         decoding = [r for r in self._running if not r.remaining_prompt_tokens]
         steps = self._parameters.steps_per_pass if decoding else 1
         for _ in range(steps):
--- a/tests/overload_site.py
+++ b/tests/overload_site.py
@@ -242,13 +242,26 @@
             held=(types.HeldWeights("m", 1, 1),),
         )
 
-    async def play(self, seconds, load_factor: Callable[[float], float]):
-        """Generates callers; `load_factor` scales the usual rate over time."""
-        total = sum(kind.per_s for kind in self.kinds)
+    async def play(
+        self,
+        seconds,
+        load_factor: Callable[[float], float],
+        kind_factor: Callable[[Kind, float], float] = lambda kind, now: 1.0,
+    ):
+        """Generates callers.
+
+        Args:
+          seconds: How long, from the start.
+          load_factor: Scales the usual rate over time.
+          kind_factor: Scales the usual rate of a kind over time.
+        """
         while self.now < seconds:
-            rate = total * load_factor(self.now)
+            weights = [
+                kind.per_s * kind_factor(kind, self.now) for kind in self.kinds
+            ]
+            rate = sum(weights) * load_factor(self.now)
             await asyncio.sleep(self._arrivals.expovariate(rate))
-            self._spawn(self._call(self._caller()))
+            self._spawn(self._call(self._caller(weights)))
 
     def stop(self):
         for task in self._tasks:
@@ -282,8 +295,7 @@
         )
         return reading_s + caller.events * event_s / figures.slots
 
-    def _caller(self):
-        weights = [kind.per_s for kind in self.kinds]
+    def _caller(self, weights):
         kind = self._arrivals.choices(self.kinds, weights)[0]
         prompt = _draw_lognormal(
             self._arrivals, kind.prompt, 1.0, 3 * kind.prompt
@@ -385,8 +397,13 @@
             last[0] = self.now
             event_received.set()
 
+        priority = entry.placer.server_priority(job)
         work = engine_model.Request(
-            caller.prompt, caller.events, on_event, ended.set
+            caller.prompt,
+            caller.events,
+            on_event,
+            ended.set,
+            engine_model.DEFAULT_PRIORITY if priority is None else priority,
         )
         await asyncio.sleep(LATENCY_S)
         engine.submit(work)
