--- a/tests/test_scheduling_rank.py
+++ b/tests/test_scheduling_rank.py
@@ -6,6 +6,7 @@
 import random
 
 import overload_site
+import platform_site as sites
 import pytest
 
 from clementinegw import types as shared_types
@@ -479,3 +480,21 @@
     ]
     assert told == sorted(told)
     assert set(told) == set(range(10))
+
+
+def test_a_server_gets_the_priority_of_a_request_where_ranks_differ():
+    header = "x-clementinegw-request-priority"
+
+    async def scenario():
+        async with sites.Site("i-1") as site:
+            await site.ask()
+            alike = site.servers[0].calls[-1].headers.get(header)
+            change = sites.config(2)
+            for number, changed in enumerate(change["routes"]):
+                changed["priority"] = 3 + number
+            site.store.put("keyed.op", "config", change)
+            await asyncio.sleep(0.5)
+            await site.ask()
+            return alike, site.servers[0].calls[-1].headers.get(header)
+
+    assert sites.run(scenario()) == (None, "0")
