Merge ranks and room for urgent requests

In the queue, a request's limits on utilization (what is kept for more urgent ones, the limit for late ones, its customer's share) are put together in one place, and the requirements with them are what a dispatch remembers as unmet.

--- a/src/clementinegw/direct/balance.py
+++ b/src/clementinegw/direct/balance.py
@@ -9,6 +9,7 @@
 from clementinegw.direct import cooldown
 from clementinegw.direct import fleet
 from clementinegw.direct import types
+from clementinegw.scheduling import headroom
 from clementinegw.scheduling import places
 from clementinegw.scheduling import server_memory
 
@@ -47,6 +48,7 @@
         are in cooldown, too.
       regions: Regions that its server may be in; None for any.
       memory: The memory that it needs; None if servers tell no memory.
+      kept: Part of a server's slots that is kept for more urgent requests.
     """
 
     service: str
@@ -57,6 +59,7 @@
     allow_cooldown: bool = True
     regions: places.Regions = None
     memory: server_memory.Need | None = None
+    kept: float = 0.0
 
 
 class Balancer:
@@ -124,6 +127,14 @@
             return False
         return any(not b.retired for b in self._servers.of(service))
 
+    def size(self, service: str) -> headroom.Fleet:
+        """Returns the size of the fleet that serves a service."""
+        servers = [b for b in self._servers.of(service) if not b.retired]
+        slots = sum(b.server.slots for b in servers)
+        return headroom.Fleet(
+            max(1, self.entries), len(servers), slots / max(1, len(servers))
+        )
+
     def ready_in_s(self, service: str, regions: places.Regions = None) -> float:
         """Returns the estimated time until a server is ready, in seconds.
 
@@ -196,18 +207,26 @@
             available = [b for b in available if preferred(b)] or available
         # Checked after the preferences: a request waits for the next report
         # rather than go to a server that will soon interrupt it.
-        with_share = [b for b in available if b.has_share(now)]
+        kept = requirements.kept
+        with_share = [b for b in available if b.has_share(now, kept)]
         return min(with_share, key=lambda b: self._score(b, now), default=None)
 
-    def has_capacity(self, service: str) -> bool:
+    def has_capacity(self, service: str, kept: float = 0.0) -> bool:
         """Returns whether this entry may use a slot of any server.
 
         Call this before choosing servers for several requests. It is cheap, and
         under overload almost every dispatch ends here.
+
+        Args:
+          service: Name of the service.
+          kept: The smallest part of a server's slots that is kept from any of
+            the requests.
         """
         now = self._clock()
         return any(
-            b.has_share(now) and b.accepts(now) and not self.is_evacuated(b)
+            b.has_share(now, kept)
+            and b.accepts(now)
+            and not self.is_evacuated(b)
             for b in self._servers.of(service)
         )
 
--- a/src/clementinegw/direct/catalog.py
+++ b/src/clementinegw/direct/catalog.py
@@ -5,6 +5,10 @@
 
 from clementinegw.direct import types
 from clementinegw.scheduling import places
+from clementinegw.scheduling import rank as ranks
+
+# The least urgent priority that servers know; 0 is the most urgent one.
+_MAX_SERVER_PRIORITY = 9
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,6 +48,7 @@
             prefixes = self._hosts.setdefault(route.host, {})
             prefixes[route.prefix] = route
         self.restricting_regions = _find_restricting_regions(configuration)
+        self._server_priorities = _server_priorities(configuration)
 
     @property
     def version(self) -> int:
@@ -71,6 +76,19 @@
         """Returns the customer of an API key; None if the key is unknown."""
         return self.configuration.customers.get(key)
 
+    def server_priority(self, service: str, rank: ranks.Rank) -> int | None:
+        """Returns the priority of requests at the servers of a service.
+
+        Args:
+          service: Name of the service.
+          rank: The rank of the requests.
+
+        Returns:
+          0 to 9, where 0 is the highest; None if all requests of the service
+          have the same rank, or if the rank is not of this configuration.
+        """
+        return self._server_priorities.get(service, {}).get(rank)
+
     @property
     def keyed(self) -> bool:
         """Whether requests need an API key."""
@@ -83,3 +101,26 @@
     limits = {route.regions for route in configuration.routes}
     limits.update(c.regions for c in configuration.customers.values())
     return frozenset().union(*(limit for limit in limits if limit))
+
+
+def _server_priorities(
+    configuration: types.Configuration,
+) -> dict[str, dict[ranks.Rank, int]]:
+    """Returns the servers' priority of each rank, by service."""
+    priorities = {c.priority for c in configuration.customers.values()}
+    found: dict[str, set[ranks.Rank]] = {}
+    for route in configuration.routes:
+        customer_priorities = set(priorities)
+        if route.anonymous or not priorities:
+            customer_priorities.add(None)
+        route_ranks = {ranks.of(p, route.priority) for p in customer_priorities}
+        for target in route.targets:
+            found.setdefault(target.service, set()).update(route_ranks)
+    return {
+        service: {
+            rank: index * _MAX_SERVER_PRIORITY // (len(of_service) - 1)
+            for index, rank in enumerate(sorted(of_service))
+        }
+        for service, of_service in found.items()
+        if len(of_service) > 1
+    }
--- a/src/clementinegw/direct/entry.py
+++ b/src/clementinegw/direct/entry.py
@@ -293,6 +293,7 @@
         self._counters.gauge("direct.servers.limited", self._fleet.limited)
         self._counters.gauge("direct.servers.cold", self._fleet.cold)
         self._counters.gauge("direct.buffers", self._buffers.held_bytes)
+        self._counters.gauge("direct.slots_kept", self._forwarder.kept)
 
     def _record_lag(self, lag_s: float) -> None:
         """Records by how much the event loop was late, in seconds."""
--- a/src/clementinegw/direct/placement.py
+++ b/src/clementinegw/direct/placement.py
@@ -111,6 +111,11 @@
         self._clock = clock
         self._queues: dict[str, queue.Queue] = {}
 
+    @property
+    def kept(self) -> float:
+        """Largest part of a server's slots that is kept from a request."""
+        return max((q.kept for q in self._queues.values()), default=0.0)
+
     async def reserve(
         self, job: attempts.Job
     ) -> queue.Reservation | outcomes.Refusal:
@@ -163,7 +168,7 @@
         )
         now = self._clock()
         job.waited_s += now - queued_at
-        if reservation is None:
+        if not isinstance(reservation, queue.Reservation):
             if job.responder.begun and not self._balancer.candidates(
                 self._requirements(job)
             ):
@@ -186,6 +191,8 @@
                 return self.refuse(job, Reason.COLD)
             if self._balancer.is_limited(self._requirements(job)):
                 return self.refuse(job, Reason.LIMITED)
+            if isinstance(reservation, Reason):
+                return self.refuse(job, reservation)
             if self._queue(job.service).is_over_share(job.customer_name):
                 return self.refuse(job, Reason.OVER_SHARE)
             return self.refuse(job, Reason.BUSY)
@@ -283,6 +290,13 @@
             return Reason.NO_ALLOWED_SERVER
         return Reason.EVACUATED
 
+    def server_priority(self, job: attempts.Job) -> int | None:
+        """Returns the priority of a request at its server, if it has one."""
+        catalog = self._config_view.catalog
+        if catalog is None:
+            return None
+        return catalog.server_priority(job.service, job.rank)
+
     def refuse(self, job: attempts.Job, reason: Reason) -> outcomes.Refusal:
         """Returns the refusal of a request that gets no server."""
         return self._refusal(
