Read how slow a server's machine is at present, and send it less

Cause: the load header was read only if it had exactly three figures. Servers that send a fourth one, how long work takes on their machine now, counted as servers without load.

Change: three or more figures are read; a malformed fourth one leaves the first three, keeps the former pace and is reported as malformed field "pace", a malformed one of the first three as "load". Without a fourth figure the score is what it was.

--- a/src/clementinegw/direct/backend.py
+++ b/src/clementinegw/direct/backend.py
@@ -8,6 +8,7 @@
 from clementinegw.direct import reports
 from clementinegw.direct import signals as signals_lib
 from clementinegw.direct import types
+from clementinegw.scheduling import machine_pace
 
 # Weight of the newest answer in the failure rate, and bounds on the cooldown
 # after a failed connection, in seconds. The cooldown doubles with each failure.
@@ -53,7 +54,7 @@
       full_until: It reported to be full and is skipped until then, in monotonic
         seconds.
       version: Version of its weights; 0 if unknown or incomplete.
-      pace: How many times slower than usual it works.
+      pace: How many times slower than usual its engine works.
       loading: Whether it accepts no requests because it loads weights.
       yielding: Whether it is about to load weights.
       entries: Number of entries as reported by its agent; 0 if unknown.
@@ -99,6 +100,7 @@
         self.evacuated = False
         self.cold_until = -math.inf
         self._cooldown_s = _MIN_COOLDOWN_S
+        self._machine_pace = machine_pace.MachinePace()
         self._other_requests = 0.0
         self._load_at = -math.inf
         self._last_report_at = -math.inf
@@ -155,6 +157,12 @@
         total = load.running + load.waiting
         self._other_requests = max(0.0, total - self.in_flight)
         self._load_at = now
+        if load.pace is not None:
+            self._machine_pace.record(load.pace, now)
+
+    def estimated_pace(self, now: float) -> float:
+        """Returns how many times slower than usual it works now, estimated."""
+        return self.pace * self._machine_pace.estimate(now)
 
     def apply_report(
         self,
--- a/src/clementinegw/direct/balance.py
+++ b/src/clementinegw/direct/balance.py
@@ -255,7 +255,8 @@
     def _score(self, backend: backend_lib.Backend, now: float) -> float:
         requests = backend.estimated_requests(now) + 1.0
         requests += backend.unread_tokens / _TOKENS_PER_REQUEST
-        load = requests / max(1, backend.server.slots) * backend.pace
+        load = requests / max(1, backend.server.slots)
+        load *= backend.estimated_pace(now)
         load *= 1.0 + _FAILURE_WEIGHT * backend.failure_rate
         load += self._distance_cost(backend.server.failure_domain)
         return load + self._rng.random() * _JITTER
--- a/src/clementinegw/direct/types.py
+++ b/src/clementinegw/direct/types.py
@@ -435,8 +435,9 @@
         request from this entry, in seconds; 0 if it does not say.
       cold_s: How much longer the server is cold, in seconds; None if it does
         not say.
-      malformed: The names of those of these fields whose header cannot be
-        parsed; the value that the server reported before stays in force.
+      malformed: The names of those of these fields, and of the load's pace,
+        whose header cannot be parsed; the value that the server reported before
+        stays in force.
     """
 
     attempt_id: str
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -119,6 +119,36 @@
     assert headers.Headers().answer_metadata(head).load == load
 
 
+@pytest.mark.parametrize(
+    ("text", "load", "malformed"),
+    [
+        ("3,0,8,250", types.Load(3, 0, 8, 2.5), set()),
+        ("3, 0, 8, 87", types.Load(3, 0, 8, 0.87), set()),
+        ("3,0,8,112.5", types.Load(3, 0, 8, 1.125), set()),
+        ("3,0,8", types.Load(3, 0, 8), set()),
+        ("3,0,8,100,7", types.Load(3, 0, 8, 1.0), set()),
+        *(
+            (f"3,0,8,{figure}", types.Load(3, 0, 8), {"pace"})
+            for figure in ("", "x", "0", "-100", "nan", "inf", "1e2", "9" * 30)
+        ),
+        ("3,0,8,10001", types.Load(3, 0, 8), {"pace"}),
+        ("3,x,8,100", None, {"load"}),
+        ("3,0", None, {"load"}),
+        ("", None, {"load"}),
+        (None, None, set()),
+    ],
+)
+def test_a_malformed_pace_leaves_the_other_figures(text, load, malformed):
+    """Guards against servers whose load is unknown due to a fourth figure."""
+    fields = (
+        ()
+        if text is None
+        else ((b"x-clementinegw-server-load", text.encode()),)
+    )
+    metadata = headers.Headers().answer_metadata(client.Head(200, fields))
+    assert (metadata.load, metadata.malformed) == (load, malformed)
+
+
 def test_headers_of_one_connection_are_not_passed_on():
     raw = [
         (b"Connection", b"close, X-Private"),
