Divide free slots among entries by the demand that they tell

Cause: an agent's free slots were divided by the number of followers, whatever each of them needs, while callers are spread unevenly over entries.

Change: an entry tells with its renewals (once a second) the requests per second that it wants to send to a server; the agent adds them up and reports the sum; the entry's part is 0.8 by demand and 0.2 equal, the formula of `requests/shares.py`, which now uses it from `scheduling/slot_shares.py`. The part is equal as before where a follower tells none, where no sum is known, without any demand and with one follower. A changed demand is no changed subscription.

--- a/src/clementinegw/direct/agent.py
+++ b/src/clementinegw/direct/agent.py
@@ -373,6 +373,7 @@
                 yielding=self._updater.yielding,
                 entries=self._reporter.entries,
                 followers=self._reporter.followers,
+                demand=self._reporter.demand,
                 ready_in_s=self._updater.ready_in_s(
                     best is not None and self._updater.is_complete(best)
                 ),
--- a/src/clementinegw/direct/backend.py
+++ b/src/clementinegw/direct/backend.py
@@ -9,6 +9,7 @@
 from clementinegw.direct import signals as signals_lib
 from clementinegw.direct import types
 from clementinegw.scheduling import machine_pace
+from clementinegw.scheduling import slot_shares
 
 # Weight of the newest answer in the failure rate, and bounds on the cooldown
 # after a failed connection, in seconds. The cooldown doubles with each failure.
@@ -65,6 +66,8 @@
       evacuated: Whether its agent reported that the operators want no requests
         in its failure domain.
       cold_until: When it stops being cold, in monotonic seconds.
+      demand: The requests per second that this entry told its agent to want to
+        send to it; None if it told none.
     """
 
     def __init__(
@@ -99,6 +102,7 @@
         self.replaced = False
         self.evacuated = False
         self.cold_until = -math.inf
+        self.demand: float | None = None
         self._cooldown_s = _MIN_COOLDOWN_S
         self._machine_pace = machine_pace.MachinePace()
         self._other_requests = 0.0
@@ -242,8 +246,9 @@
         All entries see the same free slots at the same time. If each used all
         of them, a server with one free slot would get a request from every
         entry, and all but one would be late. So free slots, bounded by what
-        the engine can read until the next report, are divided among entries:
-        under overload any further prompt would be read in vain, and late.
+        the engine can read until the next report, are divided among entries by
+        their demand: under overload any further prompt would be read in vain,
+        and late.
 
         Args:
           report: The report of the server's agent.
@@ -253,7 +258,10 @@
         # A server that has just loaded reports all of its slots free; the last
         # of 16 requests would wait until the prompts of all others are read.
         capacity = min(free, readable_prompts - report.waiting)
-        share = max(0.0, capacity / max(1, report.followers or report.entries))
+        entries = max(1, report.followers or report.entries)
+        share = max(0.0, capacity / entries) * slot_shares.relative_share(
+            self.demand, report.demand, entries
+        )
         whole_slots = int(share)
         extra_slot = self._rng.random() < share - whole_slots
         self._share = float(whole_slots + extra_slot)
--- a/src/clementinegw/direct/entry.py
+++ b/src/clementinegw/direct/entry.py
@@ -176,6 +176,7 @@
             clock,
             log,
             counters,
+            self._forwarder.arrivals,
         )
         self._steps = steps.Steps(log, counters)
         self._leaving = False
--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -21,6 +21,7 @@
 from clementinegw.direct import types
 from clementinegw.direct import version_policy
 from clementinegw.direct import version_timeouts
+from clementinegw.scheduling import slot_shares
 from clementinegw.telemetry import counters as counters_lib
 from clementinegw.telemetry import histograms as histograms_lib
 from clementinegw.telemetry import logs
@@ -390,6 +391,11 @@
         """Withdraws requests that became overdue during a suspension."""
         self._version_timeouts.check_clock()
 
+    @property
+    def arrivals(self) -> slot_shares.ArrivalRates:
+        """The requests that need a server, by service."""
+        return self._placer.arrivals
+
     def suspicions(self) -> tuple[suspects_lib.Suspicion, ...]:
         """Returns what this entry observed of requests that crash servers."""
         return self._suspects.local_suspicions(self._clock())
--- a/src/clementinegw/direct/placement.py
+++ b/src/clementinegw/direct/placement.py
@@ -13,6 +13,7 @@
 from clementinegw.direct import queue
 from clementinegw.direct import types
 from clementinegw.direct import version_policy
+from clementinegw.scheduling import slot_shares
 
 Reason = outcomes.RefusalReason
 
@@ -78,7 +79,11 @@
 
 
 class Placer:
-    """Reserves servers for requests."""
+    """Reserves servers for requests.
+
+    Attributes:
+      arrivals: The requests for a reservation, by service.
+    """
 
     def __init__(
         self,
@@ -107,11 +112,13 @@
         self._rng = rng
         self._clock = clock
         self._queues: dict[str, queue.Queue] = {}
+        self.arrivals = slot_shares.ArrivalRates()
 
     async def reserve(
         self, job: attempts.Job
     ) -> queue.Reservation | outcomes.Refusal:
         """Returns a reservation of a server, or a refusal."""
+        self.arrivals.record(job.service)
         arrived_at = job.request.arrived_at
         timeout_s = job.deadline - arrived_at
         latest_start = self._latest_start(job)
--- a/src/clementinegw/direct/reports.py
+++ b/src/clementinegw/direct/reports.py
@@ -17,6 +17,7 @@
 from clementinegw.direct import suspects
 from clementinegw.direct import suspicion_codec
 from clementinegw.direct import types as servers
+from clementinegw.scheduling import slot_shares
 from clementinegw.wire import codec
 from clementinegw.wire.gen.reports import ttypes
 
@@ -153,6 +154,12 @@
     limit: rate_limit.Observation | None = None
     demand: float | None = None
 
+    def has_same_terms(self, other: "Subscription | None") -> bool:
+        """Returns whether another one differs in nothing but the demand."""
+        return other is not None and self == dataclasses.replace(
+            other, demand=self.demand
+        )
+
 
 @dataclasses.dataclass(slots=True)
 class _Subscriber:
@@ -181,7 +188,8 @@
     def renew(self, subscription: Subscription, now: float) -> None:
         """Replaces the subscription and extends its lifetime."""
         self.first_pending = (
-            self.first_pending or subscription != self.subscription
+            self.first_pending
+            or not subscription.has_same_terms(self.subscription)
         )
         self.subscription = subscription
         lifetime_s = (
@@ -231,7 +239,9 @@
         except exceptions.DecodeError:
             return
         subscription = Subscription(
-            bool(message.far), bool(message.changes_only)
+            bool(message.far),
+            bool(message.changes_only),
+            demand=slot_shares.valid_demand(message.demand),
         )
         now = asyncio.get_running_loop().time()
         self._ranks_valid_at = min(self._ranks_valid_at, now + _RANKS_DELAY_S)
@@ -243,7 +253,7 @@
             self._subscribers[addr] = subscriber
             self._ranks = None
         if subscriber is not None:
-            if subscriber.subscription != subscription:
+            if not subscriber.subscription.has_same_terms(subscription):
                 self._ranks = None
             subscriber.renew(subscription, now)
         limit = _limit_from_wire(message.limit, now)
@@ -294,6 +304,13 @@
             not s.subscription.changes_only for s in self._subscribers.values()
         )
 
+    @property
+    def demand(self) -> float | None:
+        """The demand of all followers; None if unknown or if there is one."""
+        subscriptions = [s.subscription for s in self._subscribers.values()]
+        demands = [s.demand for s in subscriptions if not s.changes_only]
+        return slot_shares.total_demand(demands) if len(demands) > 1 else None
+
     def send(
         self,
         report: Report,
@@ -569,7 +586,7 @@
         -1 if message.rank is None else message.rank,
         -1 if message.follower_rank is None else message.follower_rank,
         _limit_from_wire(message.limit, asyncio.get_running_loop().time()),
-        message.demand,
+        slot_shares.valid_demand(message.demand),
         max(0, message.cold_ms or 0) / 1e3,
         bool(message.evacuated),
     )
--- a/src/clementinegw/direct/subscriptions.py
+++ b/src/clementinegw/direct/subscriptions.py
@@ -19,6 +19,7 @@
 from clementinegw.direct import suspects
 from clementinegw.direct import types
 from clementinegw.direct import version_policy
+from clementinegw.scheduling import slot_shares
 from clementinegw.telemetry import counters as counters_lib
 from clementinegw.telemetry import logs
 
@@ -41,6 +42,7 @@
         clock: Callable[[], float],
         log: logs.Log,
         counters: counters_lib.Counters,
+        arrivals: slot_shares.ArrivalRates | None = None,
     ):
         """Subscribes to nothing until `subscribe_changed` or `renew`.
 
@@ -54,6 +56,8 @@
           clock: Returns monotonic seconds.
           log: Log for changes of the followed servers.
           counters: Holds the gauge of followed servers.
+          arrivals: The requests of each service at this entry; None if agents
+            are told no demand.
         """
         self._instance = instance
         self._config_view = config_view
@@ -69,10 +73,13 @@
         self._serving: dict[str, bool] = {}
         self._relayed_limits: dict[str, rate_limit.Observation] = {}
         self._rounds = 0
+        self._arrivals = arrivals
+        self._demands: dict[str, float] = {}
 
     def renew(self) -> None:
         """Renews subscriptions that are due; called about once per second."""
         self._update_followed()
+        self._update_demands()
         self._subscribed = self._subscriptions_by_agent()
         self._rounds += 1
         suspicions = self._suspicions()
@@ -100,7 +107,7 @@
         changed = {
             agent: subscription
             for agent, subscription in subscriptions.items()
-            if self._subscribed.get(agent) != subscription
+            if not subscription.has_same_terms(self._subscribed.get(agent))
         }
         self._subscribed = subscriptions
         if changed:
@@ -136,6 +143,21 @@
             self._followed = followed
             self._log_followed(followed)
 
+    def _update_demands(self) -> None:
+        """Computes the part of each service's demand for one of its servers.
+
+        Only called when all followed servers' subscriptions are renewed: an
+        entry's share must rest on the demand that the agents add up.
+        """
+        if self._arrivals is None:
+            return
+        self._arrivals.end_period(self._clock())
+        for service in self._fleet.services():
+            followed = sum(b.followed for b in self._fleet.of(service))
+            rate = self._arrivals.rate(service)
+            if rate is not None and followed:
+                self._demands[service] = rate / followed
+
     def _log_followed(self, followed: set[str]) -> None:
         self._counters.gauge("direct.servers.followed", len(followed))
         self._log.write(
@@ -176,6 +198,12 @@
     ) -> dict[shared_types.Address, reports.Subscription]:
         """Returns the address of each agent and what it is asked for."""
         port = self._instance.peer_ports[0]
+        for backend in self._fleet.all():
+            backend.demand = (
+                self._demands.get(backend.server.service)
+                if backend.followed
+                else None
+            )
         self._relayed_limits = limits = self._observed_limits()
         return {
             shared_types.Address(
@@ -184,6 +212,7 @@
                 self._is_far(backend.server),
                 not backend.followed,
                 limits.get(backend.server.server_id),
+                backend.demand,
             )
             for backend in self._fleet.all()
             if self._config_view.engine(backend.server.service) is not None
--- a/src/clementinegw/requests/shares.py
+++ b/src/clementinegw/requests/shares.py
@@ -19,11 +19,13 @@
 
 import xxhash
 
+from clementinegw.scheduling import slot_shares
+
 PERIOD_S = 1.0
-SHARE_FLOOR = 0.2
+SHARE_FLOOR = slot_shares.FLOOR
 _SMOOTHING_FACTOR = 0.5
 _STALE_PERIODS = 3.5
-_NEGLIGIBLE_RATE = 0.01
+_NEGLIGIBLE_RATE = slot_shares.NEGLIGIBLE_RATE
 
 Key = tuple[str, str]
 
@@ -110,8 +112,7 @@
             return 1.0
         if own is None or now - own.total_at > _STALE_PERIODS * PERIOD_S:
             return 1.0 / count
-        total = max(own.total, own.rate, _NEGLIGIBLE_RATE)
-        return (1 - SHARE_FLOOR) * own.rate / total + SHARE_FLOOR / count
+        return slot_shares.share(own.rate, own.total, count)
 
     def end_period(self, now: float) -> list[UsageMessage]:
         """Ends a period; returns the messages to the owners."""
--- a/tests/overload_site.py
+++ b/tests/overload_site.py
@@ -27,11 +27,13 @@
 from clementinegw.direct import topic_watch
 from clementinegw.direct import types
 from clementinegw.direct import version_policy
+from clementinegw.scheduling import slot_shares
 from clementinegw.telemetry import logs
 from clementinegw.testing import engine_model
 
 SERVICE = "engine"
 REPORT_S = 0.1
+RENEWAL_S = 1.0
 # Age of the load in a report, in reports.
 LAG_REPORTS = 2
 # An entry in another region gets one of this many reports.
@@ -171,6 +173,7 @@
         kinds=KINDS,
         customers=None,
         entry_weights=None,
+        tell_demand=True,
     ):
         """Starts the engines.
 
@@ -186,6 +189,7 @@
           customers: Weight of each customer's callers, by name; None for
             anonymous callers.
           entry_weights: Weight of each entry's callers; None for equal ones.
+          tell_demand: Whether entries tell agents their demand.
         """
         self._domains = domains
         self.figures = figures or engine_model.EngineParameters()
@@ -199,6 +203,7 @@
         self.rng = random.Random(seed)
         # A separate generator, so that callers do not depend on decisions.
         self._arrivals = random.Random(seed)
+        self._renewals = random.Random(seed)
         self.entries = [
             Entry(self, n, seed * 100 + n, engine_policy)
             for n in range(entries)
@@ -221,6 +226,9 @@
         self._began = self._clock()
         for n in self.engines:
             self._spawn(self._report(n))
+        if tell_demand:
+            for entry in self.entries:
+                self._spawn(self._renew(entry))
 
     @property
     def now(self):
@@ -442,6 +450,9 @@
                 not self.outage[0] <= self.now < self.outage[1],
                 entries=len(self.entries),
                 followers=len(followers),
+                demand=slot_shares.total_demand(
+                    entry.fleet.find(f"s{number}").demand for entry in followers
+                ),
                 limit=max(observed, key=lambda limit: limit.at, default=None)
                 if self.relay_limits
                 else None,
@@ -463,6 +474,18 @@
                     )
             await asyncio.sleep(REPORT_S)
 
+    async def _renew(self, entry):
+        """Tells agents the entry's demand, as its subscriptions do."""
+        await asyncio.sleep(self._renewals.random() * RENEWAL_S)
+        while True:
+            arrivals = entry.placer.arrivals
+            arrivals.end_period(self._clock())
+            followed = [b for b in entry.fleet.of(SERVICE) if b.followed]
+            for backend in followed:
+                rate = arrivals.rate(SERVICE)
+                backend.demand = None if rate is None else rate / len(followed)
+            await asyncio.sleep(RENEWAL_S)
+
     def _deliver_report(self, entry, number, report):
         reading_s = sum(k.prompt * k.per_s for k in self.kinds) / sum(
             k.per_s for k in self.kinds
