Count requests that reported loads lack when free slots are used

Each report offers slots again that an entry used since the load was observed; the sum of what entries used exceeded the free slots.

Change: `Engine.report_lag_s` is read; an entry subtracts its own requests of that time from its part. With an engine that states no age nothing changes (test).

--- a/src/clementinegw/direct/backend.py
+++ b/src/clementinegw/direct/backend.py
@@ -97,6 +97,7 @@
         self.followed = True
         self.ready_at = math.inf
         self._share = 1.0
+        self._unreported = slot_shares.UnreportedRequests()
         self._rng = rng
         self.weights_incomplete = False
         self.replaced = False
@@ -173,6 +174,7 @@
         report: reports.Report,
         now: float,
         reading_s: float = 0.0,
+        lag_s: float = 0.0,
     ) -> None:
         """Applies a report from the server's agent.
 
@@ -181,6 +183,7 @@
           now: Monotonic seconds.
           reading_s: Time the engine takes to read a typical prompt, in seconds;
             0 if unknown.
+          lag_s: How old the load in the report is, in seconds; 0 if unknown.
         """
         interval_s = min(now - self._last_report_at, _MAX_INTERVAL_S)
         self._last_report_at = now
@@ -198,6 +201,7 @@
         if report.ready_in_s >= 0.0:
             self.ready_at = now + report.ready_in_s
         readable_prompts = interval_s / reading_s if reading_s else math.inf
+        self._unreported.set_lag(lag_s)
         self._update_share(report, readable_prompts)
         if report.limit is not None:
             self.signals.apply_relayed(report.limit)
@@ -238,6 +242,10 @@
         self.in_flight -= 1
         self._share += 1.0
 
+    def record_sent(self, now: float) -> None:
+        """Records when a request is sent to the server."""
+        self._unreported.record(now)
+
     def _update_share(
         self, report: reports.Report, readable_prompts: float
     ) -> None:
@@ -248,7 +256,8 @@
         entry, and all but one would be late. So free slots, bounded by what
         the engine can read until the next report, are divided among entries by
         their demand: under overload any further prompt would be read in vain,
-        and late.
+        and late. Slots that this entry used since the load was observed are
+        reported free, too.
 
         Args:
           report: The report of the server's agent.
@@ -262,6 +271,7 @@
         share = max(0.0, capacity / entries) * slot_shares.relative_share(
             self.demand, report.demand, entries
         )
+        share = max(0.0, share - self._unreported.count(self._last_report_at))
         whole_slots = int(share)
         extra_slot = self._rng.random() < share - whole_slots
         self._share = float(whole_slots + extra_slot)
--- a/src/clementinegw/direct/balance.py
+++ b/src/clementinegw/direct/balance.py
@@ -156,7 +156,9 @@
 
     def record_sent(self, backend: backend_lib.Backend) -> None:
         """Records that a request is sent to a server."""
-        self._cooldowns.record_sent(backend, self._clock())
+        now = self._clock()
+        self._cooldowns.record_sent(backend, now)
+        backend.record_sent(now)
 
     def cooldown_ends_in_s(self, requirements: Requirements) -> float:
         """Returns the time until the first cooldown ends, in seconds.
--- a/src/clementinegw/direct/entry.py
+++ b/src/clementinegw/direct/entry.py
@@ -289,10 +289,13 @@
         backend = self._fleet.match_report(report, host)
         if backend is None:
             return
+        service = backend.server.service
+        engine = self._config_view.engine(service)
         backend.apply_report(
             report,
             self._clock(),
-            self._typical_prefill_s(backend.server.service),
+            self._typical_prefill_s(service),
+            engine.report_lag_s if engine else 0.0,
         )
         self._forwarder.dispatch_for(backend)
 
--- a/src/clementinegw/direct/types.py
+++ b/src/clementinegw/direct/types.py
@@ -102,6 +102,8 @@
       typical_prompt_tokens: The tokens of a typical prompt.
       typical_answer_tokens: The tokens of a typical answer.
       load_s: The time to load all layers, in seconds.
+      report_lag_s: How old the load is that an engine reports, in seconds; 0 if
+        it is not known.
     """
 
     models: tuple[str, ...]
@@ -116,6 +118,7 @@
     typical_prompt_tokens: float = 0.0
     typical_answer_tokens: float = 0.0
     load_s: float = 0.0
+    report_lag_s: float = 0.0
 
     @property
     def pass_s(self) -> float:
--- a/src/clementinegw/scheduling/slot_shares.py
+++ b/src/clementinegw/scheduling/slot_shares.py
@@ -12,6 +12,7 @@
 at most 2 - floor.
 """
 
+import collections
 from collections.abc import Iterable
 
 FLOOR = 0.2
@@ -26,6 +27,8 @@
 _MIN_PERIOD_S = 0.1
 # Decimal places that are kept, so that equal demands yield equal shares.
 _PLACES = 9
+# Reports with older loads, in seconds, count as this old.
+_MAX_LAG_S = 1.0
 
 
 def share(own: float, total: float, entries: int) -> float:
@@ -116,3 +119,35 @@
                 rates[service] = rate
         self._rates = rates
         self._counts.clear()
+
+
+class UnreportedRequests:
+    """An entry's requests that a server's reports do not include yet.
+
+    A reported load is some tenths of a second old. Without their number, an
+    entry would use the same free slots on each report until its requests show.
+    """
+
+    def __init__(self) -> None:
+        """Starts with reports that are never old, so that nothing counts."""
+        self._lag_s = 0.0
+        self._sent_at: collections.deque[float] = collections.deque()
+
+    def set_lag(self, lag_s: float) -> None:
+        """Sets the age of the load in reports, in seconds."""
+        self._lag_s = min(lag_s, _MAX_LAG_S)
+
+    def record(self, now: float) -> None:
+        """Records a request that is sent, in monotonic seconds."""
+        if self._lag_s:
+            self._sent_at.append(now)
+            self._drop_reported(now)
+
+    def count(self, now: float) -> int:
+        """Returns the number of requests that a report of now lacks."""
+        self._drop_reported(now)
+        return len(self._sent_at)
+
+    def _drop_reported(self, now: float) -> None:
+        while self._sent_at and self._sent_at[0] <= now - self._lag_s:
+            self._sent_at.popleft()
--- a/tests/overload_site.py
+++ b/tests/overload_site.py
@@ -174,6 +174,7 @@
         customers=None,
         entry_weights=None,
         tell_demand=True,
+        know_lag=False,
     ):
         """Starts the engines.
 
@@ -190,12 +191,14 @@
             anonymous callers.
           entry_weights: Weight of each entry's callers; None for equal ones.
           tell_demand: Whether entries tell agents their demand.
+          know_lag: Whether the configuration tells how old reported loads are.
         """
         self._domains = domains
         self.figures = figures or engine_model.EngineParameters()
         self.kinds = kinds
         self.customers = customers or {"": 1.0}
         self.entry_weights = entry_weights
+        self._known_lag_s = LAG_REPORTS * REPORT_S if know_lag else 0.0
         self.engines = {
             n: engine_model.Engine(self.figures) for n in range(engines)
         }
@@ -492,7 +495,9 @@
         )
         reading_s /= self.figures.prefill_tokens_per_s
         backend = entry.fleet.find(f"s{number}")
-        backend.apply_report(report, self._clock(), reading_s)
+        backend.apply_report(
+            report, self._clock(), reading_s, self._known_lag_s
+        )
         entry.placer.dispatch_for(backend)
 
     def _spawn(self, coroutine):
--- a/tests/test_scheduling_shares.py
+++ b/tests/test_scheduling_shares.py
@@ -413,6 +413,42 @@
     assert sum(taken_slots(0.0, 6.0)) == pytest.approx(0.2 * equal, rel=0.3)
 
 
+def test_slots_used_since_the_reported_load_are_not_used_again():
+    """Guards against a full server that each entry takes for a free one.
+
+    Reported loads were some tenths of a second old, so that each of the next
+    reports offered the slots that had just been used.
+    """
+
+    async def run(lag_s):
+        site = overload_site.Simulation(engines=1, entries=1, tell_demand=False)
+        backend = site.entries[0].fleet.find("s0")
+        report = reports.Report("s0", 0, 0, 8, entries=2, followers=2)
+        counts = []
+        for at in (1.0, 1.1, 1.15, 1.2, 1.3):
+            backend.apply_report(report, at, lag_s=lag_s)
+            taken = 0
+            while backend.has_share(at):
+                backend.record_sent(at)
+                backend.begin_request()
+                taken += 1
+            counts.append(taken)
+        site.stop()
+        return counts
+
+    assert clocks.run(run(0.2)) == [4, 0, 0, 4, 0]
+    # The decisions for an engine whose age of reports is not known.
+    assert clocks.run(run(0.0)) == [4, 4, 4, 4, 4]
+
+
+def test_unreported_requests_are_bounded_for_an_odd_age_of_reports():
+    unreported = slot_shares.UnreportedRequests()
+    unreported.set_lag(1e9)
+    for number in range(1_000):
+        unreported.record(0.1 * number)
+    assert unreported.count(100.0) <= 10
+
+
 def test_demand_is_counted_for_refused_requests_too():
     async def run():
         site = overload_site.Simulation(engines=1, entries=2)
