--- a/src/clementinegw/direct/backend.py
+++ b/src/clementinegw/direct/backend.py
@@ -167,7 +167,11 @@
 
     def estimated_pace(self, now: float) -> float:
         """Returns how many times slower than usual it works now, estimated."""
-        return self.pace * self._machine_pace.estimate(now)
+        machine_pace_now = self._machine_pace.estimate(now)
+        if self.pace <= 1.0:
+            return machine_pace_now
+        # An engine may be slow because its machine is.
+        return max(self.pace, machine_pace_now)
 
     def apply_report(
         self,
@@ -268,9 +272,12 @@
         # of 16 requests would wait until the prompts of all others are read.
         capacity = min(free, readable_prompts - report.waiting)
         entries = max(1, report.followers or report.entries)
-        share = max(0.0, capacity / entries) * slot_shares.relative_share(
-            self.demand, report.demand, entries
-        )
+        share = max(0.0, capacity / entries)
+        if self._unreported.known:
+            # Else entries with a larger part would use more slots twice.
+            share *= slot_shares.relative_share(
+                self.demand, report.demand, entries
+            )
         share = max(0.0, share - self._unreported.count(self._last_report_at))
         whole_slots = int(share)
         extra_slot = self._rng.random() < share - whole_slots
--- a/src/clementinegw/direct/subscriptions.py
+++ b/src/clementinegw/direct/subscriptions.py
@@ -55,7 +55,8 @@
           suspicions: Returns suspicions about requests that crash servers.
           clock: Returns monotonic seconds.
           log: Log for changes of the followed servers.
-          counters: Holds the gauge of followed servers.
+          counters: Holds the gauges of followed servers and of the demand for
+            each service.
           arrivals: The requests of each service at this entry; None if agents
             are told no demand.
         """
@@ -157,6 +158,7 @@
             rate = self._arrivals.rate(service)
             if rate is not None and followed:
                 self._demands[service] = rate / followed
+                self._counters.gauge(f"direct.demand.{service}", rate)
 
     def _log_followed(self, followed: set[str]) -> None:
         self._counters.gauge("direct.servers.followed", len(followed))
--- a/src/clementinegw/scheduling/slot_shares.py
+++ b/src/clementinegw/scheduling/slot_shares.py
@@ -133,13 +133,18 @@
         self._lag_s = 0.0
         self._sent_at: collections.deque[float] = collections.deque()
 
+    @property
+    def known(self) -> bool:
+        """Whether the age of reported loads is known."""
+        return self._lag_s > 0.0
+
     def set_lag(self, lag_s: float) -> None:
         """Sets the age of the load in reports, in seconds."""
         self._lag_s = min(lag_s, _MAX_LAG_S)
 
     def record(self, now: float) -> None:
         """Records a request that is sent, in monotonic seconds."""
-        if self._lag_s:
+        if self.known:
             self._sent_at.append(now)
             self._drop_reported(now)
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -194,6 +194,16 @@
     assert (decoded.host, decoded.timeout_s) == ("h.example", 6.0)
 
 
+@pytest.mark.parametrize(
+    ("fields", "lag_s"), [({}, 0.0), ({"report_lag_ms": 200.0}, 0.2)]
+)
+def test_the_age_of_an_engines_reports_is_read(fields, lag_s):
+    engine = {"slots": 8, "step_ms": 10, "read_per_s": 1e3, **fields}
+    body = config(services=[{"name": "e", "engine": engine}])
+    service = records.decode_configuration(body).services["e"]
+    assert service.engine.report_lag_s == lag_s
+
+
 @pytest.mark.parametrize(
     "body",
     [
--- a/tests/test_platform_odd_configurations.py
+++ b/tests/test_platform_odd_configurations.py
@@ -232,6 +232,8 @@
         ({"step_ms": -10}, {"step_s": 0.0}),
         ({"step_ms": HUGE}, {"step_s": 86_400.0}),
         ({"per_seq_ms": HUGE}, {"step_per_request_s": 86_400.0}),
+        ({"report_lag_ms": -1}, {"report_lag_s": 0.0}),
+        ({"report_lag_ms": HUGE}, {"report_lag_s": 86_400.0}),
         ({"usual": {"prompt": HUGE}}, {"typical_prompt_tokens": 2.0**31 - 1}),
         ({"usual": {"answer": -1}}, {"typical_answer_tokens": 0.0}),
         ({"models": [{"name": "m", "warm_s": -1}]}, {"load_s": 0.0}),
