Compare estimates of a server by value

Cause: test_observations_of_one_start_do_not_apply_to_the_next compares the state of two starts, and two new estimators without any observation were unequal. Change: both are dataclasses; the test observes a pace, an unreported request and a demand, too. Measured: tests/test_direct_starts.py, 23 passed.

--- a/src/clementinegw/scheduling/machine_pace.py
+++ b/src/clementinegw/scheduling/machine_pace.py
@@ -4,6 +4,7 @@
 queue of its server has grown, and servers tell so in their answers.
 """
 
+import dataclasses
 import math
 
 # Answers closer together than this are averaged, in seconds: the time of a few
@@ -14,13 +15,12 @@
 _FORGETTING_S = 0.5
 
 
+@dataclasses.dataclass(slots=True)
 class MachinePace:
-    """The estimated pace of one machine."""
+    """The estimated pace of one machine, at first the usual one."""
 
-    def __init__(self) -> None:
-        """Starts with the usual pace."""
-        self._excess = 0.0
-        self._recorded_at = -math.inf
+    _excess: float = 0.0
+    _recorded_at: float = -math.inf
 
     def record(self, pace: float, now: float) -> None:
         """Records a reported pace.
--- a/src/clementinegw/scheduling/slot_shares.py
+++ b/src/clementinegw/scheduling/slot_shares.py
@@ -14,6 +14,7 @@
 
 import collections
 from collections.abc import Iterable
+import dataclasses
 
 FLOOR = 0.2
 # Lower demands, in requests per second, are no basis for shares.
@@ -121,17 +122,19 @@
         self._counts.clear()
 
 
+@dataclasses.dataclass(slots=True)
 class UnreportedRequests:
     """An entry's requests that a server's reports do not include yet.
 
     A reported load is some tenths of a second old. Without their number, an
     entry would use the same free slots on each report until its requests show.
+    Nothing counts before the age of reported loads is known.
     """
 
-    def __init__(self) -> None:
-        """Starts with reports that are never old, so that nothing counts."""
-        self._lag_s = 0.0
-        self._sent_at: collections.deque[float] = collections.deque()
+    _lag_s: float = 0.0
+    _sent_at: collections.deque[float] = dataclasses.field(
+        default_factory=collections.deque
+    )
 
     @property
     def known(self) -> bool:
--- a/tests/test_direct_starts.py
+++ b/tests/test_direct_starts.py
@@ -72,7 +72,10 @@
         rank=1,
         follower_rank=1,
     )
-    backend.apply_report(agent_report, 10.0)
+    backend.apply_report(agent_report, 10.0, lag_s=0.2)
+    backend.update_load(types.Load(4, 0, 16, pace=2.5), 10.0)
+    backend.record_sent(10.0)
+    backend.demand = 3.0
     metadata = types.AnswerMetadata(
         "a", True, False, limit_per_s=2.0, leaving=True, backoff_s=9.0
     )
