--- a/src/clementinegw/direct/backend.py
+++ b/src/clementinegw/direct/backend.py
@@ -8,7 +8,9 @@
 from clementinegw.direct import reports
 from clementinegw.direct import signals as signals_lib
 from clementinegw.direct import types
+from clementinegw.scheduling import machine_pace
 from clementinegw.scheduling import server_memory
+from clementinegw.scheduling import slot_shares
 
 # Weight of the newest answer in the failure rate, and bounds on the cooldown
 # after a failed connection, in seconds. The cooldown doubles with each failure.
@@ -59,7 +61,7 @@
       full_until: It reported to be full and is skipped until then, in monotonic
         seconds.
       version: Version of its weights; 0 if unknown or incomplete.
-      pace: How many times slower than usual it works.
+      pace: How many times slower than usual its engine works.
       loading: Whether it accepts no requests because it loads weights.
       yielding: Whether it is about to load weights.
       entries: Number of entries as reported by its agent; 0 if unknown.
@@ -71,6 +73,8 @@
         in its failure domain.
       cold_until: When it stops being cold, in monotonic seconds.
       cold_sequence: The record from which `cold_until` was learned last.
+      demand: The requests per second that this entry told its agent to want to
+        send to it; None if it told none.
     """
 
     def __init__(
@@ -103,21 +107,25 @@
         self._share = 1.0
         self._free_slots = 0.0
         self._readable_prompts = math.inf
-        self._sharing = 1.0
+        self._part = 1.0
+        self._unreported_requests = 0.0
         self._offered = 1.0
         self._draw = 0.0
+        self._unreported = slot_shares.UnreportedRequests()
         self._rng = rng
         self.weights_incomplete = False
         self.replaced = False
         self.evacuated = False
         self.cold_until = -math.inf
         self.cold_sequence = -1
-        self._cooldown_s = _MIN_COOLDOWN_S
         self._answering_since = math.inf
         self._last_report: reports.Report | None = None
         self._held_at_report = 0
         self._sent_tokens = 0
         self._memory_draw: float | None = None
+        self.demand: float | None = None
+        self._cooldown_s = _MIN_COOLDOWN_S
+        self._machine_pace = machine_pace.MachinePace()
         self._other_requests = 0.0
         self._load_at = -math.inf
         self._last_report_at = -math.inf
@@ -174,12 +182,23 @@
         total = load.running + load.waiting
         self._other_requests = max(0.0, total - self.in_flight)
         self._load_at = now
+        if load.pace is not None:
+            self._machine_pace.record(load.pace, now)
+
+    def estimated_pace(self, now: float) -> float:
+        """Returns how many times slower than usual it works now, estimated."""
+        machine_pace_now = self._machine_pace.estimate(now)
+        if self.pace <= 1.0:
+            return machine_pace_now
+        # An engine may be slow because its machine is.
+        return max(self.pace, machine_pace_now)
 
     def apply_report(
         self,
         report: reports.Report,
         now: float,
         reading_s: float = 0.0,
+        lag_s: float = 0.0,
         memory_requests: float = math.inf,
     ) -> None:
         """Applies a report from the server's agent.
@@ -189,13 +208,15 @@
           now: Monotonic seconds.
           reading_s: Time the engine takes to read a typical prompt, in seconds;
             0 if unknown.
+          lag_s: How old the load in the report is, in seconds; 0 if unknown.
           memory_requests: Number of typical requests that its memory holds.
         """
         interval_s = min(now - self._last_report_at, _MAX_INTERVAL_S)
         self._last_report_at = now
         self._last_report = report
         self._held_at_report = self.held_tokens
-        self._sent_tokens = 0
+        self._unreported.set_lag(lag_s)
+        self._sent_tokens = self._unreported.tokens(now)
         self._memory_draw = None
         self._report_interval_s += _INTERVAL_GAIN * (
             interval_s - self._report_interval_s
@@ -250,9 +271,9 @@
         if not kept or self._share < 1.0:
             return self._share >= 1.0
         free = self._free_slots - kept * self.server.slots
-        share = min(free, self._readable_prompts) / self._sharing
         used = self._offered - self._share
-        return self._round_share(share) - used >= 1.0
+        slots = min(free, self._readable_prompts)
+        return self._round_share(slots) - used >= 1.0
 
     def has_memory(self, need: server_memory.Need, now: float) -> bool:
         """Returns whether a request fits into the server's memory."""
@@ -291,6 +312,10 @@
         self._sent_tokens -= tokens
         self._share += 1.0
 
+    def record_sent(self, now: float, tokens: int = 0) -> None:
+        """Records when a request is sent to the server, and its tokens."""
+        self._unreported.record(now, tokens)
+
     def _update_share(
         self, report: reports.Report, readable_prompts: float
     ) -> None:
@@ -299,8 +324,10 @@
         All entries see the same free slots at the same time. If each used all
         of them, a server with one free slot would get a request from every
         entry, and all but one would be late. So free slots, bounded by what
-        the engine can read until the next report, are divided among entries:
-        under overload any further prompt would be read in vain, and late.
+        the engine can read until the next report, are divided among entries by
+        their demand: under overload any further prompt would be read in vain,
+        and late. Slots that this entry used since the load was observed are
+        reported free, too.
 
         Args:
           report: The report of the server's agent.
@@ -310,18 +337,25 @@
         # A server that has just loaded reports all of its slots free; the last
         # of 16 requests would wait until the prompts of all others are read.
         capacity = min(free, readable_prompts - report.waiting)
-        self._sharing = float(max(1, report.followers or report.entries))
+        entries = max(1, report.followers or report.entries)
+        self._part = 1.0 / entries
+        if self._unreported.known:
+            # Else entries with a larger part would use more slots twice.
+            self._part *= slot_shares.relative_share(
+                self.demand, report.demand, entries
+            )
+        self._unreported_requests = self._unreported.count(self._last_report_at)
         self._free_slots = free
         self._readable_prompts = readable_prompts - report.waiting
         self._draw = self._rng.random()
-        self._offered = self._round_share(capacity / self._sharing)
+        self._offered = self._round_share(capacity)
         self._share = self._offered
 
     def _round_share(self, slots: float) -> float:
-        """Returns a share as whole slots, rounded by this report's draw."""
-        slots = max(0.0, slots)
-        whole_slots = int(slots)
-        return float(whole_slots + (self._draw < slots - whole_slots))
+        """Returns this entry's part of slots, rounded by this report's draw."""
+        share = max(0.0, slots * self._part - self._unreported_requests)
+        whole_slots = int(share)
+        return float(whole_slots + (self._draw < share - whole_slots))
 
     def estimated_requests(self, now: float) -> float:
         """Returns the estimated number of requests at the server."""
--- a/src/clementinegw/direct/balance.py
+++ b/src/clementinegw/direct/balance.py
@@ -230,9 +230,13 @@
             for b in self._servers.of(service)
         )
 
-    def record_sent(self, backend: backend_lib.Backend) -> None:
-        """Records that a request is sent to a server."""
-        self._cooldowns.record_sent(backend, self._clock())
+    def record_sent(
+        self, backend: backend_lib.Backend, tokens: int = 0
+    ) -> None:
+        """Records that a request is sent to a server, and its tokens."""
+        now = self._clock()
+        self._cooldowns.record_sent(backend, now)
+        backend.record_sent(now, tokens)
 
     def cooldown_ends_in_s(self, requirements: Requirements) -> float:
         """Returns the time until the first cooldown ends, in seconds.
@@ -358,7 +362,8 @@
     def _score(self, backend: backend_lib.Backend, now: float) -> float:
         requests = backend.estimated_requests(now) + 1.0
         requests += backend.unread_tokens / _TOKENS_PER_REQUEST
-        load = requests / max(1, backend.server.slots) * backend.pace
+        load = requests / max(1, backend.server.slots)
+        load *= backend.estimated_pace(now)
         load *= 1.0 + _FAILURE_WEIGHT * backend.failure_rate
         load += self._distance_cost(backend.server.failure_domain)
         return load + self._rng.random() * _JITTER
--- a/src/clementinegw/direct/entry.py
+++ b/src/clementinegw/direct/entry.py
@@ -195,6 +195,7 @@
             clock,
             log,
             counters,
+            self._forwarder.arrivals,
             lambda: self._balancer.evacuated,
         )
         self._steps = steps.Steps(log, counters)
@@ -321,11 +322,14 @@
         if backend is None:
             return
         was_evacuated = backend.evacuated
+        service = backend.server.service
+        engine = self._config_view.engine(service)
         backend.apply_report(
             report,
             self._clock(),
-            self._typical_prefill_s(backend.server.service),
-            self._memory_requests(backend.server.service),
+            self._typical_prefill_s(service),
+            engine.report_lag_s if engine else 0.0,
+            self._memory_requests(service),
         )
         if backend.evacuated != was_evacuated:
             self._update_evacuated()
--- a/src/clementinegw/direct/placement.py
+++ b/src/clementinegw/direct/placement.py
@@ -14,6 +14,7 @@
 from clementinegw.direct import types
 from clementinegw.direct import version_policy
 from clementinegw.scheduling import server_memory
+from clementinegw.scheduling import slot_shares
 
 Reason = outcomes.RefusalReason
 
@@ -81,7 +82,11 @@
 
 
 class Placer:
-    """Reserves servers for requests."""
+    """Reserves servers for requests.
+
+    Attributes:
+      arrivals: The requests for a reservation, by service.
+    """
 
     def __init__(
         self,
@@ -110,6 +115,7 @@
         self._rng = rng
         self._clock = clock
         self._queues: dict[str, queue.Queue] = {}
+        self.arrivals = slot_shares.ArrivalRates()
 
     @property
     def kept(self) -> float:
@@ -120,6 +126,7 @@
         self, job: attempts.Job
     ) -> queue.Reservation | outcomes.Refusal:
         """Returns a reservation of a server, or a refusal."""
+        self.arrivals.record(job.service)
         job.memory = self._memory_need(job)
         if job.memory and job.memory.too_large and not job.responder.begun:
             return self.refuse(job, Reason.TOO_LARGE)
--- a/src/clementinegw/direct/queue.py
+++ b/src/clementinegw/direct/queue.py
@@ -264,8 +264,8 @@
           backend: The server.
           memory: The memory that the request needs; None if unknown.
         """
-        self._balancer.record_sent(backend)
         tokens = memory.tokens if memory else 0
+        self._balancer.record_sent(backend, tokens)
         reserved_at = self._clock()
 
         def on_release() -> None:
--- a/src/clementinegw/direct/types.py
+++ b/src/clementinegw/direct/types.py
@@ -104,6 +104,8 @@
       load_s: The time to load all layers, in seconds.
       memory_tokens: The tokens of requests that the memory of one engine holds;
         0 if unknown.
+      report_lag_s: How old the load is that an engine reports, in seconds; 0 if
+        it is not known.
     """
 
     models: tuple[str, ...]
@@ -119,6 +121,7 @@
     typical_answer_tokens: float = 0.0
     load_s: float = 0.0
     memory_tokens: int = 0
+    report_lag_s: float = 0.0
 
     @property
     def pass_s(self) -> float:
@@ -437,8 +440,9 @@
       leaving: Whether the server reports that it is leaving.
       backoff_s: How long a server that rejected the request wants no other
         request from this entry, in seconds; 0 if it does not say.
-      malformed: The names of those of these fields whose header cannot be
-        parsed; the value that the server reported before stays in force.
+      malformed: The names of those of these fields, and of the load's pace,
+        whose header cannot be parsed; the value that the server reported before
+        stays in force.
     """
 
     attempt_id: str
--- a/src/clementinegw/scheduling/fairness.py
+++ b/src/clementinegw/scheduling/fairness.py
@@ -18,15 +18,18 @@
 # how long it keeps the slot is unknown when it arrives.
 _COST = 1.0
 _WEIGHT = 1.0
-# A request that waited longer than this waited for capacity, in seconds: one or
-# two dispatches of the queue.
-_MAX_IMMEDIATE_WAIT_S = 0.05
+# A request that waited longer than this, in seconds, waited for capacity and not
+# only for the next load report.
+_MAX_IMMEDIATE_WAIT_S = 0.15
 # Counts of each period are reduced by this factor per further period, so that
 # they cover about seven seconds.
 _DECAY = 0.85
 # An entry sees few requests of most customers, so that chance alone brings some
 # of them above their share. Deviations of a Poisson count that are ignored.
 _IGNORED_DEVIATIONS = 3.0
+# Capacity is binding in a period if more than this fraction of its requests
+# waited for it or got none. Single requests wait by chance.
+_MIN_CONTENDED_RATIO = 0.1
 # Customers and ranks of which less than this is counted are forgotten.
 _NEGLIGIBLE_REQUESTS = 0.05
 # What a customer over its share gets at least: this fraction of its share, and
@@ -80,7 +83,8 @@
         )
         self._elapsed_s = 0.0
         self._period_start: float | None = None
-        self._contended = False
+        self._arrived = 0
+        self._contended = 0
         self._over: frozenset[str] = frozenset()
         self._limited_ranks: frozenset[ranks.Rank] = frozenset()
         self._limit = 1.0
@@ -129,6 +133,7 @@
         if self._tracker.is_due(now):
             self._end_period(now)
         self._tracker.record_request(customer, _WEIGHT, _COST, now)
+        self._arrived += 1
         self._customers[customer].arrived += 1.0
         self._ranks[rank].arrived += 1.0
 
@@ -144,13 +149,12 @@
         """
         self._customers[customer].placed += 1.0
         self._ranks[rank].placed += 1.0
-        if waited_s > _MAX_IMMEDIATE_WAIT_S:
-            self._contended = True
+        self._contended += waited_s > _MAX_IMMEDIATE_WAIT_S
 
     def record_refused(self, rank: ranks.Rank) -> None:
         """Records that a request of a rank found no capacity in time."""
         self._ranks[rank].refused += 1.0
-        self._contended = True
+        self._contended += 1
 
     def _end_period(self, now: float) -> None:
         assert self._period_start is not None
@@ -165,7 +169,7 @@
         )
         self._limit = 1.0 - _KEPT_FREE * min(1.0, within / max(1.0, placed))
         self._limited_ranks = frozenset(self._find_limited_ranks(placed))
-        self._contended = False
+        self._arrived = self._contended = 0
         self._elapsed_s *= _DECAY
         _decay(self._customers)
         _decay(self._ranks)
@@ -177,7 +181,8 @@
           placed_ratio: Fraction of all requests that got a server.
         """
         fair = self._tracker.fair_rate * self._elapsed_s
-        if not self._contended or len(self._customers) < 2 or math.isinf(fair):
+        contended = self._contended > _MIN_CONTENDED_RATIO * self._arrived
+        if not contended or len(self._customers) < 2 or math.isinf(fair):
             return
         significant = fair + _IGNORED_DEVIATIONS * math.sqrt(fair)
         for name, counts in self._customers.items():
