--- a/src/clementinegw/scheduling/fairness.py
+++ b/src/clementinegw/scheduling/fairness.py
@@ -18,8 +18,8 @@
 # how long it keeps the slot is unknown when it arrives.
 _COST = 1.0
 _WEIGHT = 1.0
-# A request that waited longer than this, in seconds, waited for capacity and not
-# only for the next load report.
+# A request that waited longer than this, in seconds, waited for capacity and
+# not only for the next load report.
 _MAX_IMMEDIATE_WAIT_S = 0.15
 # Counts of each period are reduced by this factor per further period, so that
 # they cover about seven seconds.
