Keep the bound of cold servers while entries begin to follow them

Change: at a cold server a position counts once it is unchanged for 1.5 s; before that, entries take turns by their position among all entries.

tests/test_direct_cold.py fails for the six joins without the change; passed with it, as are test_rate_limit, test_direct_server_limit, test_direct_limit_relay.

--- a/src/clementinegw/direct/backend.py
+++ b/src/clementinegw/direct/backend.py
@@ -240,8 +240,8 @@
         if report.limit is not None:
             self.signals.apply_relayed(report.limit)
         if 0 <= report.follower_rank < report.followers:
-            self.signals.position = rate_limit.Position(
-                report.follower_rank, report.followers
+            self.signals.set_position(
+                rate_limit.Position(report.follower_rank, report.followers)
             )
         if 0 <= report.rank < report.entries:
             self.signals.entry_position = rate_limit.Position(
--- a/src/clementinegw/direct/signals.py
+++ b/src/clementinegw/direct/signals.py
@@ -18,6 +18,11 @@
 _COLD_VALIDITY = rate_limit.Validity(
     cold_starts.VALID_S, cold_starts.VALID_SLOTS
 )
+# How long the position at a cold server has to be unchanged before it counts,
+# in seconds: longer than entries need to subscribe and to be told. While a
+# server that came back gets its subscribers one by one, the positions of the
+# first ones would be among few entries.
+_SETTLED_S = 1.5
 # How long an observation is relayed to other entries, in seconds: several
 # subscription rounds.
 _RELAY_FOR_S = 10.0
@@ -41,7 +46,8 @@
       cold: Whether the server is cold.
       limiter: Limits this entry to its share of the stricter one.
       position: This entry's position among the entries that send to the server,
-        as reported by the server's agent; None if unknown.
+        as reported by the server's agent; None if unknown. Set it with
+        `set_position`.
       entry_position: This entry's position among all entries, likewise.
     """
 
@@ -62,9 +68,12 @@
         self.entry_position: rate_limit.Position | None = None
         self.limiter = rate_limit.Limiter(
             start.server_id,
-            lambda: self.position or fleet_position(),
+            self._slot_position,
             wall_clock,
         )
+        self._fleet_position = fleet_position
+        self._wall_clock = wall_clock
+        self._position_since = -math.inf
         self._log = log
         self._counters = counters
         self._observed: rate_limit.Observation | None = None
@@ -146,6 +155,22 @@
         if same and observation.at > self._limit_at:
             self._set_limit(observation, "agent")
 
+    def set_position(self, position: rate_limit.Position) -> None:
+        """Sets this entry's position among those that send to the server."""
+        if position != self.position:
+            self.position = position
+            self._position_since = self._wall_clock()
+
+    def _slot_position(self) -> rate_limit.Position:
+        """Returns the position by which the entry takes its turns."""
+        if self.position is None:
+            return self._fleet_position()
+        # The time of day may have been set back.
+        age_s = abs(self._wall_clock() - self._position_since)
+        if self.cold and age_s < _SETTLED_S:
+            return self._fleet_position()
+        return self.position
+
     def set_cold(self, per_s: float | None) -> None:
         """Sets the rate of requests while the server is cold.
 
--- a/tests/test_direct_cold.py
+++ b/tests/test_direct_cold.py
@@ -108,6 +108,48 @@
     assert fleet.most_in_a_second() <= allowed(17.0)
 
 
+@pytest.mark.parametrize("per_s", [4.0, 17.0])
+@pytest.mark.parametrize("join_s", [0.5, 1.0, 2.0])
+def test_entries_that_follow_a_cold_server_one_by_one_keep_the_bound(
+    per_s, join_s
+):
+    """Guards against the first followers' turns among few entries."""
+    rng = random.Random(3)
+    fleet = Fleet(35, per_s)
+    fleet.list(record(cold_s=8.0))
+    joins_at = [rng.uniform(0.0, join_s) for _ in fleet.fleets]
+    while fleet.now < 6.0:
+        joined = [n for n, at in enumerate(joins_at) if at <= fleet.now]
+        for number in joined:
+            fleet.fleets[number].find("a").apply_report(
+                reports.Report(
+                    "a",
+                    0,
+                    0,
+                    12,
+                    entries=35,
+                    rank=number,
+                    followers=len(joined),
+                    follower_rank=joined.index(number),
+                ),
+                fleet.now,
+            )
+        fleet.play(fleet.now + rng.uniform(0.1, 0.4))
+    assert fleet.most_in_a_second() <= allowed(per_s)
+    assert len(fleet.sent_at) >= 0.7 * per_s * 6.0
+
+
+def test_positions_at_a_warm_server_count_at_once():
+    fleet = Fleet(1, 4.0)
+    fleet.list(record())
+    signals = fleet.fleets[0].find("a").signals
+    position = rate_limit.Position(2, 5)
+    signals.set_position(position)
+    assert signals.limiter.position == position
+    fleet.list(record(cold_s=2.0, sequence=2))
+    assert signals.limiter.position == rate_limit.Position(0, 1)
+
+
 def test_a_server_that_becomes_cold_again_is_limited_again():
     fleet = Fleet(1, 4.0)
     fleet.list(record(cold_s=2.0))
