Ignore cold times of records that an agent reads again

Entries check the sequence, agents did not.

tests/test_direct_agent.py: the new test fails without the change; passed, as is test_direct_cold.

--- a/src/clementinegw/direct/agent.py
+++ b/src/clementinegw/direct/agent.py
@@ -59,10 +59,25 @@
 
     start: types.ServerStart = types.ServerStart("")
     until: float = 0.0
+    sequence: int = -1
+
+    def updated(self, server: types.Server, now: float) -> "_Cold":
+        """Returns the state after a record of the server."""
+        if server.cold_s is None:
+            return self
+        if not self.start.matches(server.start):
+            # The record of a former server at the address may be read last.
+            known = not server.cold_s
+        else:
+            # A record that is read again says nothing about the present.
+            known = server.sequence <= self.sequence
+        if known:
+            return self
+        return _Cold(server.start, now + server.cold_s, server.sequence)
 
     def left_s(self, start: types.ServerStart, now: float) -> float:
         """Returns how much longer a start is cold, in seconds."""
-        return max(0.0, self.until - now) if start == self.start else 0.0
+        return max(0.0, self.until - now) if self.start.matches(start) else 0.0
 
 
 class Platform(raw.Platform, Protocol):
@@ -312,8 +327,8 @@
             return
         server = self._server_records.accept(record.value)
         if server is not None and server.service == self._instance.service:
-            if server.cold_s and server.address == self._instance.backend:
-                self._cold = _Cold(server.start, self._clock() + server.cold_s)
+            if server.address == self._instance.backend:
+                self._cold = self._cold.updated(server, self._clock())
             # Re-inserted so that the most recently listed server comes last.
             self._context.servers.pop(record.key, None)
             self._context.servers[record.key] = server
--- a/tests/test_direct_agent.py
+++ b/tests/test_direct_agent.py
@@ -830,3 +830,37 @@
     took_s, left = run(scenario())
     assert took_s < 6.0
     assert not left
+
+
+def test_a_record_that_is_read_again_does_not_prolong_a_cold_start():
+    """Guards against agents that report a server cold after an outage."""
+
+    async def scenario():
+        async with Site(count=1) as site:
+            agent = site.agents[0]
+            loop = asyncio.get_running_loop()
+
+            def list_server(sequence, cold_s):
+                server = types.Server(
+                    "i-0",
+                    "engine",
+                    shared_types.Address(f"{NETWORK}.11", 1),
+                    "d0",
+                    16,
+                    sequence=sequence,
+                    cold_s=cold_s,
+                )
+                agent._apply_server(topic_watch.Record("i-0", server))
+                return agent._cold.left_s(server.start, loop.time())
+
+            first = list_server(1, 2.0)
+            await asyncio.sleep(1.5)
+            again = list_server(1, 2.0)
+            malformed = list_server(2, None)
+            return first, again, malformed, list_server(3, 0.0)
+
+    first, again, malformed, ended = run(scenario())
+    assert first == pytest.approx(2.0, abs=0.1)
+    assert again == pytest.approx(0.5, abs=0.1)
+    assert malformed == pytest.approx(0.5, abs=0.1)
+    assert ended == 0.0
