Limit a cold server at once when its agent reports it

Cause: a report with a cold time set the time only; requests in the queue were placed in the same step, and the limit began up to 0.2 s later.

Change: the limit begins with the report.

--- a/src/clementinegw/direct/entry.py
+++ b/src/clementinegw/direct/entry.py
@@ -331,6 +331,8 @@
             engine.report_lag_s if engine else 0.0,
             self._memory_requests(service),
         )
+        if report.cold_s:
+            self._fleet.update_cold_of(backend, self._clock())
         if backend.evacuated != was_evacuated:
             self._update_evacuated()
         self._forwarder.dispatch_for(backend)
--- a/src/clementinegw/direct/fleet.py
+++ b/src/clementinegw/direct/fleet.py
@@ -223,9 +223,10 @@
           now: Monotonic seconds.
         """
         for backend in self._backends.values():
-            self._update_cold(backend, now)
+            self.update_cold_of(backend, now)
 
-    def _update_cold(self, backend: backend_lib.Backend, now: float) -> None:
+    def update_cold_of(self, backend: backend_lib.Backend, now: float) -> None:
+        """Begins or ends the rate limit of one server; see `update_cold`."""
         cold_start = self._cold_start(backend.server.service)
         if cold_start is None or backend.cold_until <= now:
             backend.signals.set_cold(None)
@@ -269,7 +270,7 @@
             backend.version = 0
         backend.server = server
         backend.missing = False
-        self._update_cold(backend, now)
+        self.update_cold_of(backend, now)
 
     def _apply_cold(
         self, backend: backend_lib.Backend, server: types.Server, now: float
--- a/tests/test_direct_cold.py
+++ b/tests/test_direct_cold.py
@@ -295,3 +295,22 @@
     for answer in refused:
         assert b'"cold"' in answer.body
         assert float(answer.headers["retry-after"]) > 0.0
+
+
+def test_a_report_limits_a_cold_server_before_queued_requests_are_placed():
+    """Guards against requests between a report and the next maintenance."""
+
+    async def play():
+        async with sites.Site("i-1") as site:
+            site.entry._fleet._cold_start = lambda service: types.ColdStart(
+                3.0, 2.0
+            )
+            backend = next(iter(site.entry._fleet.all()))
+            start = backend.server.start
+            report = reports.Report(
+                start.server_id, 0, 0, 12, cold_s=2.0, entries=1
+            )
+            site.entry._on_report(backend.server.address.host, report)
+            return backend.signals.cold
+
+    assert sites.run(play())
