Rank entries anew once all of them subscribe again

Cause: an agent waits for the subscriptions of all entries only after its own start. When a lost server is listed again, its agent, which stayed up without subscribers, told the first entries that they were among few.

Change: without subscribers the agent waits again.

tests/test_direct_limit_relay.py: the new test fails without the change; passed with it, as are test_direct_cold, test_direct_following, test_direct_server_limit, test_direct_starts.

--- a/src/clementinegw/direct/reports.py
+++ b/src/clementinegw/direct/reports.py
@@ -384,6 +384,9 @@
         for addr in expired:
             del self._subscribers[addr]
             self._ranks = None
+        if not self._subscribers:
+            # Entries subscribe one by one again, as after a start.
+            self._ranks_valid_at = math.inf
 
     def _recipients(self, is_change: bool) -> list[tuple[tuple, _Subscriber]]:
         """Returns the subscribers that get the present report.
--- a/tests/test_direct_limit_relay.py
+++ b/tests/test_direct_limit_relay.py
@@ -174,3 +174,31 @@
     backend._update_share = lambda report, readable_prompts: None
     backend.apply_report(outside, 1.0)
     assert (signals.position, signals.entry_position) == (None, None)
+
+
+def test_entries_that_subscribe_again_are_not_ranked_among_few():
+    """Guards against too large shares once a lost server is back.
+
+    Its agent stayed up, and no entry was subscribed meanwhile.
+    """
+
+    async def play():
+        network = Network()
+        entry = network.listener("e1")
+        ranks = []
+
+        async def report_after(pause_s):
+            subscribe(entry)
+            await asyncio.sleep(pause_s)
+            network.send_report()
+            ranks.append(network.received["e1"][-1].rank)
+
+        await report_after(0.1)
+        await report_after(2.5)
+        await asyncio.sleep(20.0)
+        network.send_report()
+        await report_after(0.1)
+        await report_after(2.5)
+        return ranks
+
+    assert clocks.run(play()) == [-1, 0, -1, 0]
