--- a/tests/test_direct_cold.py
+++ b/tests/test_direct_cold.py
@@ -314,3 +314,25 @@
             return backend.signals.cold
 
     assert sites.run(play())
+
+
+def test_a_cold_server_takes_nothing_from_warm_ones():
+    """Guards against refusals while a warm server could serve."""
+    fleet = Fleet(1, 4.0)
+    fleet.list(record(cold_s=2.0), record(server_id="b"))
+    fleet.fleets[0].set_followed({"a", "b"}, 0.0)
+    fleet.now = 1.0
+    limiter = fleet.fleets[0].find("a").signals.limiter
+    while limiter.is_open():
+        limiter.take_slot()
+    balancer = balance.Balancer(
+        fleet.fleets[0], PLACE, {}, random.Random(1), lambda: fleet.now
+    )
+    requirements = balance.Requirements("plain")
+    chosen = balancer.choose(requirements)
+    assert chosen is not None and chosen.server.server_id == "b"
+    assert balancer.has_capacity("plain")
+    assert not balancer.is_cold(requirements)
+    assert not balancer.is_limited(requirements)
+    assert not balancer.is_restricted(requirements)
+    assert balancer.capacity_until(requirements, 2.0) == float("inf")
--- a/tests/test_direct_evacuation.py
+++ b/tests/test_direct_evacuation.py
@@ -355,7 +355,7 @@
             loop.time,
             logs.Log(),
             counters_lib.Counters(),
-            lambda: domains,
+            evacuated=lambda: domains,
         )
         following.renew()
         before = followed(entry)
--- a/tests/test_direct_starts.py
+++ b/tests/test_direct_starts.py
@@ -94,7 +94,7 @@
 def observed_state(backend):
     excluded = ("server", "pool", "_rng", "signals")
     state = {k: v for k, v in vars(backend).items() if k not in excluded}
-    excluded = ("start", "limiter", "_log", "_counters")
+    excluded = ("start", "limiter", "_log", "_counters", "_fleet_position")
     reported = vars(backend.signals).items()
     state |= {k: v for k, v in reported if k not in excluded}
     return state | {"limit": backend.signals.limiter.per_s}
