Let slots of cold servers stay valid for as long as the bound allows

Change: the validity follows from the bound: 0.62 s in place of 0.25 s at 17 requests a second, 1.5 times and five more.

tests/test_direct_cold.py, test_rate_limit, test_direct_server_limit, test_direct_limit_relay, test_direct_starts: passed.

--- a/src/clementinegw/direct/fleet.py
+++ b/src/clementinegw/direct/fleet.py
@@ -232,7 +232,7 @@
             backend.signals.set_cold(None)
             return
         backend.signals.set_cold(
-            cold_starts.rate(cold_start.requests_per_s, self.cold_bound)
+            cold_starts.limit(cold_start.requests_per_s, self.cold_bound)
         )
 
     def prune(self) -> None:
--- a/src/clementinegw/direct/signals.py
+++ b/src/clementinegw/direct/signals.py
@@ -15,9 +15,6 @@
 from clementinegw.telemetry import counters as counters_lib
 from clementinegw.telemetry import logs
 
-_COLD_VALIDITY = rate_limit.Validity(
-    cold_starts.VALID_S, cold_starts.VALID_SLOTS
-)
 # How long the position at a cold server has to be unchanged before it counts,
 # in seconds: longer than entries need to subscribe and to be told. While a
 # server that came back gets its subscribers one by one, the positions of the
@@ -79,7 +76,7 @@
         self._observed: rate_limit.Observation | None = None
         self._limit_at = -math.inf
         self._reported_per_s: float | None = None
-        self._cold_per_s: float | None = None
+        self._cold_limit: cold_starts.Limit | None = None
         self._malformed: frozenset[str] = frozenset()
 
     def recent_observation(self, now: float) -> rate_limit.Observation | None:
@@ -171,17 +168,12 @@
             return self._fleet_position()
         return self.position
 
-    def set_cold(self, per_s: float | None) -> None:
-        """Sets the rate of requests while the server is cold.
-
-        Args:
-          per_s: Requests per second of all entries together; None once it is
-            warm.
-        """
-        if per_s == self._cold_per_s:
+    def set_cold(self, limit: cold_starts.Limit | None) -> None:
+        """Sets the limit while the server is cold; None once it is warm."""
+        if limit == self._cold_limit:
             return
-        self._cold_per_s = per_s
-        self.cold = per_s is not None
+        self._cold_limit = limit
+        self.cold = limit is not None
         self._update_limiter("cold")
 
     def _set_limit(
@@ -194,20 +186,15 @@
     def _update_limiter(self, source: str) -> None:
         """Applies the stricter one of the limits in force."""
         was = self.limiter.per_s
-        limits = [
-            (per_s, validity)
-            for per_s, validity in (
-                (self._cold_per_s, _COLD_VALIDITY),
-                (self._reported_per_s, rate_limit.Validity()),
+        per_s, cold = self._reported_per_s, self._cold_limit
+        validity = rate_limit.Validity()
+        if cold is not None:
+            validity = rate_limit.Validity(
+                cold.valid_s, cold_starts.VALID_SLOTS
             )
-            if per_s is not None
-        ]
-        self.limited = bool(limits)
-        if limits:
-            validity = limits[0][1]
-            self.limiter.set_limit(min(per_s for per_s, _ in limits), validity)
-        else:
-            self.limiter.set_limit(None)
+            per_s = cold.per_s if per_s is None else min(per_s, cold.per_s)
+        self.limited = per_s is not None
+        self.limiter.set_limit(per_s, validity)
         if self.limiter.per_s != was:
             self._counters.add("direct.server_limit.changed")
             self._log.write(
--- a/src/clementinegw/scheduling/cold_starts.py
+++ b/src/clementinegw/scheduling/cold_starts.py
@@ -11,11 +11,11 @@
 
 import dataclasses
 
-# How long an unused slot of a cold server stays valid: this many seconds plus
-# this many slots. The bound holds for each second, so that they cannot be
-# saved up for longer.
-VALID_S = 0.25
+# An unused slot of a cold server stays valid for this many slots and for as
+# many seconds as the bound allows. Requests arrive at any time: the longer the
+# slots are valid, the fewer expire unused.
 VALID_SLOTS = 2.0
+_MAX_VALID_S = 1.0
 # The rate never falls below this, in requests per second: a server that bears
 # nothing would never be seen to have warmed up.
 _MIN_PER_S = 0.1
@@ -34,19 +34,29 @@
     slack: float = 0.0
 
 
-def rate(requests_per_s: float, bound: Bound) -> float:
-    """Returns the rate at which entries send to a cold server together.
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limit:
+    """How entries send to a cold server together.
+
+    In any second they send at most `per_s * (1 + valid_s) + VALID_SLOTS + 1`
+    requests, see `direct.rate_limit`.
+
+    Attributes:
+      per_s: Requests per second; never more than the server bears.
+      valid_s: How long an unused slot stays valid, in seconds.
+    """
+
+    per_s: float
+    valid_s: float
 
-    In any second they send at most `rate * (1 + VALID_S) + VALID_SLOTS + 1`
-    requests, see `direct.rate_limit`. That stays within the bound.
+
+def limit(requests_per_s: float, bound: Bound) -> Limit:
+    """Returns the limit with which entries stay within the bound.
 
     Args:
       requests_per_s: The requests per second that the server bears.
       bound: What operators allow in any second.
-
-    Returns:
-      Requests per second; never more than the server bears.
     """
-    most = requests_per_s * bound.ratio + bound.slack
-    allowed = (most - VALID_SLOTS - 1.0) / (1.0 + VALID_S)
-    return max(_MIN_PER_S, min(requests_per_s, allowed))
+    most = requests_per_s * bound.ratio + bound.slack - VALID_SLOTS - 1.0
+    per_s = max(_MIN_PER_S, min(requests_per_s, most))
+    return Limit(per_s, min(_MAX_VALID_S, max(0.0, most / per_s - 1.0)))
--- a/tests/test_direct_cold.py
+++ b/tests/test_direct_cold.py
@@ -226,8 +226,9 @@
 def test_rate_keeps_the_bound_wherever_it_allows_more_than_probes(
     per_s, ratio, slack
 ):
-    rate = cold_starts.rate(per_s, cold_starts.Bound(ratio, slack))
-    most = rate * (1.0 + cold_starts.VALID_S) + cold_starts.VALID_SLOTS + 1.0
+    limit = cold_starts.limit(per_s, cold_starts.Bound(ratio, slack))
+    rate = limit.per_s
+    most = rate * (1.0 + limit.valid_s) + cold_starts.VALID_SLOTS + 1.0
     assert rate <= per_s
     assert rate <= 0.1 or most <= per_s * ratio + slack + 1e-9
 
