Keep room only while the urgent lack it; follow more servers only where a service is restricted

Changes: what is kept is scaled by how far more urgent requests had to wait at this entry lately; restricted regions are known by service.

--- a/src/clementinegw/direct/catalog.py
+++ b/src/clementinegw/direct/catalog.py
@@ -47,7 +47,10 @@
         for route in configuration.routes:
             prefixes = self._hosts.setdefault(route.host, {})
             prefixes[route.prefix] = route
-        self.restricting_regions = _find_restricting_regions(configuration)
+        self._restricting_regions = _find_restricting_regions(configuration)
+        self.restricting_regions = frozenset().union(
+            *self._restricting_regions.values()
+        )
         self._server_priorities = _server_priorities(configuration)
 
     @property
@@ -76,6 +79,10 @@
         """Returns the customer of an API key; None if the key is unknown."""
         return self.configuration.customers.get(key)
 
+    def restricting_regions_of(self, service: str) -> frozenset[str]:
+        """Returns the regions that requests of a service are restricted to."""
+        return self._restricting_regions.get(service, frozenset())
+
     def server_priority(self, service: str, rank: ranks.Rank) -> int | None:
         """Returns the priority of requests at the servers of a service.
 
@@ -97,10 +104,17 @@
 
 def _find_restricting_regions(
     configuration: types.Configuration,
-) -> frozenset[str]:
-    limits = {route.regions for route in configuration.routes}
-    limits.update(c.regions for c in configuration.customers.values())
-    return frozenset().union(*(limit for limit in limits if limit))
+) -> dict[str, frozenset[str]]:
+    """Returns the regions that requests are restricted to, by service."""
+    customers = configuration.customers.values()
+    of_customers = frozenset().union(*(c.regions or () for c in customers))
+    found: dict[str, frozenset[str]] = {}
+    for route in configuration.routes:
+        regions = of_customers.union(route.regions or ())
+        for target in route.targets if regions else ():
+            former = found.get(target.service, frozenset())
+            found[target.service] = former | regions
+    return found
 
 
 def _server_priorities(
--- a/src/clementinegw/direct/queue.py
+++ b/src/clementinegw/direct/queue.py
@@ -16,6 +16,7 @@
 from clementinegw.direct import late_limit
 from clementinegw.direct import outcomes
 from clementinegw.direct import types
+from clementinegw.scheduling import contention
 from clementinegw.scheduling import fairness
 from clementinegw.scheduling import headroom
 from clementinegw.scheduling import order
@@ -174,6 +175,7 @@
         )
         self._shares = fairness.CustomerShares()
         self._headroom = headroom.Headroom()
+        self._contention = contention.Contention()
         self._kept: dict[tuple[ranks.Rank, bool], float] = {}
         self._kept_until = -math.inf
         self._starving: frozenset[ranks.Rank] = frozenset()
@@ -379,12 +381,17 @@
             return
         if late:
             waiter.counted = True
+            self._contention.record(waiter.rank, lacked=True)
             # If no server may start the request, late requests did not take
             # its capacity.
             if self._balancer.candidates(waiter.requirements()):
                 self._late_limits.record_miss(waiter.rank)
         elif placed:
-            self._late_limits.record_placed(waiter.rank, now - waiter.queued_at)
+            waited_s = now - waiter.queued_at
+            self._late_limits.record_placed(waiter.rank, waited_s)
+            self._contention.record(
+                waiter.rank, waited_s > contention.MAX_WAIT_S
+            )
 
     def _will_expire(self, waiter: Waiter, ahead: _Ahead) -> bool:
         """Returns whether a request will expire before it gets a server.
@@ -453,9 +460,11 @@
         key = (waiter.rank, waiter.patient)
         kept = self._kept.get(key)
         if kept is None:
-            kept = self._kept[key] = self._headroom.kept(
+            kept = self._headroom.kept(
                 *key, self._balancer.size(self._service), now
             )
+            kept *= self._contention.ahead_of(waiter.rank)
+            self._kept[key] = kept
         return kept
 
     def _limit_requirements(
--- a/src/clementinegw/direct/subscriptions.py
+++ b/src/clementinegw/direct/subscriptions.py
@@ -133,7 +133,6 @@
         """Selects the servers that the entry follows."""
         self._serving = self._find_serving()
         catalog = self._config_view.catalog
-        restricting = catalog.restricting_regions if catalog else frozenset()
         followed: set[str] = set()
         for service in self._fleet.services():
             backends = [b for b in self._fleet.of(service) if not b.retired]
@@ -141,6 +140,11 @@
                 # Plain servers have no agent to report on them, and are few.
                 followed.update(b.server.server_id for b in backends)
             else:
+                restricting = (
+                    catalog.restricting_regions_of(service)
+                    if catalog
+                    else frozenset()
+                )
                 followed |= self._select_followed(backends, restricting)
         self._fleet.set_followed(followed, self._clock())
         if followed != self._followed:
