--- a/tests/test_scheduling_rank.py
+++ b/tests/test_scheduling_rank.py
@@ -19,6 +19,7 @@
 from clementinegw.direct import reports
 from clementinegw.direct import topic_watch
 from clementinegw.direct import types
+from clementinegw.scheduling import contention
 from clementinegw.scheduling import headroom
 from clementinegw.scheduling import order
 from clementinegw.scheduling import rank as ranks
@@ -398,6 +399,7 @@
         for before in ranks_before:
             first = await reserve(request_queue, before)
             first.release()
+            request_queue._contention.record(before, lacked=True)
         return await reserve(request_queue, rank)
 
     refused = clocks.run(scenario([URGENT] * 5, BULK))
@@ -408,6 +410,33 @@
     assert isinstance(placed, queue.Reservation)
 
 
+def test_no_room_is_kept_while_the_urgent_find_some():
+    """Guards against waits of all others while servers have room for all."""
+
+    async def scenario():
+        request_queue = new_queue(running=3)
+        for _ in range(5):
+            first = await reserve(request_queue, URGENT)
+            first.release()
+        return await reserve(request_queue, BULK)
+
+    assert isinstance(clocks.run(scenario()), queue.Reservation)
+
+
+def test_contention_follows_whether_more_urgent_requests_lacked_room():
+    lack = contention.Contention()
+    assert lack.ahead_of(BULK) == 0.0
+    for _ in range(2):
+        lack.record(URGENT, lacked=True)
+    assert lack.ahead_of(BULK) >= 0.75
+    assert lack.ahead_of(URGENT) == 0.0
+    for _ in range(10):
+        lack.record(URGENT, lacked=False)
+    assert lack.ahead_of(BULK) <= 0.25
+    lack.record(BULK, lacked=True)
+    assert lack.ahead_of(BULK) <= 0.25
+
+
 def test_a_full_server_refuses_requests_of_one_rank_as_before():
     async def scenario():
         return await reserve(new_queue(running=4), BULK)
