--- a/src/clementinegw/direct/placement.py
+++ b/src/clementinegw/direct/placement.py
@@ -176,33 +176,7 @@
         now = self._clock()
         job.waited_s += now - queued_at
         if not isinstance(reservation, queue.Reservation):
-            if job.responder.begun and not self._balancer.candidates(
-                self._requirements(job)
-            ):
-                return self.refuse(
-                    job, self._barred_reason(job) or Reason.NO_SERVER
-                )
-            barred = self._barred_reason(job)
-            if barred is not None:
-                return self.refuse(job, barred)
-            if self._balancer.cooldown_ends_in_s(self._requirements(job)):
-                return self.refuse_unreachable(job)
-            backoff_ends_in_s = self._balancer.backoff_ends_in_s(
-                self._requirements(job)
-            )
-            if backoff_ends_in_s:
-                return self._refuse_until_ready(
-                    job, Reason.BACKOFF, backoff_ends_in_s
-                )
-            if self._balancer.is_cold(self._requirements(job)):
-                return self.refuse(job, Reason.COLD)
-            if self._balancer.is_limited(self._requirements(job)):
-                return self.refuse(job, Reason.LIMITED)
-            if isinstance(reservation, Reason):
-                return self.refuse(job, reservation)
-            if self._queue(job.service).is_over_share(job.customer_name):
-                return self.refuse(job, Reason.OVER_SHARE)
-            return self.refuse(job, Reason.BUSY)
+            return self._refuse_unplaced(job, reservation or Reason.BUSY)
         self._assign(job, reservation)
         return reservation
 
@@ -286,6 +260,39 @@
             return outcomes.NotRunReason.NOT_ALLOWED
         return None
 
+    def _refuse_unplaced(
+        self, job: attempts.Job, queue_reason: Reason
+    ) -> outcomes.Refusal:
+        """Returns the refusal of a request that found no server in its time.
+
+        Args:
+          job: The request.
+          queue_reason: The reason if servers could be reached and none limits
+            its requests.
+        """
+        requirements = self._requirements(job)
+        barred = self._barred_reason(job)
+        if job.responder.begun and not self._balancer.candidates(requirements):
+            return self.refuse(job, barred or Reason.NO_SERVER)
+        if barred is not None:
+            return self.refuse(job, barred)
+        if self._balancer.cooldown_ends_in_s(requirements):
+            return self.refuse_unreachable(job)
+        backoff_ends_in_s = self._balancer.backoff_ends_in_s(requirements)
+        if backoff_ends_in_s:
+            return self._refuse_until_ready(
+                job, Reason.BACKOFF, backoff_ends_in_s
+            )
+        over_share = self._queue(job.service).is_over_share(job.customer_name)
+        reasons = (
+            (self._balancer.is_cold(requirements), Reason.COLD),
+            (self._balancer.is_limited(requirements), Reason.LIMITED),
+            (queue_reason is not Reason.BUSY, queue_reason),
+            (over_share, Reason.OVER_SHARE),
+        )
+        applying = (reason for applies, reason in reasons if applies)
+        return self.refuse(job, next(applying, Reason.BUSY))
+
     def _barred_reason(self, job: attempts.Job) -> Reason | None:
         """Returns why no listed server may get a request; None if one may.
 
