Divide free slots by demand only where an instance file asks for it

Cause: with shares by demand an entry takes its own unreported requests off its small part of the free slots.

Change: share_by_demand in the instance file, off by default, so that earlier deployments have equal parts as before. A test holds both ways.

--- a/src/clementinegw/direct/entry.py
+++ b/src/clementinegw/direct/entry.py
@@ -323,12 +323,11 @@
             return
         was_evacuated = backend.evacuated
         service = backend.server.service
-        engine = self._config_view.engine(service)
         backend.apply_report(
             report,
             self._clock(),
             self._typical_prefill_s(service),
-            engine.report_lag_s if engine else 0.0,
+            self._report_lag_s(service),
             self._memory_requests(service),
         )
         if report.cold_s:
@@ -337,6 +336,13 @@
             self._update_evacuated()
         self._forwarder.dispatch_for(backend)
 
+    def _report_lag_s(self, service: str) -> float:
+        """Returns the age of reported loads; 0 if it is not to be used."""
+        engine = self._config_view.engine(service)
+        if engine is None or not self._instance.share_by_demand:
+            return 0.0
+        return engine.report_lag_s
+
     def _typical_prefill_s(self, service: str) -> float:
         """Returns the prefill time of a typical prompt; 0 if it is unknown."""
         engine = self._config_view.engine(service)
--- a/src/clementinegw/direct/instance.py
+++ b/src/clementinegw/direct/instance.py
@@ -68,6 +68,7 @@
     service: str | None = None
     link_mbps: float = 1_000.0
     memory_mb: float | None = None
+    share_by_demand: bool = False
     bounds: Bounds | None = None
 
 
@@ -91,6 +92,8 @@
       bounds: The bounds that the platform's operators set for the system.
       memory_bytes: The memory that the process may use, in bytes; None if it is
         unknown.
+      share_by_demand: Whether an entry's part of a server's free slots follows
+        its demand, where the age of reported loads is known.
     """
 
     name: str
@@ -106,6 +109,7 @@
     link_bytes_per_s: float
     bounds: Bounds
     memory_bytes: float | None = None
+    share_by_demand: bool = False
 
 
 def read(path: pathlib.Path) -> Instance:
@@ -138,6 +142,7 @@
         link_bytes_per_s=file.link_mbps * 125_000.0,
         bounds=file.bounds or Bounds(),
         memory_bytes=file.memory_mb and file.memory_mb * 1e6,
+        share_by_demand=file.share_by_demand,
     )
 
 
--- a/tests/test_scheduling_shares.py
+++ b/tests/test_scheduling_shares.py
@@ -6,6 +6,7 @@
 import random
 import types
 
+import msgspec
 import overload_site
 import platform_site
 import pytest
@@ -14,6 +15,7 @@
 from clementinegw.direct import catalog
 from clementinegw.direct import reports
 from clementinegw.direct import subscriptions
+from clementinegw.direct import types as direct_types
 from clementinegw.direct import version_policy
 from clementinegw.scheduling import slot_shares
 from clementinegw.telemetry import counters
@@ -483,3 +485,32 @@
     assert refused > 50
     # 98 requests per second, some of which come back.
     assert rate >= 80.0
+
+
+@pytest.mark.parametrize(
+    ("share_by_demand", "expected_s"), [(True, 0.2), (False, 0.0)]
+)
+def test_the_age_of_loads_is_used_where_the_instance_asks_for_it(
+    share_by_demand, expected_s
+):
+    """Deployments that do not ask for shares by demand have equal parts."""
+
+    async def play():
+        async with platform_site.Site("i-1") as site:
+            site.entry._instance = msgspec.structs.replace(
+                site.entry._instance, share_by_demand=share_by_demand
+            )
+            engine = direct_types.Engine(
+                ("m",), 12, 0.01, 0.0, 1e4, 5, 1, 1, 1, report_lag_s=0.2
+            )
+            site.entry._config_view.catalog = catalog.Catalog(
+                direct_types.Configuration(
+                    2,
+                    (),
+                    {"engine": direct_types.Service("engine", 64, engine)},
+                    {},
+                )
+            )
+            return site.entry._report_lag_s("engine")
+
+    assert platform_site.run(play()) == expected_s
