--- a/src/clementinegw/testing/clock.py
+++ b/src/clementinegw/testing/clock.py
@@ -12,6 +12,8 @@
 import time
 from typing import Any, TypeVar
 
+from clementinegw.testing import loopback
+
 T = TypeVar("T")
 
 _START_NOW = 1_000.0
@@ -19,9 +21,14 @@
 # Real seconds that a loop without any timer waits for a socket or another
 # thread before it reports a deadlock.
 _DEADLOCK_S = 5.0
-# Up to this length, the loop advances without waiting for sockets: data that
-# the kernel delivers afterwards is late by no more than this.
+# Up to this length in all, the loop advances without waiting for sockets: data
+# that the kernel delivers afterwards is late by no more than this.
 _MAX_JUMP_WITHOUT_GRACE_S = 0.02
+# Real seconds that a loop waits at most for bytes that the kernel has accepted
+# and not delivered, and the interval at which it looks for them. The kernel
+# holds back a segment that is not full for 0.2 s at most.
+_MAX_DELIVERY_S = 1.0
+_DELIVERY_CHECK_S = 0.001
 # A timer may fire a nanosecond early, as with the system clock. Code that then
 # waits for the remainder would loop forever if the remainder were below the
 # clock's precision, because adding it would not change the time.
@@ -77,6 +84,21 @@
         self._clock = clock
         self._grace_s = grace_s
         self._allowed = allowed
+        self._traffic = loopback.Traffic()
+        self._advanced_s = 0.0
+
+    def register(self, fileobj, events, data=None):
+        """Registers a socket; see `selectors.BaseSelector`."""
+        key = super().register(fileobj, events, data)
+        self._traffic.add(key.fd)
+        return key
+
+    def unregister(self, fileobj):
+        """Unregisters a socket; see `selectors.BaseSelector`."""
+        key = super().unregister(fileobj)
+        if self._grace_s:
+            self._traffic.remove(key.fd)
+        return key
 
     def select(self, timeout: float | None = None) -> list[Any]:
         """Returns ready events, or advances the clock by the timeout."""
@@ -87,6 +109,11 @@
             return self._wait_for_sockets()
         if self._grace_s and timeout > _MAX_JUMP_WITHOUT_GRACE_S:
             ready = self._poll(self._grace_s)
+        if not ready and self._grace_s:
+            self._advanced_s += timeout
+            if self._advanced_s > _MAX_JUMP_WITHOUT_GRACE_S:
+                ready = self._wait_for_delivery()
+                self._advanced_s = 0.0
         if not ready:
             self._clock.advance(max(timeout, _MIN_JUMP_S))
         return ready
@@ -101,6 +128,22 @@
             ready = self._filter_allowed(super().select(0.0))
         return ready
 
+    def _wait_for_delivery(self) -> list[Any]:
+        """Returns the events of bytes that the kernel delivers late."""
+        ready: list[Any] = []
+        until = time.monotonic() + _MAX_DELIVERY_S
+        while (
+            not ready
+            and time.monotonic() < until
+            and self._traffic.is_under_way(self._fds())
+        ):
+            ready = self._poll(_DELIVERY_CHECK_S)
+        # The bytes may have arrived since the last poll.
+        return ready or self._poll(0.0)
+
+    def _fds(self) -> list[int]:
+        return [key.fd for key in self.get_map().values()]
+
     def _filter_allowed(self, found: list[Any]) -> list[Any]:
         allowed = ((key, self._allowed(key.fd, mask)) for key, mask in found)
         return [(key, mask) for key, mask in allowed if mask]
@@ -118,7 +161,8 @@
     """An event loop in virtual time.
 
     Sockets on the loopback interface are supported: with `grace_s` the loop
-    waits that many real seconds for them before it advances the clock.
+    waits that many real seconds for them before it advances the clock, and for
+    as long as bytes between two of its sockets are under way.
     """
 
     def __init__(
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -1,6 +1,7 @@
 """Tests for virtual time, token buckets and rate-limited links."""
 
 import asyncio
+import socket
 
 import pytest
 
@@ -47,6 +48,44 @@
     assert clocks.run(main(), grace_s=0.02) == b"ping"
 
 
+@pytest.mark.parametrize("closes", [False, True])
+@pytest.mark.parametrize("tick_s", [0.005, 60.0])
+def test_virtual_time_waits_for_bytes_that_the_kernel_delivers_late(
+    closes, tick_s
+):
+    """Guards against a clock that passes timeouts while bytes are under way."""
+
+    async def serve(reader, writer):
+        await reader.readexactly(4)
+        # The kernel holds back what does not fill a segment.
+        sock = writer.get_extra_info("socket")
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_CORK, 1)
+        writer.write(b"pong")
+        if closes:
+            await asyncio.sleep(0)
+            writer.transport.pause_reading()
+        await asyncio.sleep(3_600.0)
+
+    async def tick():
+        while True:
+            await asyncio.sleep(tick_s)
+
+    async def main():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = server.sockets[0].getsockname()
+        reader, writer = await asyncio.open_connection(*address)
+        ticking = asyncio.create_task(tick())
+        async with asyncio.timeout(1.0):
+            writer.write(b"ping")
+            answer = await reader.readexactly(4)
+        ticking.cancel()
+        writer.close()
+        server.close()
+        return answer
+
+    assert clocks.run(main(), grace_s=0.002) == b"pong"
+
+
 @pytest.mark.parametrize("tick_s", [0.0, 0.005])
 def test_virtual_time_advances_for_a_tiny_remaining_wait(tick_s):
     """Guards against a virtual run that hangs in a busy loop.
