--- a/src/clementinegw/direct/agent.py
+++ b/src/clementinegw/direct/agent.py
@@ -15,6 +15,7 @@
 
 from clementinegw import clock as clocks
 from clementinegw import exceptions
+from clementinegw import process_age
 from clementinegw import types as shared_types
 from clementinegw.direct import _events
 from clementinegw.direct import agent_interfaces
@@ -104,6 +105,7 @@
         rng: random.Random | None = None,
         clock: clocks.Clock | None = None,
         boot_clock: Callable[[], float] = topic_watch.boot_time,
+        process_age_s: float = process_age.TYPICAL_START_S,
     ):
         """Creates the agent; see `entry.Entry` for the arguments."""
         super().__init__()
@@ -152,7 +154,9 @@
             instance.bounds.weights_ms / 1e3,
             instance.bounds.settled_ms / 1e3,
             boot_clock,
+            process_age_s,
         )
+        self._process_age_s = process_age_s
         self._suspects = suspects.SuspectTracker()
         self._suspicions_sent_at = 0.0
         self._reporter = reports.Reporter(
@@ -187,7 +191,9 @@
         await self.add_runtime_dependency(self._relay)
         await self.add_runtime_dependency(self._operators)
         await self.add_runtime_dependency(self._server_list)
-        self._log.write(events.PROCESS_STARTED)
+        self._log.write(
+            events.PROCESS_STARTED, age_s=round(self._process_age_s, 2)
+        )
 
     def reload(self, instance: instances.Instance) -> None:
         """Applies a changed instance file; its addresses are not re-read."""
--- a/src/clementinegw/direct/declarations.py
+++ b/src/clementinegw/direct/declarations.py
@@ -18,6 +18,7 @@
 import enum
 import math
 
+from clementinegw import process_age
 from clementinegw.direct import _events
 from clementinegw.telemetry import logs
 
@@ -27,8 +28,6 @@
 # an outage of the platform for all processes the time starts again, as
 # otherwise all servers would load at once.
 MAX_LAG_S = 1.2
-# The time that a process takes to start, in seconds.
-_STARTUP_S = 0.5
 # Smaller changes of an estimate are not logged or reported, in seconds.
 _MIN_LOGGED_SHIFT_S = 0.1
 # How many versions are kept for each model. Older ones are not needed, as all
@@ -93,7 +92,11 @@
     """The declared versions of each model, as far as a process knows them."""
 
     def __init__(
-        self, due_s: float, settled_s: float, clock: Callable[[], float]
+        self,
+        due_s: float,
+        settled_s: float,
+        clock: Callable[[], float],
+        process_age_s: float = process_age.TYPICAL_START_S,
     ):
         """Creates an empty collection; called when the process starts.
 
@@ -103,10 +106,11 @@
           settled_s: How long a process must have run undisturbed before
             deadlines apply to it, in seconds.
           clock: Returns seconds that also count while the machine is suspended.
+          process_age_s: How long ago the process was started, in seconds.
         """
         self.due_s = due_s
         self._clock = clock
-        self._enforced_at = clock() + max(0.0, settled_s - _STARTUP_S)
+        self._enforced_at = clock() + max(0.0, settled_s - process_age_s)
         # By model, its versions in ascending order.
         self._models: dict[str, tuple[Declaration, ...]] = {}
 
--- a/src/clementinegw/direct/entry.py
+++ b/src/clementinegw/direct/entry.py
@@ -8,6 +8,7 @@
 
 import mode
 
+from clementinegw import process_age
 from clementinegw import types as shared_types
 from clementinegw.direct import _events
 from clementinegw.direct import admit
@@ -87,6 +88,7 @@
         rng: random.Random | None = None,
         boot_clock: Callable[[], float] = topic_watch.boot_time,
         wall_clock: Callable[[], float] = time.time,
+        process_age_s: float = process_age.TYPICAL_START_S,
     ):
         """Creates the components of the daemon without starting them.
 
@@ -99,6 +101,7 @@
           boot_clock: Returns seconds that include the time in which the
             machine was suspended.
           wall_clock: Returns Unix time, in seconds.
+          process_age_s: How long ago the process was started, in seconds.
         """
         super().__init__()
         assert instance.callers is not None
@@ -150,8 +153,12 @@
             buffer_budget.limit_for(instance.memory_bytes)
         )
         self._fleet.buffers = self._buffers
+        self._process_age_s = process_age_s
         self._versions = version_policy.VersionPolicy(
-            bounds.weights_ms / 1e3, boot_clock, bounds.settled_ms / 1e3
+            bounds.weights_ms / 1e3,
+            boot_clock,
+            bounds.settled_ms / 1e3,
+            process_age_s,
         )
         self._balancer = balance.Balancer(
             self._fleet, instance.place, instance.regions, rng, clock
@@ -227,7 +234,9 @@
         await self.add_runtime_dependency(self._relay)
         await self.add_runtime_dependency(self._operators)
         await self.add_runtime_dependency(self._server_list)
-        self._log.write(events.PROCESS_STARTED)
+        self._log.write(
+            events.PROCESS_STARTED, age_s=round(self._process_age_s, 2)
+        )
 
     def reload(self, instance: instances.Instance) -> None:
         """Applies a changed instance file, except for its addresses."""
--- a/src/clementinegw/direct/run.py
+++ b/src/clementinegw/direct/run.py
@@ -7,10 +7,12 @@
 
 from clementinegw import exceptions
 from clementinegw import lifetime
+from clementinegw import process_age
 from clementinegw import types
 from clementinegw.direct import _events
 from clementinegw.direct import instance as instances
 from clementinegw.direct import server as servers
+from clementinegw.direct import topic_watch
 from clementinegw.telemetry import counters as counters_lib
 from clementinegw.telemetry import errors
 from clementinegw.telemetry import histograms as histograms_lib
@@ -176,13 +178,21 @@
 def _make_entry(instance, platform, log, counters):
     from clementinegw.direct import entry
 
-    return entry.Entry(instance, platform, log, counters)
+    return entry.Entry(
+        instance, platform, log, counters, process_age_s=_process_age_s()
+    )
 
 
 def _make_agent(instance, platform, log, counters):
     from clementinegw.direct import agent
 
-    return agent.Agent(instance, platform, log, counters)
+    return agent.Agent(
+        instance, platform, log, counters, process_age_s=_process_age_s()
+    )
+
+
+def _process_age_s() -> float:
+    return process_age.age_s(topic_watch.boot_time())
 
 
 # Each function imports the module of its role only, which saves the memory of
--- a/src/clementinegw/direct/version_policy.py
+++ b/src/clementinegw/direct/version_policy.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Mapping
 import math
 
+from clementinegw import process_age
 from clementinegw.direct import declarations
 from clementinegw.direct import types
 
@@ -33,6 +34,7 @@
         due_s: float,
         clock: Callable[[], float],
         settled_s: float = 0.0,
+        process_age_s: float = process_age.TYPICAL_START_S,
     ):
         """Creates a policy without any declared version.
 
@@ -42,9 +44,12 @@
           clock: Returns seconds that also count while the machine is suspended.
           settled_s: How long a process must have run undisturbed before
             deadlines apply to it, in seconds.
+          process_age_s: How long ago the process was started, in seconds.
         """
         self._clock = clock
-        self._declared = declarations.Declarations(due_s, settled_s, clock)
+        self._declared = declarations.Declarations(
+            due_s, settled_s, clock, process_age_s
+        )
 
     @property
     def due_s(self) -> float:
--- a/tests/test_direct_declarations.py
+++ b/tests/test_direct_declarations.py
@@ -123,6 +123,20 @@
     assert known.required("m", 103.0 - 0.5) == 2
 
 
+@pytest.mark.parametrize("process_age_s", [0.1, 1.53, 5.0])
+def test_deadlines_apply_as_long_after_a_slow_start_as_after_a_quick_one(
+    process_age_s,
+):
+    """Guards against serving a former version for as long as a start took."""
+    now = [100.0]
+    known = version_policy.VersionPolicy(
+        8.0, lambda: now[0], settled_s=3.0, process_age_s=process_age_s
+    )
+    known.record_declared(types.DeclaredVersion("m", 2), lag_s=FIRST)
+    now[0] = max(100.0, 100.0 - process_age_s + 3.0)
+    assert known.required("m", now[0]) == 2
+
+
 # Reports of ages.
 
 
