--- a/src/clementinegw/direct/hedged_call.py
+++ b/src/clementinegw/direct/hedged_call.py
@@ -17,6 +17,9 @@
 _Answer = TypeVar("_Answer")
 # How much earlier than requested a timer may seem to end, in seconds.
 _TIMER_TOLERANCE_S = 0.001
+# A target that fails within this time took none of the time of the others, in
+# seconds: its machine is up and refuses connections.
+_QUICK_FAILURE_S = 0.1
 # How long no further target is called after bytes of a large answer arrived, in
 # seconds.
 _POSTPONE_S = 0.4
@@ -92,13 +95,18 @@
         self._postponed_until = asyncio.get_running_loop().time() + _POSTPONE_S
 
     async def run(
-        self, order: Sequence[_Target], timing: HedgeTiming
+        self,
+        order: Sequence[_Target],
+        timing: HedgeTiming,
+        further: Callable[[], Sequence[_Target]] = tuple,
     ) -> Result[_Target, _Answer]:
         """Returns the first answer.
 
         Args:
           order: The targets in the order in which they are called.
           timing: When further targets are called.
+          further: Returns further targets after a quick failure, which are
+            called before the last one in `order`.
 
         Raises:
           exceptions.PlatformError: All targets failed; this is the last
@@ -118,6 +126,7 @@
                 if result is not None:
                     return result
                 if not self._running:
+                    self._extend(further())
                     self._start_next()
                     until = loop.time() + timing.overdue_s
                 elif timed_out and loop.time() < self._postponed_until:
@@ -130,6 +139,14 @@
         assert self._error is not None
         raise self._error
 
+    def _extend(self, further: Sequence[_Target]) -> None:
+        """Adds targets before the last one if a call failed quickly."""
+        called_at = max(self._started_at.values())
+        failed_after_s = asyncio.get_running_loop().time() - called_at
+        if failed_after_s < _QUICK_FAILURE_S:
+            known = {*self._started_at, *self._pending}
+            self._pending[-1:-1] = [t for t in further if t not in known]
+
     def _start_next(self) -> None:
         if self._pending:
             self._start(self._pending.pop(0))
--- a/src/clementinegw/direct/reader_selector.py
+++ b/src/clementinegw/direct/reader_selector.py
@@ -81,9 +81,7 @@
           readers may still be starting.
         """
         now = self._clock()
-        ranked = self._ranked(
-            _MAX_PEERS_FOR_SNAPSHOT if is_snapshot else _MAX_PEERS_FOR_CHANGES
-        )
+        ranked = self._ranked(_max_peers(is_snapshot))
         if serving:
             ranked.sort(key=lambda reader: reader is not None)
         starting_up = now < self._startup_until and ranked[0] is not None
@@ -96,6 +94,20 @@
             else self._order_after_failures(ranked, now)
         )
 
+    def usable_peers(self, is_snapshot: bool) -> list[Reader]:
+        """Returns the peers that may be queried now, in order.
+
+        Args:
+          is_snapshot: Whether a snapshot is needed and not changes.
+        """
+        now = self._clock()
+        return [
+            reader
+            for reader in self._ranked(_max_peers(is_snapshot))
+            if reader is not None
+            and self._backoff_until.get(reader, 0.0) <= now
+        ]
+
     def _order_after_failures(
         self, ranked: list[Reader], now: float
     ) -> list[Reader]:
@@ -151,14 +163,33 @@
         self._unreachable.discard(reader)
         self._backoff_until.pop(reader, None)
 
+    def _is_skipped(self, candidate: types.Address, now: float) -> bool:
+        return (
+            now >= self._startup_until
+            and candidate in self._unreachable
+            and self._backoff_until.get(candidate, 0.0) > now
+        )
+
     def _ranked(self, max_peers: int) -> list[Reader]:
-        """Returns the first candidates in order, with the store for itself."""
+        """Returns the first candidates in order, with the store for itself.
+
+        Candidates that gave no answer are skipped while they are in backoff.
+        Otherwise, if the first ones are down, all processes would read the
+        store over one link.
+        """
+        now = self._clock()
         ranked: list[Reader] = []
+        peers = 0
         for candidate in self._candidates:
             if candidate == self.own_address:
                 ranked.append(None)
-            elif len(ranked) - (None in ranked) < max_peers:
+            elif peers < max_peers and not self._is_skipped(candidate, now):
                 ranked.append(candidate)
+                peers += 1
         if None not in ranked:
             ranked.append(None)
         return ranked
+
+
+def _max_peers(is_snapshot: bool) -> int:
+    return _MAX_PEERS_FOR_SNAPSHOT if is_snapshot else _MAX_PEERS_FOR_CHANGES
--- a/src/clementinegw/direct/shared_topic.py
+++ b/src/clementinegw/direct/shared_topic.py
@@ -168,7 +168,8 @@
     async def _read(
         self, offset: int | None, wait_s: float
     ) -> topic_watch.Batch:
-        order = self._selector.order(self.serving, is_snapshot=offset is None)
+        is_snapshot = offset is None
+        order = self._selector.order(self.serving, is_snapshot)
         if not order:
             raise peer_queries.Unable("the readers are starting", "starting")
 
@@ -185,7 +186,9 @@
         call = self._call = _HedgedCall(ask, topic_watch.HistoryLost)
         try:
             result = await call.run(
-                order, self._hedge_timing(order[0], offset, wait_s)
+                order,
+                self._hedge_timing(order[0], offset, wait_s),
+                lambda: self._selector.usable_peers(is_snapshot),
             )
         finally:
             self._call = None
--- a/tests/test_direct_shared.py
+++ b/tests/test_direct_shared.py
@@ -79,6 +79,32 @@
     assert clocks.run(scenario()) == {"a": b"1"}
 
 
+@pytest.mark.parametrize("dead", [3, 8, 12])
+def test_processes_whose_first_readers_are_down_do_not_all_read_the_store(dead):
+    """Guards against a link that is full after a reader has gone."""
+
+    async def scenario():
+        async with shared_domain.Domain(20) as domain:
+            domain.store.put("a", b"1")
+            await asyncio.sleep(5.0)
+            for process in domain.processes[:dead]:
+                process.gone = True
+                await process.watcher.stop()
+            domain.store.bytes_per_s = 1e6
+            domain.store.bytes_out = 0
+            for number in range(10):
+                domain.store.put("a", b"%d" % number * 100_000)
+                await asyncio.sleep(0.4)
+            await asyncio.sleep(2.0)
+            known = {p.known["a"][:1] for p in domain.processes[dead:]}
+            return known, domain.store.bytes_out
+
+    known, bytes_out = clocks.run(scenario())
+    assert known == {b"9"}
+    # Two readers read every change; more would exceed the link's rate.
+    assert bytes_out <= 2 * 10 * 100_000
+
+
 def test_a_change_reaches_all_processes_and_ages_no_copy():
     async def scenario():
         async with shared_domain.Domain(4) as domain:
