--- a/src/clementinegw/direct/attempt.py
+++ b/src/clementinegw/direct/attempt.py
@@ -35,6 +35,9 @@
 _UNREAD_S = 1.0
 # Interval between checks for a silent server, in seconds.
 _SILENCE_CHECK_S = 0.2
+# A connection that fails sooner was refused, which says nothing about the way
+# to the server. Seconds.
+_MIN_CONNECT_TIMEOUT_S = 0.2
 _MISDIRECTED_REQUEST = 421
 # Statuses that promise the caller that its request was not run.
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -67,6 +70,10 @@
       placed_at: When its last server was chosen, in monotonic seconds.
       permitted: Whether it holds a slot of that server's rate limit.
       failed_connect_s: Time spent on connections that failed, in seconds.
+      connect_s: How long its last connection took to open, in seconds; 0 for
+        one that was open.
+      sent_at: When it was last sent, in monotonic seconds.
+      sent_bytes: How many bytes were sent then, without the headers.
       utilization: The estimated share of the last server's slots in use.
       server_id: The last server that was chosen for it.
       takeover: The server that is reserved to take it over from a silent one;
@@ -93,6 +100,9 @@
     placed_at: float = 0.0
     permitted: bool = False
     failed_connect_s: float = 0.0
+    connect_s: float = 0.0
+    sent_at: float | None = None
+    sent_bytes: int = 0
     utilization: float = 0.0
     server_id: str = ""
     takeover: queue.Reservation | None = None
@@ -122,6 +132,20 @@
             customer.priority if customer else None, self.match.route.priority
         )
 
+    def send_fields(self, now: float) -> dict[str, int | None]:
+        """Returns the log fields of its last send.
+
+        Args:
+          now: Monotonic seconds.
+        """
+        if self.sent_at is None:
+            return {}
+        return {
+            "connect_ms": round(1e3 * self.connect_s),
+            "sent_ms": round(1e3 * (now - self.sent_at)),
+            "bytes": self.sent_bytes,
+        }
+
     @property
     def streaming(self) -> bool:
         """Whether the answer is a stream."""
@@ -214,11 +238,17 @@
         try:
             # What broke the former attempt may have broken idle connections
             # too, and a request that is lost on one may have run.
-            connection, _ = await pool.acquire(reuse=not job.runs)
+            connection, reused = await pool.acquire(reuse=not job.runs)
         except client.ConnectFailed:
-            job.failed_connect_s += self._clock() - began
+            failed_after_s = self._clock() - began
+            job.failed_connect_s += failed_after_s
+            if failed_after_s >= _MIN_CONNECT_TIMEOUT_S:
+                backend.transit.record_round_trip(failed_after_s, self._clock())
             receiver.record_unreachable()
             return outcomes.NotRun(outcomes.NotRunReason.UNREACHABLE)
+        job.connect_s = 0.0 if reused else self._clock() - began
+        if not reused:
+            backend.transit.record_round_trip(job.connect_s, self._clock())
         reason = self._withdrawal_reason(job, backend, unread.version_timeout)
         if reason is not None:
             pool.discard(connection)
@@ -289,7 +319,8 @@
             request.headers, forward_metadata
         )
         job.sends += 1
-        sent_at = self._clock()
+        sent_at = job.sent_at = self._clock()
+        job.sent_bytes = len(request.body)
         await connection.send(
             request.method, request.target, headers, request.body
         )
--- a/src/clementinegw/direct/backend.py
+++ b/src/clementinegw/direct/backend.py
@@ -7,6 +7,7 @@
 from clementinegw.direct import rate_limit
 from clementinegw.direct import reports
 from clementinegw.direct import signals as signals_lib
+from clementinegw.direct import transit as transits
 from clementinegw.direct import types
 from clementinegw.scheduling import machine_pace
 from clementinegw.scheduling import server_memory
@@ -75,6 +76,7 @@
       cold_sequence: The record from which `cold_until` was learned last.
       demand: The requests per second that this entry told its agent to want to
         send to it; None if it told none.
+      transit: How long requests take to reach it.
     """
 
     def __init__(
@@ -124,6 +126,7 @@
         self._sent_tokens = 0
         self._memory_draw: float | None = None
         self.demand: float | None = None
+        self.transit = transits.Transit()
         self._cooldown_s = _MIN_COOLDOWN_S
         self._machine_pace = machine_pace.MachinePace()
         self._other_requests = 0.0
@@ -248,6 +251,8 @@
                 report.rank, report.entries
             )
         self.pace = max(1.0, report.pace)
+        if report.round_trip_s is not None:
+            self.transit.record_answer(report.round_trip_s, now)
         self.set_version(report.version if report.whole else 0)
         self.weights_incomplete = not report.whole
 
--- a/src/clementinegw/direct/balance.py
+++ b/src/clementinegw/direct/balance.py
@@ -2,12 +2,14 @@
 
 from collections.abc import Callable, Collection, Iterable
 import dataclasses
+import math
 import random
 
 from clementinegw import types as shared_types
 from clementinegw.direct import backend as backend_lib
 from clementinegw.direct import cooldown
 from clementinegw.direct import fleet
+from clementinegw.direct import transit
 from clementinegw.direct import types
 from clementinegw.scheduling import headroom
 from clementinegw.scheduling import places
@@ -28,6 +30,10 @@
 # Without it all entries would send to the server with the lowest reported load
 # until the next reports arrive.
 _JITTER = 0.4
+# Servers that requests take longer to reach are used only if no other has
+# capacity, in seconds: many round trips between regions, and a part of the
+# shortest objectives.
+_MAX_TRANSIT_S = 0.1
 # A server is not waited for if it is this much later than its agent predicted,
 # in seconds: 1.5 times the longest report interval. Otherwise the prediction of
 # a frozen agent would hold forever.
@@ -49,6 +55,8 @@
       regions: Regions that its server may be in; None for any.
       memory: The memory that it needs; None if servers tell no memory.
       kept: Part of a server's slots that is kept for more urgent requests.
+      upcoming_version: Minimum version from `upcoming_at` on.
+      upcoming_at: When it is required, in monotonic seconds.
     """
 
     service: str
@@ -60,6 +68,18 @@
     regions: places.Regions = None
     memory: server_memory.Need | None = None
     kept: float = 0.0
+    upcoming_version: int = 0
+    upcoming_at: float = math.inf
+
+    def min_version_at(self, arrival_at: float) -> int:
+        """Returns the minimum version for a request that arrives at a time.
+
+        Args:
+          arrival_at: When it reaches the server, in monotonic seconds.
+        """
+        if arrival_at < self.upcoming_at:
+            return max(1, self.min_version)
+        return max(1, self.min_version, self.upcoming_version)
 
 
 class Balancer:
@@ -161,6 +181,11 @@
         self, requirements: Requirements
     ) -> list[backend_lib.Backend]:
         """Returns the servers that could run the request, busy or not."""
+        now = self._clock()
+        min_version = max(1, requirements.min_version)
+        version_changes = (
+            requirements.upcoming_at <= now + transit.MAX_ESTIMATE_S
+        )
         return [
             backend
             for backend in self._usable(
@@ -170,7 +195,12 @@
             and (
                 not requirements.layers
                 or backend.serves(
-                    max(1, requirements.min_version), requirements.layers
+                    requirements.min_version_at(
+                        now + backend.transit.estimate_s(now)
+                    )
+                    if version_changes
+                    else min_version,
+                    requirements.layers,
                 )
             )
         ]
@@ -349,6 +379,7 @@
         """
         return (
             lambda b: not b.is_silent(now),
+            lambda b: b.transit.estimate_s(now) < _MAX_TRANSIT_S,
             lambda b: not b.yielding,
             lambda b: b.serves(
                 requirements.preferred_version, requirements.layers
--- a/src/clementinegw/direct/finisher.py
+++ b/src/clementinegw/direct/finisher.py
@@ -235,6 +235,7 @@
             first_ms=None if first is None else round((first - arrived) * 1e3),
             total_ms=round((now - arrived) * 1e3),
             age_s=round(min(self._config_view.age_s(), 9_999.0), 3),
+            **(job.send_fields(now) if cause else {}),
         )
 
 
--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -385,7 +385,10 @@
             forward_metadata,
             lambda: self._take_over(job, backend),
             self._version_timeouts.create(
-                model, held, job.match.route.idempotent
+                model,
+                held,
+                job.match.route.idempotent,
+                lambda: backend.transit.estimate_s(self._clock()),
             ),
         )
         if isinstance(outcome, outcomes.Delivered):
@@ -478,6 +481,8 @@
             reason=str(reason),
             sends=job.sends,
             doubt=round(backend.failure_rate, 2),
+            transit_ms=round(1e3 * backend.transit.estimate_s(now)),
+            **job.send_fields(now),
         )
 
     def _may_retry(
--- a/src/clementinegw/direct/placement.py
+++ b/src/clementinegw/direct/placement.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import math
 import random
 
 from clementinegw.direct import admit
@@ -429,6 +430,12 @@
         min_version = self._versions.required(model, now) or 0
         if job.runs:
             min_version = max(min_version, self._versions.stable(model, now))
+        upcoming_version, upcoming_at = 0, math.inf
+        upcoming = self._versions.upcoming(model, now)
+        if upcoming is not None:
+            upcoming_version = upcoming[0]
+            # Rounded, so that requests have the same requirements.
+            upcoming_at = round(self._clock() + upcoming[1] - now, 2)
         return balance.Requirements(
             job.service,
             self.layers(job.service),
@@ -436,6 +443,8 @@
             self._versions.preferred(model, now),
             regions=job.regions,
             memory=job.memory,
+            upcoming_version=upcoming_version,
+            upcoming_at=upcoming_at,
         )
 
     def _memory_need(self, job: attempts.Job) -> server_memory.Need | None:
--- a/src/clementinegw/direct/reports.py
+++ b/src/clementinegw/direct/reports.py
@@ -97,6 +97,9 @@
         domain.
       memory_used: The share of the server's memory that requests use; 0 if it
         is little or unknown.
+      round_trip_s: The time that the receiving entry's last subscription and
+        this report took on their way, in seconds; None if this report does not
+        answer one.
     """
 
     server_id: str
@@ -121,6 +124,7 @@
     cold_s: float = 0.0
     evacuated: bool = False
     memory_used: float = 0.0
+    round_trip_s: float | None = None
 
     @property
     def start(self) -> servers.ServerStart:
@@ -177,6 +181,8 @@
     ages_sent_at: float = -math.inf
     # The first report is sent at once: the entry sends no requests before it.
     first_pending: bool = True
+    # What the last subscription asked to be sent back, and when it arrived.
+    echo: tuple[int, float] | None = None
 
     @property
     def ages_interval_s(self) -> float:
@@ -262,6 +268,8 @@
             if not subscriber.subscription.has_same_terms(subscription):
                 self._ranks = None
             subscriber.renew(subscription, now)
+            if message.sent_ms is not None:
+                subscriber.echo = (message.sent_ms, now)
         limit = _limit_from_wire(message.limit, now)
         if limit is not None:
             self._update_limit(limit)
@@ -345,10 +353,16 @@
         )
         for addr, subscriber in recipients:
             data = short
-            if subscriber.ages_sent_at + _AGES_INTERVAL_S <= now:
+            if (
+                subscriber.echo is not None
+                or subscriber.ages_sent_at + _AGES_INTERVAL_S <= now
+            ):
                 subscriber.ages_sent_at = now
+                echo, subscriber.echo = subscriber.echo, None
                 data = _encode_report(
-                    self._with_ranks(report, addr, now), suspicions
+                    self._with_ranks(report, addr, now),
+                    suspicions,
+                    echo and (echo[0], int(1e3 * (now - echo[1]))),
                 )
             self._transport.sendto(data, addr)
 
@@ -518,6 +532,7 @@
         """
         if self._transport is None:
             return
+        sent_ms = _clock_ms()
         ages_ms = {m: _ages_to_ms(a) for m, a in declared.ages_s.items()}
         newest = dict(declared.newest)
         data = {
@@ -529,6 +544,7 @@
                     subscription.changes_only or None,
                     _limit_to_wire(subscription.limit),
                     subscription.demand,
+                    sent_ms,
                     ages_ms=ages_ms or None,
                     suspicions=suspicion_codec.to_wire(suspicions),
                 )
@@ -545,8 +561,11 @@
 
 
 def _encode_report(
-    report: Report, suspicions: tuple[suspects.Suspicion, ...] = ()
+    report: Report,
+    suspicions: tuple[suspects.Suspicion, ...] = (),
+    echo: tuple[int, int] | None = None,
 ) -> bytes:
+    echo_ms, echo_held_ms = echo or (None, None)
     ages_ms = _ages_to_ms(report.ages_s)
     return codec.encode(
         ttypes.BackendReport(
@@ -572,6 +591,8 @@
             born=report.started_ms,
             ages_ms=ages_ms or None,
             memory_percent=_to_percent(report.memory_used),
+            echo_ms=echo_ms,
+            echo_held_ms=echo_held_ms,
             suspicions=suspicion_codec.to_wire(suspicions),
         )
     )
@@ -601,9 +622,23 @@
         max(0, message.cold_ms or 0) / 1e3,
         bool(message.evacuated),
         max(0, message.memory_percent or 0) / 100,
+        _round_trip_s(message),
     )
 
 
+def _clock_ms() -> int:
+    """Returns the event loop's time in milliseconds, modulo 2^31."""
+    return int(1e3 * asyncio.get_running_loop().time()) & _MAX_AGE_MS
+
+
+def _round_trip_s(message: ttypes.BackendReport) -> float | None:
+    """Returns the time of a round trip in seconds; None if it is not told."""
+    if message.echo_ms is None or message.echo_held_ms is None:
+        return None
+    passed_ms = (_clock_ms() - message.echo_ms) & _MAX_AGE_MS
+    return max(0, passed_ms - message.echo_held_ms) / 1e3
+
+
 def _to_percent(memory_used: float) -> int | None:
     """Returns a share in percent; None if it is too little to be reported."""
     if memory_used < _MIN_MEMORY_USED:
--- a/src/clementinegw/direct/subscriptions.py
+++ b/src/clementinegw/direct/subscriptions.py
@@ -97,7 +97,7 @@
             or not subscription.changes_only
             or (number + self._rounds) % _CHANGES_ONLY_ROUNDS == 0
         }
-        self._listener.subscribe(due, self._declared(), suspicions)
+        self._subscribe(due, suspicions)
 
     def subscribe_changed(self) -> None:
         """Subscribes to agents whose subscription has changed, at once.
@@ -115,7 +115,7 @@
         }
         self._subscribed = subscriptions
         if changed:
-            self._listener.subscribe(changed, self._declared())
+            self._subscribe(changed)
 
     def refresh(self) -> None:
         """Renews subscriptions if the usable servers or rate limits changed."""
@@ -124,6 +124,22 @@
         ) != _rates(self._relayed_limits):
             self.subscribe_changed()
 
+    def _subscribe(
+        self,
+        agents: dict[shared_types.Address, reports.Subscription],
+        suspicions: tuple[suspects.Suspicion, ...] = (),
+    ) -> None:
+        now = self._clock()
+        hosts = {
+            agent.host
+            for agent, subscription in agents.items()
+            if not subscription.changes_only
+        }
+        for backend in self._fleet.all():
+            if backend.server.address.host in hosts:
+                backend.transit.record_question(now)
+        self._listener.subscribe(agents, self._declared(), suspicions)
+
     def _declared(self) -> reports.DeclaredVersions:
         return reports.DeclaredVersions(
             self._versions.newest_by_model(), self._versions.ages_s()
--- a/src/clementinegw/direct/version_policy.py
+++ b/src/clementinegw/direct/version_policy.py
@@ -137,6 +137,27 @@
         ]
         return max(required, default=0)
 
+    def upcoming(self, model: str, now: float) -> tuple[int, float] | None:
+        """Returns the next version that will be required, and when it will be.
+
+        Args:
+          model: The model's name.
+          now: The current boot time, in seconds.
+
+        Returns:
+          The version and the boot time; None if no version is declared that is
+          not required yet.
+        """
+        required = [
+            (at, declaration.version)
+            for declaration in self._declared.for_model(model)
+            if (at := self.required_at(declaration)) > now
+        ]
+        if not required:
+            return None
+        at, version = min(required)
+        return version, at
+
     def withdraw_at(self, model: str, held: int) -> float:
         """Returns when to withdraw a request that a server has not started.
 
--- a/src/clementinegw/direct/version_timeouts.py
+++ b/src/clementinegw/direct/version_timeouts.py
@@ -32,6 +32,7 @@
         model: str,
         held: int,
         idempotent: bool,
+        transit_s: Callable[[], float],
     ):
         """Does nothing before `start`; see `VersionTimeouts.create`."""
         self.model = model
@@ -39,11 +40,12 @@
         self.timeout: asyncio.Timeout | None = None
         self._timeouts = timeouts
         self._idempotent = idempotent
+        self._transit_s = transit_s
 
     @property
     def outdated(self) -> bool:
-        """Whether the server's weights are too old for the request by now."""
-        return self._timeouts.is_outdated(self)
+        """Whether the weights are too old once the request reaches them."""
+        return self._timeouts.is_outdated(self, self._transit_s())
 
     def start(self, timeout: asyncio.Timeout) -> None:
         """Watches an attempt; does nothing for one that may not be repeated.
@@ -81,21 +83,35 @@
         self._active: set[VersionTimeout] = set()
         self._boot_offset_s = self._current_boot_offset_s()
 
-    def create(self, model: str, held: int, idempotent: bool) -> VersionTimeout:
+    def create(
+        self,
+        model: str,
+        held: int,
+        idempotent: bool,
+        transit_s: Callable[[], float] = lambda: 0.0,
+    ) -> VersionTimeout:
         """Returns the timeout of one request; it is not started yet.
 
         Args:
           model: The model that the request asks for.
           held: The version of the weights that the server holds.
           idempotent: Whether the request may be repeated at another server.
+          transit_s: Returns how long it takes to reach the server, in seconds.
         """
-        return VersionTimeout(self, model, held, idempotent)
+        return VersionTimeout(self, model, held, idempotent, transit_s)
 
-    def is_outdated(self, version_timeout: VersionTimeout) -> bool:
-        """Returns whether a server's weights are too old by now."""
-        now = self._versions.now
+    def is_outdated(
+        self, version_timeout: VersionTimeout, after_s: float
+    ) -> bool:
+        """Returns whether a server's weights are too old in a while.
+
+        Args:
+          version_timeout: The timeout of a request to the server.
+          after_s: The time from now on, in seconds.
+        """
+        at = self._versions.now + after_s
         return (
-            self._versions.required(version_timeout.model, now) or 0
+            self._versions.required(version_timeout.model, at) or 0
         ) > version_timeout.held
 
     def add(self, version_timeout: VersionTimeout) -> None:
--- a/src/clementinegw/wire/gen/reports/ttypes.py
+++ b/src/clementinegw/wire/gen/reports/ttypes.py
@@ -325,6 +325,7 @@
      - changes_only
      - limit
      - demand
+     - sent_ms
      - ages_ms
      - suspicions
 
@@ -337,18 +338,20 @@
         'changes_only',
         'limit',
         'demand',
+        'sent_ms',
         'ages_ms',
         'suspicions',
     )
 
 
-    def __init__(self, instance_id=None, declared=None, far=False, changes_only=False, limit=None, demand=None, ages_ms=None, suspicions=None,):
+    def __init__(self, instance_id=None, declared=None, far=False, changes_only=False, limit=None, demand=None, sent_ms=None, ages_ms=None, suspicions=None,):
         self.instance_id = instance_id
         self.declared = declared
         self.far = far
         self.changes_only = changes_only
         self.limit = limit
         self.demand = demand
+        self.sent_ms = sent_ms
         self.ages_ms = ages_ms
         self.suspicions = suspicions
 
@@ -398,6 +401,11 @@
                     self.demand = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.sent_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             elif fid == 20:
                 if ftype == TType.MAP:
                     self.ages_ms = {}
@@ -464,6 +472,10 @@
             oprot.writeFieldBegin('demand', TType.DOUBLE, 6)
             oprot.writeDouble(self.demand)
             oprot.writeFieldEnd()
+        if self.sent_ms is not None:
+            oprot.writeFieldBegin('sent_ms', TType.I32, 7)
+            oprot.writeI32(self.sent_ms)
+            oprot.writeFieldEnd()
         if self.ages_ms is not None:
             oprot.writeFieldBegin('ages_ms', TType.MAP, 20)
             oprot.writeMapBegin(TType.STRING, TType.MAP, len(self.ages_ms))
@@ -536,6 +548,8 @@
      - evacuated
      - ages_ms
      - memory_percent
+     - echo_ms
+     - echo_held_ms
      - born
      - suspicions
 
@@ -563,12 +577,14 @@
         'evacuated',
         'ages_ms',
         'memory_percent',
+        'echo_ms',
+        'echo_held_ms',
         'born',
         'suspicions',
     )
 
 
-    def __init__(self, server_id=None, running=None, waiting=None, slots=None, model=None, version=None, whole=None, loading=None, pace=None, yielding=None, entries=None, ready_in_s=None, followers=None, rank=None, follower_rank=None, limit=None, demand=None, cold_ms=None, evacuated=None, ages_ms=None, memory_percent=None, born=None, suspicions=None,):
+    def __init__(self, server_id=None, running=None, waiting=None, slots=None, model=None, version=None, whole=None, loading=None, pace=None, yielding=None, entries=None, ready_in_s=None, followers=None, rank=None, follower_rank=None, limit=None, demand=None, cold_ms=None, evacuated=None, ages_ms=None, memory_percent=None, echo_ms=None, echo_held_ms=None, born=None, suspicions=None,):
         self.server_id = server_id
         self.running = running
         self.waiting = waiting
@@ -590,6 +606,8 @@
         self.evacuated = evacuated
         self.ages_ms = ages_ms
         self.memory_percent = memory_percent
+        self.echo_ms = echo_ms
+        self.echo_held_ms = echo_held_ms
         self.born = born
         self.suspicions = suspicions
 
@@ -714,6 +732,16 @@
                     self.memory_percent = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 22:
+                if ftype == TType.I32:
+                    self.echo_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 23:
+                if ftype == TType.I32:
+                    self.echo_held_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             elif fid == 30:
                 if ftype == TType.I64:
                     self.born = iprot.readI64()
@@ -828,6 +856,14 @@
             oprot.writeFieldBegin('memory_percent', TType.I32, 21)
             oprot.writeI32(self.memory_percent)
             oprot.writeFieldEnd()
+        if self.echo_ms is not None:
+            oprot.writeFieldBegin('echo_ms', TType.I32, 22)
+            oprot.writeI32(self.echo_ms)
+            oprot.writeFieldEnd()
+        if self.echo_held_ms is not None:
+            oprot.writeFieldBegin('echo_held_ms', TType.I32, 23)
+            oprot.writeI32(self.echo_held_ms)
+            oprot.writeFieldEnd()
         if self.born is not None:
             oprot.writeFieldBegin('born', TType.I64, 30)
             oprot.writeI64(self.born)
@@ -916,7 +952,7 @@
     (4, TType.BOOL, 'changes_only', None, False, ),  # 4
     (5, TType.STRUCT, 'limit', [Limit, None], None, ),  # 5
     (6, TType.DOUBLE, 'demand', None, None, ),  # 6
-    None,  # 7
+    (7, TType.I32, 'sent_ms', None, None, ),  # 7
     None,  # 8
     None,  # 9
     None,  # 10
@@ -975,8 +1011,8 @@
     (19, TType.BOOL, 'evacuated', None, None, ),  # 19
     (20, TType.MAP, 'ages_ms', (TType.I64, None, TType.I64, None, False), None, ),  # 20
     (21, TType.I32, 'memory_percent', None, None, ),  # 21
-    None,  # 22
-    None,  # 23
+    (22, TType.I32, 'echo_ms', None, None, ),  # 22
+    (23, TType.I32, 'echo_held_ms', None, None, ),  # 23
     None,  # 24
     None,  # 25
     None,  # 26
--- a/src/clementinegw/wire/reports.thrift
+++ b/src/clementinegw/wire/reports.thrift
@@ -40,6 +40,8 @@
   // Requests per second that the entry wants to send to servers of this service,
   // each counted as the part of it that this server may get.
   6: optional double demand,
+  // A time of the entry's clock, in milliseconds, which the agent sends back.
+  7: optional i32 sent_ms,
   // By model and version: milliseconds since it was declared, if known.
   20: optional map<string, map<i64, i64>> ages_ms,
   // The entry's own recent observations; rarely any.
@@ -83,6 +85,10 @@
   20: optional map<i64, i64> ages_ms,
   // Percent of the server's memory that requests use; unset if it is little.
   21: optional i32 memory_percent,
+  // The time in the receiving entry's last subscription, and for how many
+  // milliseconds the agent held it. Sent once for each subscription.
+  22: optional i32 echo_ms,
+  23: optional i32 echo_held_ms,
   // When the server started, in Unix milliseconds; 0 if not reported.
   30: optional i64 born,
   // The combined observations of all entries; rarely any.
