--- a/src/clementinegw/direct/client.py
+++ b/src/clementinegw/direct/client.py
@@ -168,10 +168,19 @@
         return bytes(received)
 
     def close(self) -> None:
-        """Closes the connection at once; the peer sees it."""
+        """Closes the connection in order; the peer sees it."""
         self._keep_alive = False
         self._channel.abort()
 
+    def reset(self) -> None:
+        """Resets the connection: what the peer has not received is dropped.
+
+        The kernel goes on sending the rest of a request on a connection that is
+        closed in order, and a server would run it.
+        """
+        self._keep_alive = False
+        self._channel.reset()
+
     async def _next_event(self):
         while True:
             try:
@@ -373,7 +382,8 @@
         self._idle.append(connection)
 
     def discard(self, connection: Connection) -> None:
-        """Closes a connection whose call failed."""
+        """Resets a connection whose call failed or was cancelled."""
+        connection.reset()
         self._close(connection)
 
     def prune(self) -> None:
