--- a/src/clementinegw/direct/run.py
+++ b/src/clementinegw/direct/run.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import gc
 import pathlib
 from typing import Any
 
@@ -54,6 +55,7 @@
     counters = counters_lib.Counters()
     platform = make_platform(instance, log, counters)
     daemon = _ROLES[args[0]](instance, platform, log, counters)
+    _keep_imported_objects()
     metrics_server = servers.Server(
         _MetricsHandler(counters, daemon.histograms, out).answer, log, counters
     )
@@ -191,6 +193,12 @@
     )
 
 
+def _keep_imported_objects() -> None:
+    """Leaves out of garbage collections what is never freed."""
+    gc.freeze()
+    gc.enable()
+
+
 def _process_age_s() -> float:
     return process_age.age_s(topic_watch.boot_time())
 
