--- a/src/clementinegw/direct/balance.py
+++ b/src/clementinegw/direct/balance.py
@@ -182,10 +182,6 @@
     ) -> list[backend_lib.Backend]:
         """Returns the servers that could run the request, busy or not."""
         now = self._clock()
-        min_version = max(1, requirements.min_version)
-        version_changes = (
-            requirements.upcoming_at <= now + transit.MAX_ESTIMATE_S
-        )
         return [
             backend
             for backend in self._usable(
@@ -195,11 +191,7 @@
             and (
                 not requirements.layers
                 or backend.serves(
-                    requirements.min_version_at(
-                        now + backend.transit.estimate_s(now)
-                    )
-                    if version_changes
-                    else min_version,
+                    _min_version(requirements, backend, now),
                     requirements.layers,
                 )
             )
@@ -408,6 +400,17 @@
         return cost
 
 
+def _min_version(
+    requirements: Requirements, backend: backend_lib.Backend, now: float
+) -> int:
+    """Returns the minimum version for a request that is sent now."""
+    arrival_at = now
+    # The way only matters shortly before a version is required.
+    if requirements.upcoming_at <= now + transit.MAX_ESTIMATE_S:
+        arrival_at += backend.transit.estimate_s(now)
+    return requirements.min_version_at(arrival_at)
+
+
 def distance_to(
     regions: dict[str, str], place: shared_types.Place, domain: str
 ) -> int:
