review: exit codes, signals and groups of the stand-ins; a line for each issue

An error of a script or of Python ends with 2, SIGTERM ends all processes. The store's stand-in returns the partitions of a member.

--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -371,8 +371,16 @@
     raise RuntimeError("no free ports")
 
 
-def main(scenario, folder, record_path, limit_s=115.0):
-    """Runs a scenario and exits with its code.
+# The exit code of a broken rule; `run.sh` makes it 1, and 2 of all other codes
+# but 0, so that an error of Python itself does not count as a broken rule.
+_BROKEN = 3
+_COULD_NOT_RUN = 2
+
+
+def main(scenario, folder, record_path, limit_s=110.0):
+    """Runs a scenario and exits with 0, or 3 if the rule was broken, or 2.
+
+    SIGTERM and SIGINT end it, and all processes that it started.
 
     Args:
       scenario: A coroutine function that takes a folder and the record's path
@@ -383,13 +391,18 @@
     """
 
     async def run():
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         async with asyncio.timeout(limit_s):
             return await scenario(folder, record_path)
 
     try:
         held = asyncio.run(run())
-    except Exception as error:
+        if http_server.failures:
+            raise RuntimeError(f"stand-ins failed: {http_server.failures[:3]}")
+    except (Exception, asyncio.CancelledError) as error:
         print(f"could not run: {error!r}", file=sys.stderr)
-        sys.exit(2)
+        sys.exit(_COULD_NOT_RUN)
     print("the rule held" if held else "the rule was BROKEN")
-    sys.exit(0 if held else 1)
+    sys.exit(0 if held else _BROKEN)
--- a/review/lib/http_server.py
+++ b/review/lib/http_server.py
@@ -4,6 +4,8 @@
 import dataclasses
 from urllib import parse
 
+# Unexpected errors of handlers: the case could not run as it should.
+failures: list[str] = []
 _STATUS_TEXT = {200: "OK", 202: "Accepted", 503: "Service Unavailable"}
 
 
@@ -75,7 +77,11 @@
                 call = await _read(reader, writer)
                 if call is None:
                     break
-                await handler(call)
+                try:
+                    await handler(call)
+                except ValueError as error:
+                    failures.append(repr(error))
+                    raise
         except (
             OSError,
             asyncio.IncompleteReadError,
@@ -84,6 +90,8 @@
         ):
             # The peer is gone, or the case ends.
             pass
+        except Exception as error:
+            failures.append(repr(error))
         finally:
             writer.close()
 
--- a/review/lib/store.py
+++ b/review/lib/store.py
@@ -106,15 +106,24 @@
                 del members[member]
         members[wanted["member"]] = now + wanted["ttl_ms"] / 1e3
         self._generation += set(members) != present
-        answer = {"generation": self._generation, "parts": []}
+        rows = [
+            [topic, part, 0]
+            for topic, part, member in self._rows(wanted["group"])
+            if member == wanted["member"]
+        ]
+        answer = {"generation": self._generation, "parts": rows}
         return 200, json.dumps(answer).encode()
 
     async def _owners(self, call):
+        rows = [[*row, 0] for row in self._rows(call.query["group"])]
+        return 200, json.dumps({"parts": rows}).encode()
+
+    def _rows(self, group):
+        """Returns topic, partition and member, the partitions dealt evenly."""
         now = time.monotonic()
-        members = self._members.get(call.query["group"], {})
+        members = self._members.get(group, {})
         present = sorted(m for m, until in members.items() if until >= now)
-        rows = [
-            ["readers", part, present[part % len(present)], 0]
+        return [
+            ("readers", part, present[part % len(present)])
             for part in range(_PARTS if present else 0)
         ]
-        return 200, json.dumps({"parts": rows}).encode()
