Say in attempt_ended whether an attempt counts as a crash, and of which parts

Callers saw 502 and 503 while one server after the other crashed. The lines of the entries could not tell three causes apart: requests that crash servers are identified too narrowly, what entries saw reaches the others too late, or a broken answer is not counted as a crash at all.

attempt_ended now says whether it counted (`crash`, counter direct.crash_observed), how many events were out, and which parts of the prompt other requests share.

--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -463,16 +463,12 @@
             job.tried.add(backend.server.start)
         if not isinstance(outcome, outcomes.NotRun):
             job.runs += 1
-        if isinstance(outcome, outcomes.Lost):
-            # A server that was ordered to load weights aborts its requests.
-            broken = outcome.reason is outcomes.LostReason.BROKEN
-            if broken and not (backend.yielding or backend.loading):
-                self._suspects.record_crash(
-                    job.request,
-                    job.customer_name,
-                    backend.server.start.text,
-                    now,
-                )
+        crash = _is_crash(outcome, backend)
+        if crash:
+            self._counters.add("direct.crash_observed")
+            self._suspects.record_crash(
+                job.request, job.customer_name, backend.server.start.text, now
+            )
         self._log.write(
             _events.ATTEMPT_ENDED,
             request=job.metadata.attempt_id,
@@ -482,6 +478,9 @@
             sends=job.sends,
             doubt=round(backend.failure_rate, 2),
             transit_ms=round(1e3 * backend.transit.estimate_s(now)),
+            crash=crash,
+            events=job.events,
+            parts=job.metadata.shared_parts,
             **job.send_fields(now),
         )
 
@@ -548,6 +547,17 @@
         return budget
 
 
+def _is_crash(
+    outcome: outcomes.AttemptOutcome, backend: backend_lib.Backend
+) -> bool:
+    """Returns whether an attempt counts as one at which its server crashed."""
+    if not isinstance(outcome, outcomes.Lost):
+        return False
+    # A server that was ordered to load weights aborts its requests.
+    expected = backend.yielding or backend.loading
+    return outcome.reason is outcomes.LostReason.BROKEN and not expected
+
+
 def _is_unreachable(outcome: outcomes.AttemptOutcome) -> bool:
     """Returns whether an attempt failed to connect: nothing was sent."""
     return (
--- a/src/clementinegw/direct/types.py
+++ b/src/clementinegw/direct/types.py
@@ -405,8 +405,8 @@
       model: The requested model; empty for a plain service.
       prompt_tokens: The number of tokens of the prompt.
       output_tokens: The maximum number of tokens to generate.
-      session: The id of the prompt's last shared segment; empty if there is
-        none.
+      shared_parts: The ids of the prompt's parts, in order, without the last
+        one, which belongs to the request or its session alone.
       last_event_id: The id of the last event that the caller received; None
         for a new stream.
     """
@@ -417,7 +417,7 @@
     model: str = ""
     prompt_tokens: int = 0
     output_tokens: int = 0
-    session: str = ""
+    shared_parts: tuple[str, ...] = ()
     last_event_id: str | None = None
 
 
