Add failing tests of a prompt part that crashes servers

A soak of six entries and eight agents as processes (--subject=prompts): two requests a second with one part in their prompts, no two alike, crash the server that begins to answer them; 25 sound ones a second share their customer, route and other parts.

--- a/src/clementinegw/direct/_events.py
+++ b/src/clementinegw/direct/_events.py
@@ -134,8 +134,8 @@
     _INFO,
     "An attempt at a backend server ended without an answer to forward. `crash`"
     " says whether it counts as a crash of the server, `events` how many events"
-    " of the answer the caller was sent, `parts` which parts of its prompt other"
-    " requests share.",
+    " of the answer the caller was sent, `parts` which parts of its prompt"
+    " other requests share.",
 )
 REQUEST_REFUSED = events.define(
     912,
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -26,12 +26,14 @@
 ]
 
 import entries  # noqa: E402
+import prompts  # noqa: E402
 import server_signals  # noqa: E402
 import streams  # noqa: E402
 import versions  # noqa: E402
 import weights  # noqa: E402
 
 SUBJECTS = {
+    "prompts": prompts.Soak,
     "requests": entries.Soak,
     "signals": server_signals.Soak,
     "streams": streams.Soak,
--- a/tests/suspects_entry.py
+++ b/tests/suspects_entry.py
@@ -19,13 +19,13 @@
         self.suspects = suspects.SuspectTracker()
         self.clock_s = clock_s
 
-    def record_crash(self, body, start, at):
+    def record_crash(self, body, start, at, parts=()):
         self.suspects.record_crash(request(body), "c", start, self.clock_s + at)
 
     def record_completion(self, body, at):
         self.suspects.record_completion(request(body), "c", self.clock_s + at)
 
-    def is_refused(self, body, at, customer_name="c"):
+    def is_refused(self, body, at, customer_name="c", parts=()):
         return self.suspects.is_refused(
             request(body), customer_name, self.clock_s + at
         )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -58,6 +58,13 @@
     assert faults > 0
 
 
+def test_requests_with_a_crashing_prompt_part_stop_reaching_servers():
+    """Requests that had one part in common crashed one server after another."""
+    violations, requests, _ = run.run_seed(6, seconds=10.0, subject="prompts")
+    assert violations == []
+    assert requests > 0
+
+
 def test_streams_end_with_an_answer_beside_ever_new_configurations():
     """A stream ended with a closed connection and no line of its id."""
     violations, requests, faults = run.run_seed(
