Break off a stream without length or chunks that ends before its first event

Callers got an empty stream with status 200 that looked complete. A server that crashes behind the head of a stream that ends with its connection closes that connection in order, as one does that has nothing more to send; the entry took it for the end. Since the request counted as answered it also cleared what was suspected of it.

Such a stream is broken now unless an event came; one with a length or chunks may be empty. Behind a whole event the end of the connection stays the end of the stream, as nothing tells it from a crash; inside an event it is broken off.

--- a/src/clementinegw/direct/attempt.py
+++ b/src/clementinegw/direct/attempt.py
@@ -411,13 +411,14 @@
         route = job.match.route
         silence_s = max(_MIN_SILENCE_S, _SILENCE_PER_GAP * route.max_gap_s)
         silence_limit_s = silence_s if route.idempotent else None
+        received = 0
         while True:
             data = await receiver.receive(connection.data, silence_limit_s)
             if data is None:
                 break
-            new_events = [
-                e for e in splitter.feed(data) if _is_new(e, job.last_event_id)
-            ]
+            events = splitter.feed(data)
+            received += len(events)
+            new_events = [e for e in events if _is_new(e, job.last_event_id)]
             if not new_events:
                 continue
             unread.release()
@@ -433,6 +434,9 @@
                 job.last_event_id = new_events[-1].event_id
         if splitter.remainder.strip():
             raise client.AnswerBroken("stream ends in the middle of an event")
+        if not received and not head.framed:
+            # A server that crashes behind the head ends the connection too.
+            raise client.AnswerBroken("stream ends before its first event")
         await self._begin_answer(job, head)
         await job.responder.end()
 
--- a/src/clementinegw/direct/client.py
+++ b/src/clementinegw/direct/client.py
@@ -43,6 +43,17 @@
     status: int
     headers: tuple[tuple[bytes, bytes], ...]
 
+    @property
+    def framed(self) -> bool:
+        """Whether the body has a length or chunks.
+
+        Any other body ends with its connection.
+        """
+        return (
+            self.get(b"content-length") is not None
+            or self.get(b"transfer-encoding") is not None
+        )
+
     def get(self, name: bytes) -> bytes | None:
         """Returns the first value of a header; its name is in lower case."""
         for key, value in self.headers:
