--- a/src/clementinegw/direct/_events.py
+++ b/src/clementinegw/direct/_events.py
@@ -298,3 +298,22 @@
     _INFO,
     "The entry follows a different set of servers and sends only to these.",
 )
+PART_REFUSED = events.define(
+    948,
+    "part_refused",
+    _WARNING,
+    "Requests with this part in their prompts are refused. `part` is a digest"
+    " of its id, `crashes` the digests of the server starts that ended under it"
+    " and how many seconds ago; `cause` is `crashes` if this entry found it,"
+    " else `reported`.",
+    "Look for `part` in the refusals of any entry: `suspect` there is its id."
+    " Take it out of the callers' prompts.",
+)
+PART_CLEARED = events.define(
+    949,
+    "part_cleared",
+    _INFO,
+    "Requests with this part are served again: one was `answered`, its servers"
+    " `survived`, another part `explained` its crashes, or they are"
+    " `forgotten`.",
+)
--- a/src/clementinegw/direct/agent.py
+++ b/src/clementinegw/direct/agent.py
@@ -19,6 +19,7 @@
 from clementinegw import types as shared_types
 from clementinegw.direct import _events
 from clementinegw.direct import agent_interfaces
+from clementinegw.direct import crash_trackers
 from clementinegw.direct import declarations
 from clementinegw.direct import evacuation_watch
 from clementinegw.direct import fetcher as fetcher_lib
@@ -28,7 +29,7 @@
 from clementinegw.direct import reports
 from clementinegw.direct import server_records
 from clementinegw.direct import steps
-from clementinegw.direct import suspects
+from clementinegw.direct import suspicion_codec
 from clementinegw.direct import topic_watch
 from clementinegw.direct import types
 from clementinegw.direct import updater
@@ -52,6 +53,10 @@
 # Every entry must know of such a request before it has been repeated a few
 # times.
 _SUSPICIONS_INTERVAL_S = 0.5
+# The same for those that nothing new was learned of for a while, and how long
+# that is, in seconds.
+_OLD_SUSPICIONS_INTERVAL_S = 2.0
+_RECENT_S = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -142,10 +147,11 @@
             counters,
         )
         self._me = self._agent_instance(instance.host, instance.place)
+        rng = rng or random.Random()
         self._fetcher = fetcher_lib.Fetcher(
             self._me,
             instance.link_bytes_per_s,
-            rng or random.Random(),
+            rng,
             log,
             counters,
             clock or clocks.SystemClock(),
@@ -157,10 +163,14 @@
             process_age_s,
         )
         self._process_age_s = process_age_s
-        self._suspects = suspects.SuspectTracker()
+        self._suspects = crash_trackers.Trackers()
         self._suspicions_sent_at = 0.0
         self._reporter = reports.Reporter(
-            self._on_declared, self._ages_report, self._on_suspicions
+            self._on_declared,
+            self._ages_report,
+            self._on_suspicions,
+            lambda: len(self._context.servers),
+            rng,
         )
         self.histograms = histograms.Histograms()
         self._origin_address: shared_types.Address | None = None
@@ -293,14 +303,20 @@
         return reports.Report("", 0, 0, 1, model, ages_s=ages_s)
 
     def _on_suspicions(
-        self, suspicions: tuple[suspects.Suspicion, ...]
+        self, suspicions: tuple[suspicion_codec.Suspicion, ...]
     ) -> None:
         self._suspects.merge(suspicions, self._clock())
 
-    def _suspicions(self) -> tuple[suspects.Suspicion, ...]:
+    def _suspicions(self) -> tuple[suspicion_codec.Suspicion, ...]:
         """Returns the suspicions to send now; empty if some were just sent."""
         now = self._clock()
-        if now - self._suspicions_sent_at < _SUSPICIONS_INTERVAL_S:
+        is_recent = now - self._suspects.parts.changed_at < _RECENT_S
+        interval_s = (
+            _SUSPICIONS_INTERVAL_S
+            if is_recent or not self._suspects.requests.idle
+            else _OLD_SUSPICIONS_INTERVAL_S
+        )
+        if now - self._suspicions_sent_at < interval_s:
             return ()
         self._suspicions_sent_at = now
         return self._suspects.confirmed_suspicions(now)
@@ -380,6 +396,8 @@
             self._counters.add("direct.state.failed")
             if former is not None:
                 self._log.write(_events.SERVER_SILENT, reason=error.message)
+            # The server may have crashed under a request.
+            self._reporter.relay(self._suspicions())
             return
         if (
             former is not None
--- a/src/clementinegw/direct/attempt.py
+++ b/src/clementinegw/direct/attempt.py
@@ -38,6 +38,9 @@
 # A connection that fails sooner was refused, which says nothing about the way
 # to the server. Seconds.
 _MIN_CONNECT_TIMEOUT_S = 0.2
+# From how many events on an answer shows that its prompt is sound: a server may
+# crash right behind the first one.
+_ANSWERING_EVENTS = 2
 _MISDIRECTED_REQUEST = 421
 # Statuses that promise the caller that its request was not run.
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -81,6 +84,13 @@
       tried: The server starts where it may have run without success.
       answer_memory: The memory of answers that are buffered for it.
       memory: The memory that it needs at its server; None if unknown.
+      answering: Whether a server has sent enough events to show that answering
+        it crashes no server.
+      suspect: The part of its prompt for which it is refused; empty for none.
+      probe: Whether it is sent although it is suspected.
+      fingerprint: Identifies the request among equal ones; empty until needed.
+      suspect_check_at: When it is next found out whether it is suspected while
+        it waits, in monotonic seconds.
     """
 
     request: servers.Request
@@ -113,6 +123,11 @@
         )
     )
     memory: server_memory.Need | None = None
+    answering: bool = False
+    suspect: str = ""
+    probe: bool = False
+    fingerprint: bytes = b""
+    suspect_check_at: float = 0.0
 
     @property
     def customer_name(self) -> str:
@@ -163,6 +178,9 @@
         withdrawal_reason: Callable[
             [Job, backend_lib.Backend], outcomes.NotRunReason | None
         ] = lambda job, backend: None,
+        on_answering: Callable[[Job, backend_lib.Backend], None] = (
+            lambda job, backend: None
+        ),
     ):
         """Stores its collaborators; `run` makes the attempts.
 
@@ -172,11 +190,13 @@
           on_first_event: Called when a request's first event has arrived.
           withdrawal_reason: Returns why operators no longer want a request at
             its server; None if they allow it.
+          on_answering: Called once a server sends the answer to a request.
         """
         self._codec = codec
         self._clock = clock
         self._on_first_event = on_first_event
         self._operators_reason = withdrawal_reason
+        self._on_answering = on_answering
 
     async def run(
         self,
@@ -432,6 +452,9 @@
             job.events += len(new_events)
             if new_events[-1].event_id is not None:
                 job.last_event_id = new_events[-1].event_id
+            if not job.answering and job.events >= _ANSWERING_EVENTS:
+                job.answering = True
+                self._on_answering(job, receiver.backend)
         if splitter.remainder.strip():
             raise client.AnswerBroken("stream ends in the middle of an event")
         if not received and not head.framed:
--- a/src/clementinegw/direct/entry.py
+++ b/src/clementinegw/direct/entry.py
@@ -190,7 +190,7 @@
         self._reports = reports.Listener(
             instance.name,
             self._on_report,
-            on_suspicions=self._forwarder.merge_suspicions,
+            on_suspicions=self._forwarder.guard.merge,
         )
         self._subscriptions = subscriptions.Subscriptions(
             instance,
@@ -293,6 +293,9 @@
                 self._forwarder.check_clock()
             with self._steps.guard("refresh_subscriptions"):
                 self._subscriptions.refresh()
+            with self._steps.guard("publish_suspicions"):
+                if self._forwarder.guard.take_news():
+                    self._subscriptions.publish_suspicions()
             self._log_readiness()
 
     def _maintain_servers(self) -> None:
@@ -328,8 +331,10 @@
             changes = self._versions.merge_ages(report.model, report.ages_s)
             self._log_declarations(changes)
         backend = self._fleet.match_report(report, host)
+        self._forwarder.guard.record_rank(report.rank)
         if backend is None:
             return
+        self._forwarder.guard.record_report(backend)
         was_evacuated = backend.evacuated
         service = backend.server.service
         backend.apply_report(
--- a/src/clementinegw/direct/finisher.py
+++ b/src/clementinegw/direct/finisher.py
@@ -10,6 +10,7 @@
 from clementinegw.direct import client
 from clementinegw.direct import header_codec
 from clementinegw.direct import outcomes
+from clementinegw.direct import part_records
 from clementinegw.direct import server as servers
 from clementinegw.telemetry import counters as counters_lib
 from clementinegw.telemetry import errors
@@ -95,6 +96,7 @@
             cause=(refusal.cause or refusal.reason).value,
             sends=job.sends if job else 0,
             runs=job.runs if job else 0,
+            **_suspect_fields(job),
             spent_ms=round(job.spent_s * 1e3) if job else 0,
             rank=str(job.rank) if job else None,
             customer=job.customer_name if job else "",
@@ -239,6 +241,14 @@
         )
 
 
+def _suspect_fields(job: attempts.Job | None) -> dict[str, str]:
+    """Returns the log fields of a request that is refused for its prompt."""
+    if job is None or not job.suspect:
+        return {}
+    digest = part_records.digest_part(job.suspect)
+    return {"suspect": job.suspect, "part": digest.hex()}
+
+
 def _place_fields(job: attempts.Job | None) -> dict[str, list[str]]:
     """Returns the log field of a request that few regions may serve."""
     if job is None or job.regions is None:
--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -12,13 +12,14 @@
 from clementinegw.direct import budget as budgets
 from clementinegw.direct import buffer_budget
 from clementinegw.direct import channel
+from clementinegw.direct import crash_guard
 from clementinegw.direct import finisher
 from clementinegw.direct import header_codec
 from clementinegw.direct import outcomes
 from clementinegw.direct import placement
 from clementinegw.direct import queue
 from clementinegw.direct import server as servers
-from clementinegw.direct import suspects as suspects_lib
+from clementinegw.direct import suspicion_codec
 from clementinegw.direct import types
 from clementinegw.direct import version_policy
 from clementinegw.direct import version_timeouts
@@ -44,6 +45,7 @@
         outcomes.NotRunReason.TOO_OLD,
         outcomes.NotRunReason.EVACUATED,
         outcomes.NotRunReason.NOT_ALLOWED,
+        outcomes.NotRunReason.SUSPECT,
     }
 )
 # A server that rejected a request unrun is skipped for this long, in seconds.
@@ -107,14 +109,21 @@
         self._clock = clock
         self._log = log
         self._counters = counters
+        self._guard = crash_guard.CrashGuard(clock, log, counters)
         self._placer = placement.Placer(
-            config_view, balancer, versions, rng, clock
+            config_view,
+            balancer,
+            versions,
+            rng,
+            clock,
+            is_suspect=self._guard.refuses_waiting,
         )
         self._attempt_runner = attempts.AttemptRunner(
             codec,
             clock,
             self._placer.record_first_event,
-            self._placer.withdrawal_reason,
+            self._withdrawal_reason,
+            self._guard.record_answering,
         )
         self._version_timeouts = version_timeouts.VersionTimeouts(
             versions, clock
@@ -124,7 +133,6 @@
         )
         self._budgets: dict[str, budgets.RetryBudget] = {}
         self._caller_timeouts = admit.CallerTimeouts()
-        self._suspects = suspects_lib.SuspectTracker()
 
     async def handle(
         self, request: servers.Request, responder: servers.Responder
@@ -142,9 +150,11 @@
             await self._finisher.fail(request, responder, error, job)
 
     async def _handle_admitted(self, job: attempts.Job) -> None:
+        self._guard.add_job(job)
         try:
             await self._answer(job)
         finally:
+            self._guard.remove_job(job)
             job.answer_memory.release()
 
     async def _answer(self, job: attempts.Job) -> None:
@@ -300,7 +310,7 @@
         takeover, job.takeover = job.takeover, None
         if takeover is not None:
             return takeover
-        if self._is_suspect(job):
+        if self._guard.refuses(job):
             return self._placer.refuse(job, Reason.CRASHES_SERVERS)
         begun = job.responder.begun
         while True:
@@ -347,7 +357,7 @@
         retry_budget = self._budget(job.service)
         if (
             not self._may_run_again(job, job.runs + 1)
-            or self._is_suspect(job)
+            or self._guard.refuses(job)
             or not retry_budget.allows(self._clock(), job.customer_name)
         ):
             return False
@@ -360,10 +370,13 @@
         job.takeover = reservation
         return True
 
-    def _is_suspect(self, job: attempts.Job) -> bool:
-        return self._suspects.is_refused(
-            job.request, job.customer_name, self._clock()
-        )
+    def _withdrawal_reason(
+        self, job: attempts.Job, backend: backend_lib.Backend
+    ) -> outcomes.NotRunReason | None:
+        """Returns why a request may not be sent after all; None if it may."""
+        if self._guard.refuses(job):
+            return outcomes.NotRunReason.SUSPECT
+        return self._placer.withdrawal_reason(job, backend)
 
     async def _send(
         self, job: attempts.Job, backend: backend_lib.Backend
@@ -392,10 +405,7 @@
             ),
         )
         if isinstance(outcome, outcomes.Delivered):
-            self._suspects.record_survival(backend.server.start.text, now)
-            self._suspects.record_completion(
-                job.request, job.customer_name, self._clock()
-            )
+            self._guard.record_completion(job, backend, now)
         else:
             self._record_failure(job, backend, outcome)
         return outcome
@@ -427,15 +437,14 @@
         """The requests that need a server, by service."""
         return self._placer.arrivals
 
-    def suspicions(self) -> tuple[suspects_lib.Suspicion, ...]:
-        """Returns what this entry observed of requests that crash servers."""
-        return self._suspects.local_suspicions(self._clock())
+    @property
+    def guard(self) -> crash_guard.CrashGuard:
+        """Refuses requests that would crash servers."""
+        return self._guard
 
-    def merge_suspicions(
-        self, suspicions: tuple[suspects_lib.Suspicion, ...]
-    ) -> None:
-        """Merges what other entries observed of requests that crash servers."""
-        self._suspects.merge(suspicions, self._clock())
+    def suspicions(self) -> tuple[suspicion_codec.Suspicion, ...]:
+        """Returns what this entry observed of requests that crash servers."""
+        return self._guard.suspicions()
 
     def set_retry_limits(self, retry_limits: budgets.Limits) -> None:
         """Applies changed limits to all retry budgets."""
@@ -466,9 +475,7 @@
         crash = _is_crash(outcome, backend)
         if crash:
             self._counters.add("direct.crash_observed")
-            self._suspects.record_crash(
-                job.request, job.customer_name, backend.server.start.text, now
-            )
+            self._guard.record_crash(job, backend)
         self._log.write(
             _events.ATTEMPT_ENDED,
             request=job.metadata.attempt_id,
--- a/src/clementinegw/direct/outcomes.py
+++ b/src/clementinegw/direct/outcomes.py
@@ -18,6 +18,7 @@
     TOO_OLD = "too_old"
     EVACUATED = "evacuated"
     NOT_ALLOWED = "not_allowed"
+    SUSPECT = "suspect"
 
 
 class LostReason(enum.StrEnum):
--- a/src/clementinegw/direct/placement.py
+++ b/src/clementinegw/direct/placement.py
@@ -97,6 +97,7 @@
         rng: random.Random,
         clock: Callable[[], float],
         engine_policy: queue.Policy = _ENGINE_POLICY,
+        is_suspect: Callable[[attempts.Job], bool] = lambda job: False,
     ):
         """Initializes the placer without any queue.
 
@@ -107,7 +108,9 @@
           rng: Randomizes retry times.
           clock: Returns monotonic seconds.
           engine_policy: Queueing policy for engines.
+          is_suspect: Returns whether a request would crash its server.
         """
+        self._is_suspect = is_suspect
         self._engine_policy = engine_policy
         self._estimators: dict[str, latency_estimator.LatencyEstimator] = {}
         self._config_view = config_view
@@ -173,9 +176,12 @@
             begun=job.responder.begun,
             rank=job.rank,
             customer=job.customer_name,
+            is_suspect=lambda: self._is_suspect(job),
         )
         now = self._clock()
         job.waited_s += now - queued_at
+        if reservation is Reason.CRASHES_SERVERS:
+            return self.refuse(job, reservation)
         if not isinstance(reservation, queue.Reservation):
             return self._refuse_unplaced(job, reservation or Reason.BUSY)
         self._assign(job, reservation)
--- /dev/null
+++ b/src/clementinegw/direct/prompt_suspects.py
@@ -0,0 +1,518 @@
+"""Detects parts of prompts that crash the servers that answer on them.
+
+Such a part comes in ever new requests, so that no request is seen at two
+crashes. Each crash breaks sound requests too, and their parts are popular. The
+part is found by group testing: it was in flight, with its answer not begun, at
+one crash after another, while requests without it were answered and none with
+it was. An answer clears all parts of its prompt.
+
+Entries and agents share crashes as they do for whole requests, see `suspects`,
+but only confirmed ones: a server that goes on answering has not crashed.
+"""
+
+from collections.abc import Callable, Iterable, Sequence
+import dataclasses
+import math
+
+from clementinegw.direct import part_evidence
+from clementinegw.direct import part_records
+from clementinegw.direct import suspects
+
+# From how many moments on a part is refused: one that was never answered and
+# was in flight at this share of all crashes meanwhile, and any other.
+_MIN_MOMENTS = 3
+_MIN_SHARE = 0.5
+_MAX_MOMENTS = 5
+# How many requests without the part have to be answered since its first crash,
+# by whether the part was ever answered: while nothing is answered, nothing
+# tells its requests from others.
+_MIN_OTHER_ANSWERS = {False: 1, True: 12}
+# The most parts in a datagram, and the most crashes of each.
+MAX_SUSPICIONS = 16
+_MAX_SENT_CRASHES = 6
+# For how long an observation is published, in seconds: several datagrams.
+_PUBLISH_S = 5.0
+# How often it is published that a part is still refused, in seconds.
+_REFUSAL_INTERVAL_S = 10.0
+
+_Cause = part_records.Cause
+_Published = Callable[[part_records.Record], Iterable[bytes]]
+
+
+@dataclasses.dataclass(slots=True)
+class _Answer:
+    """An answer that cleared a suspected part, to be published.
+
+    Attributes:
+      began_at: When the answer began, in monotonic seconds.
+      local: Whether this process relayed it.
+      published_at: When it is first published, in monotonic seconds.
+    """
+
+    began_at: float
+    local: bool
+    published_at: float
+
+
+class PartTracker:
+    """Tracks which parts of prompts were in flight when servers crashed."""
+
+    def __init__(
+        self,
+        on_verdict: Callable[[part_records.Verdict], None] = (
+            lambda verdict: None
+        ),
+        running: Callable[[], Iterable[tuple[Sequence[str], float]]] = (
+            lambda: ()
+        ),
+    ):
+        """Starts without any part.
+
+        Args:
+          on_verdict: Called when a part is refused, or no longer.
+          running: Returns the parts of the requests whose answers have begun,
+            with the time in monotonic seconds. Answers are only recorded from
+            the first crash on, and these from before are known then.
+        """
+        self._on_verdict = on_verdict
+        self._running = running
+        self._evidence = part_evidence.PartEvidence()
+        self._records = self._evidence.records
+        self._answers: dict[bytes, _Answer] = {}
+        self._news_at: list[float] = []
+        self._changed_at = -math.inf
+
+    @property
+    def idle(self) -> bool:
+        """Whether no part was in flight at any crash."""
+        return not self._records
+
+    @property
+    def has_crashes(self) -> bool:
+        """Whether any server crashed, as far as is known."""
+        return self._evidence.has_crashes
+
+    @property
+    def changed_at(self) -> float:
+        """When something was last learned, in monotonic seconds."""
+        return self._changed_at
+
+    def explains(self, start: bytes) -> bool:
+        """Returns whether a refused part was in flight at a crash."""
+        return any(
+            self._records[part].refused
+            for part in self._evidence.parts_at([start])
+        )
+
+    # Observations of this process.
+
+    def record_crash(
+        self, parts: Sequence[str], start: str, now: float, answering: bool
+    ) -> None:
+        """Records that a server crashed while a request was there.
+
+        Args:
+          parts: The ids of the parts that the request shares with others.
+          start: The text that names the server's start.
+          now: Monotonic seconds.
+          answering: Whether its answer had begun, which clears its parts.
+        """
+        digest = suspects.digest_start(start)
+        self._evidence.record_crash(digest, now)
+        if answering or not parts:
+            return
+        if self.idle:
+            self._record_running()
+        for part in part_records.digest_parts(parts):
+            self._add(part, digest, part_records.Crash(now, local=True), now)
+        self._news_at.append(now + part_records.CONFIRMATION_S)
+        self._remove_forgotten(now)
+
+    def record_answer(
+        self, parts: Sequence[str], began_at: float, now: float
+    ) -> None:
+        """Clears the parts of a request whose answer has begun.
+
+        Args:
+          parts: The ids of the parts that the request shares with others.
+          began_at: When its first event arrived, in monotonic seconds.
+          now: Monotonic seconds.
+        """
+        if self.idle:
+            return
+        self._evidence.answers += 1
+        for part in part_records.digest_parts(parts):
+            self._evidence.set_answered(part, began_at)
+            if self._clear(part, began_at, now):
+                self._publish_answer(part, began_at, now)
+
+    def record_survival(self, start: str, sent_at: float, now: float) -> None:
+        """Records that a server start answered what was sent at some time.
+
+        Args:
+          start: The text that names the server's start.
+          sent_at: When it was sent, in monotonic seconds.
+          now: Monotonic seconds.
+        """
+        if not self.idle:
+            digest = suspects.digest_start(start)
+            self._evidence.set_survived(digest, sent_at)
+            self._refute(digest, -math.inf, sent_at, now)
+
+    def refute_crashes(
+        self, start: str, since: float, until: float, now: float
+    ) -> None:
+        """Drops crashes of a server start that goes on running.
+
+        Args:
+          start: The text that names the server's start.
+          since: When the first of them may have happened, in monotonic seconds.
+          until: When it was seen running, in monotonic seconds.
+          now: Monotonic seconds.
+        """
+        self._refute(suspects.digest_start(start), since, until, now)
+
+    def _refute(
+        self, start: bytes, since: float, until: float, now: float
+    ) -> None:
+        for part in self._evidence.drop_survived(start, since, until):
+            self._review(part, _Cause.SURVIVED, now)
+
+    def _clear(self, part: bytes, began_at: float, now: float) -> bool:
+        """Clears a part of its crashes; returns whether it had any."""
+        cleared = self._evidence.drop_before(part, began_at)
+        if cleared:
+            self._review(part, _Cause.ANSWERED, now)
+        return cleared
+
+    def _record_running(self) -> None:
+        for parts, began_at in self._running():
+            for part in part_records.digest_parts(parts):
+                self._evidence.set_answered(part, began_at)
+
+    def _add(
+        self, part: bytes, start: bytes, crash: part_records.Crash, now: float
+    ) -> None:
+        if self._evidence.add(part, start, crash):
+            self._changed_at = now
+
+    def _remove_forgotten(self, now: float) -> None:
+        for part in self._evidence.forgotten(now):
+            self._end_refusal(part, _Cause.FORGOTTEN, now)
+            self._evidence.remove(part)
+
+    # Verdicts.
+
+    def refused_part(self, parts: Sequence[str], now: float) -> str | None:
+        """Returns the first part for which a request is refused; or None."""
+        if self.idle:
+            return None
+        digests = part_records.digest_parts(parts)
+        known = [
+            (name, part)
+            for name, part in zip(parts, digests, strict=False)
+            if part in self._records
+        ]
+        for name, part in known:
+            if self._is_refused(part, now):
+                return name
+        # Parts that were in flight at the same crashes cannot be told apart; a
+        # request with all of them is refused.
+        for name, part in known:
+            if self._is_refused(part, now, frozenset(digests)):
+                return name
+        return None
+
+    def record_refusal(self, part: str, now: float) -> None:
+        """Records that a request was refused: the part still comes."""
+        record = self._records[part_records.digest_part(part)]
+        if record.refused:
+            record.refused_at = now
+            if now - record.published_at >= _REFUSAL_INTERVAL_S:
+                record.published_at = now
+
+    def take_probe(self, part: str, now: float) -> bool:
+        """Returns whether a request may be let through despite its part.
+
+        Only one entry of the fleet is to ask.
+        """
+        record = self._records[part_records.digest_part(part)]
+        if not record.refused or now < record.probe_due_at:
+            return False
+        record.probes += 1
+        record.probed_at = record.published_at = now
+        self._news_at.append(now)
+        return True
+
+    def update(self, now: float) -> None:
+        """Decides on all parts, also those that no request has at present."""
+        for part in [p for p, r in self._records.items() if len(r.crashes) > 2]:
+            self._is_refused(part, now)
+
+    def _is_refused(
+        self, part: bytes, now: float, beside: frozenset[bytes] = frozenset()
+    ) -> bool:
+        """Returns whether requests with a part are refused.
+
+        Args:
+          part: The part.
+          now: Monotonic seconds.
+          beside: The parts of one request; if there are any, only that request
+            is refused where the part cannot be told from these.
+        """
+        record = self._records[part]
+        counted = record.counted(now)
+        if len(counted) < _MIN_MOMENTS:
+            if record.refused:
+                self._end_refusal(part, _Cause.FORGOTTEN, now)
+            return False
+        if record.refused:
+            return True
+        # Who found it knew the times of the crashes better.
+        reported = now - record.refused_at < part_records.RETENTION_S
+        if not reported and not self._has_evidence(part, counted):
+            return False
+        if self._has_rival(part, counted, now, beside):
+            return False
+        if not beside:
+            cause = _Cause.REPORTED if reported else _Cause.CRASHES
+            self._refuse(part, cause, now)
+        return True
+
+    def _has_evidence(self, part: bytes, counted: part_records.Crashes) -> bool:
+        """Returns whether so many crashes are no coincidence."""
+        evidence = self._evidence
+        ever = self._was_answered(part)
+        moments = part_records.count_moments(counted.values())
+        if moments < _MIN_MOMENTS:
+            return False
+        if moments < _MAX_MOMENTS:
+            if ever or evidence.share_of_crashes(counted) < _MIN_SHARE:
+                return False
+        elif not ever:
+            return True
+        answers = evidence.answers - self._records[part].answers_before
+        return answers >= _MIN_OTHER_ANSWERS[ever]
+
+    def _has_rival(
+        self,
+        part: bytes,
+        counted: part_records.Crashes,
+        now: float,
+        beside: frozenset[bytes] = frozenset(),
+    ) -> bool:
+        """Returns whether another part accounts as well for a part's crashes.
+
+        A part that was never answered accounts better than others, and then one
+        with more crashes. One that accounts no better is no rival if it is in
+        the request too.
+        """
+        strength = self._strength(part, counted)
+        for rival in self._evidence.parts_at(counted) - {part}:
+            crashes = self._records[rival].counted(now)
+            left = (c for s, c in counted.items() if s not in crashes)
+            if part_records.count_moments(left) >= _MIN_MOMENTS:
+                continue
+            rival_strength = self._strength(rival, crashes)
+            if rival_strength > strength or (
+                rival_strength == strength and rival not in beside
+            ):
+                return True
+        return False
+
+    def _strength(
+        self, part: bytes, counted: part_records.Crashes
+    ) -> tuple[bool, int]:
+        moments = part_records.count_moments(counted.values())
+        return not self._was_answered(part), moments
+
+    def _was_answered(self, part: bytes) -> bool:
+        return self._evidence.answered_at(part) > -math.inf
+
+    def _refuse(
+        self, part: bytes, cause: part_records.Cause, now: float
+    ) -> None:
+        record = self._records[part]
+        record.refuse(now)
+        self._news_at.append(now)
+        self._report(part, cause, now)
+        # Others may have been refused on crashes that this part accounts for.
+        for other in self._evidence.parts_at(record.crashes) - {part}:
+            if self._records[other].refused and self._has_rival(
+                other, self._records[other].counted(now), now
+            ):
+                self._end_refusal(other, _Cause.EXPLAINED, now)
+
+    def _review(
+        self, part: bytes, cause: part_records.Cause, now: float
+    ) -> None:
+        """Follows from dropped crashes; removes a part that has none left."""
+        record = self._records[part]
+        if len(record.counted(now)) < _MIN_MOMENTS:
+            self._end_refusal(part, cause, now)
+        if not record.crashes:
+            self._evidence.remove(part)
+
+    def _end_refusal(
+        self, part: bytes, cause: part_records.Cause, now: float
+    ) -> None:
+        record = self._records[part]
+        was_refused = record.refused
+        record.end_refusal()
+        if was_refused:
+            self._report(part, cause, now)
+
+    def _report(
+        self, part: bytes, cause: part_records.Cause, now: float
+    ) -> None:
+        record = self._records[part]
+        ages_s = {
+            start: round(now - crash.crashed_at, 2)
+            for start, crash in record.crashes.items()
+        }
+        self._changed_at = now
+        self._on_verdict(
+            part_records.Verdict(part, record.refused, cause, ages_s)
+        )
+
+    # Exchange with other processes.
+
+    def take_news(self, now: float) -> bool:
+        """Returns whether there is something new to publish at once."""
+        pending = [at for at in self._news_at if at > now]
+        taken = len(pending) < len(self._news_at)
+        self._news_at = pending
+        return taken
+
+    def local_suspicions(
+        self, now: float
+    ) -> tuple[part_records.PartSuspicion, ...]:
+        """Returns this process's own recent observations, for the agents."""
+
+        def published(record: part_records.Record) -> Iterable[bytes]:
+            if now - record.published_at < _PUBLISH_S:
+                return record.crashes
+            return (
+                start
+                for start, crash in record.crashes.items()
+                if crash.local
+                and crash.is_confirmed(now)
+                and now - crash.crashed_at
+                < part_records.CONFIRMATION_S + _PUBLISH_S
+            )
+
+        return self._select(published, True, now)
+
+    def confirmed_suspicions(
+        self, now: float
+    ) -> tuple[part_records.PartSuspicion, ...]:
+        """Returns what all entries observed of parts at two crashes or more."""
+        return self._select(
+            lambda record: record.crashes if len(record.crashes) > 1 else (),
+            False,
+            now,
+        )
+
+    def _select(
+        self, published: _Published, only_local: bool, now: float
+    ) -> tuple[part_records.PartSuspicion, ...]:
+        """Returns suspicions, those with the most crashes first.
+
+        Args:
+          published: Returns the starts whose crashes are published of a record.
+          only_local: Whether answers that others relayed are left out.
+          now: Monotonic seconds.
+        """
+        self._remove_forgotten(now)
+        self._answers = {
+            part: answer
+            for part, answer in self._answers.items()
+            if now - answer.published_at < _PUBLISH_S
+        }
+        found = []
+        for part, record in self._records.items():
+            suspicion = self._suspicion(part, published(record), now)
+            if suspicion.crashes:
+                found.append((len(record.crashes), suspicion))
+        # The newest of those with as many crashes come first.
+        found.reverse()
+        found.sort(key=lambda item: -item[0])
+        suspicions = [suspicion for _, suspicion in found[:MAX_SUSPICIONS]]
+        suspicions += [
+            part_records.PartSuspicion(part, (), now - answer.began_at)
+            for part, answer in reversed(self._answers.items())
+            if answer.local or not only_local
+        ][: MAX_SUSPICIONS - len(suspicions)]
+        return tuple(suspicions)
+
+    def _suspicion(
+        self, part: bytes, starts: Iterable[bytes], now: float
+    ) -> part_records.PartSuspicion:
+        """Returns what is known of a part, with its newest crashes."""
+        record = self._records[part]
+        crashes = sorted(
+            (
+                suspects.Crash(start, now - record.crashes[start].crashed_at)
+                for start in starts
+            ),
+            key=lambda crash: crash.age_s,
+        )
+        return part_records.PartSuspicion(
+            part,
+            tuple(crashes[:_MAX_SENT_CRASHES]),
+            _age(self._evidence.answered_at(part), now),
+            _age(record.refused_at, now),
+            record.probes,
+            _age(record.probed_at, now),
+        )
+
+    def merge(
+        self, suspicions: Iterable[part_records.PartSuspicion], now: float
+    ) -> None:
+        """Merges observations of others; ignores malformed ones."""
+        for suspicion in suspicions:
+            if suspicion.is_valid:
+                self._merge(suspicion, now)
+
+    def _merge(self, suspicion: part_records.PartSuspicion, now: float) -> None:
+        part = suspicion.part
+        if self.idle and suspicion.crashes:
+            self._record_running()
+        self._merge_answer(suspicion, now)
+        for crash in suspicion.crashes:
+            at = now - crash.age_s
+            self._add(
+                part, crash.start, part_records.Crash(at, local=False), now
+            )
+        record = self._records.get(part)
+        if record is not None:
+            record.merge_refusal(suspicion, now)
+
+    def _merge_answer(
+        self, suspicion: part_records.PartSuspicion, now: float
+    ) -> None:
+        """Merges when a part was answered; tells others that do not know."""
+        part = suspicion.part
+        known_at = self._evidence.answered_at(part)
+        at = -math.inf
+        if suspicion.answered_age_s is not None:
+            at = now - suspicion.answered_age_s
+        if at > known_at:
+            self._evidence.set_answered(part, at)
+            if self._clear(part, at, now):
+                self._answers[part] = _Answer(at, False, now)
+        elif (
+            suspicion.crashes
+            and known_at > at + suspects.MAX_TRANSIT_S
+            and part not in self._answers
+        ):
+            self._publish_answer(part, known_at, now)
+
+    def _publish_answer(self, part: bytes, began_at: float, now: float) -> None:
+        self._answers[part] = _Answer(began_at, True, now)
+        self._news_at.append(now)
+
+
+def _age(at: float, now: float) -> float | None:
+    """Returns how long ago something was, in seconds; None if never."""
+    return now - at if at > -math.inf else None
--- a/src/clementinegw/direct/queue.py
+++ b/src/clementinegw/direct/queue.py
@@ -75,6 +75,7 @@
       begun: Whether its answer has begun; it goes first and is never late.
       rank: Its rank.
       customer: Name of its customer; empty for an anonymous caller.
+      is_suspect: Returns whether it would crash its server.
     """
 
     requirements: Callable[[], balance.Requirements]
@@ -87,6 +88,7 @@
     begun: bool = False
     rank: ranks.Rank = ranks.Rank()
     customer: str = ""
+    is_suspect: Callable[[], bool] = lambda: False
 
     def is_late(self, now: float) -> bool:
         """Returns whether it can no longer be on time."""
@@ -201,11 +203,12 @@
         begun: bool = False,
         rank: ranks.Rank = _DEFAULT_RANK,
         customer: str = "",
+        is_suspect: Callable[[], bool] = lambda: False,
     ) -> Reservation | outcomes.RefusalReason | None:
         """Returns a reservation; None if no server has capacity in time.
 
         If servers had capacity for more urgent requests only, OUTRANKED is
-        returned.
+        returned; CRASHES_SERVERS as soon as the request is suspected of that.
 
         Args:
           requirements: Returns the current requirements; a newer version of the
@@ -216,6 +219,7 @@
           begun: Whether the caller has received a part of its answer.
           rank: The request's rank.
           customer: Name of its customer; empty for an anonymous caller.
+          is_suspect: Returns whether it would crash its server.
         """
         future = asyncio.get_running_loop().create_future()
         now = self._clock()
@@ -233,6 +237,7 @@
             begun=begun,
             rank=rank,
             customer=customer,
+            is_suspect=is_suspect,
         )
         if not counted:
             self._headroom.record_arrival(rank, now)
@@ -326,6 +331,12 @@
         if waiter.reservation.done():
             self._waiters.remove(waiter)
             return
+        if waiter.is_suspect():
+            self._waiters.remove(waiter)
+            waiter.reservation.set_result(
+                outcomes.RefusalReason.CRASHES_SERVERS
+            )
+            return
         now = dispatch.now
         if dispatch.has_capacity is None:
             dispatch.has_capacity = self._has_capacity(now)
--- a/src/clementinegw/direct/reports.py
+++ b/src/clementinegw/direct/reports.py
@@ -10,11 +10,11 @@
 from collections.abc import Callable, Mapping
 import dataclasses
 import math
+import random
 
 from clementinegw import exceptions
 from clementinegw import types
 from clementinegw.direct import rate_limit
-from clementinegw.direct import suspects
 from clementinegw.direct import suspicion_codec
 from clementinegw.direct import types as servers
 from clementinegw.scheduling import slot_shares
@@ -57,7 +57,12 @@
 _AGES_INTERVAL_S = 1.0
 
 
-OnSuspicions = Callable[[tuple[suspects.Suspicion, ...]], None]
+# To each entry about this many agents of the fleet send what is suspected of
+# requests, drawn anew each time; a quarter of that to entries in other regions.
+# All agents know the same.
+_RELAYS = 6.0
+
+OnSuspicions = Callable[[tuple[suspicion_codec.Suspicion, ...]], None]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -220,6 +225,8 @@
         on_declared: Callable[[DeclaredVersions], None],
         ages: Callable[[], Report | None] = lambda: None,
         on_suspicions: OnSuspicions = lambda suspicions: None,
+        agent_count: Callable[[], int] = lambda: 1,
+        rng: random.Random | None = None,
     ):
         """Sends nothing before it is bound to a socket.
 
@@ -228,7 +235,11 @@
           ages: Returns a report with ages only; None while none is known.
           on_suspicions: Called with an entry's suspicions about requests that
             crash servers.
+          agent_count: Returns how many agents there are.
+          rng: Draws the entries that suspicions are sent to.
         """
+        self._agent_count = agent_count
+        self._rng = rng or random.Random()
         self._on_declared = on_declared
         self._ages_report = ages
         self._on_suspicions = on_suspicions
@@ -278,8 +289,12 @@
                 message.declared, _all_ages_from_ms(message.ages_ms)
             )
         )
-        if message.suspicions:
-            self._on_suspicions(suspicion_codec.from_wire(message.suspicions))
+        if message.suspicions or message.part_suspicions:
+            self._on_suspicions(
+                suspicion_codec.from_wire(
+                    message.suspicions, message.part_suspicions
+                )
+            )
         # An entry that has just started needs the ages at once.
         self.send_due_ages()
 
@@ -328,14 +343,14 @@
     def send(
         self,
         report: Report,
-        suspicions: tuple[suspects.Suspicion, ...] = (),
+        suspicions: tuple[suspicion_codec.Suspicion, ...] = (),
     ) -> None:
         """Sends a report to the subscribed entries that are due.
 
         Args:
           report: The state of the server.
-          suspicions: Suspicions about requests that crash servers; if there are
-            any, the report goes to all entries.
+          suspicions: Suspicions about requests that crash servers. The report
+            also goes to some entries for these, whether due or not.
         """
         if self._transport is None:
             return
@@ -344,15 +359,16 @@
         limit = self._current_limit(report.start, now)
         if limit is not None:
             report = dataclasses.replace(report, limit=limit)
-        is_change = self._is_change(report) or bool(suspicions)
-        recipients = self._recipients(is_change)
+        told = self._draw_relayed() if suspicions else frozenset()
+        recipients = self._recipients(self._is_change(report), told)
         if not recipients:
             return
-        short = _encode_report(
-            dataclasses.replace(report, ages_s={}), suspicions
-        )
+        without_ages = dataclasses.replace(report, ages_s={})
+        short = _encode_report(without_ages)
+        if told:
+            short_told = _encode_report(without_ages, suspicions)
         for addr, subscriber in recipients:
-            data = short
+            data = short_told if addr in told else short
             if (
                 subscriber.echo is not None
                 or subscriber.ages_sent_at + _AGES_INTERVAL_S <= now
@@ -361,11 +377,31 @@
                 echo, subscriber.echo = subscriber.echo, None
                 data = _encode_report(
                     self._with_ranks(report, addr, now),
-                    suspicions,
+                    suspicions if addr in told else (),
                     echo and (echo[0], int(1e3 * (now - echo[1]))),
                 )
             self._transport.sendto(data, addr)
 
+    def relay(self, suspicions: tuple[suspicion_codec.Suspicion, ...]) -> None:
+        """Sends suspicions to some entries while there is nothing to report."""
+        if self._transport is None or not suspicions:
+            return
+        self._drop_expired(asyncio.get_running_loop().time())
+        data = _encode_report(Report("", 0, 0, 1), suspicions)
+        for addr in self._draw_relayed():
+            self._transport.sendto(data, addr)
+
+    def _draw_relayed(self) -> frozenset[tuple]:
+        """Returns the subscribers to send suspicions to, new ones always."""
+        share = _RELAYS / max(1, self._agent_count())
+        return frozenset(
+            addr
+            for addr, subscriber in self._subscribers.items()
+            if subscriber.first_pending
+            or self._rng.random()
+            < (share / 4 if subscriber.subscription.far else share)
+        )
+
     def _with_ranks(self, report: Report, addr: tuple, now: float) -> Report:
         """Returns the report with the ranks of a subscriber, if valid."""
         if now < self._ranks_valid_at:
@@ -402,11 +438,14 @@
             # Entries subscribe one by one again, as after a start.
             self._ranks_valid_at = math.inf
 
-    def _recipients(self, is_change: bool) -> list[tuple[tuple, _Subscriber]]:
+    def _recipients(
+        self, is_change: bool, told: frozenset[tuple] = frozenset()
+    ) -> list[tuple[tuple, _Subscriber]]:
         """Returns the subscribers that get the present report.
 
         Args:
           is_change: Whether the report has a change, so that all get it.
+          told: The subscribers that get it for the suspicions in it.
         """
         self._report_count += 1
         near = not self._report_count % self._near_interval
@@ -418,7 +457,7 @@
             due = subscriber.first_pending or (
                 turn and not subscription.changes_only
             )
-            if is_change or due:
+            if is_change or due or addr in told:
                 subscriber.first_pending = False
                 recipients.append((addr, subscriber))
         return recipients
@@ -513,15 +552,19 @@
             message = codec.decode(ttypes.BackendReport, data)
         except exceptions.DecodeError:
             return
-        if message.suspicions:
-            self._on_suspicions(suspicion_codec.from_wire(message.suspicions))
+        if message.suspicions or message.part_suspicions:
+            self._on_suspicions(
+                suspicion_codec.from_wire(
+                    message.suspicions, message.part_suspicions
+                )
+            )
         self._on_report(addr[0], _report_from_wire(message))
 
     def subscribe(
         self,
         agents: Mapping[types.Address, Subscription],
         declared: DeclaredVersions,
-        suspicions: tuple[suspects.Suspicion, ...] = (),
+        suspicions: tuple[suspicion_codec.Suspicion, ...] = (),
     ) -> None:
         """Sends subscriptions to agents.
 
@@ -547,6 +590,7 @@
                     sent_ms,
                     ages_ms=ages_ms or None,
                     suspicions=suspicion_codec.to_wire(suspicions),
+                    part_suspicions=suspicion_codec.parts_to_wire(suspicions),
                 )
             )
             for subscription in set(agents.values())
@@ -562,7 +606,7 @@
 
 def _encode_report(
     report: Report,
-    suspicions: tuple[suspects.Suspicion, ...] = (),
+    suspicions: tuple[suspicion_codec.Suspicion, ...] = (),
     echo: tuple[int, int] | None = None,
 ) -> bytes:
     echo_ms, echo_held_ms = echo or (None, None)
@@ -594,6 +638,7 @@
             echo_ms=echo_ms,
             echo_held_ms=echo_held_ms,
             suspicions=suspicion_codec.to_wire(suspicions),
+            part_suspicions=suspicion_codec.parts_to_wire(suspicions),
         )
     )
 
--- a/src/clementinegw/direct/subscriptions.py
+++ b/src/clementinegw/direct/subscriptions.py
@@ -16,7 +16,7 @@
 from clementinegw.direct import rate_limit
 from clementinegw.direct import reports
 from clementinegw.direct import subsetting
-from clementinegw.direct import suspects
+from clementinegw.direct import suspicion_codec
 from clementinegw.direct import types
 from clementinegw.direct import version_policy
 from clementinegw.scheduling import slot_shares
@@ -38,7 +38,7 @@
         fleet: fleets.Fleet,
         versions: version_policy.VersionPolicy,
         listener: reports.Listener,
-        suspicions: Callable[[], tuple[suspects.Suspicion, ...]],
+        suspicions: Callable[[], tuple[suspicion_codec.Suspicion, ...]],
         clock: Callable[[], float],
         log: logs.Log,
         counters: counters_lib.Counters,
@@ -99,6 +99,12 @@
         }
         self._subscribe(due, suspicions)
 
+    def publish_suspicions(self) -> None:
+        """Sends what is suspected of requests to all agents at once."""
+        suspicions = self._suspicions()
+        if suspicions:
+            self._subscribe(self._subscribed, suspicions)
+
     def subscribe_changed(self) -> None:
         """Subscribes to agents whose subscription has changed, at once.
 
@@ -127,7 +133,7 @@
     def _subscribe(
         self,
         agents: dict[shared_types.Address, reports.Subscription],
-        suspicions: tuple[suspects.Suspicion, ...] = (),
+        suspicions: tuple[suspicion_codec.Suspicion, ...] = (),
     ) -> None:
         now = self._clock()
         hosts = {
--- a/src/clementinegw/direct/suspects.py
+++ b/src/clementinegw/direct/suspects.py
@@ -38,9 +38,9 @@
 # A crash in a datagram is dated back by the time that the datagram may have
 # taken, in seconds. Otherwise a server that has answered since would seem to
 # have crashed again.
-_MAX_TRANSIT_S = 0.25
+MAX_TRANSIT_S = 0.25
 _FINGERPRINT_BYTES = 16
-_START_DIGEST_BYTES = 8
+START_DIGEST_BYTES = 8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -125,13 +125,27 @@
 class SuspectTracker:
     """Tracks which requests were running when servers crashed."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self, is_explained: Callable[[bytes], bool] = lambda start: False
+    ) -> None:
+        """Starts without any request.
+
+        Args:
+          is_explained: Returns whether something else is known to have crashed
+            a server, by the digest of its start.
+        """
+        self._is_explained = is_explained
         self._records: collections.OrderedDict[bytes, _RequestRecord]
         self._records = collections.OrderedDict()
         self._requests_by_start: dict[bytes, set[bytes]] = {}
         self._survived_at: collections.OrderedDict[bytes, float]
         self._survived_at = collections.OrderedDict()
 
+    @property
+    def idle(self) -> bool:
+        """Whether no request is remembered."""
+        return not self._records
+
     def record_crash(
         self,
         request: servers.Request,
@@ -147,8 +161,8 @@
           start: The text that names the server's start.
           now: Monotonic seconds.
         """
-        key = _fingerprint(request, customer_name)
-        self._add(key, _digest_start(start), _CrashRecord(now, local=True))
+        key = fingerprint(request, customer_name)
+        self._add(key, digest_start(start), _CrashRecord(now, local=True))
         self._evict_oldest()
 
     def record_completion(
@@ -161,7 +175,7 @@
         """
         if not self._records:
             return
-        key = _fingerprint(request, customer_name)
+        key = fingerprint(request, customer_name)
         record = self._records.get(key)
         if record is not None:
             record.completed_locally = True
@@ -179,7 +193,7 @@
         """
         if not self._requests_by_start:
             return
-        digest = _digest_start(start)
+        digest = digest_start(start)
         if digest not in self._requests_by_start:
             return
         self._survived_at[digest] = max(
@@ -201,10 +215,18 @@
         """Returns whether a request was running at too many crashes."""
         if not self._records:
             return False
-        record = self._records.get(_fingerprint(request, customer_name))
+        return self.is_key_refused(fingerprint(request, customer_name), now)
+
+    def is_key_refused(self, key: bytes, now: float) -> bool:
+        """Returns the same for the fingerprint of a request."""
+        record = self._records.get(key)
         if record is None:
             return False
-        return len(record.recent_crashes(now)) >= _CRASHES_TO_REFUSE
+        crashes = record.recent_crashes(now)
+        if len(crashes) < _CRASHES_TO_REFUSE:
+            return False
+        unexplained = [c for c in crashes if not self._is_explained(c.start)]
+        return len(unexplained) >= _CRASHES_TO_REFUSE
 
     def local_suspicions(self, now: float) -> tuple[Suspicion, ...]:
         """Returns this process's own recent observations, for the agents.
@@ -271,9 +293,9 @@
             if age_s is not None and 0.0 <= age_s < _RETENTION_S:
                 self._complete(key, self._record(key), now - age_s)
             for crash in suspicion.crashes[:_MAX_CRASHES]:
-                fits = len(crash.start) == _START_DIGEST_BYTES
+                fits = len(crash.start) == START_DIGEST_BYTES
                 if fits and 0.0 <= crash.age_s < _RETENTION_S:
-                    at = now - crash.age_s - _MAX_TRANSIT_S
+                    at = now - crash.age_s - MAX_TRANSIT_S
                     self._add(key, crash.start, _CrashRecord(at, local=False))
         self._evict_oldest()
 
@@ -351,7 +373,8 @@
     return crash
 
 
-def _fingerprint(request: servers.Request, customer_name: str) -> bytes:
+def fingerprint(request: servers.Request, customer_name: str) -> bytes:
+    """Returns the digest by which processes name a request to each other."""
     digest = hashlib.blake2b(digest_size=_FINGERPRINT_BYTES)
     for part in (
         request.method.encode(),
@@ -365,6 +388,7 @@
     return digest.digest()
 
 
-def _digest_start(start: str) -> bytes:
+def digest_start(start: str) -> bytes:
+    """Returns the digest by which processes name a server's start."""
     encoded = start.encode()
-    return hashlib.blake2b(encoded, digest_size=_START_DIGEST_BYTES).digest()
+    return hashlib.blake2b(encoded, digest_size=START_DIGEST_BYTES).digest()
--- a/src/clementinegw/direct/suspicion_codec.py
+++ b/src/clementinegw/direct/suspicion_codec.py
@@ -2,50 +2,106 @@
 
 from collections.abc import Iterable
 
+from clementinegw.direct import part_records
+from clementinegw.direct import prompt_suspects
 from clementinegw.direct import suspects
 from clementinegw.wire.gen.reports import ttypes
 
+Suspicion = suspects.Suspicion | part_records.PartSuspicion
+
+# The largest number that fits into a field.
+_MAX_INTEGER = 2**31 - 1
+
 
 def to_wire(
-    suspicions: Iterable[suspects.Suspicion],
+    suspicions: Iterable[Suspicion],
 ) -> list[ttypes.Suspicion] | None:
-    """Returns the wire form; None, which takes no bytes, if there are none."""
+    """Returns the wire form of what is suspected of whole requests.
+
+    It is None, which takes no bytes, if there is nothing.
+    """
     items = [
         ttypes.Suspicion(
             suspicion.fingerprint,
-            [
-                ttypes.Crash(crash.start, _milliseconds(crash.age_s))
-                for crash in suspicion.crashes
-            ],
-            None
-            if suspicion.completed_age_s is None
-            else _milliseconds(suspicion.completed_age_s),
+            _crashes_to_wire(suspicion.crashes),
+            _age_to_wire(suspicion.completed_age_s),
         )
         for suspicion in suspicions
+        if isinstance(suspicion, suspects.Suspicion)
+    ]
+    return items or None
+
+
+def parts_to_wire(
+    suspicions: Iterable[Suspicion],
+) -> list[ttypes.PartSuspicion] | None:
+    """Returns the wire form of what is suspected of parts of prompts."""
+    items = [
+        ttypes.PartSuspicion(
+            suspicion.part,
+            _crashes_to_wire(suspicion.crashes),
+            _age_to_wire(suspicion.answered_age_s),
+            _age_to_wire(suspicion.refused_age_s),
+            suspicion.probes or None,
+            _age_to_wire(suspicion.probed_age_s),
+        )
+        for suspicion in suspicions
+        if isinstance(suspicion, part_records.PartSuspicion)
     ]
     return items or None
 
 
 def from_wire(
     items: list[ttypes.Suspicion] | None,
-) -> tuple[suspects.Suspicion, ...]:
+    parts: list[ttypes.PartSuspicion] | None = None,
+) -> tuple[Suspicion, ...]:
     """Returns the suspicions of a datagram without those that lack a field."""
-    return tuple(
+    requests = (
         suspects.Suspicion(
             item.fingerprint,
-            tuple(
-                suspects.Crash(crash.start, crash.age_ms / 1e3)
-                for crash in item.crashes
-                if crash.start is not None and crash.age_ms is not None
-            ),
-            None
-            if item.completed_age_ms is None
-            else item.completed_age_ms / 1e3,
+            _crashes_from_wire(item.crashes),
+            _age_from_wire(item.completed_age_ms),
         )
         for item in (items or ())[: suspects.MAX_SUSPICIONS]
         if item.fingerprint is not None and item.crashes is not None
     )
+    return (
+        *requests,
+        *(
+            part_records.PartSuspicion(
+                part.part,
+                _crashes_from_wire(part.crashes),
+                _age_from_wire(part.answered_age_ms),
+                _age_from_wire(part.refused_age_ms),
+                part.probes or 0,
+                _age_from_wire(part.probed_age_ms),
+            )
+            for part in (parts or ())[: prompt_suspects.MAX_SUSPICIONS]
+            if part.part is not None and part.crashes is not None
+        ),
+    )
+
+
+def _crashes_to_wire(crashes: Iterable[suspects.Crash]) -> list[ttypes.Crash]:
+    return [
+        ttypes.Crash(crash.start, _age_to_wire(crash.age_s))
+        for crash in crashes
+    ]
+
+
+def _crashes_from_wire(
+    items: Iterable[ttypes.Crash],
+) -> tuple[suspects.Crash, ...]:
+    return tuple(
+        suspects.Crash(item.start, item.age_ms / 1e3)
+        for item in items
+        if item.start is not None and item.age_ms is not None
+    )
+
+
+def _age_to_wire(age_s: float | None) -> int | None:
+    return None if age_s is None else min(int(age_s * 1e3), _MAX_INTEGER)
 
 
-def _milliseconds(seconds: float) -> int:
-    return int(seconds * 1e3)
+def _age_from_wire(age_ms: int | None) -> float | None:
+    return None if age_ms is None else age_ms / 1e3
--- a/src/clementinegw/wire/gen/reports/ttypes.py
+++ b/src/clementinegw/wire/gen/reports/ttypes.py
@@ -206,6 +206,147 @@
         return not (self == other)
 
 
+class PartSuspicion(object):
+    """
+    Attributes:
+     - part
+     - crashes
+     - answered_age_ms
+     - refused_age_ms
+     - probes
+     - probed_age_ms
+
+    """
+
+    __slots__ = (
+        'part',
+        'crashes',
+        'answered_age_ms',
+        'refused_age_ms',
+        'probes',
+        'probed_age_ms',
+    )
+
+
+    def __init__(self, part=None, crashes=None, answered_age_ms=None, refused_age_ms=None, probes=None, probed_age_ms=None,):
+        self.part = part
+        self.crashes = crashes
+        self.answered_age_ms = answered_age_ms
+        self.refused_age_ms = refused_age_ms
+        self.probes = probes
+        self.probed_age_ms = probed_age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.part = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.crashes = []
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = Crash()
+                        _elem12.read(iprot)
+                        self.crashes.append(_elem12)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.answered_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.refused_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.probes = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.probed_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PartSuspicion')
+        if self.part is not None:
+            oprot.writeFieldBegin('part', TType.STRING, 1)
+            oprot.writeBinary(self.part)
+            oprot.writeFieldEnd()
+        if self.crashes is not None:
+            oprot.writeFieldBegin('crashes', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.crashes))
+            for iter13 in self.crashes:
+                iter13.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.answered_age_ms is not None:
+            oprot.writeFieldBegin('answered_age_ms', TType.I32, 3)
+            oprot.writeI32(self.answered_age_ms)
+            oprot.writeFieldEnd()
+        if self.refused_age_ms is not None:
+            oprot.writeFieldBegin('refused_age_ms', TType.I32, 4)
+            oprot.writeI32(self.refused_age_ms)
+            oprot.writeFieldEnd()
+        if self.probes is not None:
+            oprot.writeFieldBegin('probes', TType.I32, 5)
+            oprot.writeI32(self.probes)
+            oprot.writeFieldEnd()
+        if self.probed_age_ms is not None:
+            oprot.writeFieldBegin('probed_age_ms', TType.I32, 6)
+            oprot.writeI32(self.probed_age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.part is None:
+            raise TProtocolException(message='Required field part is unset!')
+        if self.crashes is None:
+            raise TProtocolException(message='Required field crashes is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Limit(object):
     """
     Attributes:
@@ -328,6 +469,7 @@
      - sent_ms
      - ages_ms
      - suspicions
+     - part_suspicions
 
     """
 
@@ -341,10 +483,11 @@
         'sent_ms',
         'ages_ms',
         'suspicions',
+        'part_suspicions',
     )
 
 
-    def __init__(self, instance_id=None, declared=None, far=False, changes_only=False, limit=None, demand=None, sent_ms=None, ages_ms=None, suspicions=None,):
+    def __init__(self, instance_id=None, declared=None, far=False, changes_only=False, limit=None, demand=None, sent_ms=None, ages_ms=None, suspicions=None, part_suspicions=None,):
         self.instance_id = instance_id
         self.declared = declared
         self.far = far
@@ -354,6 +497,7 @@
         self.sent_ms = sent_ms
         self.ages_ms = ages_ms
         self.suspicions = suspicions
+        self.part_suspicions = part_suspicions
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -372,11 +516,11 @@
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.declared = {}
-                    (_ktype8, _vtype9, _size7) = iprot.readMapBegin()
-                    for _i11 in range(_size7):
-                        _key12 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val13 = iprot.readI64()
-                        self.declared[_key12] = _val13
+                    (_ktype15, _vtype16, _size14) = iprot.readMapBegin()
+                    for _i18 in range(_size14):
+                        _key19 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val20 = iprot.readI64()
+                        self.declared[_key19] = _val20
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -409,28 +553,39 @@
             elif fid == 20:
                 if ftype == TType.MAP:
                     self.ages_ms = {}
-                    (_ktype15, _vtype16, _size14) = iprot.readMapBegin()
-                    for _i18 in range(_size14):
-                        _key19 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val20 = {}
-                        (_ktype22, _vtype23, _size21) = iprot.readMapBegin()
-                        for _i25 in range(_size21):
-                            _key26 = iprot.readI64()
-                            _val27 = iprot.readI64()
-                            _val20[_key26] = _val27
+                    (_ktype22, _vtype23, _size21) = iprot.readMapBegin()
+                    for _i25 in range(_size21):
+                        _key26 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val27 = {}
+                        (_ktype29, _vtype30, _size28) = iprot.readMapBegin()
+                        for _i32 in range(_size28):
+                            _key33 = iprot.readI64()
+                            _val34 = iprot.readI64()
+                            _val27[_key33] = _val34
                         iprot.readMapEnd()
-                        self.ages_ms[_key19] = _val20
+                        self.ages_ms[_key26] = _val27
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 40:
                 if ftype == TType.LIST:
                     self.suspicions = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = Suspicion()
-                        _elem33.read(iprot)
-                        self.suspicions.append(_elem33)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = Suspicion()
+                        _elem40.read(iprot)
+                        self.suspicions.append(_elem40)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 41:
+                if ftype == TType.LIST:
+                    self.part_suspicions = []
+                    (_etype44, _size41) = iprot.readListBegin()
+                    for _i45 in range(_size41):
+                        _elem46 = PartSuspicion()
+                        _elem46.read(iprot)
+                        self.part_suspicions.append(_elem46)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -451,9 +606,9 @@
         if self.declared is not None:
             oprot.writeFieldBegin('declared', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.declared))
-            for kiter34, viter35 in self.declared.items():
-                oprot.writeString(kiter34.encode('utf-8') if sys.version_info[0] == 2 else kiter34)
-                oprot.writeI64(viter35)
+            for kiter47, viter48 in self.declared.items():
+                oprot.writeString(kiter47.encode('utf-8') if sys.version_info[0] == 2 else kiter47)
+                oprot.writeI64(viter48)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.far is not None:
@@ -479,20 +634,27 @@
         if self.ages_ms is not None:
             oprot.writeFieldBegin('ages_ms', TType.MAP, 20)
             oprot.writeMapBegin(TType.STRING, TType.MAP, len(self.ages_ms))
-            for kiter36, viter37 in self.ages_ms.items():
-                oprot.writeString(kiter36.encode('utf-8') if sys.version_info[0] == 2 else kiter36)
-                oprot.writeMapBegin(TType.I64, TType.I64, len(viter37))
-                for kiter38, viter39 in viter37.items():
-                    oprot.writeI64(kiter38)
-                    oprot.writeI64(viter39)
+            for kiter49, viter50 in self.ages_ms.items():
+                oprot.writeString(kiter49.encode('utf-8') if sys.version_info[0] == 2 else kiter49)
+                oprot.writeMapBegin(TType.I64, TType.I64, len(viter50))
+                for kiter51, viter52 in viter50.items():
+                    oprot.writeI64(kiter51)
+                    oprot.writeI64(viter52)
                 oprot.writeMapEnd()
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.suspicions is not None:
             oprot.writeFieldBegin('suspicions', TType.LIST, 40)
             oprot.writeListBegin(TType.STRUCT, len(self.suspicions))
-            for iter40 in self.suspicions:
-                iter40.write(oprot)
+            for iter53 in self.suspicions:
+                iter53.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.part_suspicions is not None:
+            oprot.writeFieldBegin('part_suspicions', TType.LIST, 41)
+            oprot.writeListBegin(TType.STRUCT, len(self.part_suspicions))
+            for iter54 in self.part_suspicions:
+                iter54.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -552,6 +714,7 @@
      - echo_held_ms
      - born
      - suspicions
+     - part_suspicions
 
     """
 
@@ -581,10 +744,11 @@
         'echo_held_ms',
         'born',
         'suspicions',
+        'part_suspicions',
     )
 
 
-    def __init__(self, server_id=None, running=None, waiting=None, slots=None, model=None, version=None, whole=None, loading=None, pace=None, yielding=None, entries=None, ready_in_s=None, followers=None, rank=None, follower_rank=None, limit=None, demand=None, cold_ms=None, evacuated=None, ages_ms=None, memory_percent=None, echo_ms=None, echo_held_ms=None, born=None, suspicions=None,):
+    def __init__(self, server_id=None, running=None, waiting=None, slots=None, model=None, version=None, whole=None, loading=None, pace=None, yielding=None, entries=None, ready_in_s=None, followers=None, rank=None, follower_rank=None, limit=None, demand=None, cold_ms=None, evacuated=None, ages_ms=None, memory_percent=None, echo_ms=None, echo_held_ms=None, born=None, suspicions=None, part_suspicions=None,):
         self.server_id = server_id
         self.running = running
         self.waiting = waiting
@@ -610,6 +774,7 @@
         self.echo_held_ms = echo_held_ms
         self.born = born
         self.suspicions = suspicions
+        self.part_suspicions = part_suspicions
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -719,11 +884,11 @@
             elif fid == 20:
                 if ftype == TType.MAP:
                     self.ages_ms = {}
-                    (_ktype42, _vtype43, _size41) = iprot.readMapBegin()
-                    for _i45 in range(_size41):
-                        _key46 = iprot.readI64()
-                        _val47 = iprot.readI64()
-                        self.ages_ms[_key46] = _val47
+                    (_ktype56, _vtype57, _size55) = iprot.readMapBegin()
+                    for _i59 in range(_size55):
+                        _key60 = iprot.readI64()
+                        _val61 = iprot.readI64()
+                        self.ages_ms[_key60] = _val61
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -750,11 +915,22 @@
             elif fid == 40:
                 if ftype == TType.LIST:
                     self.suspicions = []
-                    (_etype51, _size48) = iprot.readListBegin()
-                    for _i52 in range(_size48):
-                        _elem53 = Suspicion()
-                        _elem53.read(iprot)
-                        self.suspicions.append(_elem53)
+                    (_etype65, _size62) = iprot.readListBegin()
+                    for _i66 in range(_size62):
+                        _elem67 = Suspicion()
+                        _elem67.read(iprot)
+                        self.suspicions.append(_elem67)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 41:
+                if ftype == TType.LIST:
+                    self.part_suspicions = []
+                    (_etype71, _size68) = iprot.readListBegin()
+                    for _i72 in range(_size68):
+                        _elem73 = PartSuspicion()
+                        _elem73.read(iprot)
+                        self.part_suspicions.append(_elem73)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -847,9 +1023,9 @@
         if self.ages_ms is not None:
             oprot.writeFieldBegin('ages_ms', TType.MAP, 20)
             oprot.writeMapBegin(TType.I64, TType.I64, len(self.ages_ms))
-            for kiter54, viter55 in self.ages_ms.items():
-                oprot.writeI64(kiter54)
-                oprot.writeI64(viter55)
+            for kiter74, viter75 in self.ages_ms.items():
+                oprot.writeI64(kiter74)
+                oprot.writeI64(viter75)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.memory_percent is not None:
@@ -871,8 +1047,15 @@
         if self.suspicions is not None:
             oprot.writeFieldBegin('suspicions', TType.LIST, 40)
             oprot.writeListBegin(TType.STRUCT, len(self.suspicions))
-            for iter56 in self.suspicions:
-                iter56.write(oprot)
+            for iter76 in self.suspicions:
+                iter76.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.part_suspicions is not None:
+            oprot.writeFieldBegin('part_suspicions', TType.LIST, 41)
+            oprot.writeListBegin(TType.STRUCT, len(self.part_suspicions))
+            for iter77 in self.part_suspicions:
+                iter77.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -935,6 +1118,16 @@
     (2, TType.LIST, 'crashes', (TType.STRUCT, [Crash, None], False), None, ),  # 2
     (3, TType.I32, 'completed_age_ms', None, None, ),  # 3
 )
+all_structs.append(PartSuspicion)
+PartSuspicion.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'part', 'BINARY', None, ),  # 1
+    (2, TType.LIST, 'crashes', (TType.STRUCT, [Crash, None], False), None, ),  # 2
+    (3, TType.I32, 'answered_age_ms', None, None, ),  # 3
+    (4, TType.I32, 'refused_age_ms', None, None, ),  # 4
+    (5, TType.I32, 'probes', None, None, ),  # 5
+    (6, TType.I32, 'probed_age_ms', None, None, ),  # 6
+)
 all_structs.append(Limit)
 Limit.thrift_spec = (
     None,  # 0
@@ -986,6 +1179,7 @@
     None,  # 38
     None,  # 39
     (40, TType.LIST, 'suspicions', (TType.STRUCT, [Suspicion, None], False), None, ),  # 40
+    (41, TType.LIST, 'part_suspicions', (TType.STRUCT, [PartSuspicion, None], False), None, ),  # 41
 )
 all_structs.append(BackendReport)
 BackendReport.thrift_spec = (
@@ -1030,6 +1224,7 @@
     None,  # 38
     None,  # 39
     (40, TType.LIST, 'suspicions', (TType.STRUCT, [Suspicion, None], False), None, ),  # 40
+    (41, TType.LIST, 'part_suspicions', (TType.STRUCT, [PartSuspicion, None], False), None, ),  # 41
 )
 fix_spec(all_structs)
 del all_structs
--- a/src/clementinegw/wire/reports.thrift
+++ b/src/clementinegw/wire/reports.thrift
@@ -15,6 +15,22 @@
   3: optional i32 completed_age_ms,
 }
 
+// The evidence on a part of prompts that may crash servers.
+struct PartSuspicion {
+  // Identifies the part.
+  1: required binary part,
+  2: required list<Crash> crashes,
+  // Milliseconds since a request with it was answered; unset if none was since
+  // the crashes.
+  3: optional i32 answered_age_ms,
+  // Milliseconds since a request was refused for it; unset if it is sound.
+  4: optional i32 refused_age_ms,
+  // How many requests were let through since it is refused, and milliseconds
+  // since the last of them.
+  5: optional i32 probes,
+  6: optional i32 probed_age_ms,
+}
+
 // The rate limit that a server reported in an answer since its start.
 struct Limit {
   1: required string server_id,
@@ -46,6 +62,7 @@
   20: optional map<string, map<i64, i64>> ages_ms,
   // The entry's own recent observations; rarely any.
   40: optional list<Suspicion> suspicions,
+  41: optional list<PartSuspicion> part_suspicions,
 }
 
 // An agent reports the state that it has just read from its server; without a
@@ -93,4 +110,5 @@
   30: optional i64 born,
   // The combined observations of all entries; rarely any.
   40: optional list<Suspicion> suspicions,
+  41: optional list<PartSuspicion> part_suspicions,
 }
--- a/tests/suspects_entry.py
+++ b/tests/suspects_entry.py
@@ -1,7 +1,7 @@
 """A test double of an entry that tracks requests that crash servers."""
 
+from clementinegw.direct import crash_trackers
 from clementinegw.direct import server as servers
-from clementinegw.direct import suspects
 
 
 def request(body=b"", target="/safe/x"):
@@ -16,25 +16,36 @@
     """
 
     def __init__(self, clock_s=1_000.0):
-        self.suspects = suspects.SuspectTracker()
+        self.trackers = crash_trackers.Trackers()
+        self.suspects = self.trackers.requests
+        self.parts = self.trackers.parts
         self.clock_s = clock_s
 
     def record_crash(self, body, start, at, parts=()):
-        self.suspects.record_crash(request(body), "c", start, self.clock_s + at)
+        now = self.clock_s + at
+        self.suspects.record_crash(request(body), "c", start, now)
+        self.parts.record_crash(parts, start, now, False)
+
+    def record_answer(self, at, parts):
+        now = self.clock_s + at
+        self.parts.record_answer(parts, now, now)
 
     def record_completion(self, body, at):
         self.suspects.record_completion(request(body), "c", self.clock_s + at)
 
     def is_refused(self, body, at, customer_name="c", parts=()):
-        return self.suspects.is_refused(
-            request(body), customer_name, self.clock_s + at
+        now = self.clock_s + at
+        return self.parts.refused_part(
+            parts, now
+        ) is not None or self.suspects.is_refused(
+            request(body), customer_name, now
         )
 
     def local_suspicions(self, at):
-        return self.suspects.local_suspicions(self.clock_s + at)
+        return self.trackers.local_suspicions(self.clock_s + at)
 
     def confirmed_suspicions(self, at):
-        return self.suspects.confirmed_suspicions(self.clock_s + at)
+        return self.trackers.confirmed_suspicions(self.clock_s + at)
 
     def merge(self, suspicions, at):
-        self.suspects.merge(suspicions, self.clock_s + at)
+        self.trackers.merge(suspicions, self.clock_s + at)
--- a/tests/test_direct_prompt_suspects.py
+++ b/tests/test_direct_prompt_suspects.py
@@ -7,8 +7,182 @@
 import asyncio
 
 import platform_site as sites
+import prompt_fleet
+import pytest
 import suspects_entry
 
+from clementinegw.direct import part_records
+from clementinegw.direct import prompt_suspects
+from clementinegw.direct import suspects
+from clementinegw.direct import suspicion_codec
+from clementinegw.wire import codec
+from clementinegw.wire.gen.reports import ttypes
+
+# A single entry.
+
+
+def crash(entry, count, parts, first_at=1.0):
+    """Crashes a server each second, with an answer to others between."""
+    for number in range(count):
+        at = first_at + number
+        entry.record_crash(b"%d" % number, f"i-{at}", at, parts)
+        entry.record_answer(at + 0.1, ("other",))
+
+
+def test_a_part_is_refused_after_three_crashes():
+    entry = suspects_entry.Entry()
+    crash(entry, 2, ("bad",))
+    assert not entry.is_refused(b"x", 3.9, parts=("bad",))
+    crash(entry, 1, ("bad",), first_at=3.0)
+    assert entry.is_refused(b"x", 3.9, parts=("bad",))
+    assert not entry.is_refused(b"x", 3.9, parts=("other",))
+
+
+def test_a_crash_counts_once_its_server_has_stayed_silent():
+    entry = suspects_entry.Entry()
+    crash(entry, 3, ("bad",))
+    assert not entry.is_refused(b"x", 3.7, parts=("bad",))
+    assert entry.is_refused(b"x", 3.9, parts=("bad",))
+
+
+def test_a_part_that_is_answered_between_crashes_is_not_refused():
+    """A popular part is in flight at every crash."""
+    entry = suspects_entry.Entry()
+    for at in range(1, 30):
+        crash(entry, 1, ("popular", "bad"), first_at=float(at))
+        entry.record_answer(at + 0.2, ("popular",))
+    assert entry.is_refused(b"x", 30.0, parts=("bad",))
+    assert not entry.is_refused(b"x", 30.0, parts=("popular",))
+
+
+def test_servers_that_crash_at_one_moment_make_no_part_refused():
+    """All servers lost power, with one part in flight at each of them."""
+    entry = suspects_entry.Entry()
+    for number in range(8):
+        entry.record_crash(b"%d" % number, f"i-{number}", 1.0, ("popular",))
+    entry.record_answer(5.0, ("other",))
+    assert not entry.is_refused(b"x", 6.0, parts=("popular",))
+
+
+def test_nothing_is_refused_while_nothing_is_answered():
+    entry = suspects_entry.Entry()
+    for at in range(1, 5):
+        entry.record_crash(b"%d" % at, f"i-{at}", float(at), ("part",))
+    assert not entry.is_refused(b"x", 6.0, parts=("part",))
+
+
+def test_a_part_at_few_of_the_crashes_needs_more_of_them():
+    """A rare part was in flight at three of twelve crashes by chance."""
+    entry = suspects_entry.Entry()
+    for at in range(1, 13):
+        parts = ("rare",) if at % 4 == 1 else (f"part {at}",)
+        crash(entry, 1, parts, first_at=float(at))
+    assert not entry.is_refused(b"x", 14.0, parts=("rare",))
+    crash(entry, 2, ("rare",), first_at=13.0)
+    assert entry.is_refused(b"x", 15.0, parts=("rare",))
+
+
+def test_parts_at_the_same_crashes_are_refused_only_together():
+    """Nothing told two parts apart, and a sound request had one of them."""
+    entry = suspects_entry.Entry()
+    crash(entry, 6, ("one", "two"))
+    assert entry.is_refused(b"x", 8.0, parts=("one", "two"))
+    assert entry.is_refused(b"x", 8.0, parts=("two", "three", "one"))
+    assert not entry.is_refused(b"x", 8.0, parts=("one",))
+    assert not entry.is_refused(b"x", 8.0, parts=("two", "three"))
+    entry.record_answer(8.1, ("one",))
+    assert entry.is_refused(b"x", 8.2, parts=("two",))
+
+
+def test_connections_that_a_running_server_resets_are_no_crashes():
+    entry = suspects_entry.Entry()
+    for number in range(3):
+        at = 1.0 + number
+        entry.record_crash(b"x", f"i-{number}", at, ("part",))
+        entry.record_answer(at + 0.1, ("other",))
+        now = entry.clock_s + at + 0.6
+        entry.parts.refute_crashes(f"i-{number}", now - 1.2, now - 0.3, now)
+    assert not entry.is_refused(b"y", 6.0, parts=("part",))
+
+
+def test_a_report_on_the_next_start_does_not_refute_a_crash():
+    """A server came back behind its former id, as its agent knew it."""
+    entry = suspects_entry.Entry()
+    crash(entry, 3, ("bad",))
+    now = entry.clock_s + 5.5
+    for start in ("i-1.0", "i-2.0", "i-3.0"):
+        entry.parts.refute_crashes(start, now - 1.2, now - 0.3, now)
+    assert entry.is_refused(b"x", 6.0, parts=("bad",))
+
+
+def test_a_part_stays_refused_while_requests_with_it_come():
+    """A refused part causes no crashes, so that they were all forgotten."""
+    entry = suspects_entry.Entry()
+    crash(entry, 3, ("bad",))
+    for at in range(10, 4_000, 300):
+        assert entry.is_refused(b"x", float(at), parts=("bad",))
+        entry.parts.record_refusal("bad", entry.clock_s + at)
+    assert not entry.is_refused(b"x", 4_600.0, parts=("bad",))
+
+
+def test_requests_are_let_through_ever_more_rarely():
+    entry = suspects_entry.Entry()
+    crash(entry, 3, ("bad",))
+    taken = []
+    for at in range(5, 1_000):
+        assert entry.is_refused(b"x", float(at), parts=("bad",))
+        entry.parts.record_refusal("bad", entry.clock_s + at)
+        if entry.parts.take_probe("bad", entry.clock_s + at):
+            taken.append(at)
+    assert taken == [23, 143, 863]
+
+
+def test_a_refused_part_that_is_answered_is_served_again():
+    verdicts = []
+    tracker = prompt_suspects.PartTracker(verdicts.append)
+    for at in (1.0, 2.0, 3.0):
+        tracker.record_crash(("part",), f"i-{at}", at, False)
+        tracker.record_answer(("other",), at, at)
+    assert tracker.refused_part(("part",), 4.0) == "part"
+    tracker.record_answer(("part",), 4.5, 4.6)
+    assert tracker.refused_part(("part",), 5.0) is None
+    assert [(v.refused, v.cause.value) for v in verdicts] == [
+        (True, "crashes"),
+        (False, "answered"),
+    ]
+
+
+def test_a_part_with_more_crashes_ends_the_refusal_of_another():
+    """A sound part was refused before the crashing one was known."""
+    entry = suspects_entry.Entry()
+    crash(entry, 3, ("sound",))
+    assert entry.is_refused(b"x", 4.5, parts=("sound",))
+    reports = [
+        part_records.PartSuspicion(
+            part_records.digest_part("bad"),
+            tuple(
+                suspects.Crash(suspects.digest_start(f"i-{at}"), 6.0 - at)
+                for at in (1.0, 2.0, 3.0, 4.0, 5.0)
+            ),
+        )
+    ]
+    entry.merge(reports, 6.0)
+    assert entry.is_refused(b"x", 6.1, parts=("bad",))
+    assert not entry.is_refused(b"x", 6.1, parts=("sound",))
+
+
+def test_a_whole_request_is_not_refused_for_crashes_by_a_part():
+    """A popular request was running at two servers that a part crashed."""
+    entry = suspects_entry.Entry()
+    for at in (1.0, 2.0, 3.0):
+        entry.record_crash(b"popular", f"i-{at}", at, ())
+        entry.record_crash(b"%d" % at, f"i-{at}", at, ("bad",))
+        entry.record_answer(at + 0.1, ("other",))
+    assert entry.is_refused(b"popular", 3.5)
+    assert entry.is_refused(b"x", 4.0, parts=("bad",))
+    assert not entry.is_refused(b"popular", 4.0)
+
+
 # Several entries and an agent that relays what they observed.
 
 
@@ -29,7 +203,8 @@
         entry = entries[number]
         entry.record_crash(b"%d" % number, f"i-{number}", at, ("a", "bad"))
         entry.record_crash(b"x%d" % number, f"i-{number}", at, ("a", "b"))
-        exchange(entries, agent, at + 0.1)
+        entries[5 - number].record_answer(at + 0.2, ("a", "b"))
+        exchange(entries, agent, at + 0.9)
     for entry in entries:
         assert entry.is_refused(b"new", 6.0, parts=("a", "bad"))
         assert entry.is_refused(b"new", 6.0, parts=("bad", "b"))
@@ -37,6 +212,119 @@
         assert not entry.is_refused(b"new", 6.0)
 
 
+def test_an_entry_that_starts_anew_learns_what_is_refused():
+    entries = [suspects_entry.Entry(0.0), suspects_entry.Entry(50.0)]
+    agent = suspects_entry.Entry(9_000.0)
+    crash(entries[0], 3, ("bad",))
+    assert entries[0].is_refused(b"x", 4.0, parts=("bad",))
+    for at in range(4, 1_000, 5):
+        entries[0].parts.record_refusal("bad", float(at))
+        exchange(entries, agent, float(at))
+    # All of the fleet is replaced but one entry.
+    agent, other = suspects_entry.Entry(7.0), suspects_entry.Entry(3.0)
+    entries[0].parts.record_refusal("bad", 1_010.0)
+    exchange([entries[0], other], agent, 1_010.0)
+    assert other.is_refused(b"x", 1_011.0, parts=("bad",))
+
+
+def test_an_answer_at_one_entry_clears_a_part_at_all():
+    entries = [suspects_entry.Entry(0.0), suspects_entry.Entry(50.0)]
+    agent = suspects_entry.Entry(9_000.0)
+    crash(entries[0], 3, ("part",))
+    assert entries[0].is_refused(b"x", 4.0, parts=("part",))
+    exchange(entries, agent, 4.0)
+    assert entries[1].is_refused(b"x", 4.4, parts=("part",))
+    entries[1].record_answer(5.0, ("part",))
+    exchange(entries, agent, 5.1)
+    assert not entries[0].is_refused(b"x", 6.0, parts=("part",))
+    assert not entries[1].is_refused(b"x", 6.0, parts=("part",))
+    exchange(entries, agent, 6.1)
+    assert not entries[0].is_refused(b"x", 7.0, parts=("part",))
+
+
+def test_a_datagram_with_many_parts_stays_small():
+    crashes = (suspects.Crash(b"s" * 8, 59.9),) * 6
+    largest = part_records.PartSuspicion(b"p" * 8, crashes, 59.9, 9.0, 2, 99.0)
+    few = part_records.PartSuspicion(b"p" * 8, crashes[:1])
+
+    def size(*suspicions):
+        parts = suspicion_codec.parts_to_wire(suspicions)
+        message = ttypes.Subscribe("e", {}, False, part_suspicions=parts)
+        data = codec.encode(message)
+        decoded = codec.decode(ttypes.Subscribe, data).part_suspicions
+        assert suspicion_codec.from_wire(None, decoded) == suspicions
+        return len(data)
+
+    assert size(*[few] * prompt_suspects.MAX_SUSPICIONS) < 600
+    assert size(*[largest] * prompt_suspects.MAX_SUSPICIONS) < 2_000
+
+
+@pytest.mark.parametrize(
+    "suspicion",
+    [
+        part_records.PartSuspicion(b"short", (suspects.Crash(b"s" * 8, 1.0),)),
+        part_records.PartSuspicion(b"p" * 8, (suspects.Crash(b"s", 1.0),)),
+        part_records.PartSuspicion(b"p" * 8, (suspects.Crash(b"s" * 8, -1.0),)),
+        part_records.PartSuspicion(b"p" * 8, (), float("nan")),
+        part_records.PartSuspicion(b"p" * 8, (), 1.0, float("inf")),
+        part_records.PartSuspicion(b"p" * 8, (), probes=-1, probed_age_s=1.0),
+    ],
+)
+def test_malformed_suspicions_of_parts_are_not_merged(suspicion):
+    entry = suspects_entry.Entry()
+    entry.merge([suspicion], 1.0)
+    assert entry.parts.idle
+
+
+def test_what_is_remembered_of_parts_is_bounded():
+    entry = suspects_entry.Entry()
+    crash(entry, 3, ("bad",))
+    assert entry.is_refused(b"x", 4.0, parts=("bad",))
+    for number in range(6_000):
+        at = 5.0 + number / 1e3
+        entry.record_crash(b"x", f"j-{number}", at, (f"part {number}",))
+    assert len(entry.local_suspicions(12.0)) <= 28
+    assert len(entry.parts._records) <= 4_097
+    assert entry.is_refused(b"x", 12.0, parts=("bad",))
+
+
+# A simulated fleet.
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize(
+    "load",
+    [
+        prompt_fleet.Load(bad_per_s=1.5, seconds=30.0),
+        prompt_fleet.Load(bad_per_s=1.5, crashes_per_s=0.7, seconds=30.0),
+        prompt_fleet.Load(bad_per_s=1.5, begin_s=(1.0, 3.0), seconds=30.0),
+        prompt_fleet.Load(bad_per_s=1.0, mass_crash=0.5, seconds=30.0),
+        prompt_fleet.Load(bad_per_s=1.5, sound_per_s=5.0, seconds=30.0),
+    ],
+)
+def test_a_fleet_stops_sending_a_part_that_crashes_servers(load, seed):
+    fleet = prompt_fleet.Fleet(load, seed).run()
+    assert fleet.crashed_at
+    assert fleet.late <= 3
+    assert fleet.sound_refused <= 0.01 * fleet.sound
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize(
+    "load",
+    [
+        prompt_fleet.Load(crashes_per_s=0.7, seconds=30.0),
+        prompt_fleet.Load(crashes_per_s=0.7, begin_s=(1.0, 3.0), seconds=30.0),
+        prompt_fleet.Load(mass_crash=1.0, seconds=30.0),
+        prompt_fleet.Load(mass_crash=0.5, begin_s=(1.0, 3.0), seconds=30.0),
+        prompt_fleet.Load(resets=1.0, seconds=30.0),
+    ],
+)
+def test_a_fleet_whose_servers_crash_for_other_reasons_serves_on(load, seed):
+    fleet = prompt_fleet.Fleet(load, seed).run()
+    assert fleet.sound_refused <= 0.01 * fleet.sound
+
+
 # A whole entry.
 
 
--- a/tests/test_direct_stream_ends.py
+++ b/tests/test_direct_stream_ends.py
@@ -260,8 +260,8 @@
 
     async def play():
         async with sites.Site("i-1") as site:
-            suspects = site.entry._forwarder._suspects
-            monkeypatch.setattr(suspects, "record_completion", raise_error)
+            guard = site.entry._forwarder.guard
+            monkeypatch.setattr(guard, "record_completion", raise_error)
             async with sites.Caller(site) as caller:
                 first = await caller.ask("/safe/1")
                 return first, await caller.ask("/safe/1")
