Keep refusing a request that crashes servers while it comes; try it rarely

What callers saw: a request that had crashed two servers was refused for a minute, and then crashed two more; a sound one that was running at two crashes by chance was refused for the same minute wherever it came.

Cause: what is refused makes no crashes, and crashes were forgotten 60 s after they happened; and what is refused is never answered, the only thing that cleared it.

Mend: a refusal is remembered from its last request on and shared with its crashes, so that entries and agents that start anew learn it. One entry of the fleet lets a request through 20 s after the last crash, then 2 and 12 minutes: a sound one clears itself at all entries.

--- a/src/clementinegw/direct/crash_guard.py
+++ b/src/clementinegw/direct/crash_guard.py
@@ -1,6 +1,7 @@
 """Refuses requests that would crash the servers that they are sent to."""
 
 from collections.abc import Callable, Iterable, Sequence
+from typing import Protocol, TypeVar
 
 from clementinegw.direct import _events
 from clementinegw.direct import attempt as attempts
@@ -26,6 +27,19 @@
 _RANK_TIMEOUT_S = 10.0
 
 
+_Subject = TypeVar("_Subject", contravariant=True)
+
+
+class _Tracker(Protocol[_Subject]):
+    """Tracks what requests are refused for."""
+
+    def record_refusal(self, subject: _Subject, now: float, /) -> None:
+        """Records that a request was refused."""
+
+    def take_probe(self, subject: _Subject, now: float, /) -> bool:
+        """Returns whether a request may be let through."""
+
+
 class CrashGuard:
     """Learns at one entry which requests crash servers, and refuses them."""
 
@@ -130,18 +144,19 @@
         One that is let through as a probe may be sent once.
         """
         now = self._clock()
-        part = self._trackers.parts.refused_part(job.metadata.shared_parts, now)
-        if part is not None:
-            return self._refuses_part(job, part, now)
-        job.suspect = ""
-        requests = self._trackers.requests
+        parts, requests = self._trackers.parts, self._trackers.requests
+        job.suspect = parts.refused_part(job.metadata.shared_parts, now) or ""
+        if job.suspect:
+            return not self._is_probe(job, parts, job.suspect, now)
         if requests.idle:
             return False
         if not job.fingerprint:
             job.fingerprint = suspects.fingerprint(
                 job.request, job.customer_name
             )
-        return requests.is_key_refused(job.fingerprint, now)
+        if not requests.is_key_refused(job.fingerprint, now):
+            return False
+        return not self._is_probe(job, requests, job.fingerprint, now)
 
     def refuses_waiting(self, job: attempts.Job) -> bool:
         """Returns the same for a request in a queue, which asks often."""
@@ -151,21 +166,30 @@
         job.suspect_check_at = now + _WAITING_INTERVAL_S
         return self.refuses(job)
 
-    def _refuses_part(self, job: attempts.Job, part: str, now: float) -> bool:
+    def _is_probe(
+        self,
+        job: attempts.Job,
+        tracker: _Tracker[_Subject],
+        subject: _Subject,
+        now: float,
+    ) -> bool:
+        """Returns whether a request is let through; else records its refusal.
+
+        Args:
+          job: The request.
+          tracker: Tracks what it is refused for.
+          subject: What it is refused for.
+          now: Monotonic seconds.
+        """
         if job.probe and not job.sends:
-            return False
-        parts = self._trackers.parts
-        job.suspect = part
-        if (
-            not job.sends
-            and self._may_probe(now)
-            and parts.take_probe(part, now)
-        ):
+            return True
+        may_probe = not job.sends and self._may_probe(now)
+        if may_probe and tracker.take_probe(subject, now):
             job.probe = True
             self._counters.add("direct.suspect.probed")
-            return False
-        parts.record_refusal(part, now)
-        return True
+            return True
+        tracker.record_refusal(subject, now)
+        return False
 
     def _may_probe(self, now: float) -> bool:
         """Returns whether this entry is the one that sends probes."""
--- a/src/clementinegw/direct/part_records.py
+++ b/src/clementinegw/direct/part_records.py
@@ -6,6 +6,7 @@
 import hashlib
 import math
 
+from clementinegw.direct import refusals
 from clementinegw.direct import suspects
 
 # How long a crash is remembered after it happened, and after the last request
@@ -16,11 +17,6 @@
 # Crashes closer together than this count once, in seconds: servers that crash
 # at the same moment mostly do so for a common reason, such as lost power.
 _MOMENT_S = 0.25
-# When a request with a refused part is let through to find out whether the part
-# is sound after all: after this long, in seconds, and each time this many times
-# as long.
-_FIRST_PROBE_S = 20.0
-_PROBE_FACTOR = 6.0
 # The most parts of a prompt that are tracked.
 _MAX_PARTS = 64
 DIGEST_BYTES = 8
@@ -46,29 +42,18 @@
       crashes: The crashes at which it was in flight.
       answered_age_s: How long ago a request with it was answered, in seconds;
         None if none is known to be.
-      refused_age_s: How long ago a request was refused for it, in seconds;
-        None if it is not refused.
-      probes: How many requests were let through since it is refused.
-      probed_age_s: How long ago the last of them was, in seconds; None if there
-        was none.
+      refusal: When requests were refused for it; None if it is not refused.
     """
 
     part: bytes
     crashes: tuple[suspects.Crash, ...] = ()
     answered_age_s: float | None = None
-    refused_age_s: float | None = None
-    probes: int = 0
-    probed_age_s: float | None = None
+    refusal: refusals.RefusalAges | None = None
 
     @property
     def is_valid(self) -> bool:
         """Whether the digests have their lengths and the ages make sense."""
-        ages = (
-            self.answered_age_s,
-            self.refused_age_s,
-            self.probed_age_s,
-            *(crash.age_s for crash in self.crashes),
-        )
+        ages = (self.answered_age_s, *(crash.age_s for crash in self.crashes))
         return (
             len(self.part) == DIGEST_BYTES
             and all(
@@ -76,7 +61,7 @@
                 for crash in self.crashes
             )
             and all(age is None or 0.0 <= age < math.inf for age in ages)
-            and self.probes >= 0
+            and (self.refusal is None or self.refusal.is_valid)
         )
 
 
@@ -125,21 +110,14 @@
       crashes: The crashes since its last answer, by the digest of the start.
       answers_before: How many answers this process knew of at the first one.
       refused: Whether requests with it are refused.
-      refused_at: When one was last refused by any entry, in monotonic seconds.
-      published_at: When this process last began to publish that, in monotonic
-        seconds.
-      probes: How many requests were let through.
-      probed_at: When the last of them was, in monotonic seconds.
+      refusal: When requests with it were refused, by any entry.
     """
 
     def __init__(self, answers_before: int):
         self.crashes: Crashes = {}
         self.answers_before = answers_before
         self.refused = False
-        self.refused_at = -math.inf
-        self.published_at = -math.inf
-        self.probes = 0
-        self.probed_at = -math.inf
+        self.refusal = refusals.Refusal()
 
     @property
     def last_crash_at(self) -> float:
@@ -150,13 +128,7 @@
     @property
     def expires_at(self) -> float:
         """When all of it is forgotten, in monotonic seconds."""
-        return max(self.last_crash_at, self.refused_at) + RETENTION_S
-
-    @property
-    def probe_due_at(self) -> float:
-        """When a request may be let through, in monotonic seconds."""
-        since = max(self.last_crash_at, self.probed_at)
-        return since + _FIRST_PROBE_S * _PROBE_FACTOR**self.probes
+        return max(self.last_crash_at, self.refusal.refused_at) + RETENTION_S
 
     def counted(self, now: float) -> Crashes:
         """Returns the crashes that are confirmed and not forgotten."""
@@ -164,29 +136,19 @@
             start: crash
             for start, crash in self.crashes.items()
             if crash.is_confirmed(now)
-            and now - max(crash.crashed_at, self.refused_at) < RETENTION_S
+            and now - max(crash.crashed_at, self.refusal.refused_at)
+            < RETENTION_S
         }
 
     def refuse(self, now: float) -> None:
         """Begins to refuse requests with the part."""
         self.refused = True
-        self.refused_at = self.published_at = now
+        self.refusal.record(now)
 
     def end_refusal(self) -> None:
         """Ends that and forgets the probes."""
         self.refused = False
-        self.refused_at = self.published_at = -math.inf
-        self.probes, self.probed_at = 0, -math.inf
-
-    def merge_refusal(self, suspicion: PartSuspicion, now: float) -> None:
-        """Merges when others refused it and let requests through."""
-        if suspicion.refused_age_s is not None:
-            refused_at = now - suspicion.refused_age_s
-            self.refused_at = max(self.refused_at, refused_at)
-        if suspicion.probed_age_s is not None:
-            self.probes = max(self.probes, suspicion.probes)
-            probed_at = now - suspicion.probed_age_s
-            self.probed_at = max(self.probed_at, probed_at)
+        self.refusal = refusals.Refusal()
 
 
 def count_moments(crashes: Iterable[Crash]) -> int:
--- a/src/clementinegw/direct/prompt_suspects.py
+++ b/src/clementinegw/direct/prompt_suspects.py
@@ -32,8 +32,6 @@
 _MAX_SENT_CRASHES = 6
 # For how long an observation is published, in seconds: several datagrams.
 _PUBLISH_S = 5.0
-# How often it is published that a part is still refused, in seconds.
-_REFUSAL_INTERVAL_S = 10.0
 
 _Cause = part_records.Cause
 _Published = Callable[[part_records.Record], Iterable[bytes]]
@@ -227,9 +225,7 @@
         """Records that a request was refused: the part still comes."""
         record = self._records[part_records.digest_part(part)]
         if record.refused:
-            record.refused_at = now
-            if now - record.published_at >= _REFUSAL_INTERVAL_S:
-                record.published_at = now
+            record.refusal.record(now)
 
     def take_probe(self, part: str, now: float) -> bool:
         """Returns whether a request may be let through despite its part.
@@ -237,12 +233,12 @@
         Only one entry of the fleet is to ask.
         """
         record = self._records[part_records.digest_part(part)]
-        if not record.refused or now < record.probe_due_at:
-            return False
-        record.probes += 1
-        record.probed_at = record.published_at = now
-        self._news_at.append(now)
-        return True
+        taken = record.refused and record.refusal.take_probe(
+            record.last_crash_at, now
+        )
+        if taken:
+            self._news_at.append(now)
+        return taken
 
     def update(self, now: float) -> None:
         """Decides on all parts, also those that no request has at present."""
@@ -269,7 +265,7 @@
         if record.refused:
             return True
         # Who found it knew the times of the crashes better.
-        reported = now - record.refused_at < part_records.RETENTION_S
+        reported = now - record.refusal.refused_at < part_records.RETENTION_S
         if not reported and not self._has_evidence(part, counted):
             return False
         if self._has_rival(part, counted, now, beside):
@@ -390,7 +386,7 @@
         """Returns this process's own recent observations, for the agents."""
 
         def published(record: part_records.Record) -> Iterable[bytes]:
-            if now - record.published_at < _PUBLISH_S:
+            if record.refusal.is_published(now):
                 return record.crashes
             return (
                 start
@@ -450,6 +446,7 @@
     ) -> part_records.PartSuspicion:
         """Returns what is known of a part, with its newest crashes."""
         record = self._records[part]
+        answered_at = self._evidence.answered_at(part)
         crashes = sorted(
             (
                 suspects.Crash(start, now - record.crashes[start].crashed_at)
@@ -460,10 +457,8 @@
         return part_records.PartSuspicion(
             part,
             tuple(crashes[:_MAX_SENT_CRASHES]),
-            _age(self._evidence.answered_at(part), now),
-            _age(record.refused_at, now),
-            record.probes,
-            _age(record.probed_at, now),
+            now - answered_at if answered_at > -math.inf else None,
+            record.refusal.ages(now),
         )
 
     def merge(
@@ -485,8 +480,8 @@
                 part, crash.start, part_records.Crash(at, local=False), now
             )
         record = self._records.get(part)
-        if record is not None:
-            record.merge_refusal(suspicion, now)
+        if record is not None and suspicion.refusal is not None:
+            record.refusal.merge(suspicion.refusal, now)
 
     def _merge_answer(
         self, suspicion: part_records.PartSuspicion, now: float
@@ -511,8 +506,3 @@
     def _publish_answer(self, part: bytes, began_at: float, now: float) -> None:
         self._answers[part] = _Answer(began_at, True, now)
         self._news_at.append(now)
-
-
-def _age(at: float, now: float) -> float | None:
-    """Returns how long ago something was, in seconds; None if never."""
-    return now - at if at > -math.inf else None
--- a/src/clementinegw/direct/suspects.py
+++ b/src/clementinegw/direct/suspects.py
@@ -18,6 +18,7 @@
 import hashlib
 import math
 
+from clementinegw.direct import refusals
 from clementinegw.direct import server as servers
 
 # The most requests that are remembered.
@@ -65,11 +66,13 @@
       crashes: The broken connections while it ran.
       completed_age_s: How long ago a server completed it, in seconds; None if
         none did.
+      refusal: When it was refused; None if it is not.
     """
 
     fingerprint: bytes
     crashes: tuple[Crash, ...]
     completed_age_s: float | None = None
+    refusal: refusals.RefusalAges | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -92,33 +95,43 @@
       crashes: The crashes by the digest of the server's start.
       completed_at: When it was last completed, in monotonic seconds.
       completed_locally: Whether this process observed a completion itself.
+      refusal: When it was refused, by any entry.
     """
 
     def __init__(self) -> None:
         self.crashes: dict[bytes, _CrashRecord] = {}
         self.completed_at = -math.inf
         self.completed_locally = False
+        self.refusal = refusals.Refusal()
 
     @property
-    def last_changed_at(self) -> float:
-        """When the newest crash happened; without crashes, the completion."""
+    def last_crash_at(self) -> float:
+        """When the newest crash happened, in monotonic seconds."""
         crashed_at = (crash.crashed_at for crash in self.crashes.values())
-        return max(crashed_at, default=self.completed_at)
+        return max(crashed_at, default=-math.inf)
 
-    def recent_crashes(
-        self, now: float, within_s: float = _RETENTION_S, local: bool = False
-    ) -> tuple[Crash, ...]:
-        """Returns the crashes within a time.
+    @property
+    def last_changed_at(self) -> float:
+        """When it last crashed or was refused; without crashes, completed."""
+        if not self.crashes:
+            return self.completed_at
+        return max(self.last_crash_at, self.refusal.refused_at)
 
-        Args:
-          now: Monotonic seconds.
-          within_s: The greatest age of a crash, in seconds.
-          local: Whether to leave out what other processes observed.
-        """
+    def recent_crashes(self, now: float) -> tuple[Crash, ...]:
+        """Returns the crashes that are not forgotten."""
+        return tuple(
+            Crash(start, max(0.0, now - crash.crashed_at))
+            for start, crash in self.crashes.items()
+            if now - max(crash.crashed_at, self.refusal.refused_at)
+            < _RETENTION_S
+        )
+
+    def new_crashes(self, now: float) -> tuple[Crash, ...]:
+        """Returns the crashes that this process observed a short while ago."""
         return tuple(
             Crash(start, max(0.0, now - crash.crashed_at))
             for start, crash in self.crashes.items()
-            if (crash.local or not local) and now - crash.crashed_at < within_s
+            if crash.local and now - crash.crashed_at < _PUBLISH_S
         )
 
 
@@ -228,6 +241,18 @@
         unexplained = [c for c in crashes if not self._is_explained(c.start)]
         return len(unexplained) >= _CRASHES_TO_REFUSE
 
+    def record_refusal(self, key: bytes, now: float) -> None:
+        """Records that a request was refused: it still comes."""
+        self._records[key].refusal.record(now)
+
+    def take_probe(self, key: bytes, now: float) -> bool:
+        """Returns whether a refused request may be let through.
+
+        Only one entry of the fleet is to ask.
+        """
+        record = self._records[key]
+        return record.refusal.take_probe(record.last_crash_at, now)
+
     def local_suspicions(self, now: float) -> tuple[Suspicion, ...]:
         """Returns this process's own recent observations, for the agents.
 
@@ -235,13 +260,15 @@
         would be off by the transit time of a datagram.
         """
         self._expire(now)
-        return self._select(
-            lambda record: (
-                record.recent_crashes(now, _PUBLISH_S, local=True),
-                record.completed_locally,
-            ),
-            now,
-        )
+
+        def reported(record: _RequestRecord) -> tuple[tuple[Crash, ...], bool]:
+            if record.refusal.is_published(now):
+                crashes = record.recent_crashes(now)
+            else:
+                crashes = record.new_crashes(now)
+            return crashes, record.completed_locally
+
+        return self._select(reported, now)
 
     def confirmed_suspicions(self, now: float) -> tuple[Suspicion, ...]:
         """Returns refused and cleared requests, whoever observed them.
@@ -278,7 +305,10 @@
                 age_s if completed and age_s < _PUBLISH_S else None
             )
             if crashes or completed_age_s is not None:
-                suspicions.append(Suspicion(key, crashes, completed_age_s))
+                refusal = record.refusal.ages(now) if crashes else None
+                suspicions.append(
+                    Suspicion(key, crashes, completed_age_s, refusal)
+                )
             if len(suspicions) == MAX_SUSPICIONS:
                 break
         return tuple(suspicions)
@@ -292,11 +322,18 @@
             age_s = suspicion.completed_age_s
             if age_s is not None and 0.0 <= age_s < _RETENTION_S:
                 self._complete(key, self._record(key), now - age_s)
+            refusal = suspicion.refusal
+            if refusal is not None and not refusal.is_valid:
+                continue
+            # What is still refused has older crashes.
+            max_age_s = _RETENTION_S if refusal is None else math.inf
             for crash in suspicion.crashes[:_MAX_CRASHES]:
                 fits = len(crash.start) == START_DIGEST_BYTES
-                if fits and 0.0 <= crash.age_s < _RETENTION_S:
+                if fits and 0.0 <= crash.age_s < max_age_s:
                     at = now - crash.age_s - MAX_TRANSIT_S
                     self._add(key, crash.start, _CrashRecord(at, local=False))
+            if refusal is not None and key in self._records:
+                self._records[key].refusal.merge(refusal, now)
         self._evict_oldest()
 
     def _record(self, key: bytes) -> _RequestRecord:
@@ -326,6 +363,8 @@
         for start, crash in list(record.crashes.items()):
             if crash.crashed_at <= record.completed_at:
                 self._drop_crash(key, start)
+        if not record.crashes:
+            record.refusal = refusals.Refusal()
 
     def _drop_crash(self, key: bytes, start: bytes) -> None:
         """Removes a crash from its record and from the index by start."""
--- a/src/clementinegw/direct/suspicion_codec.py
+++ b/src/clementinegw/direct/suspicion_codec.py
@@ -4,6 +4,7 @@
 
 from clementinegw.direct import part_records
 from clementinegw.direct import prompt_suspects
+from clementinegw.direct import refusals
 from clementinegw.direct import suspects
 from clementinegw.wire.gen.reports import ttypes
 
@@ -25,6 +26,7 @@
             suspicion.fingerprint,
             _crashes_to_wire(suspicion.crashes),
             _age_to_wire(suspicion.completed_age_s),
+            *_refusal_to_wire(suspicion.refusal),
         )
         for suspicion in suspicions
         if isinstance(suspicion, suspects.Suspicion)
@@ -41,9 +43,7 @@
             suspicion.part,
             _crashes_to_wire(suspicion.crashes),
             _age_to_wire(suspicion.answered_age_s),
-            _age_to_wire(suspicion.refused_age_s),
-            suspicion.probes or None,
-            _age_to_wire(suspicion.probed_age_s),
+            *_refusal_to_wire(suspicion.refusal),
         )
         for suspicion in suspicions
         if isinstance(suspicion, part_records.PartSuspicion)
@@ -61,6 +61,7 @@
             item.fingerprint,
             _crashes_from_wire(item.crashes),
             _age_from_wire(item.completed_age_ms),
+            _refusal_from_wire(item),
         )
         for item in (items or ())[: suspects.MAX_SUSPICIONS]
         if item.fingerprint is not None and item.crashes is not None
@@ -72,9 +73,7 @@
                 part.part,
                 _crashes_from_wire(part.crashes),
                 _age_from_wire(part.answered_age_ms),
-                _age_from_wire(part.refused_age_ms),
-                part.probes or 0,
-                _age_from_wire(part.probed_age_ms),
+                _refusal_from_wire(part),
             )
             for part in (parts or ())[: prompt_suspects.MAX_SUSPICIONS]
             if part.part is not None and part.crashes is not None
@@ -99,6 +98,35 @@
     )
 
 
+def _refusal_to_wire(
+    refusal: refusals.RefusalAges | None,
+) -> tuple[int | None, int | None, int | None]:
+    """Returns the fields of a refusal, which take no bytes if there is none.
+
+    They are the milliseconds since the last one, the number of probes, and the
+    milliseconds since the last of these.
+    """
+    if refusal is None:
+        return None, None, None
+    return (
+        _age_to_wire(refusal.refused_s),
+        refusal.probes or None,
+        _age_to_wire(refusal.probed_s),
+    )
+
+
+def _refusal_from_wire(
+    item: ttypes.Suspicion | ttypes.PartSuspicion,
+) -> refusals.RefusalAges | None:
+    if item.refused_age_ms is None:
+        return None
+    return refusals.RefusalAges(
+        item.refused_age_ms / 1e3,
+        item.probes or 0,
+        _age_from_wire(item.probed_age_ms),
+    )
+
+
 def _age_to_wire(age_s: float | None) -> int | None:
     return None if age_s is None else min(int(age_s * 1e3), _MAX_INTEGER)
 
--- a/src/clementinegw/wire/gen/reports/ttypes.py
+++ b/src/clementinegw/wire/gen/reports/ttypes.py
@@ -107,6 +107,9 @@
      - fingerprint
      - crashes
      - completed_age_ms
+     - refused_age_ms
+     - probes
+     - probed_age_ms
 
     """
 
@@ -114,13 +117,19 @@
         'fingerprint',
         'crashes',
         'completed_age_ms',
+        'refused_age_ms',
+        'probes',
+        'probed_age_ms',
     )
 
 
-    def __init__(self, fingerprint=None, crashes=None, completed_age_ms=None,):
+    def __init__(self, fingerprint=None, crashes=None, completed_age_ms=None, refused_age_ms=None, probes=None, probed_age_ms=None,):
         self.fingerprint = fingerprint
         self.crashes = crashes
         self.completed_age_ms = completed_age_ms
+        self.refused_age_ms = refused_age_ms
+        self.probes = probes
+        self.probed_age_ms = probed_age_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -152,6 +161,21 @@
                     self.completed_age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.refused_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.probes = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.probed_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -177,6 +201,18 @@
             oprot.writeFieldBegin('completed_age_ms', TType.I32, 3)
             oprot.writeI32(self.completed_age_ms)
             oprot.writeFieldEnd()
+        if self.refused_age_ms is not None:
+            oprot.writeFieldBegin('refused_age_ms', TType.I32, 4)
+            oprot.writeI32(self.refused_age_ms)
+            oprot.writeFieldEnd()
+        if self.probes is not None:
+            oprot.writeFieldBegin('probes', TType.I32, 5)
+            oprot.writeI32(self.probes)
+            oprot.writeFieldEnd()
+        if self.probed_age_ms is not None:
+            oprot.writeFieldBegin('probed_age_ms', TType.I32, 6)
+            oprot.writeI32(self.probed_age_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1117,6 +1153,9 @@
     (1, TType.STRING, 'fingerprint', 'BINARY', None, ),  # 1
     (2, TType.LIST, 'crashes', (TType.STRUCT, [Crash, None], False), None, ),  # 2
     (3, TType.I32, 'completed_age_ms', None, None, ),  # 3
+    (4, TType.I32, 'refused_age_ms', None, None, ),  # 4
+    (5, TType.I32, 'probes', None, None, ),  # 5
+    (6, TType.I32, 'probed_age_ms', None, None, ),  # 6
 )
 all_structs.append(PartSuspicion)
 PartSuspicion.thrift_spec = (
--- a/src/clementinegw/wire/reports.thrift
+++ b/src/clementinegw/wire/reports.thrift
@@ -13,6 +13,10 @@
   2: required list<Crash> crashes,
   // Milliseconds since a server completed it; unset if none did.
   3: optional i32 completed_age_ms,
+  // As in PartSuspicion.
+  4: optional i32 refused_age_ms,
+  5: optional i32 probes,
+  6: optional i32 probed_age_ms,
 }
 
 // The evidence on a part of prompts that may crash servers.
--- a/tests/suspects_entry.py
+++ b/tests/suspects_entry.py
@@ -2,6 +2,7 @@
 
 from clementinegw.direct import crash_trackers
 from clementinegw.direct import server as servers
+from clementinegw.direct import suspects
 
 
 def request(body=b"", target="/safe/x"):
@@ -30,6 +31,14 @@
         now = self.clock_s + at
         self.parts.record_answer(parts, now, now)
 
+    def record_refusal(self, body, at):
+        key = suspects.fingerprint(request(body), "c")
+        self.suspects.record_refusal(key, self.clock_s + at)
+
+    def take_probe(self, body, at):
+        key = suspects.fingerprint(request(body), "c")
+        return self.suspects.take_probe(key, self.clock_s + at)
+
     def record_completion(self, body, at):
         self.suspects.record_completion(request(body), "c", self.clock_s + at)
 
--- a/tests/test_direct_prompt_suspects.py
+++ b/tests/test_direct_prompt_suspects.py
@@ -13,6 +13,7 @@
 
 from clementinegw.direct import part_records
 from clementinegw.direct import prompt_suspects
+from clementinegw.direct import refusals
 from clementinegw.direct import suspects
 from clementinegw.direct import suspicion_codec
 from clementinegw.wire import codec
@@ -244,7 +245,9 @@
 
 def test_a_datagram_with_many_parts_stays_small():
     crashes = (suspects.Crash(b"s" * 8, 59.9),) * 6
-    largest = part_records.PartSuspicion(b"p" * 8, crashes, 59.9, 9.0, 2, 99.0)
+    largest = part_records.PartSuspicion(
+        b"p" * 8, crashes, 59.9, refusals.RefusalAges(9.0, 2, 99.0)
+    )
     few = part_records.PartSuspicion(b"p" * 8, crashes[:1])
 
     def size(*suspicions):
@@ -266,8 +269,12 @@
         part_records.PartSuspicion(b"p" * 8, (suspects.Crash(b"s", 1.0),)),
         part_records.PartSuspicion(b"p" * 8, (suspects.Crash(b"s" * 8, -1.0),)),
         part_records.PartSuspicion(b"p" * 8, (), float("nan")),
-        part_records.PartSuspicion(b"p" * 8, (), 1.0, float("inf")),
-        part_records.PartSuspicion(b"p" * 8, (), probes=-1, probed_age_s=1.0),
+        part_records.PartSuspicion(
+            b"p" * 8, (), 1.0, refusals.RefusalAges(float("inf"))
+        ),
+        part_records.PartSuspicion(
+            b"p" * 8, (), 1.0, refusals.RefusalAges(1.0, -1, 1.0)
+        ),
     ],
 )
 def test_malformed_suspicions_of_parts_are_not_merged(suspicion):
--- a/tests/test_direct_suspects.py
+++ b/tests/test_direct_suspects.py
@@ -84,9 +84,56 @@
     assert refused == [b"bad"]
 
 
+def test_a_request_stays_refused_while_it_comes():
+    """A refused request causes no crashes, so that they were all forgotten.
+
+    A minute later it crashed two servers more.
+    """
+    entry = suspects_entry.Entry()
+    entry.record_crash(b"bad", "i-1", 1.0)
+    entry.record_crash(b"bad", "i-2", 2.0)
+    for at in range(3, 300, 30):
+        assert entry.is_refused(b"bad", float(at))
+        entry.record_refusal(b"bad", float(at))
+    assert not entry.is_refused(b"bad", 400.0)
+
+
+def test_a_refused_request_is_let_through_ever_more_rarely():
+    """A request that was running at two crashes by chance was never answered.
+
+    It was refused everywhere, so that nothing could clear it.
+    """
+    entry = suspects_entry.Entry()
+    entry.record_crash(b"", "i-1", 1.0)
+    entry.record_crash(b"", "i-2", 2.0)
+    taken = []
+    for at in range(3, 900):
+        assert entry.is_refused(b"", float(at))
+        if entry.take_probe(b"", float(at)):
+            taken.append(at)
+        else:
+            entry.record_refusal(b"", float(at))
+    assert taken == [22, 142, 862]
+    entry.record_completion(b"", 900.5)
+    assert not entry.is_refused(b"", 901.0)
+
+
 # Entries that share their observations.
 
 
+def test_an_entry_that_starts_anew_learns_that_a_request_is_still_refused():
+    first, agent = suspects_entry.Entry(5.0), suspects_entry.Entry(8.0)
+    first.record_crash(b"bad", "i-1", 1.0)
+    first.record_crash(b"bad", "i-2", 2.0)
+    for at in range(3, 300, 5):
+        assert first.is_refused(b"bad", float(at))
+        first.record_refusal(b"bad", float(at))
+        agent.merge(first.local_suspicions(float(at)), at + 0.1)
+    second = suspects_entry.Entry(90.0)
+    second.merge(agent.confirmed_suspicions(300.0), 300.1)
+    assert second.is_refused(b"bad", 300.2)
+
+
 def test_crashes_seen_by_different_entries_add_up():
     """A request was sent to one entry after the other and crashed servers.
 
