Bound the growth of the time between probes

An odd number of probes in a datagram (2^31 - 1) raised OverflowError where a refused request was to be let through. Found by adding suspicions of parts to the test of odd datagrams; red before: test_a_report_of_ever_so_many_probes_ends_no_request.

--- a/src/clementinegw/direct/refusals.py
+++ b/src/clementinegw/direct/refusals.py
@@ -13,6 +13,8 @@
 # time this many times as long.
 _FIRST_PROBE_S = 20.0
 _PROBE_FACTOR = 6.0
+# The most probes for which that time grows.
+_MAX_GROWTH = 8
 # How often it is published that something is still refused, and for how long
 # each time, in seconds: several datagrams.
 _INTERVAL_S = 10.0
@@ -71,8 +73,9 @@
           last_crash_at: When the newest crash was, in monotonic seconds.
           now: Monotonic seconds.
         """
-        since = max(last_crash_at, self.probed_at)
-        if now < since + _FIRST_PROBE_S * _PROBE_FACTOR**self.probes:
+        growth = _PROBE_FACTOR ** min(self.probes, _MAX_GROWTH)
+        due_at = max(last_crash_at, self.probed_at) + _FIRST_PROBE_S * growth
+        if now < due_at:
             return False
         self.probes += 1
         self.probed_at = self._published_at = now
--- a/tests/test_direct_datagrams.py
+++ b/tests/test_direct_datagrams.py
@@ -7,6 +7,7 @@
 import platform_site
 import pytest
 
+from clementinegw.direct import part_records
 from clementinegw.direct import reports
 from clementinegw.direct import types
 from clementinegw.testing import clock as clocks
@@ -18,6 +19,7 @@
 I64 = (0, 1, -1, 2**63 - 1, -(2**63), 1_790_000_000_000)
 DOUBLES = (0.0, 1.0, -1.0, math.nan, math.inf, -math.inf, 1e308, -1e308)
 REPORTS = 400
+_PART = part_records.digest_part("a")
 
 
 def report(**fields):
@@ -55,6 +57,22 @@
             rng.randbytes(rng.choice((0, 8, 16))),
             [ttypes.Crash(rng.randbytes(8), rng.choice(I32))],
             rng.choice(I32),
+            rng.choice(I32),
+            rng.choice(I32),
+            rng.choice(I32),
+        )
+    ]
+    fields["part_suspicions"] = [
+        ttypes.PartSuspicion(
+            rng.choice((b"", rng.randbytes(8), _PART)),
+            [
+                ttypes.Crash(rng.randbytes(8), rng.choice(I32))
+                for _ in range(rng.choice((0, 1, 8)))
+            ],
+            rng.choice((None, *I32)),
+            rng.choice((None, *I32)),
+            rng.choice((None, *I32)),
+            rng.choice((None, *I32)),
         )
     ]
     for name in rng.sample(sorted(fields), 4):
--- a/tests/test_direct_prompt_suspects.py
+++ b/tests/test_direct_prompt_suspects.py
@@ -283,6 +283,17 @@
     assert entry.parts.idle
 
 
+def test_a_report_of_ever_so_many_probes_ends_no_request():
+    entry = suspects_entry.Entry()
+    crash(entry, 3, ("bad",))
+    assert entry.is_refused(b"x", 4.0, parts=("bad",))
+    ages = refusals.RefusalAges(1.0, 2**31 - 1, 1.0)
+    part = part_records.digest_part("bad")
+    crashes = (suspects.Crash(b"s" * 8, 1.0),)
+    entry.merge([part_records.PartSuspicion(part, crashes, None, ages)], 5.0)
+    assert not entry.parts.take_probe("bad", entry.clock_s + 1e6)
+
+
 def test_what_is_remembered_of_parts_is_bounded():
     entry = suspects_entry.Entry()
     crash(entry, 3, ("bad",))
