--- a/tests/soak/prompts.py
+++ b/tests/soak/prompts.py
@@ -32,6 +32,7 @@
 MIN_SERVED_SHARE = 0.5
 MIN_REQUESTS = 20
 DEADLINE_S = 3.0
+READY_TIMEOUT_S = 30.0
 CRASHING_PART = "bad0bad0"
 EVENTS = 6
 
@@ -370,7 +371,8 @@
             await server.start()
         for process in (*self.agents, *self.entries):
             await process.start(self.store.address.port)
-        await asyncio.sleep(3.0)
+        await asyncio.gather(*(self._wait_ready(e) for e in self.entries))
+        await asyncio.sleep(1.0)
         began_at = self.now
         until = began_at + self._seconds
         loads = [self._send_requests(False, SOUND_PER_S, until)]
@@ -392,6 +394,24 @@
         await self._origin.server.stop()
         await self.store.stop()
 
+    async def _wait_ready(self, entry):
+        """Waits until an entry accepts callers; starts are slow under load."""
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            while not await self._is_ready(entry):
+                await asyncio.sleep(0.1)
+
+    async def _is_ready(self, entry):
+        try:
+            reader, writer = await asyncio.open_connection(
+                entry.host, entry.port + 1
+            )
+        except OSError:
+            return False
+        writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        line = await reader.readline()
+        writer.close()
+        return b" 200" in line
+
     def _spawn(self, coroutine):
         task = asyncio.create_task(coroutine)
         self._running.add(task)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -6,8 +6,9 @@
 `--subject=signals` has servers that report limits, leave or ask for backoff;
 `--subject=streams` has many open streams beside ever new configurations;
 `--subject=weights` has agents beside model servers; `--subject=versions` has
-entries that restart while a version of weights is due. `--guard=NAME` disables
-one guard in a copy of the code: the checks must then find violations.
+entries that restart while a version of weights is due; `--subject=prompts` has
+requests with a part in their prompts that crashes servers. `--guard=NAME`
+disables one guard in a copy of the code: the checks must then find violations.
 """
 
 import argparse
@@ -84,6 +85,16 @@
         "signals.backoff_until > now",
         "signals.backoff_until > now + 1e9",
     ),
+    "crashing_parts": (
+        "src/clementinegw/direct/prompt_suspects.py",
+        "_MIN_MOMENTS = 3",
+        "_MIN_MOMENTS = 1_000",
+    ),
+    "empty_streams": (
+        "src/clementinegw/direct/attempt.py",
+        "if not received and not head.framed:",
+        "if False:",
+    ),
     "drain": (
         "src/clementinegw/direct/entry.py",
         "await self._server.wait_idle()",
