Test probes and waiting requests of a refused part at a whole entry

At one entry, in virtual time: one request in 40 s reaches a server once its part is refused, and clears it when it is answered; a request that waits when its part becomes known is told 503 at once and reaches no server.

--- a/tests/test_direct_prompt_suspects.py
+++ b/tests/test_direct_prompt_suspects.py
@@ -346,24 +346,45 @@
 # A whole entry.
 
 
+def prompt_of(call):
+    return call.headers["x-clementinegw-prompt-prefix"]
+
+
+def crash_on_part(call):
+    """Streams two events, or crashes on the part `bad`."""
+    if "bad:" in prompt_of(call):
+        call.reset()
+    else:
+        stream(call)
+
+
+def stream(call):
+    call.begin_stream()
+    call.event(1)
+    call.event(2)
+    call.end_stream()
+
+
+async def ask(site, number, part):
+    """Sends a request with a prompt of three parts and a body of its own."""
+    prompt = f"X-Clementinegw-Prompt-Prefix: a:9,{part}:9,c{number}:9"
+    return await site.ask(
+        f"/stream/{number}", body=b"%d" % number, headers=(prompt,)
+    )
+
+
+def reached(site, part):
+    """Returns how often requests with a part reached servers."""
+    return sum(
+        f"{part}:" in prompt_of(call)
+        for server in site.servers
+        for call in server.calls
+    )
+
+
 def test_requests_with_a_part_that_crashes_servers_stop_reaching_them():
     """Requests that no one had sent before crashed one server after another."""
 
-    def crash_on_part(call):
-        if "bad:" in call.headers["x-clementinegw-prompt-prefix"]:
-            call.reset()
-        else:
-            call.begin_stream()
-            call.event(1)
-            call.event(2)
-            call.end_stream()
-
-    async def ask(site, number, part):
-        prompt = f"X-Clementinegw-Prompt-Prefix: a:9,{part}:9,c{number}:9"
-        return await site.ask(
-            f"/stream/{number}", body=b"%d" % number, headers=(prompt,)
-        )
-
     async def play():
         names = [f"i-{number}" for number in range(12)]
         async with sites.Site(*names, on_call=crash_on_part) as site:
@@ -371,15 +392,77 @@
                 await ask(site, 2 * number, "bad")
                 await ask(site, 2 * number + 1, "b")
                 await asyncio.sleep(0.5)
-            reached = sum(
-                "bad:" in call.headers["x-clementinegw-prompt-prefix"]
-                for server in site.servers
-                for call in server.calls
-            )
-            return reached, await ask(site, 99, "bad"), await ask(site, 98, "b")
+            count = reached(site, "bad")
+            return count, await ask(site, 99, "bad"), await ask(site, 98, "b")
 
-    reached, refused, sound = sites.run(play())
+    count, refused, sound = sites.run(play())
     assert refused.status == 503
     assert b"crashes_servers" in refused.body
     assert sound.status == 200
-    assert reached <= 8
+    assert count <= 8
+
+
+def test_one_request_is_let_through_after_a_while():
+    """A part that was refused by mistake could never prove itself sound."""
+
+    async def play():
+        names = [f"i-{number}" for number in range(24)]
+        async with sites.Site(*names, on_call=crash_on_part) as site:
+            counts = []
+            for number in range(100):
+                await ask(site, 2 * number, "bad")
+                await ask(site, 2 * number + 1, "b")
+                counts.append(reached(site, "bad"))
+                await asyncio.sleep(0.5)
+            # What crashed servers until now is mended.
+            for server in site.servers:
+                server.on_call = stream
+            await asyncio.sleep(120.0)
+            probe = await ask(site, 500, "bad")
+            return counts, probe, await ask(site, 501, "bad")
+
+    counts, probe, after = sites.run(play())
+    assert counts[-1] - counts[20] == 1
+    assert (probe.status, after.status) == (200, 200)
+
+
+def test_a_request_that_waits_is_refused_once_its_part_is_known():
+    """It waited for a server, only to crash it."""
+
+    async def hold(call):
+        await asyncio.sleep(2.0)
+        crash_on_part(call)
+
+    async def play():
+        async with sites.Site("i-1", on_call=hold) as site:
+            record = site.servers[0].record(slots=1, sequence=2)
+            site.store.put("keyed.servers", "i-1", record)
+            await asyncio.sleep(1.0)
+            filling = [
+                asyncio.ensure_future(ask(site, number, "b"))
+                for number in range(6)
+            ]
+            await asyncio.sleep(0.1)
+            waiting = asyncio.ensure_future(ask(site, 50, "bad"))
+            await asyncio.sleep(0.1)
+            began_at = asyncio.get_running_loop().time()
+            parts = site.entry._forwarder.guard._trackers.parts
+            report = part_records.PartSuspicion(
+                part_records.digest_part("bad"),
+                tuple(
+                    suspects.Crash(b"start %02d" % number, 1.0 + number)
+                    for number in range(5)
+                ),
+                None,
+                refusals.RefusalAges(0.5),
+            )
+            parts.merge([report], began_at)
+            answer = await waiting
+            waited_s = asyncio.get_running_loop().time() - began_at
+            await asyncio.gather(*filling)
+            return answer, waited_s, reached(site, "bad")
+
+    answer, waited_s, count = sites.run(play())
+    assert (answer.status, count) == (503, 0)
+    assert b"crashes_servers" in answer.body
+    assert waited_s < 0.5
