Keep what is refused in the platform's store, for a loss of power of all

Cause: entries and agents keep for each other what is refused, and nothing else does. The class: state that lives in the processes of which any number may end.

Mend: the first entry in the agents' order writes what is refused into a topic of its own in the store, and takes it out when it is cleared; each entry reads the topic once when it starts. While the store fails it is tried again after 1 to 30 s.

--- a/src/clementinegw/direct/_events.py
+++ b/src/clementinegw/direct/_events.py
@@ -298,6 +298,21 @@
     _INFO,
     "The entry follows a different set of servers and sends only to these.",
 )
+REFUSALS_READ = events.define(
+    934,
+    "refusals_read",
+    _INFO,
+    "The entry has read what was refused before it started. `keys` are digests"
+    " of requests and parts.",
+)
+REFUSALS_FAILED = events.define(
+    914,
+    "refusals_failed",
+    _WARNING,
+    "The platform's store does not give or take what is refused; tried again.",
+    "Check `reason`. After a loss of power of all machines, requests that crash"
+    " servers would have to be found anew.",
+)
 PART_REFUSED = events.define(
     948,
     "part_refused",
--- a/src/clementinegw/direct/crash_guard.py
+++ b/src/clementinegw/direct/crash_guard.py
@@ -66,6 +66,12 @@
         self._is_first = False
         self._ranked_at = clock()
 
+    @property
+    def acts_for_all(self) -> bool:
+        """Whether this entry does what one entry is to do for all."""
+        alone = self._clock() - self._ranked_at >= _RANK_TIMEOUT_S
+        return self._is_first or alone
+
     def add_job(self, job: attempts.Job) -> None:
         """Adds a request that is in progress."""
         self._jobs[id(job)] = job
@@ -183,7 +189,7 @@
         """
         if job.probe and not job.sends:
             return True
-        may_probe = not job.sends and self._may_probe(now)
+        may_probe = not job.sends and self.acts_for_all
         if may_probe and tracker.take_probe(subject, now):
             job.probe = True
             self._counters.add("direct.suspect.probed")
@@ -191,10 +197,6 @@
         tracker.record_refusal(subject, now)
         return False
 
-    def _may_probe(self, now: float) -> bool:
-        """Returns whether this entry is the one that sends probes."""
-        return self._is_first or now - self._ranked_at >= _RANK_TIMEOUT_S
-
     def _on_verdict(self, verdict: part_records.Verdict) -> None:
         change = "refused" if verdict.refused else "cleared"
         self._counters.add(f"direct.suspect.{change}.{verdict.cause}")
@@ -230,6 +232,10 @@
         """Returns what this entry observed recently."""
         return self._trackers.local_suspicions(self._clock())
 
+    def refused(self) -> tuple[suspicion_codec.Suspicion, ...]:
+        """Returns what this entry refuses."""
+        return self._trackers.refused_suspicions(self._clock())
+
     def merge(self, suspicions: tuple[suspicion_codec.Suspicion, ...]) -> None:
         """Merges what other entries observed."""
         self._trackers.merge(suspicions, self._clock())
--- a/src/clementinegw/direct/crash_trackers.py
+++ b/src/clementinegw/direct/crash_trackers.py
@@ -42,6 +42,15 @@
             *self.parts.local_suspicions(now),
         )
 
+    def refused_suspicions(
+        self, now: float
+    ) -> tuple[suspicion_codec.Suspicion, ...]:
+        """Returns what is refused."""
+        return (
+            *self.requests.refused_suspicions(now),
+            *self.parts.refused_suspicions(now),
+        )
+
     def confirmed_suspicions(
         self, now: float
     ) -> tuple[suspicion_codec.Suspicion, ...]:
--- a/src/clementinegw/direct/entry.py
+++ b/src/clementinegw/direct/entry.py
@@ -24,6 +24,7 @@
 from clementinegw.direct import instance as instances
 from clementinegw.direct import outage
 from clementinegw.direct import raw
+from clementinegw.direct import refusal_archive
 from clementinegw.direct import relay
 from clementinegw.direct import reports
 from clementinegw.direct import server as servers
@@ -75,6 +76,9 @@
     def header_codec(self) -> header_codec_lib.HeaderCodec:
         """Returns the codec for the platform's headers."""
 
+    def refusals(self) -> raw.Values:
+        """Returns what entries refuse, as it lasts in the store."""
+
 
 class Entry(mode.Service):
     """An entry: accepts callers' requests and forwards them to servers."""
@@ -183,6 +187,14 @@
             self.histograms,
             self._buffers,
         )
+        self._archive = refusal_archive.RefusalArchive(
+            self._forwarder.guard,
+            platform.refusals(),
+            clock,
+            wall_clock,
+            log,
+            counters,
+        )
         self._server = servers.Server(
             self._forwarder.handle, log, counters, self._buffers
         )
@@ -326,6 +338,13 @@
             with self._steps.guard("renew_subscriptions"):
                 self._subscriptions.renew()
 
+    @mode.Service.task
+    async def _keep_refusals(self) -> None:
+        while not self.should_stop:
+            with self._steps.guard("keep_refusals"):
+                await self._archive.update()
+            await asyncio.sleep(_SUBSCRIBE_INTERVAL_S)
+
     def _on_report(self, host: str, report: reports.Report) -> None:
         if report.ages_s:
             changes = self._versions.merge_ages(report.model, report.ages_s)
--- a/src/clementinegw/direct/prompt_suspects.py
+++ b/src/clementinegw/direct/prompt_suspects.py
@@ -409,6 +409,16 @@
             now,
         )
 
+    def refused_suspicions(
+        self, now: float
+    ) -> tuple[part_records.PartSuspicion, ...]:
+        """Returns what is known of the parts that are refused."""
+        return tuple(
+            self._suspicion(part, record.crashes, now)
+            for part, record in self._records.items()
+            if record.refused
+        )
+
     def _select(
         self, published: _Published, only_local: bool, now: float
     ) -> tuple[part_records.PartSuspicion, ...]:
--- a/src/clementinegw/direct/raw.py
+++ b/src/clementinegw/direct/raw.py
@@ -66,6 +66,25 @@
         """Returns the records of all items that can be decoded."""
 
 
+class Values(Protocol):
+    """Values by key that last in the platform's store."""
+
+    async def read(self) -> dict[str, bytes]:
+        """Returns all values.
+
+        Raises:
+          exceptions.PlatformError: No complete answer arrived.
+        """
+
+    async def write(self, key: str, value: bytes) -> None:
+        """Writes a value; an empty one deletes the key.
+
+        Raises:
+          exceptions.PlatformError: The platform did not confirm it; it may have
+            taken effect.
+        """
+
+
 class ReaderGroup(Protocol):
     """The processes that read the store for their failure domain."""
 
--- a/src/clementinegw/direct/refusals.py
+++ b/src/clementinegw/direct/refusals.py
@@ -44,6 +44,11 @@
             age is None or 0.0 <= age < math.inf for age in ages
         )
 
+    def older(self, by_s: float) -> "RefusalAges":
+        """Returns it with ages that are greater by some seconds."""
+        probed_s = None if self.probed_s is None else self.probed_s + by_s
+        return RefusalAges(self.refused_s + by_s, self.probes, probed_s)
+
 
 class Refusal:
     """What is known of the refusals for one request or one part.
--- a/src/clementinegw/direct/suspects.py
+++ b/src/clementinegw/direct/suspects.py
@@ -285,6 +285,17 @@
 
         return self._select(reported, now)
 
+    def refused_suspicions(self, now: float) -> tuple[Suspicion, ...]:
+        """Returns what is known of the requests that are refused."""
+        return tuple(
+            Suspicion(
+                key, record.recent_crashes(now), None, record.refusal.ages(now)
+            )
+            for key, record in self._records.items()
+            if record.refusal.refused_at > now - _RETENTION_S
+            and self.is_key_refused(key, now)
+        )
+
     def _select(
         self,
         reported: Callable[[_RequestRecord], tuple[tuple[Crash, ...], bool]],
--- a/src/clementinegw/direct/suspicion_codec.py
+++ b/src/clementinegw/direct/suspicion_codec.py
@@ -1,6 +1,7 @@
 """Converts suspicions to and from their form in datagrams."""
 
 from collections.abc import Iterable
+import dataclasses
 
 from clementinegw.direct import part_records
 from clementinegw.direct import prompt_suspects
@@ -98,6 +99,42 @@
     )
 
 
+def refused_to_wire(suspicion: Suspicion, written_ms: int) -> ttypes.Refused:
+    """Returns what is refused in the form in which it lasts."""
+    requests, parts = to_wire([suspicion]), parts_to_wire([suspicion])
+    return ttypes.Refused(
+        written_ms, requests and requests[0], parts and parts[0]
+    )
+
+
+def refused_from_wire(
+    item: ttypes.Refused, now_ms: float
+) -> tuple[Suspicion, ...]:
+    """Returns what was refused, with the ages that it has now.
+
+    Args:
+      item: What was written; may lack fields.
+      now_ms: Unix milliseconds.
+    """
+    if item.written_ms is None:
+        return ()
+    passed_s = max(0.0, now_ms - item.written_ms) / 1e3
+    requests = [item.request] if item.request is not None else None
+    parts = [item.part] if item.part is not None else None
+    return tuple(
+        dataclasses.replace(
+            suspicion,
+            crashes=tuple(
+                suspects.Crash(crash.start, crash.age_s + passed_s)
+                for crash in suspicion.crashes
+            ),
+            refusal=suspicion.refusal.older(passed_s),
+        )
+        for suspicion in from_wire(requests, parts)
+        if suspicion.refusal is not None
+    )
+
+
 def _refusal_to_wire(
     refusal: refusals.RefusalAges | None,
 ) -> tuple[int | None, int | None, int | None]:
--- a/src/clementinegw/wire/gen/reports/ttypes.py
+++ b/src/clementinegw/wire/gen/reports/ttypes.py
@@ -383,6 +383,102 @@
         return not (self == other)
 
 
+class Refused(object):
+    """
+    Attributes:
+     - written_ms
+     - request
+     - part
+
+    """
+
+    __slots__ = (
+        'written_ms',
+        'request',
+        'part',
+    )
+
+
+    def __init__(self, written_ms=None, request=None, part=None,):
+        self.written_ms = written_ms
+        self.request = request
+        self.part = part
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.written_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.request = Suspicion()
+                    self.request.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRUCT:
+                    self.part = PartSuspicion()
+                    self.part.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Refused')
+        if self.written_ms is not None:
+            oprot.writeFieldBegin('written_ms', TType.I64, 1)
+            oprot.writeI64(self.written_ms)
+            oprot.writeFieldEnd()
+        if self.request is not None:
+            oprot.writeFieldBegin('request', TType.STRUCT, 2)
+            self.request.write(oprot)
+            oprot.writeFieldEnd()
+        if self.part is not None:
+            oprot.writeFieldBegin('part', TType.STRUCT, 3)
+            self.part.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.written_ms is None:
+            raise TProtocolException(message='Required field written_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Limit(object):
     """
     Attributes:
@@ -1167,6 +1263,13 @@
     (5, TType.I32, 'probes', None, None, ),  # 5
     (6, TType.I32, 'probed_age_ms', None, None, ),  # 6
 )
+all_structs.append(Refused)
+Refused.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'written_ms', None, None, ),  # 1
+    (2, TType.STRUCT, 'request', [Suspicion, None], None, ),  # 2
+    (3, TType.STRUCT, 'part', [PartSuspicion, None], None, ),  # 3
+)
 all_structs.append(Limit)
 Limit.thrift_spec = (
     None,  # 0
--- a/src/clementinegw/wire/reports.thrift
+++ b/src/clementinegw/wire/reports.thrift
@@ -35,6 +35,14 @@
   6: optional i32 probed_age_ms,
 }
 
+// What is refused, as it lasts in the platform's store: a request or a part.
+struct Refused {
+  // Unix milliseconds at which it was written; the ages count from there.
+  1: required i64 written_ms,
+  2: optional Suspicion request,
+  3: optional PartSuspicion part,
+}
+
 // The rate limit that a server reported in an answer since its start.
 struct Limit {
   1: required string server_id,
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -119,6 +119,9 @@
         elif path == "/log-newest":
             self.reads += 1
             body = self._newest(query["topic"])
+        elif path == "/log-append":
+            self._append(query["topic"], request.body)
+            body = b"{}"
         elif int(query["from"]) < self._first[query["topic"]]:
             await responder.answer(410, [], b"{}")
             return
@@ -144,6 +147,16 @@
             await responder.send(part)
         await responder.end()
 
+    def _append(self, topic, body):
+        while body:
+            size = int.from_bytes(body[:4], "big")
+            content, body = body[4 : 4 + size], body[4 + size :]
+            key_size = content[0]
+            key, value = content[1 : 1 + key_size], content[1 + key_size :]
+            self.topics.setdefault(topic, [])
+            self._first.setdefault(topic, 0)
+            self.put_raw(topic, key, value)
+
     def _join(self, call):
         members = self.members.setdefault(call["group"], [])
         if call["member"] not in members:
@@ -158,7 +171,7 @@
         return json.dumps({"parts": rows}).encode()
 
     def _newest(self, topic):
-        newest = dict(self.topics[topic])
+        newest = dict(self.topics.get(topic, ()))
         items = [
             {
                 "key": k.decode(errors="surrogateescape"),
@@ -169,7 +182,7 @@
             if v
         ]
         items += self.malformed_items
-        end = len(self.topics[topic])
+        end = len(self.topics.get(topic, ()))
         body = json.dumps({"items": items, "end": end}, ensure_ascii=False)
         return body.encode(errors="surrogateescape")
 
--- a/tests/soak/prompts.py
+++ b/tests/soak/prompts.py
@@ -46,13 +46,15 @@
         for a run without that part.
       framed: Whether streams are chunked; others end with their connection.
       random_crashes: Whether servers crash for other reasons too.
-      restarts: Whether entries and agents are restarted, reloaded and paused.
+      restarts: Whether entries and agents are restarted and reloaded.
+      blackout: Whether all of them are killed at the same moment, midway.
     """
 
     part_index: int | None = 1
     framed: bool = True
     random_crashes: bool = False
     restarts: bool = False
+    blackout: bool = False
 
 
 def variant_of(seed):
@@ -64,7 +66,8 @@
         Variant(random_crashes=True),
         Variant(restarts=True),
         Variant(part_index=None, random_crashes=True),
-    )[seed % 6]
+        Variant(blackout=True),
+    )[seed % 7]
 
 
 @dataclasses.dataclass
@@ -382,6 +385,8 @@
             loads.append(self._crash_servers(until))
         if self.variant.restarts:
             loads.append(self._restart_processes(until))
+        if self.variant.blackout:
+            loads.append(self._kill_all(began_at + 0.6 * self._seconds))
         await asyncio.gather(*loads)
         await asyncio.gather(*self._running)
         self._check()
@@ -475,6 +480,13 @@
             if running:
                 self.record_crash(self.rng.choice(running), by_part=False)
 
+    async def _kill_all(self, at):
+        await asyncio.sleep(at - self.now)
+        self.plan.append((round(self.now, 2), "kill all"))
+        every = (*self.entries, *self.agents)
+        await asyncio.gather(*(p.end(signal.SIGKILL) for p in every))
+        await asyncio.gather(*(p.start(self.store.address.port) for p in every))
+
     async def _restart_processes(self, until):
         while self.now < until:
             await asyncio.sleep(self.rng.uniform(0.5, 2.0))
--- /dev/null
+++ b/tests/test_direct_refusal_archive.py
@@ -0,0 +1,163 @@
+"""Tests that what is refused lasts in the store when all processes end."""
+
+import asyncio
+
+import platform_site as sites
+import pytest
+
+from clementinegw import exceptions
+from clementinegw.direct import crash_guard
+from clementinegw.direct import part_records
+from clementinegw.direct import refusal_archive
+from clementinegw.telemetry import counters as counters_lib
+from clementinegw.telemetry import logs
+from clementinegw.testing import clock as clocks
+
+_TOPIC = "keyed.refused"
+
+
+def serve(call):
+    """Streams two events, or crashes on the part `bad`."""
+    if "bad:" in call.headers["x-clementinegw-prompt-prefix"]:
+        call.reset()
+        return
+    call.begin_stream()
+    call.event(1)
+    call.event(2)
+    call.end_stream()
+
+
+async def ask(site, number, part):
+    prompt = f"X-Clementinegw-Prompt-Prefix: {part}:9,c{number}:9"
+    return await site.ask(
+        f"/stream/{number}", body=b"%d" % number, headers=(prompt,)
+    )
+
+
+def reached(site):
+    return sum(len(server.calls) for server in site.servers)
+
+
+class Site(sites.Site):
+    """A site of which every process can be replaced."""
+
+    def __init__(self):
+        names = [f"i-{number}" for number in range(16)]
+        super().__init__(*names, on_call=serve)
+
+    async def find_part(self):
+        """Sends requests until the crashing part is refused and written."""
+        for number in range(8):
+            await ask(self, 2 * number, "bad")
+            await ask(self, 2 * number + 1, "b")
+            await asyncio.sleep(0.5)
+        await asyncio.sleep(12.0)
+
+    async def replace_entry(self, off_s=1.0):
+        await self.entry.stop()
+        await asyncio.sleep(off_s)
+        await self.start_entry()
+        await asyncio.sleep(0.5)
+
+
+def test_a_part_stays_refused_after_all_processes_ended():
+    """It crashed three servers more after each loss of power."""
+
+    async def play():
+        async with Site() as site:
+            await site.find_part()
+            await site.replace_entry()
+            before = reached(site)
+            answer = await ask(site, 50, "bad")
+            return (
+                answer.status,
+                reached(site) - before,
+                await ask(site, 51, "b"),
+            )
+
+    status, sent, sound = sites.run(play())
+    assert (status, sent, sound.status) == (503, 0, 200)
+
+
+def test_a_part_that_was_refused_long_ago_is_served():
+    async def play():
+        async with Site() as site:
+            await site.find_part()
+            await site.replace_entry(off_s=700.0)
+            return (await ask(site, 50, "bad")).status
+
+    assert sites.run(play()) == 502
+
+
+def test_a_part_that_proves_sound_leaves_the_store():
+    async def play():
+        async with Site() as site:
+            await site.find_part()
+            written = dict(site.store.topics[_TOPIC])
+            for server in site.servers:
+                server.on_call = lambda call: serve_sound(call)
+            await asyncio.sleep(20.0)
+            probe = await ask(site, 50, "bad")
+            await asyncio.sleep(2.0)
+            return written, probe.status, dict(site.store.topics[_TOPIC])
+
+    def serve_sound(call):
+        call.begin_stream()
+        call.event(1)
+        call.event(2)
+        call.end_stream()
+
+    written, status, left = sites.run(play())
+    key = part_records.digest_part("bad").hex().encode()
+    assert [*written] == [key]
+    assert written[key]
+    assert (status, left) == (200, {key: b""})
+
+
+def test_nothing_is_written_on_a_day_without_crashes():
+    async def play():
+        async with Site() as site:
+            for number in range(20):
+                await ask(site, number, "b")
+                await asyncio.sleep(1.0)
+            return _TOPIC in site.store.topics
+
+    assert not sites.run(play())
+
+
+class Values:
+    """Values in a store that fails for a while."""
+
+    def __init__(self, failures, values):
+        self.read_at = []
+        self._failures = failures
+        self._values = values
+
+    async def read(self):
+        self.read_at.append(asyncio.get_running_loop().time())
+        if len(self.read_at) <= self._failures:
+            raise exceptions.PlatformUnavailable("down", "timeout")
+        return self._values
+
+
+@pytest.mark.parametrize(
+    "value", [b"", b"\xff", b"\x00", b"\x16\x02\x00", b"x" * 500]
+)
+def test_the_archive_is_read_again_until_the_store_answers(value):
+    async def play():
+        loop = asyncio.get_running_loop()
+        counters = counters_lib.Counters()
+        values = Values(4, {"odd": value})
+        guard = crash_guard.CrashGuard(loop.time, logs.Log(), counters)
+        archive = refusal_archive.RefusalArchive(
+            guard, values, loop.time, loop.time, logs.Log(), counters
+        )
+        began_at = loop.time()
+        for _ in range(30):
+            await archive.update()
+            await asyncio.sleep(1.0)
+        return [round(at - began_at) for at in values.read_at], guard.refused()
+
+    read_at, refused = clocks.run(play())
+    assert read_at == [0, 1, 3, 7, 15]
+    assert refused == ()
