Do not refuse a stream for its prompt once it is answered

A stream that its server broke off was not carried on at another one if others had come to refuse a part of its prompt meanwhile: its caller got a closed connection, though the answer had shown that the part is sound. Red before: test_a_stream_that_was_begun_goes_on_though_its_part_is_ refused (not complete).

--- a/src/clementinegw/direct/crash_guard.py
+++ b/src/clementinegw/direct/crash_guard.py
@@ -145,13 +145,14 @@
     # Verdicts.
 
     def refuses(self, job: attempts.Job) -> bool:
-        """Returns whether a request would crash its server.
+        """Returns whether a request is refused, and records it.
 
         One that is let through as a probe may be sent once.
         """
         now = self._clock()
         parts, requests = self._trackers.parts, self._trackers.requests
-        job.suspect = parts.refused_part(job.metadata.shared_parts, now) or ""
+        shared_parts = () if job.answering else job.metadata.shared_parts
+        job.suspect = parts.refused_part(shared_parts, now) or ""
         if job.suspect:
             return not self._is_probe(job, parts, job.suspect, now)
         if requests.idle:
--- a/tests/test_direct_prompt_suspects.py
+++ b/tests/test_direct_prompt_suspects.py
@@ -382,6 +382,20 @@
     )
 
 
+def report_refused(site, part):
+    """Tells the entry that others refuse a part."""
+    report = part_records.PartSuspicion(
+        part_records.digest_part(part),
+        tuple(
+            suspects.Crash(b"start %02d" % number, 0.1 * number)
+            for number in range(5)
+        ),
+        None,
+        refusals.RefusalAges(0.1),
+    )
+    site.entry._forwarder.guard.merge((report,))
+
+
 def test_requests_with_a_part_that_crashes_servers_stop_reaching_them():
     """Requests that no one had sent before crashed one server after another."""
 
@@ -446,17 +460,7 @@
             waiting = asyncio.ensure_future(ask(site, 50, "bad"))
             await asyncio.sleep(0.1)
             began_at = asyncio.get_running_loop().time()
-            parts = site.entry._forwarder.guard._trackers.parts
-            report = part_records.PartSuspicion(
-                part_records.digest_part("bad"),
-                tuple(
-                    suspects.Crash(b"start %02d" % number, 1.0 + number)
-                    for number in range(5)
-                ),
-                None,
-                refusals.RefusalAges(0.5),
-            )
-            parts.merge([report], began_at)
+            report_refused(site, "bad")
             answer = await waiting
             waited_s = asyncio.get_running_loop().time() - began_at
             await asyncio.gather(*filling)
@@ -466,3 +470,29 @@
     assert (answer.status, count) == (503, 0)
     assert b"crashes_servers" in answer.body
     assert waited_s < 0.5
+
+
+def test_a_stream_that_was_begun_goes_on_though_its_part_is_refused():
+    """Its server broke it off, and others suspected a part of its prompt."""
+
+    async def break_off(call):
+        call.begin_stream()
+        first = int(call.headers.get("last-event-id", 0))
+        for number in (first + 1, first + 2):
+            call.event(number)
+        await asyncio.sleep(0.9)
+        if first:
+            call.end_stream()
+        else:
+            call.reset()
+
+    async def play():
+        async with sites.Site("i-1", "i-2", on_call=break_off) as site:
+            asked = asyncio.ensure_future(ask(site, 1, "b"))
+            await asyncio.sleep(0.7)
+            report_refused(site, "b")
+            return await asked
+
+    answer = sites.run(play())
+    assert answer.complete
+    assert b"id: 4\n" in answer.body
