--- /dev/null
+++ b/src/clementinegw/direct/part_judgement.py
@@ -0,0 +1,90 @@
+"""Judges by the evidence whether a part of prompts crashes servers."""
+
+import math
+
+from clementinegw.direct import part_evidence
+from clementinegw.direct import part_records
+
+# A part with fewer crashes than this is never refused.
+MIN_CRASHES = 3
+# From how many moments on a part is refused: one that was never answered and
+# was in flight at this share of all crashes meanwhile, and any other.
+_MIN_MOMENTS = MIN_CRASHES
+_MIN_SHARE = 0.5
+_MAX_MOMENTS = 5
+# How many requests without the part have to be answered since its first crash,
+# by whether the part was ever answered: while nothing is answered, nothing
+# tells its requests from others.
+_MIN_OTHER_ANSWERS = {False: 1, True: 12}
+
+
+def is_conclusive(
+    evidence: part_evidence.PartEvidence,
+    part: bytes,
+    counted: part_records.Crashes,
+) -> bool:
+    """Returns whether the crashes of a part are no coincidence.
+
+    Args:
+      evidence: The evidence on all parts.
+      part: The part.
+      counted: Its crashes.
+    """
+    moments = part_records.count_moments(counted.values())
+    if moments < _MIN_MOMENTS:
+        return False
+    ever = _was_answered(evidence, part)
+    if moments < _MAX_MOMENTS:
+        if ever or evidence.share_of_crashes(counted) < _MIN_SHARE:
+            return False
+    elif not ever:
+        return True
+    answers = evidence.answers - evidence.records[part].answers_before
+    return answers >= _MIN_OTHER_ANSWERS[ever]
+
+
+def has_rival(
+    evidence: part_evidence.PartEvidence,
+    part: bytes,
+    now: float,
+    beside: frozenset[bytes] = frozenset(),
+) -> bool:
+    """Returns whether another part accounts as well for a part's crashes.
+
+    A part that was never answered accounts better than others, and then one
+    with more crashes. One that accounts no better is no rival if it is in the
+    request too.
+
+    Args:
+      evidence: The evidence on all parts.
+      part: The part.
+      now: Monotonic seconds.
+      beside: The parts of the request.
+    """
+    counted = evidence.records[part].counted(now)
+    strength = _strength(evidence, part, counted)
+    for rival in evidence.parts_at(counted) - {part}:
+        crashes = evidence.records[rival].counted(now)
+        left = (c for start, c in counted.items() if start not in crashes)
+        if part_records.count_moments(left) >= _MIN_MOMENTS:
+            continue
+        rival_strength = _strength(evidence, rival, crashes)
+        if rival_strength > strength or (
+            rival_strength == strength and rival not in beside
+        ):
+            return True
+    return False
+
+
+def _strength(
+    evidence: part_evidence.PartEvidence,
+    part: bytes,
+    counted: part_records.Crashes,
+) -> tuple[bool, int]:
+    """Returns how well a part accounts for crashes; greater is better."""
+    moments = part_records.count_moments(counted.values())
+    return not _was_answered(evidence, part), moments
+
+
+def _was_answered(evidence: part_evidence.PartEvidence, part: bytes) -> bool:
+    return evidence.answered_at(part) > -math.inf
--- a/src/clementinegw/direct/prompt_suspects.py
+++ b/src/clementinegw/direct/prompt_suspects.py
@@ -15,18 +15,10 @@
 import math
 
 from clementinegw.direct import part_evidence
+from clementinegw.direct import part_judgement
 from clementinegw.direct import part_records
 from clementinegw.direct import suspects
 
-# From how many moments on a part is refused: one that was never answered and
-# was in flight at this share of all crashes meanwhile, and any other.
-_MIN_MOMENTS = 3
-_MIN_SHARE = 0.5
-_MAX_MOMENTS = 5
-# How many requests without the part have to be answered since its first crash,
-# by whether the part was ever answered: while nothing is answered, nothing
-# tells its requests from others.
-_MIN_OTHER_ANSWERS = {False: 1, True: 12}
 # The most parts in a datagram, and the most crashes of each.
 MAX_SUSPICIONS = 16
 _MAX_SENT_CRASHES = 6
@@ -258,7 +250,7 @@
         """
         record = self._records[part]
         counted = record.counted(now)
-        if len(counted) < _MIN_MOMENTS:
+        if len(counted) < part_judgement.MIN_CRASHES:
             if record.refused:
                 self._end_refusal(part, _Cause.FORGOTTEN, now)
             return False
@@ -266,65 +258,17 @@
             return True
         # Who found it knew the times of the crashes better.
         reported = now - record.refusal.refused_at < part_records.RETENTION_S
-        if not reported and not self._has_evidence(part, counted):
+        if not reported and not part_judgement.is_conclusive(
+            self._evidence, part, counted
+        ):
             return False
-        if self._has_rival(part, counted, now, beside):
+        if part_judgement.has_rival(self._evidence, part, now, beside):
             return False
         if not beside:
             cause = _Cause.REPORTED if reported else _Cause.CRASHES
             self._refuse(part, cause, now)
         return True
 
-    def _has_evidence(self, part: bytes, counted: part_records.Crashes) -> bool:
-        """Returns whether so many crashes are no coincidence."""
-        evidence = self._evidence
-        ever = self._was_answered(part)
-        moments = part_records.count_moments(counted.values())
-        if moments < _MIN_MOMENTS:
-            return False
-        if moments < _MAX_MOMENTS:
-            if ever or evidence.share_of_crashes(counted) < _MIN_SHARE:
-                return False
-        elif not ever:
-            return True
-        answers = evidence.answers - self._records[part].answers_before
-        return answers >= _MIN_OTHER_ANSWERS[ever]
-
-    def _has_rival(
-        self,
-        part: bytes,
-        counted: part_records.Crashes,
-        now: float,
-        beside: frozenset[bytes] = frozenset(),
-    ) -> bool:
-        """Returns whether another part accounts as well for a part's crashes.
-
-        A part that was never answered accounts better than others, and then one
-        with more crashes. One that accounts no better is no rival if it is in
-        the request too.
-        """
-        strength = self._strength(part, counted)
-        for rival in self._evidence.parts_at(counted) - {part}:
-            crashes = self._records[rival].counted(now)
-            left = (c for s, c in counted.items() if s not in crashes)
-            if part_records.count_moments(left) >= _MIN_MOMENTS:
-                continue
-            rival_strength = self._strength(rival, crashes)
-            if rival_strength > strength or (
-                rival_strength == strength and rival not in beside
-            ):
-                return True
-        return False
-
-    def _strength(
-        self, part: bytes, counted: part_records.Crashes
-    ) -> tuple[bool, int]:
-        moments = part_records.count_moments(counted.values())
-        return not self._was_answered(part), moments
-
-    def _was_answered(self, part: bytes) -> bool:
-        return self._evidence.answered_at(part) > -math.inf
-
     def _refuse(
         self, part: bytes, cause: part_records.Cause, now: float
     ) -> None:
@@ -334,8 +278,8 @@
         self._report(part, cause, now)
         # Others may have been refused on crashes that this part accounts for.
         for other in self._evidence.parts_at(record.crashes) - {part}:
-            if self._records[other].refused and self._has_rival(
-                other, self._records[other].counted(now), now
+            if self._records[other].refused and part_judgement.has_rival(
+                self._evidence, other, now
             ):
                 self._end_refusal(other, _Cause.EXPLAINED, now)
 
@@ -344,7 +288,7 @@
     ) -> None:
         """Follows from dropped crashes; removes a part that has none left."""
         record = self._records[part]
-        if len(record.counted(now)) < _MIN_MOMENTS:
+        if len(record.counted(now)) < part_judgement.MIN_CRASHES:
             self._end_refusal(part, cause, now)
         if not record.crashes:
             self._evidence.remove(part)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -86,9 +86,9 @@
         "signals.backoff_until > now + 1e9",
     ),
     "crashing_parts": (
-        "src/clementinegw/direct/prompt_suspects.py",
-        "_MIN_MOMENTS = 3",
-        "_MIN_MOMENTS = 1_000",
+        "src/clementinegw/direct/part_judgement.py",
+        "MIN_CRASHES = 3",
+        "MIN_CRASHES = 1_000",
     ),
     "empty_streams": (
         "src/clementinegw/direct/attempt.py",
