--- a/src/clementinegw/direct/part_records.py
+++ b/src/clementinegw/direct/part_records.py
@@ -17,6 +17,8 @@
 # Crashes closer together than this count once, in seconds: servers that crash
 # at the same moment mostly do so for a common reason, such as lost power.
 _MOMENT_S = 0.25
+# For how long an observation is published, in seconds: several datagrams.
+PUBLISH_S = 5.0
 # The most parts of a prompt that are tracked.
 _MAX_PARTS = 64
 DIGEST_BYTES = 8
@@ -140,6 +142,22 @@
             < RETENTION_S
         }
 
+    def published(self, now: float) -> list[bytes]:
+        """Returns the starts whose crashes this process publishes at present.
+
+        They are those that it observed itself, once they are confirmed, and all
+        while it publishes a refusal.
+        """
+        if self.refusal.is_published(now):
+            return [*self.crashes]
+        return [
+            start
+            for start, crash in self.crashes.items()
+            if crash.local
+            and crash.is_confirmed(now)
+            and now - crash.crashed_at < CONFIRMATION_S + PUBLISH_S
+        ]
+
     def refuse(self, now: float) -> None:
         """Begins to refuse requests with the part."""
         self.refused = True
--- a/src/clementinegw/direct/prompt_suspects.py
+++ b/src/clementinegw/direct/prompt_suspects.py
@@ -22,8 +22,6 @@
 # The most parts in a datagram, and the most crashes of each.
 MAX_SUSPICIONS = 16
 _MAX_SENT_CRASHES = 6
-# For how long an observation is published, in seconds: several datagrams.
-_PUBLISH_S = 5.0
 
 _Cause = part_records.Cause
 _Published = Callable[[part_records.Record], Iterable[bytes]]
@@ -328,20 +326,7 @@
         self, now: float
     ) -> tuple[part_records.PartSuspicion, ...]:
         """Returns this process's own recent observations, for the agents."""
-
-        def published(record: part_records.Record) -> Iterable[bytes]:
-            if record.refusal.is_published(now):
-                return record.crashes
-            return (
-                start
-                for start, crash in record.crashes.items()
-                if crash.local
-                and crash.is_confirmed(now)
-                and now - crash.crashed_at
-                < part_records.CONFIRMATION_S + _PUBLISH_S
-            )
-
-        return self._select(published, True, now)
+        return self._select(lambda record: record.published(now), True, now)
 
     def confirmed_suspicions(
         self, now: float
@@ -377,7 +362,7 @@
         self._answers = {
             part: answer
             for part, answer in self._answers.items()
-            if now - answer.published_at < _PUBLISH_S
+            if now - answer.published_at < part_records.PUBLISH_S
         }
         found = []
         for part, record in self._records.items():
--- a/src/clementinegw/direct/suspects.py
+++ b/src/clementinegw/direct/suspects.py
@@ -3,8 +3,9 @@
 Such a request is sent repeatedly, at any entry, with the same method, target,
 customer and body. A request is refused once it was running at two crashes and
 has not been answered since; requests that merely shared a server with it at one
-crash are not. A server that answers again as the same start did not crash: its
-answers were lost.
+crash are not, and crashes that a part of prompts accounts for do not count. A
+server that answers again as the same start did not crash: its answers were
+lost.
 
 Each entry reports its own observations and merges those of others. They travel
 in datagrams that may be lost, duplicated or late. Therefore a crash is
--- a/tests/test_direct_prompt_suspects.py
+++ b/tests/test_direct_prompt_suspects.py
@@ -8,6 +8,7 @@
 
 import platform_site as sites
 import prompt_fleet
+import prompt_site
 import pytest
 import suspects_entry
 
@@ -346,42 +347,6 @@
 # A whole entry.
 
 
-def prompt_of(call):
-    return call.headers["x-clementinegw-prompt-prefix"]
-
-
-def crash_on_part(call):
-    """Streams two events, or crashes on the part `bad`."""
-    if "bad:" in prompt_of(call):
-        call.reset()
-    else:
-        stream(call)
-
-
-def stream(call):
-    call.begin_stream()
-    call.event(1)
-    call.event(2)
-    call.end_stream()
-
-
-async def ask(site, number, part):
-    """Sends a request with a prompt of three parts and a body of its own."""
-    prompt = f"X-Clementinegw-Prompt-Prefix: a:9,{part}:9,c{number}:9"
-    return await site.ask(
-        f"/stream/{number}", body=b"%d" % number, headers=(prompt,)
-    )
-
-
-def reached(site, part):
-    """Returns how often requests with a part reached servers."""
-    return sum(
-        f"{part}:" in prompt_of(call)
-        for server in site.servers
-        for call in server.calls
-    )
-
-
 def report_refused(site, part):
     """Tells the entry that others refuse a part."""
     report = part_records.PartSuspicion(
@@ -401,13 +366,17 @@
 
     async def play():
         names = [f"i-{number}" for number in range(12)]
-        async with sites.Site(*names, on_call=crash_on_part) as site:
+        async with prompt_site.Site(*names) as site:
             for number in range(12):
-                await ask(site, 2 * number, "bad")
-                await ask(site, 2 * number + 1, "b")
+                await prompt_site.ask(site, 2 * number, "bad")
+                await prompt_site.ask(site, 2 * number + 1, "b")
                 await asyncio.sleep(0.5)
-            count = reached(site, "bad")
-            return count, await ask(site, 99, "bad"), await ask(site, 98, "b")
+            count = prompt_site.reached(site, "bad")
+            return (
+                count,
+                await prompt_site.ask(site, 99, "bad"),
+                await prompt_site.ask(site, 98, "b"),
+            )
 
     count, refused, sound = sites.run(play())
     assert refused.status == 503
@@ -421,19 +390,19 @@
 
     async def play():
         names = [f"i-{number}" for number in range(24)]
-        async with sites.Site(*names, on_call=crash_on_part) as site:
+        async with prompt_site.Site(*names) as site:
             counts = []
             for number in range(100):
-                await ask(site, 2 * number, "bad")
-                await ask(site, 2 * number + 1, "b")
-                counts.append(reached(site, "bad"))
+                await prompt_site.ask(site, 2 * number, "bad")
+                await prompt_site.ask(site, 2 * number + 1, "b")
+                counts.append(prompt_site.reached(site, "bad"))
                 await asyncio.sleep(0.5)
             # What crashed servers until now is mended.
             for server in site.servers:
-                server.on_call = stream
+                server.on_call = prompt_site.stream
             await asyncio.sleep(120.0)
-            probe = await ask(site, 500, "bad")
-            return counts, probe, await ask(site, 501, "bad")
+            probe = await prompt_site.ask(site, 500, "bad")
+            return counts, probe, await prompt_site.ask(site, 501, "bad")
 
     counts, probe, after = sites.run(play())
     assert counts[-1] - counts[20] == 1
@@ -445,26 +414,26 @@
 
     async def hold(call):
         await asyncio.sleep(2.0)
-        crash_on_part(call)
+        prompt_site.crash_on_part(call)
 
     async def play():
-        async with sites.Site("i-1", on_call=hold) as site:
+        async with prompt_site.Site("i-1", on_call=hold) as site:
             record = site.servers[0].record(slots=1, sequence=2)
             site.store.put("keyed.servers", "i-1", record)
             await asyncio.sleep(1.0)
             filling = [
-                asyncio.ensure_future(ask(site, number, "b"))
+                asyncio.ensure_future(prompt_site.ask(site, number, "b"))
                 for number in range(6)
             ]
             await asyncio.sleep(0.1)
-            waiting = asyncio.ensure_future(ask(site, 50, "bad"))
+            waiting = asyncio.ensure_future(prompt_site.ask(site, 50, "bad"))
             await asyncio.sleep(0.1)
             began_at = asyncio.get_running_loop().time()
             report_refused(site, "bad")
             answer = await waiting
             waited_s = asyncio.get_running_loop().time() - began_at
             await asyncio.gather(*filling)
-            return answer, waited_s, reached(site, "bad")
+            return answer, waited_s, prompt_site.reached(site, "bad")
 
     answer, waited_s, count = sites.run(play())
     assert (answer.status, count) == (503, 0)
@@ -487,8 +456,8 @@
             call.reset()
 
     async def play():
-        async with sites.Site("i-1", "i-2", on_call=break_off) as site:
-            asked = asyncio.ensure_future(ask(site, 1, "b"))
+        async with prompt_site.Site("i-1", "i-2", on_call=break_off) as site:
+            asked = asyncio.ensure_future(prompt_site.ask(site, 1, "b"))
             await asyncio.sleep(0.7)
             report_refused(site, "b")
             return await asked
--- a/tests/test_direct_refusal_archive.py
+++ b/tests/test_direct_refusal_archive.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import platform_site as sites
+import prompt_site
 import pytest
 
 from clementinegw import exceptions
@@ -16,40 +17,14 @@
 _TOPIC = "keyed.refused"
 
 
-def serve(call):
-    """Streams two events, or crashes on the part `bad`."""
-    if "bad:" in call.headers["x-clementinegw-prompt-prefix"]:
-        call.reset()
-        return
-    call.begin_stream()
-    call.event(1)
-    call.event(2)
-    call.end_stream()
-
-
-async def ask(site, number, part):
-    prompt = f"X-Clementinegw-Prompt-Prefix: {part}:9,c{number}:9"
-    return await site.ask(
-        f"/stream/{number}", body=b"%d" % number, headers=(prompt,)
-    )
-
-
-def reached(site):
-    return sum(len(server.calls) for server in site.servers)
-
-
-class Site(sites.Site):
+class Site(prompt_site.Site):
     """A site of which every process can be replaced."""
 
-    def __init__(self):
-        names = [f"i-{number}" for number in range(16)]
-        super().__init__(*names, on_call=serve)
-
     async def find_part(self):
         """Sends requests until the crashing part is refused and written."""
         for number in range(8):
-            await ask(self, 2 * number, "bad")
-            await ask(self, 2 * number + 1, "b")
+            await prompt_site.ask(self, 2 * number, "bad")
+            await prompt_site.ask(self, 2 * number + 1, "b")
             await asyncio.sleep(0.5)
         await asyncio.sleep(12.0)
 
@@ -67,12 +42,12 @@
         async with Site() as site:
             await site.find_part()
             await site.replace_entry()
-            before = reached(site)
-            answer = await ask(site, 50, "bad")
+            before = prompt_site.reached(site, "bad")
+            answer = await prompt_site.ask(site, 50, "bad")
             return (
                 answer.status,
-                reached(site) - before,
-                await ask(site, 51, "b"),
+                prompt_site.reached(site, "bad") - before,
+                await prompt_site.ask(site, 51, "b"),
             )
 
     status, sent, sound = sites.run(play())
@@ -84,7 +59,7 @@
         async with Site() as site:
             await site.find_part()
             await site.replace_entry(off_s=700.0)
-            return (await ask(site, 50, "bad")).status
+            return (await prompt_site.ask(site, 50, "bad")).status
 
     assert sites.run(play()) == 502
 
@@ -95,18 +70,12 @@
             await site.find_part()
             written = dict(site.store.topics[_TOPIC])
             for server in site.servers:
-                server.on_call = lambda call: serve_sound(call)
+                server.on_call = prompt_site.stream
             await asyncio.sleep(20.0)
-            probe = await ask(site, 50, "bad")
+            probe = await prompt_site.ask(site, 50, "bad")
             await asyncio.sleep(2.0)
             return written, probe.status, dict(site.store.topics[_TOPIC])
 
-    def serve_sound(call):
-        call.begin_stream()
-        call.event(1)
-        call.event(2)
-        call.end_stream()
-
     written, status, left = sites.run(play())
     key = part_records.digest_part("bad").hex().encode()
     assert [*written] == [key]
@@ -118,7 +87,7 @@
     async def play():
         async with Site() as site:
             for number in range(20):
-                await ask(site, number, "b")
+                await prompt_site.ask(site, number, "b")
                 await asyncio.sleep(1.0)
             return _TOPIC in site.store.topics
 
