Refuse a part that crashed five servers before any of them is back

Cause: the evidence that was asked for cannot come while all servers are gone. A part that was never answered is refused now from five crashes on, if these were not all at the same moment. A popular part is known to be answered by the streams that run at the first crash, or by another entry.

Red before: test_a_part_is_refused_after_five_crashes_in_half_a_second.

--- a/src/clementinegw/direct/part_judgement.py
+++ b/src/clementinegw/direct/part_judgement.py
@@ -12,6 +12,10 @@
 _MIN_MOMENTS = MIN_CRASHES
 _MIN_SHARE = 0.5
 _MAX_MOMENTS = 5
+# From how many crashes on a part that was never answered is refused though they
+# were close together and nothing was answered since: nothing is until servers
+# are back, and then each request with it crashes one again.
+_MAX_CRASHES = 5
 # How many requests without the part have to be answered since its first crash,
 # by whether the part was ever answered: while nothing is answered, nothing
 # tells its requests from others.
@@ -30,15 +34,16 @@
       part: The part.
       counted: Its crashes.
     """
+    ever = _was_answered(evidence, part)
     moments = part_records.count_moments(counted.values())
+    if not ever and len(counted) >= _MAX_CRASHES and moments > 1:
+        return True
     if moments < _MIN_MOMENTS:
         return False
-    ever = _was_answered(evidence, part)
-    if moments < _MAX_MOMENTS:
-        if ever or evidence.share_of_crashes(counted) < _MIN_SHARE:
-            return False
-    elif not ever:
-        return True
+    if moments < _MAX_MOMENTS and (
+        ever or evidence.share_of_crashes(counted) < _MIN_SHARE
+    ):
+        return False
     answers = evidence.answers - evidence.records[part].answers_before
     return answers >= _MIN_OTHER_ANSWERS[ever]
 
--- a/tests/test_direct_prompt_suspects.py
+++ b/tests/test_direct_prompt_suspects.py
@@ -73,6 +73,18 @@
     assert not entry.is_refused(b"x", 6.0, parts=("part",))
 
 
+def test_a_part_is_refused_after_five_crashes_in_half_a_second():
+    """All servers crashed within a moment, and again as each came back.
+
+    Nothing was answered meanwhile that would have told the part from others.
+    """
+    entry = suspects_entry.Entry()
+    for number, at in enumerate((1.0, 1.1, 1.2, 1.3, 1.4)):
+        entry.record_crash(b"%d" % number, f"i-{number}", at, ("bad",))
+        entry.record_crash(b"%d" % number, f"i-{number}", at, (f"p{number}",))
+    assert entry.is_refused(b"x", 2.5, parts=("bad",))
+
+
 def test_a_part_at_few_of_the_crashes_needs_more_of_them():
     """A rare part was in flight at three of twelve crashes by chance."""
     entry = suspects_entry.Entry()
