Let no entry probe for all because agents tell it no rank

Each entry took itself for the only one after 10 s without a rank. It takes 120 s now; a rank that was heard before stays.

Red before: test_entries_that_hear_no_agent_let_nothing_through (1 in place of 0, with 10 s).

--- a/src/clementinegw/direct/crash_guard.py
+++ b/src/clementinegw/direct/crash_guard.py
@@ -23,8 +23,9 @@
 # seconds.
 _WAITING_INTERVAL_S = 0.2
 # An entry that no agent has told its rank for this long, in seconds, takes
-# itself for the only one.
-_RANK_TIMEOUT_S = 10.0
+# itself for the only one. Agents tell none while all servers are down, and then
+# every entry would let a request through.
+_RANK_TIMEOUT_S = 120.0
 
 
 _Subject = TypeVar("_Subject", contravariant=True)
--- a/tests/test_direct_prompt_suspects.py
+++ b/tests/test_direct_prompt_suspects.py
@@ -403,6 +403,7 @@
     async def play():
         names = [f"i-{number}" for number in range(24)]
         async with prompt_site.Site(*names) as site:
+            site.entry._forwarder.guard.record_rank(0)
             counts = []
             for number in range(100):
                 await prompt_site.ask(site, 2 * number, "bad")
@@ -421,6 +422,26 @@
     assert (probe.status, after.status) == (200, 200)
 
 
+def test_entries_that_hear_no_agent_let_nothing_through():
+    """All servers were down for a while, and each entry took itself for one.
+
+    When they were back, each let a request through that crashed one again.
+    """
+
+    async def play():
+        names = [f"i-{number}" for number in range(24)]
+        async with prompt_site.Site(*names) as site:
+            for number in range(100):
+                await prompt_site.ask(site, 2 * number, "bad")
+                await prompt_site.ask(site, 2 * number + 1, "b")
+                await asyncio.sleep(0.5)
+                if number == 20:
+                    known = prompt_site.reached(site, "bad")
+            return prompt_site.reached(site, "bad") - known
+
+    assert sites.run(play()) == 0
+
+
 def test_a_request_that_waits_is_refused_once_its_part_is_known():
     """It waited for a server, only to crash it."""
 
