Test that agents pass suspicions on without their server, and to a few

The share of 48 agents that tell an entry, 6 / 48 and a quarter of it between regions, follows from the constant; the bounds are several deviations wide, and the draws are seeded.

--- a/tests/test_direct_suspicions.py
+++ b/tests/test_direct_suspicions.py
@@ -1,5 +1,8 @@
 """Tests how entries and agents exchange suspicions in datagrams."""
 
+import collections
+import random
+
 import suspects_entry
 
 from clementinegw import types as shared_types
@@ -119,3 +122,49 @@
     decoded = suspicion_codec.from_wire(items)
     assert len(decoded) == suspects.MAX_SUSPICIONS - 2
     assert {suspicion.crashes for suspicion in decoded} == {()}
+
+
+def relayed(agents, entries, relays, far=False):
+    """Returns how many datagrams each entry gets of one agent.
+
+    Args:
+      agents: How many agents the fleet has.
+      entries: How many entries have subscribed.
+      relays: How often the agent passes suspicions on.
+      far: Whether the entries are in another region.
+    """
+
+    async def play():
+        reporter = reports.Reporter(
+            lambda declared: None,
+            agent_count=lambda: agents,
+            rng=random.Random(1),
+        )
+        transport = Transport()
+        reporter.connection_made(transport)
+        for number in range(entries):
+            data = subscription(suspects_entry.Entry(0.0), number, far)
+            reporter.datagram_received(data, (number,))
+        # The first report is due to all.
+        reporter.send(reports.Report("i-9", 1, 0, 16))
+        transport.sent.clear()
+        crash = suspects.Crash(b"s" * 8, 1.0)
+        for _ in range(relays):
+            reporter.relay((suspects.Suspicion(b"f" * 16, (crash,)),))
+        counts = collections.Counter(addr for addr, _ in transport.sent)
+        return [counts[(number,)] for number in range(entries)]
+
+    return clocks.run(play())
+
+
+def test_suspicions_travel_while_an_agents_server_is_down():
+    """They travelled in reports on the server, which had crashed."""
+    assert relayed(agents=4, entries=8, relays=1) == [1] * 8
+
+
+def test_an_entry_hears_of_suspicions_from_a_few_agents():
+    """Told by all of 48 agents, 99 entries would get as much as reports."""
+    counts = relayed(agents=48, entries=99, relays=400)
+    assert all(20 < count < 80 for count in counts)
+    counts = relayed(agents=48, entries=99, relays=400, far=True)
+    assert all(1 < count < 30 for count in counts)
