Wait until every chunk has left the origin, not for as many sends

Cause: the test takes the origin away once it has sent as many chunks as the version has. Two agents may fetch the same chunk: one that is next in line fetches it if no new chunk has appeared for 0.8 s, and at this test's links the first in line can take longer. Then chunks were still missing at every agent when the origin went, and nobody can complete the version; the test means an origin that has sent all of them.

Evidence: which agent fetches which chunk follows from the agents' ids, which contain an address made from the process id, and in one of three cases looked at also from the hash seed. 1,008 runs over 126 hash seeds with 8 process ids each: 5 failed, all with 10 or 11 different chunks among 12 or 13 sent; the other 1,003 had sent all 12. Each of the 5 fails again every time with the same hash seed and id (10 of 10).

The wait is now for the chunks themselves; assertions and bounds are as they were. The 5 cases hold, 500 runs over 20 more hash seeds hold, and so do 90 runs of all tests of the file with other hash seeds and ids.

--- a/tests/test_direct_agent.py
+++ b/tests/test_direct_agent.py
@@ -112,6 +112,7 @@
 
     def __init__(self):
         self.sent = 0
+        self.sent_chunks = set()
         self.asked = 0
         self.down = False
         self.corrupt_chunks = 0
@@ -133,6 +134,7 @@
         if self.corrupt_chunks:
             self.corrupt_chunks -= 1
             return b"spoilt" * 100
+        self.sent_chunks.add((version, number))
         return chunk(version, number)
 
 
@@ -497,9 +499,11 @@
     async def scenario():
         async with Site(link_bytes_per_s=20_000.0) as site:
             await site.until_all_hold(1)
-            site.origin.sent = 0
             site.declare(2)
-            while site.origin.sent < CHUNKS:
+            # Two agents may fetch the same chunk, so sends are not counted.
+            while not all(
+                (2, n) in site.origin.sent_chunks for n in range(CHUNKS)
+            ):
                 await asyncio.sleep(0.05)
             site.declare(3)
             await asyncio.sleep(0.05)
