Compare suspected parts by the crashes that only one of them was at

Callers: a part of prompts that crashes servers was refused by all entries but one or a few for seconds, and requests with it reached servers 4 to 8 times later than 3 s after the fifth crash (3 are allowed; BUDGET).

Cause: two parts that may both be to blame were compared by how many moments they were at crashes in, all of their crashes counted. Where five or six servers end within a second these are one or two moments, and a sound part at two of the crashes has as many. Reports of the same crash also give it a different time for each part. A part that accounts no better than another in the same place is not refused, so the entry went on sending.

A crash at which both were in flight says nothing about which of them it was. Now only crashes at which one was without the other are compared, by moments and then by number. A part whose crashes are all among those of another is no rival any more, whenever they were reported.

Red before: both new unit tests and all three simulated cases.

--- a/src/clementinegw/direct/part_judgement.py
+++ b/src/clementinegw/direct/part_judgement.py
@@ -1,5 +1,6 @@
 """Judges by the evidence whether a part of prompts crashes servers."""
 
+from collections.abc import Collection
 import math
 
 from clementinegw.direct import part_evidence
@@ -57,8 +58,8 @@
     """Returns whether another part accounts as well for a part's crashes.
 
     A part that was never answered accounts better than others, and then one
-    with more crashes. One that accounts no better is no rival if it is in the
-    request too.
+    that was at more crashes without the other. One that accounts no better is
+    no rival if it is in the request too.
 
     Args:
       evidence: The evidence on all parts.
@@ -67,13 +68,15 @@
       beside: The parts of the request.
     """
     counted = evidence.records[part].counted(now)
-    strength = _strength(evidence, part, counted)
     for rival in evidence.parts_at(counted) - {part}:
         crashes = evidence.records[rival].counted(now)
-        left = (c for start, c in counted.items() if start not in crashes)
-        if part_records.count_moments(left) >= _MIN_MOMENTS:
+        # A crash at which both were in flight does not tell them apart.
+        own = [c for start, c in counted.items() if start not in crashes]
+        if part_records.count_moments(own) >= _MIN_MOMENTS:
             continue
-        rival_strength = _strength(evidence, rival, crashes)
+        rivals = [c for start, c in crashes.items() if start not in counted]
+        strength = _strength(evidence, part, own)
+        rival_strength = _strength(evidence, rival, rivals)
         if rival_strength > strength or (
             rival_strength == strength and rival not in beside
         ):
@@ -84,11 +87,11 @@
 def _strength(
     evidence: part_evidence.PartEvidence,
     part: bytes,
-    counted: part_records.Crashes,
-) -> tuple[bool, int]:
+    crashes: Collection[part_records.Crash],
+) -> tuple[bool, int, int]:
     """Returns how well a part accounts for crashes; greater is better."""
-    moments = part_records.count_moments(counted.values())
-    return not _was_answered(evidence, part), moments
+    moments = part_records.count_moments(crashes)
+    return not _was_answered(evidence, part), moments, len(crashes)
 
 
 def _was_answered(evidence: part_evidence.PartEvidence, part: bytes) -> bool:
--- a/tests/test_direct_prompt_suspects.py
+++ b/tests/test_direct_prompt_suspects.py
@@ -108,6 +108,32 @@
     assert entry.is_refused(b"x", 8.2, parts=("two",))
 
 
+def test_a_part_at_fewer_of_the_same_crashes_is_no_rival():
+    """The two crashes of a sound part were as far apart as all five."""
+    entry = suspects_entry.Entry()
+    for number, at in enumerate((1.0, 1.1, 1.2, 1.3, 1.4)):
+        parts = ("bad", "sound") if number in (0, 4) else ("bad",)
+        entry.record_crash(b"%d" % number, f"i-{number}", at, parts)
+    entry.record_answer(2.0, ("other",))
+    assert entry.is_refused(b"x", 2.5, parts=("bad",))
+    assert not entry.is_refused(b"x", 2.5, parts=("sound",))
+
+
+def test_a_part_whose_crashes_were_reported_further_apart_is_no_rival():
+    """Each datagram dated the crashes that it told of by its own delay."""
+    entry = suspects_entry.Entry()
+    for start, ages_s in ((b"bad", (0.2,) * 5), (b"sound", (0.6, 0.2))):
+        part = part_records.digest_part(start.decode())
+        crashes = tuple(
+            suspects.Crash(b"start %02d" % number, age_s)
+            for number, age_s in enumerate(ages_s)
+        )
+        refusal = refusals.RefusalAges(0.1) if start == b"bad" else None
+        report = part_records.PartSuspicion(part, crashes, None, refusal)
+        entry.merge([report], 1.0)
+    assert entry.is_refused(b"x", 1.5, parts=("bad",))
+
+
 def test_connections_that_a_running_server_resets_are_no_crashes():
     entry = suspects_entry.Entry()
     for number in range(3):
@@ -340,6 +366,25 @@
     assert fleet.sound_refused <= 0.01 * fleet.sound
 
 
+@pytest.mark.parametrize(
+    "load, seed",
+    [
+        (prompt_fleet.Load(bad_per_s=1.5, sound_per_s=5.0), 26),
+        (prompt_fleet.Load(bad_per_s=1.0, sound_per_s=10.0), 79),
+        (
+            prompt_fleet.Load(
+                bad_per_s=1.5, sound_per_s=20.0, crashes_per_s=0.3
+            ),
+            18,
+        ),
+    ],
+)
+def test_a_fleet_finds_a_part_whose_crashes_were_within_a_second(load, seed):
+    """A sound part at some of the crashes passed for as good a cause."""
+    fleet = prompt_fleet.Fleet(load, seed).run()
+    assert fleet.late <= 3
+
+
 @pytest.mark.parametrize("seed", range(3))
 @pytest.mark.parametrize(
     "load",
