--- a/tests/test_platform_foreign.py
+++ b/tests/test_platform_foreign.py
@@ -255,3 +255,53 @@
         return state.sequence, state.started_ms
 
     assert platform_site.run(play()) == (3, 1_780_000_000_123)
+
+
+class _Pages:
+    """A store that answers each call with the next page."""
+
+    def __init__(self, *answers):
+        self._answers = list(answers)
+        self.queries = []
+
+    async def get(self, path, query, wait_s=0.0):
+        del path, wait_s
+        self.queries.append(dict(query))
+        status, body = self._answers.pop(0)
+        return status, json.dumps(body).encode()
+
+
+def _read_values(pages):
+    counters = counters_lib.Counters()
+    values = stores.Values(pages, TOPIC, counters)
+    read = asyncio.run(values.read())
+    return read, counters.value("platform.records.unreadable")
+
+
+def test_a_value_that_is_unreadable_is_left_out_and_counted():
+    pages = _Pages(
+        (
+            200,
+            {
+                "items": [
+                    {"key": "a", "value": "YQ=="},
+                    {"key": "x", "value": "no base64"},
+                ],
+                "end": 2,
+                "has_more": True,
+            },
+        ),
+        (200, {"items": [{"key": "b", "value": "Yg=="}], "end": 3}),
+    )
+    assert _read_values(pages) == ({"a": b"a", "b": b"b"}, 1)
+    assert [query.get("after") for query in pages.queries] == [None, "x"]
+
+
+def test_a_topic_that_was_never_written_has_no_values():
+    assert _read_values(_Pages((404, {}))) == ({}, 0)
+
+
+@pytest.mark.parametrize("status", [400, 410, 503])
+def test_values_that_the_store_refuses_are_an_error(status):
+    with pytest.raises(exceptions.PlatformError):
+        _read_values(_Pages((status, {})))
