Judge each part of a prompt once

A request with several suspected parts had each of them judged twice, alone and beside the others. `find_rivals` now returns the parts that cannot be told apart, and the request is refused if it has all of these; verdicts are the same. Suspicions are no longer built for records that publish nothing, and crashes without parts are forgotten after the time for which parts remember theirs, so that reports cost no digest for ever after the first crash.

`Forwarder.suspicions` only passed on to the guard, and `is_refused` of whole requests served tests alone; the method that takes a fingerprint has its name now. Tests ask with the fingerprint; their assertions are as before.

--- a/src/clementinegw/direct/crash_guard.py
+++ b/src/clementinegw/direct/crash_guard.py
@@ -162,7 +162,7 @@
             job.fingerprint = suspects.fingerprint(
                 job.request, job.customer_name
             )
-        if not requests.is_key_refused(job.fingerprint, now):
+        if not requests.is_refused(job.fingerprint, now):
             return False
         return not self._is_probe(job, requests, job.fingerprint, now)
 
--- a/src/clementinegw/direct/entry.py
+++ b/src/clementinegw/direct/entry.py
@@ -213,7 +213,7 @@
             self._fleet,
             self._versions,
             self._reports,
-            self._forwarder.suspicions,
+            self._forwarder.guard.suspicions,
             clock,
             log,
             counters,
--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -19,7 +19,6 @@
 from clementinegw.direct import placement
 from clementinegw.direct import queue
 from clementinegw.direct import server as servers
-from clementinegw.direct import suspicion_codec
 from clementinegw.direct import types
 from clementinegw.direct import version_policy
 from clementinegw.direct import version_timeouts
@@ -442,10 +441,6 @@
         """Refuses requests that would crash servers."""
         return self._guard
 
-    def suspicions(self) -> tuple[suspicion_codec.Suspicion, ...]:
-        """Returns what this entry observed of requests that crash servers."""
-        return self._guard.suspicions()
-
     def set_retry_limits(self, retry_limits: budgets.Limits) -> None:
         """Applies changed limits to all retry budgets."""
         self._retry_limits = retry_limits
--- a/src/clementinegw/direct/part_evidence.py
+++ b/src/clementinegw/direct/part_evidence.py
@@ -157,6 +157,14 @@
             self._drop(part, start)
         del self.records[part]
 
+    def forget_crashes(self, now: float) -> None:
+        """Forgets what crashed long ago; the parts keep their own crashes."""
+        until = now - part_records.RETENTION_S
+        while (
+            self._crashed_at and next(iter(self._crashed_at.values())) <= until
+        ):
+            self._crashed_at.popitem(last=False)
+
     def forgotten(self, now: float) -> list[bytes]:
         """Returns the parts to remove: expired ones, and the oldest beyond.
 
--- a/src/clementinegw/direct/part_judgement.py
+++ b/src/clementinegw/direct/part_judgement.py
@@ -1,6 +1,7 @@
 """Judges by the evidence whether a part of prompts crashes servers."""
 
 from collections.abc import Collection
+import dataclasses
 import math
 
 from clementinegw.direct import part_evidence
@@ -23,6 +24,24 @@
 _MIN_OTHER_ANSWERS = {False: 1, True: 12}
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rivals:
+    """Other parts that account for a part's crashes.
+
+    Attributes:
+      better: Whether one accounts better.
+      equal: Those that account as well, if none accounts better.
+    """
+
+    better: bool = False
+    equal: frozenset[bytes] = frozenset()
+
+    @property
+    def any(self) -> bool:
+        """Whether there are any."""
+        return self.better or bool(self.equal)
+
+
 def is_conclusive(
     evidence: part_evidence.PartEvidence,
     part: bytes,
@@ -49,39 +68,35 @@
     return answers >= _MIN_OTHER_ANSWERS[ever]
 
 
-def has_rival(
-    evidence: part_evidence.PartEvidence,
-    part: bytes,
-    now: float,
-    beside: frozenset[bytes] = frozenset(),
-) -> bool:
-    """Returns whether another part accounts as well for a part's crashes.
+def find_rivals(
+    evidence: part_evidence.PartEvidence, part: bytes, now: float
+) -> Rivals:
+    """Returns which other parts account as well for a part's crashes.
 
     A part that was never answered accounts better than others, and then one
-    that was at more crashes without the other. One that accounts no better is
-    no rival if it is in the request too.
+    that was at more crashes without the other.
 
     Args:
       evidence: The evidence on all parts.
       part: The part.
       now: Monotonic seconds.
-      beside: The parts of the request.
     """
     counted = evidence.records[part].counted(now)
+    equal = set()
     for rival in evidence.parts_at(counted) - {part}:
         crashes = evidence.records[rival].counted(now)
         # A crash at which both were in flight does not tell them apart.
         own = [c for start, c in counted.items() if start not in crashes]
         if part_records.count_moments(own) >= _MIN_MOMENTS:
             continue
-        rivals = [c for start, c in crashes.items() if start not in counted]
+        others = [c for start, c in crashes.items() if start not in counted]
         strength = _strength(evidence, part, own)
-        rival_strength = _strength(evidence, rival, rivals)
-        if rival_strength > strength or (
-            rival_strength == strength and rival not in beside
-        ):
-            return True
-    return False
+        rival_strength = _strength(evidence, rival, others)
+        if rival_strength > strength:
+            return Rivals(better=True)
+        if rival_strength == strength:
+            equal.add(rival)
+    return Rivals(equal=frozenset(equal))
 
 
 def _strength(
--- a/src/clementinegw/direct/prompt_suspects.py
+++ b/src/clementinegw/direct/prompt_suspects.py
@@ -10,7 +10,7 @@
 but only confirmed ones: a server that goes on answering has not crashed.
 """
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 import dataclasses
 import math
 
@@ -24,7 +24,7 @@
 _MAX_SENT_CRASHES = 6
 
 _Cause = part_records.Cause
-_Published = Callable[[part_records.Record], Iterable[bytes]]
+_Published = Callable[[part_records.Record], Collection[bytes]]
 
 
 @dataclasses.dataclass(slots=True)
@@ -185,6 +185,7 @@
             self._changed_at = now
 
     def _remove_forgotten(self, now: float) -> None:
+        self._evidence.forget_crashes(now)
         for part in self._evidence.forgotten(now):
             self._end_refusal(part, _Cause.FORGOTTEN, now)
             self._evidence.remove(part)
@@ -196,20 +197,18 @@
         if self.idle:
             return None
         digests = part_records.digest_parts(parts)
-        known = [
-            (name, part)
-            for name, part in zip(parts, digests, strict=False)
-            if part in self._records
-        ]
-        for name, part in known:
-            if self._is_refused(part, now):
+        suspect = None
+        for name, part in zip(parts, digests, strict=False):
+            if part not in self._records:
+                continue
+            beside = self._refused_beside(part, now)
+            if beside is None:
+                continue
+            if not beside:
                 return name
-        # Parts that were in flight at the same crashes cannot be told apart; a
-        # request with all of them is refused.
-        for name, part in known:
-            if self._is_refused(part, now, frozenset(digests)):
-                return name
-        return None
+            if suspect is None and beside.issubset(digests):
+                suspect = name
+        return suspect
 
     def record_refusal(self, part: str, now: float) -> None:
         """Records that a request was refused: the part still comes."""
@@ -233,39 +232,38 @@
     def update(self, now: float) -> None:
         """Decides on all parts, also those that no request has at present."""
         for part in [p for p, r in self._records.items() if len(r.crashes) > 2]:
-            self._is_refused(part, now)
+            self._refused_beside(part, now)
 
-    def _is_refused(
-        self, part: bytes, now: float, beside: frozenset[bytes] = frozenset()
-    ) -> bool:
-        """Returns whether requests with a part are refused.
+    def _refused_beside(
+        self, part: bytes, now: float
+    ) -> frozenset[bytes] | None:
+        """Returns the parts beside which a part is refused.
 
-        Args:
-          part: The part.
-          now: Monotonic seconds.
-          beside: The parts of one request; if there are any, only that request
-            is refused where the part cannot be told from these.
+        Parts that were in flight at the same crashes cannot be told apart; a
+        request with all of them is refused. Empty if the part is refused by
+        itself, None if it is not refused.
         """
         record = self._records[part]
         counted = record.counted(now)
         if len(counted) < part_judgement.MIN_CRASHES:
             if record.refused:
                 self._end_refusal(part, _Cause.FORGOTTEN, now)
-            return False
+            return None
         if record.refused:
-            return True
+            return frozenset()
         # Who found it knew the times of the crashes better.
         reported = now - record.refusal.refused_at < part_records.RETENTION_S
         if not reported and not part_judgement.is_conclusive(
             self._evidence, part, counted
         ):
-            return False
-        if part_judgement.has_rival(self._evidence, part, now, beside):
-            return False
-        if not beside:
+            return None
+        rivals = part_judgement.find_rivals(self._evidence, part, now)
+        if rivals.better:
+            return None
+        if not rivals.equal:
             cause = _Cause.REPORTED if reported else _Cause.CRASHES
             self._refuse(part, cause, now)
-        return True
+        return rivals.equal
 
     def _refuse(
         self, part: bytes, cause: part_records.Cause, now: float
@@ -276,9 +274,9 @@
         self._report(part, cause, now)
         # Others may have been refused on crashes that this part accounts for.
         for other in self._evidence.parts_at(record.crashes) - {part}:
-            if self._records[other].refused and part_judgement.has_rival(
-                self._evidence, other, now
-            ):
+            if not self._records[other].refused:
+                continue
+            if part_judgement.find_rivals(self._evidence, other, now).any:
                 self._end_refusal(other, _Cause.EXPLAINED, now)
 
     def _review(
@@ -366,8 +364,9 @@
         }
         found = []
         for part, record in self._records.items():
-            suspicion = self._suspicion(part, published(record), now)
-            if suspicion.crashes:
+            starts = published(record)
+            if starts:
+                suspicion = self._suspicion(part, starts, now)
                 found.append((len(record.crashes), suspicion))
         # The newest of those with as many crashes come first.
         found.reverse()
--- a/src/clementinegw/direct/suspects.py
+++ b/src/clementinegw/direct/suspects.py
@@ -223,16 +223,13 @@
             if not record.crashes and math.isinf(record.completed_at):
                 self._drop(key)
 
-    def is_refused(
-        self, request: servers.Request, customer_name: str, now: float
-    ) -> bool:
-        """Returns whether a request was running at too many crashes."""
-        if not self._records:
-            return False
-        return self.is_key_refused(fingerprint(request, customer_name), now)
+    def is_refused(self, key: bytes, now: float) -> bool:
+        """Returns whether a request was running at too many crashes.
 
-    def is_key_refused(self, key: bytes, now: float) -> bool:
-        """Returns the same for the fingerprint of a request."""
+        Args:
+          key: The request's fingerprint.
+          now: Monotonic seconds.
+        """
         record = self._records.get(key)
         if record is None:
             return False
@@ -294,7 +291,7 @@
             )
             for key, record in self._records.items()
             if record.refusal.refused_at > now - _RETENTION_S
-            and self.is_key_refused(key, now)
+            and self.is_refused(key, now)
         )
 
     def _select(
--- a/tests/suspects_entry.py
+++ b/tests/suspects_entry.py
@@ -44,11 +44,10 @@
 
     def is_refused(self, body, at, customer_name="c", parts=()):
         now = self.clock_s + at
-        return self.parts.refused_part(
-            parts, now
-        ) is not None or self.suspects.is_refused(
-            request(body), customer_name, now
-        )
+        if self.parts.refused_part(parts, now) is not None:
+            return True
+        key = suspects.fingerprint(request(body), customer_name)
+        return self.suspects.is_refused(key, now)
 
     def local_suspicions(self, at):
         return self.trackers.local_suspicions(self.clock_s + at)
--- a/tests/test_direct_buffers.py
+++ b/tests/test_direct_buffers.py
@@ -239,7 +239,7 @@
             answer = await _read_chunks(reader)
             writer.close()
             rates = [b.failure_rate for b in site.entry._fleet.all()]
-            return site, answer, rates, site.entry._forwarder.suspicions()
+            return site, answer, rates, site.entry._forwarder.guard.suspicions()
 
     site, answer, rates, suspicions = sites.run(play())
     assert answer.count(b"data: ") == count
--- a/tests/test_direct_places.py
+++ b/tests/test_direct_places.py
@@ -450,7 +450,7 @@
     async def play():
         async with Site(lambda call: call.reset()) as site:
             await site.ask(body=body)
-            return site.entry._forwarder.suspicions()
+            return site.entry._forwarder.guard.suspicions()
 
     suspicions = sites.run(play())
     assert suspicions
--- a/tests/test_direct_starts.py
+++ b/tests/test_direct_starts.py
@@ -232,12 +232,13 @@
         method, target, host, body = "POST", "/a", "h", b"x"
 
     tracker = suspects.SuspectTracker()
+    key = suspects.fingerprint(Request, "c")
     for started_ms in (1, 2):
-        assert not tracker.is_refused(Request, "c", 1.0)
+        assert not tracker.is_refused(key, 1.0)
         tracker.record_crash(
             Request, "c", types.ServerStart("a", started_ms).text, 1.0
         )
-    assert tracker.is_refused(Request, "c", 1.0)
+    assert tracker.is_refused(key, 1.0)
 
 
 def test_connections_of_an_ended_start_are_closed():
