Keep a part refused when another is at later crashes

Cause: a refused part is in flight at no more crashes. A sound part that had been at the same ones came ahead of it at the next crash, which had another reason; it was refused for all of them, and the other cleared as explained.

Crashes from after a refusal are no longer compared with those of the refused part, and it is only cleared if another accounts better for what it was refused for. Where the wrong one of two was refused first, both are refused now until the probe after 20 s.

--- a/src/clementinegw/direct/part_judgement.py
+++ b/src/clementinegw/direct/part_judgement.py
@@ -36,11 +36,6 @@
     better: bool = False
     equal: frozenset[bytes] = frozenset()
 
-    @property
-    def any(self) -> bool:
-        """Whether there are any."""
-        return self.better or bool(self.equal)
-
 
 def is_conclusive(
     evidence: part_evidence.PartEvidence,
@@ -81,7 +76,8 @@
       part: The part.
       now: Monotonic seconds.
     """
-    counted = evidence.records[part].counted(now)
+    record = evidence.records[part]
+    counted = record.counted(now)
     equal = set()
     for rival in evidence.parts_at(counted) - {part}:
         crashes = evidence.records[rival].counted(now)
@@ -89,7 +85,12 @@
         own = [c for start, c in counted.items() if start not in crashes]
         if part_records.count_moments(own) >= _MIN_MOMENTS:
             continue
-        others = [c for start, c in crashes.items() if start not in counted]
+        # Nor does one after it was refused, at which it could not be.
+        others = [
+            crash
+            for start, crash in crashes.items()
+            if start not in counted and crash.crashed_at < record.refused_since
+        ]
         strength = _strength(evidence, part, own)
         rival_strength = _strength(evidence, rival, others)
         if rival_strength > strength:
--- a/src/clementinegw/direct/part_records.py
+++ b/src/clementinegw/direct/part_records.py
@@ -111,16 +111,22 @@
     Attributes:
       crashes: The crashes since its last answer, by the digest of the start.
       answers_before: How many answers this process knew of at the first one.
-      refused: Whether requests with it are refused.
+      refused_since: From when on requests with it are refused, in monotonic
+        seconds; infinity if they are not.
       refusal: When requests with it were refused, by any entry.
     """
 
     def __init__(self, answers_before: int):
         self.crashes: Crashes = {}
         self.answers_before = answers_before
-        self.refused = False
+        self.refused_since = math.inf
         self.refusal = refusals.Refusal()
 
+    @property
+    def refused(self) -> bool:
+        """Whether requests with it are refused."""
+        return self.refused_since < math.inf
+
     @property
     def last_crash_at(self) -> float:
         """When the newest crash happened, in monotonic seconds."""
@@ -160,12 +166,12 @@
 
     def refuse(self, now: float) -> None:
         """Begins to refuse requests with the part."""
-        self.refused = True
+        self.refused_since = now
         self.refusal.record(now)
 
     def end_refusal(self) -> None:
         """Ends that and forgets the probes."""
-        self.refused = False
+        self.refused_since = math.inf
         self.refusal = refusals.Refusal()
 
 
--- a/src/clementinegw/direct/prompt_suspects.py
+++ b/src/clementinegw/direct/prompt_suspects.py
@@ -265,7 +265,7 @@
         for other in self._evidence.parts_at(record.crashes) - {part}:
             if not self._records[other].refused:
                 continue
-            if part_judgement.find_rivals(self._evidence, other, now).any:
+            if part_judgement.find_rivals(self._evidence, other, now).better:
                 self._end_refusal(other, _Cause.EXPLAINED, now)
 
     def _review(
--- a/tests/test_direct_prompt_suspects.py
+++ b/tests/test_direct_prompt_suspects.py
@@ -134,6 +134,21 @@
     assert entry.is_refused(b"x", 1.5, parts=("bad",))
 
 
+def test_a_refused_part_stays_refused_though_another_is_at_a_later_crash():
+    """A refused part is at no more crashes, so that others get ahead of it."""
+    entry = suspects_entry.Entry()
+    crash(entry, 1, ("bad",))
+    crash(entry, 2, ("bad", "sound"), first_at=2.0)
+    assert entry.is_refused(b"x", 4.0, parts=("bad",))
+    # Another entry tells late that it was at the first crash too.
+    first = suspects.Crash(suspects.digest_start("i-1.0"), 3.0)
+    sound = part_records.digest_part("sound")
+    entry.merge([part_records.PartSuspicion(sound, (first,))], 4.0)
+    crash(entry, 2, ("sound",), first_at=5.0)
+    entry.parts.update(entry.clock_s + 7.0)
+    assert entry.is_refused(b"x", 7.0, parts=("bad",))
+
+
 def test_an_answer_from_before_the_first_crash_tells_parts_apart():
     """A popular part was at every crash and not answered since the first."""
     entry = suspects_entry.Entry()
