--- a/src/clementinegw/direct/prompt_suspects.py
+++ b/src/clementinegw/direct/prompt_suspects.py
@@ -10,36 +10,16 @@
 but only confirmed ones: a server that goes on answering has not crashed.
 """
 
-from collections.abc import Callable, Collection, Iterable, Sequence
-import dataclasses
+from collections.abc import Callable, Iterable, Sequence
 import math
 
 from clementinegw.direct import part_evidence
 from clementinegw.direct import part_judgement
+from clementinegw.direct import part_publication
 from clementinegw.direct import part_records
 from clementinegw.direct import suspects
 
-# The most parts in a datagram, and the most crashes of each.
-MAX_SUSPICIONS = 16
-_MAX_SENT_CRASHES = 6
-
 _Cause = part_records.Cause
-_Published = Callable[[part_records.Record], Collection[bytes]]
-
-
-@dataclasses.dataclass(slots=True)
-class _Answer:
-    """An answer that cleared a suspected part, to be published.
-
-    Attributes:
-      began_at: When the answer began, in monotonic seconds.
-      local: Whether this process relayed it.
-      published_at: When it is first published, in monotonic seconds.
-    """
-
-    began_at: float
-    local: bool
-    published_at: float
 
 
 class PartTracker:
@@ -59,8 +39,7 @@
         self._on_verdict = on_verdict
         self._evidence = part_evidence.PartEvidence()
         self._records = self._evidence.records
-        self._answers: dict[bytes, _Answer] = {}
-        self._news_at: list[float] = []
+        self._publication = part_publication.PartPublication(self._evidence)
         self._changed_at = -math.inf
 
     @property
@@ -106,7 +85,7 @@
             self._evidence.use_noted_answers()
         for part in part_records.digest_parts(parts):
             self._add(part, digest, part_records.Crash(now, local=True), now)
-        self._news_at.append(now + part_records.CONFIRMATION_S)
+        self._publication.add_news(now + part_records.CONFIRMATION_S)
         self._remove_forgotten(now)
 
     def record_answer(
@@ -126,7 +105,7 @@
         for part in part_records.digest_parts(parts):
             self._evidence.set_answered(part, began_at)
             if self._clear(part, began_at, now):
-                self._publish_answer(part, began_at, now)
+                self._publication.add_answer(part, began_at, now, True)
 
     def record_survival(self, start: str, sent_at: float, now: float) -> None:
         """Records that a server start answered what was sent at some time.
@@ -215,7 +194,7 @@
             record.last_crash_at, now
         )
         if taken:
-            self._news_at.append(now)
+            self._publication.add_news(now)
         return taken
 
     def update(self, now: float) -> None:
@@ -259,7 +238,7 @@
     ) -> None:
         record = self._records[part]
         record.refuse(now)
-        self._news_at.append(now)
+        self._publication.add_news(now)
         self._report(part, cause, now)
         # Others may have been refused on crashes that this part accounts for.
         for other in self._evidence.parts_at(record.crashes) - {part}:
@@ -304,22 +283,23 @@
 
     def take_news(self, now: float) -> bool:
         """Returns whether there is something new to publish at once."""
-        pending = [at for at in self._news_at if at > now]
-        taken = len(pending) < len(self._news_at)
-        self._news_at = pending
-        return taken
+        return self._publication.take_news(now)
 
     def local_suspicions(
         self, now: float
     ) -> tuple[part_records.PartSuspicion, ...]:
         """Returns this process's own recent observations, for the agents."""
-        return self._select(lambda record: record.published(now), True, now)
+        self._remove_forgotten(now)
+        return self._publication.select(
+            lambda record: record.published(now), True, now
+        )
 
     def confirmed_suspicions(
         self, now: float
     ) -> tuple[part_records.PartSuspicion, ...]:
         """Returns what all entries observed of parts at two crashes or more."""
-        return self._select(
+        self._remove_forgotten(now)
+        return self._publication.select(
             lambda record: record.crashes if len(record.crashes) > 1 else (),
             False,
             now,
@@ -330,64 +310,11 @@
     ) -> tuple[part_records.PartSuspicion, ...]:
         """Returns what is known of the parts that are refused."""
         return tuple(
-            self._suspicion(part, record.crashes, now)
+            self._publication.suspicion(part, record.crashes, now)
             for part, record in self._records.items()
             if record.refused
         )
 
-    def _select(
-        self, published: _Published, only_local: bool, now: float
-    ) -> tuple[part_records.PartSuspicion, ...]:
-        """Returns suspicions, those with the most crashes first.
-
-        Args:
-          published: Returns the starts whose crashes are published of a record.
-          only_local: Whether answers that others relayed are left out.
-          now: Monotonic seconds.
-        """
-        self._remove_forgotten(now)
-        self._answers = {
-            part: answer
-            for part, answer in self._answers.items()
-            if now - answer.published_at < part_records.PUBLISH_S
-        }
-        found = []
-        for part, record in self._records.items():
-            starts = published(record)
-            if starts:
-                suspicion = self._suspicion(part, starts, now)
-                found.append((len(record.crashes), suspicion))
-        # The newest of those with as many crashes come first.
-        found.reverse()
-        found.sort(key=lambda item: -item[0])
-        suspicions = [suspicion for _, suspicion in found[:MAX_SUSPICIONS]]
-        suspicions += [
-            part_records.PartSuspicion(part, (), now - answer.began_at)
-            for part, answer in reversed(self._answers.items())
-            if answer.local or not only_local
-        ][: MAX_SUSPICIONS - len(suspicions)]
-        return tuple(suspicions)
-
-    def _suspicion(
-        self, part: bytes, starts: Iterable[bytes], now: float
-    ) -> part_records.PartSuspicion:
-        """Returns what is known of a part, with its newest crashes."""
-        record = self._records[part]
-        answered_at = self._evidence.answered_at(part)
-        crashes = sorted(
-            (
-                suspects.Crash(start, now - record.crashes[start].crashed_at)
-                for start in starts
-            ),
-            key=lambda crash: crash.age_s,
-        )
-        return part_records.PartSuspicion(
-            part,
-            tuple(crashes[:_MAX_SENT_CRASHES]),
-            now - answered_at if answered_at > -math.inf else None,
-            record.refusal.ages(now),
-        )
-
     def merge(
         self, suspicions: Iterable[part_records.PartSuspicion], now: float
     ) -> None:
@@ -422,14 +349,10 @@
         if at > known_at:
             self._evidence.set_answered(part, at)
             if self._clear(part, at, now):
-                self._answers[part] = _Answer(at, False, now)
+                self._publication.add_answer(part, at, now, False)
         elif (
             suspicion.crashes
             and known_at > at + suspects.MAX_TRANSIT_S
-            and part not in self._answers
+            and not self._publication.has_answer(part)
         ):
-            self._publish_answer(part, known_at, now)
-
-    def _publish_answer(self, part: bytes, began_at: float, now: float) -> None:
-        self._answers[part] = _Answer(began_at, True, now)
-        self._news_at.append(now)
+            self._publication.add_answer(part, known_at, now, True)
--- a/src/clementinegw/direct/suspicion_codec.py
+++ b/src/clementinegw/direct/suspicion_codec.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterable
 import dataclasses
 
+from clementinegw.direct import part_publication
 from clementinegw.direct import part_records
-from clementinegw.direct import prompt_suspects
 from clementinegw.direct import refusals
 from clementinegw.direct import suspects
 from clementinegw.wire.gen.reports import ttypes
@@ -76,7 +76,7 @@
                 _age_from_wire(part.answered_age_ms),
                 _refusal_from_wire(part),
             )
-            for part in (parts or ())[: prompt_suspects.MAX_SUSPICIONS]
+            for part in (parts or ())[: part_publication.MAX_SUSPICIONS]
             if part.part is not None and part.crashes is not None
         ),
     )
--- a/tests/test_direct_prompt_suspects.py
+++ b/tests/test_direct_prompt_suspects.py
@@ -12,6 +12,7 @@
 import pytest
 import suspects_entry
 
+from clementinegw.direct import part_publication
 from clementinegw.direct import part_records
 from clementinegw.direct import prompt_suspects
 from clementinegw.direct import refusals
@@ -330,8 +331,8 @@
         assert suspicion_codec.from_wire(None, decoded) == suspicions
         return len(data)
 
-    assert size(*[few] * prompt_suspects.MAX_SUSPICIONS) < 600
-    assert size(*[largest] * prompt_suspects.MAX_SUSPICIONS) < 2_000
+    assert size(*[few] * part_publication.MAX_SUSPICIONS) < 600
+    assert size(*[largest] * part_publication.MAX_SUSPICIONS) < 2_000
 
 
 @pytest.mark.parametrize(
