Let answers from before the first crash decide only between equals

Cause: took any answer from before the first crash as if it had come since. A part that was ever answered needs five moments of crashes and twelve other answers in place of three and one. A part may be sound until servers change.

Those answers are now the last thing by which two parts are compared, after all crashes of one without the other.

Red before: both new tests (`a_part_that_was_sound_before`, and the fleet with `bad_was_sound`).

--- a/src/clementinegw/direct/crash_guard.py
+++ b/src/clementinegw/direct/crash_guard.py
@@ -1,6 +1,6 @@
 """Refuses requests that would crash the servers that they are sent to."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Sequence
 from typing import Protocol, TypeVar
 
 from clementinegw.direct import _events
@@ -60,8 +60,9 @@
         self._clock = clock
         self._log = log
         self._counters = counters
+        self._jobs: dict[int, attempts.Job] = {}
         self._trackers = crash_trackers.Trackers(
-            prompt_suspects.PartTracker(self._on_verdict)
+            prompt_suspects.PartTracker(self._on_verdict, self._begun_parts)
         )
         self._is_first = False
         self._ranked_at = clock()
@@ -72,6 +73,14 @@
         alone = self._clock() - self._ranked_at >= _RANK_TIMEOUT_S
         return self._is_first or alone
 
+    def add_job(self, job: attempts.Job) -> None:
+        """Adds a request that is in progress."""
+        self._jobs[id(job)] = job
+
+    def remove_job(self, job: attempts.Job) -> None:
+        """Removes a request that has ended."""
+        del self._jobs[id(job)]
+
     def record_rank(self, rank: int) -> None:
         """Records this entry's rank among all, from 0; negative if unknown."""
         if rank >= 0:
@@ -206,6 +215,13 @@
             },
         )
 
+    def _begun_parts(self) -> Iterable[tuple[Sequence[str], float]]:
+        return [
+            (job.metadata.shared_parts, job.first_event_at)
+            for job in self._jobs.values()
+            if job.answering and job.first_event_at is not None
+        ]
+
     # Exchange with other entries.
 
     def take_news(self) -> bool:
--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -149,9 +149,11 @@
             await self._finisher.fail(request, responder, error, job)
 
     async def _handle_admitted(self, job: attempts.Job) -> None:
+        self._guard.add_job(job)
         try:
             await self._answer(job)
         finally:
+            self._guard.remove_job(job)
             job.answer_memory.release()
 
     async def _answer(self, job: attempts.Job) -> None:
--- a/src/clementinegw/direct/part_evidence.py
+++ b/src/clementinegw/direct/part_evidence.py
@@ -34,8 +34,9 @@
         self._parts_by_start: dict[bytes, set[bytes]] = {}
         self._answered_at: collections.OrderedDict[bytes, float]
         self._answered_at = collections.OrderedDict()
-        self._answered_before: collections.OrderedDict[str, float]
-        self._answered_before = collections.OrderedDict()
+        self._noted: collections.OrderedDict[str, None]
+        self._noted = collections.OrderedDict()
+        self._answered_before: set[bytes] = set()
         self._survived_at: collections.OrderedDict[bytes, float]
         self._survived_at = collections.OrderedDict()
         self._crashed_at: collections.OrderedDict[bytes, float]
@@ -106,23 +107,29 @@
             self._drop(part, oldest)
         return known is None
 
-    def note_answered(self, parts: Sequence[str], at: float) -> None:
-        """Records when a request was answered while nothing is suspected.
+    def note_answered(self, parts: Sequence[str]) -> None:
+        """Notes that a request was answered while nothing is suspected.
 
         Takes the ids: their digests are only needed after a crash.
         """
-        before = self._answered_before
         for part in parts[: part_records.MAX_PARTS]:
-            before[part] = at
-            before.move_to_end(part)
-        while len(before) > _MAX_NOTED:
-            before.popitem(last=False)
-
-    def use_noted_answers(self) -> None:
-        """Makes the noted answers evidence, as there has been a crash."""
-        for part, at in self._answered_before.items():
-            self.set_answered(part_records.digest_part(part), at)
-        self._answered_before.clear()
+            self._noted[part] = None
+            self._noted.move_to_end(part)
+        while len(self._noted) > _MAX_NOTED:
+            self._noted.popitem(last=False)
+
+    def use_notes(self) -> None:
+        """Makes the notes evidence, as there has been a crash."""
+        self._answered_before = {
+            part_records.digest_part(part) for part in self._noted
+        }
+
+    def was_answered_before(self, part: bytes) -> bool:
+        """Returns whether a part was answered shortly before the first crash.
+
+        That does not clear it: what crashes servers now may have been sound.
+        """
+        return part in self._answered_before
 
     def set_answered(self, part: bytes, at: float) -> None:
         """Records when a request with a part was answered."""
--- a/src/clementinegw/direct/part_judgement.py
+++ b/src/clementinegw/direct/part_judgement.py
@@ -68,8 +68,9 @@
 ) -> Rivals:
     """Returns which other parts account as well for a part's crashes.
 
-    A part that was never answered accounts better than others, and then one
-    that was at more crashes without the other.
+    A part that was never answered accounts better than others, then one that
+    was at more crashes without the other, and then one that was not answered
+    before the first crash.
 
     Args:
       evidence: The evidence on all parts.
@@ -104,10 +105,14 @@
     evidence: part_evidence.PartEvidence,
     part: bytes,
     crashes: Collection[part_records.Crash],
-) -> tuple[bool, int, int]:
+) -> tuple[bool, int, int, bool]:
     """Returns how well a part accounts for crashes; greater is better."""
-    moments = part_records.count_moments(crashes)
-    return not _was_answered(evidence, part), moments, len(crashes)
+    return (
+        not _was_answered(evidence, part),
+        part_records.count_moments(crashes),
+        len(crashes),
+        not evidence.was_answered_before(part),
+    )
 
 
 def _was_answered(evidence: part_evidence.PartEvidence, part: bytes) -> bool:
--- a/src/clementinegw/direct/prompt_suspects.py
+++ b/src/clementinegw/direct/prompt_suspects.py
@@ -30,13 +30,20 @@
         on_verdict: Callable[[part_records.Verdict], None] = (
             lambda verdict: None
         ),
+        running: Callable[[], Iterable[tuple[Sequence[str], float]]] = (
+            lambda: ()
+        ),
     ):
         """Starts without any part.
 
         Args:
           on_verdict: Called when a part is refused, or no longer.
+          running: Returns the parts of the requests whose answers have begun,
+            with the time in monotonic seconds. Answers are only recorded from
+            the first crash on, and these from before are known then.
         """
         self._on_verdict = on_verdict
+        self._running = running
         self._evidence = part_evidence.PartEvidence()
         self._records = self._evidence.records
         self._publication = part_publication.PartPublication(self._evidence)
@@ -82,7 +89,7 @@
         if answering or not parts:
             return
         if self.idle:
-            self._evidence.use_noted_answers()
+            self._record_answers_before()
         for part in part_records.digest_parts(parts):
             self._add(part, digest, part_records.Crash(now, local=True), now)
         self._publication.add_news(now + part_records.CONFIRMATION_S)
@@ -99,7 +106,7 @@
           now: Monotonic seconds.
         """
         if self.idle:
-            self._evidence.note_answered(parts, began_at)
+            self._evidence.note_answered(parts)
             return
         self._evidence.answers += 1
         for part in part_records.digest_parts(parts):
@@ -146,6 +153,13 @@
             self._review(part, _Cause.ANSWERED, now)
         return cleared
 
+    def _record_answers_before(self) -> None:
+        """Takes answers from before the first crash as evidence."""
+        self._evidence.use_notes()
+        for parts, began_at in self._running():
+            for part in part_records.digest_parts(parts):
+                self._evidence.set_answered(part, began_at)
+
     def _add(
         self, part: bytes, start: bytes, crash: part_records.Crash, now: float
     ) -> None:
@@ -326,7 +340,7 @@
     def _merge(self, suspicion: part_records.PartSuspicion, now: float) -> None:
         part = suspicion.part
         if self.idle and suspicion.crashes:
-            self._evidence.use_noted_answers()
+            self._record_answers_before()
         self._merge_answer(suspicion, now)
         for crash in suspicion.crashes:
             at = now - crash.age_s
--- a/tests/prompt_fleet.py
+++ b/tests/prompt_fleet.py
@@ -21,6 +21,8 @@
 RELAY_S = 0.5
 SETTLED_S = 3.0
 CRASHES = 5
+# From when on the part crashes servers.
+BAD_FROM_S = 5.0
 # How many requests with the part may reach servers late.
 MAX_LATE = 3
 
@@ -46,6 +48,7 @@
         the route share; 0 for prompts of two parts without routes.
       bad_first: Whether the part that crashes servers is in the place of that
         first part, not behind it.
+      bad_was_sound: Whether it was answered before it began to crash servers.
     """
 
     entries: int = 8
@@ -61,6 +64,7 @@
     loss: float = 0.05
     routes: int = 0
     bad_first: bool = False
+    bad_was_sound: bool = False
 
 
 @dataclasses.dataclass(eq=False)
@@ -114,6 +118,7 @@
         self.sound_parts_refused = set()
         self.known_at = {}
         self._names = {}
+        self._running = [{} for _ in range(load.entries)]
         self._entries = [self._tracker(n) for n in range(load.entries)]
         self._agents = [crash_trackers.Trackers() for _ in range(load.servers)]
         self._servers = [Server() for _ in range(load.servers)]
@@ -123,7 +128,8 @@
         load = self._load
         self._at(0.0, self._arrive, False)
         if load.bad_per_s:
-            self._at(5.0, self._arrive, True)
+            began_s = 0.5 if load.bad_was_sound else BAD_FROM_S
+            self._at(began_s, self._arrive, True)
         if load.crashes_per_s:
             self._at(5.0, self._crash_one)
         if load.mass_crash:
@@ -163,7 +169,16 @@
             else:
                 self.sound_parts_refused.add(name)
 
-        return crash_trackers.Trackers(prompt_suspects.PartTracker(on_verdict))
+        def running():
+            return [
+                (r.parts, r.began_at)
+                for r in self._running[number]
+                if r.answering
+            ]
+
+        return crash_trackers.Trackers(
+            prompt_suspects.PartTracker(on_verdict, running)
+        )
 
     # Requests.
 
@@ -217,6 +232,7 @@
         request.attempts += 1
         request.sent_at = self._now
         server.requests[request] = None
+        self._running[request.entry][request] = None
         if BAD in request.parts and len(self.crashed_at) >= CRASHES:
             due_at = self.crashed_at[CRASHES - 1] + SETTLED_S
             self.late += self._now > due_at
@@ -235,7 +251,7 @@
     def _begin(self, request, server, start):
         if server.start != start or request not in server.requests:
             return
-        if BAD in request.parts:
+        if BAD in request.parts and self._now >= BAD_FROM_S:
             self.crashed_at.append(self._now)
             self._crash(server)
             return
@@ -254,6 +270,7 @@
     def _end(self, request, server, start):
         if server.start == start:
             server.requests.pop(request, None)
+            self._running[request.entry].pop(request, None)
 
     # Faults.
 
@@ -268,6 +285,7 @@
         self._at(self._rng.uniform(3.0, 5.0), server.restart)
 
     def _break(self, request, start):
+        self._running[request.entry].pop(request, None)
         tracker = self._entries[request.entry].parts
         tracker.record_crash(request.parts, start, self._now, request.answering)
         if request.attempts < 2:
--- a/tests/test_direct_prompt_suspects.py
+++ b/tests/test_direct_prompt_suspects.py
@@ -159,13 +159,22 @@
     assert not entry.is_refused(b"x", 8.0, parts=("popular",))
 
 
+def test_a_part_that_was_sound_before_is_refused_as_soon_as_others():
+    """An answer from before its first crash does not speak for a part."""
+    entry = suspects_entry.Entry()
+    entry.record_answer(0.5, ("bad", "other"))
+    crash(entry, 3, ("bad",))
+    assert entry.is_refused(b"x", 3.9, parts=("bad",))
+
+
 def test_answers_remembered_before_the_first_crash_are_bounded():
     entry = suspects_entry.Entry()
     entry.record_answer(0.1, ("oldest",))
     for number in range(6_000):
         entry.record_answer(0.2, (f"part {number}",))
     entry.record_crash(b"x", "i-1", 1.0, ("bad",))
-    assert len(entry.parts._evidence._answered_at) <= 4_096
+    assert len(entry.parts._evidence._noted) <= 4_096
+    assert len(entry.parts._evidence._answered_before) <= 4_096
 
 
 def test_connections_that_a_running_server_resets_are_no_crashes():
@@ -391,6 +400,7 @@
         prompt_fleet.Load(bad_per_s=1.5, begin_s=(1.0, 3.0), seconds=30.0),
         prompt_fleet.Load(bad_per_s=1.0, mass_crash=0.5, seconds=30.0),
         prompt_fleet.Load(bad_per_s=1.5, sound_per_s=5.0, seconds=30.0),
+        prompt_fleet.Load(bad_per_s=1.5, bad_was_sound=True, seconds=30.0),
     ],
 )
 def test_a_fleet_stops_sending_a_part_that_crashes_servers(load, seed):
