Note answered parts by their digests

The notes of answers from before the first crash held ids, whose length a caller chooses: 1,024 of them could take 16 MB. Digests of 8 bytes, at most 4,096, take the place of ids, and nothing needs to be converted at the first crash. 21 us for an answer with three parts beside other load (5.6 us before, on a less loaded machine). 25 drawn simulated runs (seeds 600 to 624) end the same.

--- a/src/clementinegw/direct/part_evidence.py
+++ b/src/clementinegw/direct/part_evidence.py
@@ -1,7 +1,7 @@
 """Which parts of prompts were in flight at crashes, and which were answered."""
 
 import collections
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 import itertools
 import math
 
@@ -13,9 +13,6 @@
 _MAX_PARTS = 4_096
 _MAX_STARTS = 1_024
 _MAX_CRASHES = 16
-# The most parts whose answers are noted while nothing is suspected. The digests
-# of all of them are computed at the first crash.
-_MAX_NOTED = 1_024
 
 
 class PartEvidence:
@@ -34,9 +31,8 @@
         self._parts_by_start: dict[bytes, set[bytes]] = {}
         self._answered_at: collections.OrderedDict[bytes, float]
         self._answered_at = collections.OrderedDict()
-        self._noted: collections.OrderedDict[str, None]
-        self._noted = collections.OrderedDict()
-        self._answered_before: set[bytes] = set()
+        self._answered_before: collections.OrderedDict[bytes, None]
+        self._answered_before = collections.OrderedDict()
         self._survived_at: collections.OrderedDict[bytes, float]
         self._survived_at = collections.OrderedDict()
         self._crashed_at: collections.OrderedDict[bytes, float]
@@ -107,22 +103,13 @@
             self._drop(part, oldest)
         return known is None
 
-    def note_answered(self, parts: Sequence[str]) -> None:
-        """Notes that a request was answered while nothing is suspected.
-
-        Takes the ids: their digests are only needed after a crash.
-        """
-        for part in parts[: part_records.MAX_PARTS]:
-            self._noted[part] = None
-            self._noted.move_to_end(part)
-        while len(self._noted) > _MAX_NOTED:
-            self._noted.popitem(last=False)
-
-    def use_notes(self) -> None:
-        """Makes the notes evidence, as there has been a crash."""
-        self._answered_before = {
-            part_records.digest_part(part) for part in self._noted
-        }
+    def note_answered(self, parts: Iterable[bytes]) -> None:
+        """Notes that a request was answered while nothing is suspected."""
+        for part in parts:
+            self._answered_before[part] = None
+            self._answered_before.move_to_end(part)
+        while len(self._answered_before) > _MAX_PARTS:
+            self._answered_before.popitem(last=False)
 
     def was_answered_before(self, part: bytes) -> bool:
         """Returns whether a part was answered shortly before the first crash.
--- a/src/clementinegw/direct/part_records.py
+++ b/src/clementinegw/direct/part_records.py
@@ -20,7 +20,7 @@
 # For how long an observation is published, in seconds: several datagrams.
 PUBLISH_S = 5.0
 # The most parts of a prompt that are tracked.
-MAX_PARTS = 64
+_MAX_PARTS = 64
 DIGEST_BYTES = 8
 
 
@@ -191,4 +191,4 @@
 
 def digest_parts(parts: Sequence[str]) -> tuple[bytes, ...]:
     """Returns the digests of the parts of one prompt."""
-    return tuple(digest_part(part) for part in parts[:MAX_PARTS])
+    return tuple(digest_part(part) for part in parts[:_MAX_PARTS])
--- a/src/clementinegw/direct/prompt_suspects.py
+++ b/src/clementinegw/direct/prompt_suspects.py
@@ -39,8 +39,8 @@
         Args:
           on_verdict: Called when a part is refused, or no longer.
           running: Returns the parts of the requests whose answers have begun,
-            with the time in monotonic seconds. Answers are only recorded from
-            the first crash on, and these from before are known then.
+            with the time in monotonic seconds. Answers count from the first
+            crash on, and these as well.
         """
         self._on_verdict = on_verdict
         self._running = running
@@ -89,7 +89,7 @@
         if answering or not parts:
             return
         if self.idle:
-            self._record_answers_before()
+            self._record_running()
         for part in part_records.digest_parts(parts):
             self._add(part, digest, part_records.Crash(now, local=True), now)
         self._publication.add_news(now + part_records.CONFIRMATION_S)
@@ -106,7 +106,7 @@
           now: Monotonic seconds.
         """
         if self.idle:
-            self._evidence.note_answered(parts)
+            self._evidence.note_answered(part_records.digest_parts(parts))
             return
         self._evidence.answers += 1
         for part in part_records.digest_parts(parts):
@@ -153,9 +153,7 @@
             self._review(part, _Cause.ANSWERED, now)
         return cleared
 
-    def _record_answers_before(self) -> None:
-        """Takes answers from before the first crash as evidence."""
-        self._evidence.use_notes()
+    def _record_running(self) -> None:
         for parts, began_at in self._running():
             for part in part_records.digest_parts(parts):
                 self._evidence.set_answered(part, began_at)
@@ -340,7 +338,7 @@
     def _merge(self, suspicion: part_records.PartSuspicion, now: float) -> None:
         part = suspicion.part
         if self.idle and suspicion.crashes:
-            self._record_answers_before()
+            self._record_running()
         self._merge_answer(suspicion, now)
         for crash in suspicion.crashes:
             at = now - crash.age_s
--- a/tests/test_direct_prompt_suspects.py
+++ b/tests/test_direct_prompt_suspects.py
@@ -173,7 +173,6 @@
     for number in range(6_000):
         entry.record_answer(0.2, (f"part {number}",))
     entry.record_crash(b"x", "i-1", 1.0, ("bad",))
-    assert len(entry.parts._evidence._noted) <= 4_096
     assert len(entry.parts._evidence._answered_before) <= 4_096
 
 
