--- a/src/clementinegw/direct/prompt_suspects.py
+++ b/src/clementinegw/direct/prompt_suspects.py
@@ -181,7 +181,7 @@
         for name, part in zip(parts, digests, strict=False):
             if part not in self._records:
                 continue
-            beside = self._refused_beside(part, now)
+            beside = self._decide(part, now)
             if beside is None:
                 continue
             if not beside:
@@ -212,12 +212,10 @@
     def update(self, now: float) -> None:
         """Decides on all parts, also those that no request has at present."""
         for part in [p for p, r in self._records.items() if len(r.crashes) > 2]:
-            self._refused_beside(part, now)
+            self._decide(part, now)
 
-    def _refused_beside(
-        self, part: bytes, now: float
-    ) -> frozenset[bytes] | None:
-        """Returns the parts beside which a part is refused.
+    def _decide(self, part: bytes, now: float) -> frozenset[bytes] | None:
+        """Decides on a part; returns the parts beside which it is refused.
 
         Parts that were in flight at the same crashes cannot be told apart; a
         request with all of them is refused. Empty if the part is refused by
