Log the age of the oldest check of staged chunks at a load order

Three hypotheses, which the agents' lines could not tell apart:

- a chunk's check is old when the order is sent: nothing bounds the time from the first reading to the order.
Then `unverified_s` is near the length of the stop.
- the chunk is not read, or compared with the wrong digest.
Then `unverified_s` is small.
- the order is sent in time and accepted seconds later.
Then `order_s` is large.

`weights_ordered` now has `checks_s` (from the first reading to the last), `unverified_s` (from the first reading to the order) and `order_s` (the order's call), in boot time.

No change of logic.

--- a/src/clementinegw/direct/agent.py
+++ b/src/clementinegw/direct/agent.py
@@ -155,6 +155,7 @@
             log,
             counters,
             clock or clocks.SystemClock(),
+            boot_clock,
         )
         self._declared = declarations.Declarations(
             instance.bounds.weights_ms / 1e3,
--- a/src/clementinegw/direct/fetcher.py
+++ b/src/clementinegw/direct/fetcher.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import hashlib
 import random
 
@@ -154,6 +155,7 @@
         log: logs.Log,
         counters: counters_lib.Counters,
         clock: clocks.Clock,
+        boot_clock: Callable[[], float],
     ):
         """Creates a fetcher; it accepts no connections before `listen`.
 
@@ -164,6 +166,8 @@
           log: Where events go.
           counters: Counts bytes, refusals and retries.
           clock: The source of time.
+          boot_clock: Returns seconds that also count while the machine is
+            suspended.
         """
         identity = connections.Identity(me.instance_id, me.role, me.place)
         self._me = me
@@ -172,6 +176,7 @@
             identity, auth.single_key_ring(_KEY), log, counters, _TIMING
         )
         self._clock = clock
+        self._boot_clock = boot_clock
         self._origin = _OriginBlobStore(counters, clock)
         self._store = stores.MemoryStore(_MIN_STORE_BYTES, digest_of)
         self.transfer = transfer.Transfer(
@@ -368,7 +373,7 @@
         self,
         local_server: agent_interfaces.LocalServer,
         manifest: agent_interfaces.VersionManifest,
-    ) -> bool:
+    ) -> float | None:
         """Stages every chunk at the server and verifies it by reading it back.
 
         Staged data may become corrupt or belong to an older version, and the
@@ -376,11 +381,13 @@
         So every chunk is compared with its digest right before the load order.
 
         Returns:
-          Whether all chunks are staged; False if one was missing or corrupt.
+          When the first of the chunks was read back, in boot seconds; None if
+          one was missing or corrupt.
         """
         # Usually nothing is staged yet. Reading every missing chunk took a
         # third of all calls between the last chunk and the order.
         staged = await local_server.staged()
+        first_read_at = self._boot_clock()
         for number, digest in enumerate(manifest.digests):
             existing = None
             if number in staged:
@@ -390,14 +397,17 @@
             data = await self._store.get(digest)
             if data is None:
                 self.transfer.recheck()
-                return False
+                return None
             await local_server.stage(number, data)
             existing = await local_server.read_staged(number)
             if existing is None or digest_of(existing) != digest:
                 self._log.write(_events.STAGED_SPOILT, piece=number)
-                return False
+                return None
         # A server that restarted meanwhile has lost the verified chunks.
-        return set(range(len(manifest.digests))) <= await local_server.staged()
+        staged = await local_server.staged()
+        if not set(range(len(manifest.digests))) <= staged:
+            return None
+        return first_read_at
 
 
 def _swarm_limits(link_bytes_per_s: float) -> swarm.Limits:
--- a/src/clementinegw/direct/updater.py
+++ b/src/clementinegw/direct/updater.py
@@ -407,8 +407,12 @@
         assert self._context.local_server is not None
         observed = self._context.state
         former = await self._context.local_server.state()
-        if not await self._fetcher.stage(self._context.local_server, manifest):
+        verified_at = await self._fetcher.stage(
+            self._context.local_server, manifest
+        )
+        if verified_at is None:
             return
+        checks_s = self._declared.now - verified_at
         state = await self._context.local_server.state()
         # After a restart, the staged chunks and the state that led to this load
         # are gone.
@@ -422,6 +426,7 @@
             return
         # Running streams are aborted: they last for seconds, while resuming
         # them at another server takes a quarter of a second.
+        unverified_s = now - verified_at
         # The sequence is the one from before the chunks were staged: a server
         # that restarted since has accepted no order and refuses this one.
         begun = await self._context.local_server.load(
@@ -442,6 +447,9 @@
             begun=begun,
             running=state.running,
             yielded_s=round(yielded_s, 3),
+            checks_s=round(checks_s, 3),
+            unverified_s=round(unverified_s, 3),
+            order_s=round(self._declared.now - now, 3),
             after_s=round(
                 self._declared.now - self._declared_at(manifest.version), 3
             ),
