Order a load only while the staged chunks' verification is recent

Its agent stood still for 4 s in the midst of verifying the staged chunks; one that it had verified became corrupt meanwhile, and the load was ordered.

Cause: a chunk was read back once, and nothing bounded the time from there to the order, nor measured it. The class: a check whose result is used after time has passed unseen (time of check to time of use). A stop is the clearest way to it, not the only one: chunks were read one after the other, and 48 readings of 0.12 s take 6 s. Evidence: unverified_s 4.075 and order_s 0.001 in the case, so neither a wrong comparison nor an order under way.

Mend: a verification carries an `Expiry`, three seconds after its oldest reading was sent, in boot time, which counts while the process is stopped and while the machine is suspended. Chunks that were read more than 1.5 s ago are read again, only these, in three passes at most. Readings are made side by side, two at first and up to 32 while passes are slow, so that a slow server is verified within the bound; fewer after a failed call. An order that waits writes `weights_unverified`. What was last found staged is remembered, so that chunks of the former version are neither compared with the new digests nor read again at each new version.

Why it works: the age that the rule bounds is what is asked, where the order is sent.

The soak's guard digest_check names the new place.

--- a/src/clementinegw/direct/_events.py
+++ b/src/clementinegw/direct/_events.py
@@ -237,6 +237,15 @@
     _INFO,
     "The agent's backend server was ordered to load.",
 )
+WEIGHTS_UNVERIFIED = events.define(
+    909,
+    "weights_unverified",
+    _WARNING,
+    "A load was not ordered, as the server's staged chunks had been read back"
+    " too long before; they are read again.",
+    "If it repeats, find out why the server answers slowly (`checks_s`) or the"
+    " agent stands still (`loop_stalled`).",
+)
 STEP_FAILED = events.define(
     923,
     "step_failed",
--- a/src/clementinegw/direct/agent_interfaces.py
+++ b/src/clementinegw/direct/agent_interfaces.py
@@ -6,6 +6,7 @@
 import dataclasses
 from typing import Protocol
 
+from clementinegw.direct import expiry as expiry_lib
 from clementinegw.direct import types
 
 
@@ -71,7 +72,12 @@
         """Stages a chunk, replacing any with the same number."""
 
     async def load(
-        self, model: str, version: int, sequence: int, abort_running: bool
+        self,
+        model: str,
+        version: int,
+        sequence: int,
+        abort_running: bool,
+        expiry: expiry_lib.Expiry,
     ) -> bool:
         """Orders the server to load the staged chunks.
 
@@ -82,9 +88,13 @@
             far; it refuses the order otherwise.
           abort_running: Whether running requests are aborted; otherwise the
             load waits until they end.
+          expiry: Until when the server may accept the order.
 
         Returns:
           Whether the server has accepted the order or already carried it out.
+
+        Raises:
+          exceptions.CallExpired: It expired before it was sent.
         """
 
 
--- a/src/clementinegw/direct/client.py
+++ b/src/clementinegw/direct/client.py
@@ -15,6 +15,7 @@
 from clementinegw import types
 from clementinegw.direct import buffer_budget
 from clementinegw.direct import channel as channels
+from clementinegw.direct import expiry as expiry_lib
 from clementinegw.direct import timeouts as timeouts_lib
 
 Headers = list[tuple[bytes, bytes]]
@@ -337,6 +338,7 @@
         body: bytes,
         limit: int,
         timeouts: timeouts_lib.Timeouts,
+        expiry: expiry_lib.Expiry | None = None,
     ) -> tuple[int, bytes]:
         """Makes one call and returns the status and the body.
 
@@ -347,15 +349,17 @@
           body: The request's body.
           limit: The largest body of an answer that is accepted, in bytes.
           timeouts: Limit the time to the answer's head and between its bytes.
+          expiry: Until when the request may be sent; None for any time.
 
         Raises:
           ConnectFailed: No connection could be opened: nothing was sent.
+          exceptions.CallExpired: It expired before: nothing was sent.
           AnswerBroken: The answer is incomplete, or over `limit` bytes.
           TimeoutError: A timeout expired.
         """
         async with timeouts_lib.Watchdog(timeouts) as watchdog:
             return await self._call(
-                method, target, headers, body, limit, watchdog
+                method, target, headers, body, limit, watchdog, expiry
             )
 
     async def _call(
@@ -366,10 +370,14 @@
         body: bytes,
         limit: int,
         watchdog: timeouts_lib.Watchdog,
+        expiry: expiry_lib.Expiry | None,
     ) -> tuple[int, bytes]:
         connection, _ = await self.acquire()
         complete = False
         try:
+            # Opening a connection takes time.
+            if expiry is not None and expiry.expired:
+                raise exceptions.CallExpired(f"{target}: expired")
             await connection.send(method, target, headers, body)
             head = await connection.head()
             watchdog.head_received()
--- a/src/clementinegw/direct/fetcher.py
+++ b/src/clementinegw/direct/fetcher.py
@@ -1,4 +1,4 @@
-"""Fetches a version's chunks and stages them at the agent's server.
+"""Fetches a version's chunks for the agent's server.
 
 Chunks come from other agents and from the origin; `weights.transfer` runs the
 exchange.
@@ -6,15 +6,14 @@
 
 import asyncio
 from collections.abc import Callable
-import hashlib
 import random
 
 from clementinegw import clock as clocks
 from clementinegw import exceptions
 from clementinegw import types
-from clementinegw.direct import _events
 from clementinegw.direct import agent_interfaces
 from clementinegw.direct import manifest_cache
+from clementinegw.direct import staging
 from clementinegw.telemetry import counters as counters_lib
 from clementinegw.telemetry import logs
 from clementinegw.weights import manifest as manifests
@@ -78,11 +77,6 @@
 )
 
 
-def digest_of(data: bytes) -> bytes:
-    """Returns the SHA-256 digest that identifies a chunk."""
-    return hashlib.sha256(data).digest()
-
-
 class _OriginBlobStore:
     """Adapts the origin to a blob store that returns a chunk by its digest."""
 
@@ -143,6 +137,7 @@
 
     Attributes:
       transfer: Exchanges chunks with other agents and the origin.
+      stager: Stages fetched chunks at the agent's server.
       origin_bytes_per_s: The rate of the origin's link; an estimate until
         `set_origin_rate` is called.
     """
@@ -171,14 +166,12 @@
         """
         identity = connections.Identity(me.instance_id, me.role, me.place)
         self._me = me
-        self._log = log
         self._endpoint = connections.Endpoint(
             identity, auth.single_key_ring(_KEY), log, counters, _TIMING
         )
         self._clock = clock
-        self._boot_clock = boot_clock
         self._origin = _OriginBlobStore(counters, clock)
-        self._store = stores.MemoryStore(_MIN_STORE_BYTES, digest_of)
+        self._store = stores.MemoryStore(_MIN_STORE_BYTES, staging.digest_of)
         self.transfer = transfer.Transfer(
             me,
             self._endpoint,
@@ -192,6 +185,9 @@
             counters=counters,
             part_bytes=_PART_BYTES,
         )
+        self.stager = staging.Stager(
+            self._store, self.transfer.recheck, boot_clock, log
+        )
         self.origin_bytes_per_s = _DEFAULT_ORIGIN_LINKS * link_bytes_per_s
         self._manifest: agent_interfaces.VersionManifest | None = None
         self._manifest_cache = manifest_cache.ManifestCache(
@@ -352,63 +348,6 @@
         data = await origin.chunk(manifest.model, manifest.version, number)
         return await self._store.put(manifest.digests[number], data)
 
-    async def restore_staged(
-        self,
-        local_server: agent_interfaces.LocalServer,
-        manifest: agent_interfaces.VersionManifest,
-    ) -> int:
-        """Stores staged chunks that match a version; returns how many did."""
-        stored = 0
-        for number in sorted(await local_server.staged()):
-            if number >= len(manifest.digests):
-                continue
-            data = await local_server.read_staged(number)
-            if data is not None and await self._store.put(
-                manifest.digests[number], data
-            ):
-                stored += 1
-        return stored
-
-    async def stage(
-        self,
-        local_server: agent_interfaces.LocalServer,
-        manifest: agent_interfaces.VersionManifest,
-    ) -> float | None:
-        """Stages every chunk at the server and verifies it by reading it back.
-
-        Staged data may become corrupt or belong to an older version, and the
-        server does not check it: it would generate tokens with corrupt layers.
-        So every chunk is compared with its digest right before the load order.
-
-        Returns:
-          When the first of the chunks was read back, in boot seconds; None if
-          one was missing or corrupt.
-        """
-        # Usually nothing is staged yet. Reading every missing chunk took a
-        # third of all calls between the last chunk and the order.
-        staged = await local_server.staged()
-        first_read_at = self._boot_clock()
-        for number, digest in enumerate(manifest.digests):
-            existing = None
-            if number in staged:
-                existing = await local_server.read_staged(number)
-            if existing is not None and digest_of(existing) == digest:
-                continue
-            data = await self._store.get(digest)
-            if data is None:
-                self.transfer.recheck()
-                return None
-            await local_server.stage(number, data)
-            existing = await local_server.read_staged(number)
-            if existing is None or digest_of(existing) != digest:
-                self._log.write(_events.STAGED_SPOILT, piece=number)
-                return None
-        # A server that restarted meanwhile has lost the verified chunks.
-        staged = await local_server.staged()
-        if not set(range(len(manifest.digests))) <= staged:
-            return None
-        return first_read_at
-
 
 def _swarm_limits(link_bytes_per_s: float) -> swarm.Limits:
     """Returns limits of the exchange for few agents and a short deadline.
--- /dev/null
+++ b/src/clementinegw/direct/staging.py
@@ -0,0 +1,243 @@
+"""Stages chunks at an agent's backend server and verifies them there.
+
+Staged data may become corrupt or belong to an older version, and the server
+does not check it: it would generate tokens with corrupt layers. So every chunk
+is read back and compared with its digest before a load order, which is sent
+only while these readings are recent.
+"""
+
+import asyncio
+import collections
+from collections.abc import Callable, Coroutine, Iterable
+import dataclasses
+import hashlib
+import math
+from typing import Any
+
+from clementinegw import exceptions
+from clementinegw.direct import _events
+from clementinegw.direct import agent_interfaces
+from clementinegw.direct import expiry as expiry_lib
+from clementinegw.telemetry import logs
+from clementinegw.weights import store as stores
+
+# How long before the server accepts a load order a chunk may have been read
+# back, in seconds. The platform excuses a chunk that became corrupt within it.
+_MAX_UNVERIFIED_S = 3.0
+# Chunks that were read back longer ago are read again, in seconds. The rest of
+# the time is left for the last look at the server's state and the order.
+_REREAD_AGE_S = 1.5
+# The most passes of one verification. In each further one, only the chunks that
+# were read too long ago are read again.
+_MAX_PASSES = 3
+# How long a pass over all chunks should take, in seconds. Twice as many calls
+# are made side by side each time that it takes longer, within these limits.
+_PASS_S = 0.3
+_MIN_CALLS = 2
+_MAX_CALLS = 32
+
+
+def digest_of(data: bytes) -> bytes:
+    """Returns the SHA-256 digest that identifies a chunk."""
+    return hashlib.sha256(data).digest()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Verification:
+    """A successful verification of all staged chunks.
+
+    Attributes:
+      read_at: When the first of the readings that count was sent, in boot
+        seconds.
+      reads: How many chunks were read back.
+      expiry: Until when a load order may rely on it.
+    """
+
+    read_at: float
+    reads: int
+    expiry: expiry_lib.Expiry
+
+
+class Stager:
+    """Stages versions at one server."""
+
+    def __init__(
+        self,
+        chunks: stores.MemoryStore,
+        recheck: Callable[[], None],
+        boot_clock: Callable[[], float],
+        log: logs.Log,
+    ):
+        """Creates a stager that has staged nothing.
+
+        Args:
+          chunks: The chunks that the agent holds.
+          recheck: Called when the agent lacks a chunk that it had fetched.
+          boot_clock: Returns seconds that also count while the machine is
+            suspended.
+          log: Where events go.
+        """
+        self._chunks = chunks
+        self._recheck = recheck
+        self._clock = boot_clock
+        self._log = log
+        self._calls = _MIN_CALLS
+        self._max_calls = _MAX_CALLS
+        # The digests of the staged chunks as they were last found, by number.
+        self._found: dict[int, bytes] = {}
+
+    async def restore(
+        self,
+        local_server: agent_interfaces.LocalServer,
+        manifest: agent_interfaces.VersionManifest,
+    ) -> int:
+        """Keeps staged chunks that match a version; returns how many did.
+
+        Raises:
+          exceptions.BackendError: The server did not answer.
+        """
+        restored = 0
+
+        async def restore_chunk(number: int) -> bool:
+            nonlocal restored
+            data = await local_server.read_staged(number)
+            if data is not None:
+                self._found[number] = digest_of(data)
+                wanted = manifest.digests[number]
+                restored += await self._chunks.put(wanted, data)
+            return True
+
+        staged = await local_server.staged()
+        await self._run_for_each(
+            [
+                number
+                for number in range(len(manifest.digests))
+                if number in staged and self._may_match(manifest, number)
+            ],
+            restore_chunk,
+        )
+        return restored
+
+    async def stage(
+        self,
+        local_server: agent_interfaces.LocalServer,
+        manifest: agent_interfaces.VersionManifest,
+    ) -> Verification | None:
+        """Stages every chunk at the server and verifies it by reading it back.
+
+        Returns:
+          The verification; None if a chunk was missing or corrupt.
+
+        Raises:
+          exceptions.BackendError: The server did not answer.
+        """
+        read_at: dict[int, float] = {}
+        reads = 0
+
+        async def stage_chunk(number: int) -> bool:
+            nonlocal reads
+            if number in staged and self._may_match(manifest, number):
+                reads += 1
+                if await self._verify(local_server, manifest, number, read_at):
+                    return True
+            data = await self._chunks.get(manifest.digests[number])
+            if data is None:
+                self._recheck()
+                return False
+            await local_server.stage(number, data)
+            reads += 1
+            if await self._verify(local_server, manifest, number, read_at):
+                return True
+            self._log.write(_events.STAGED_SPOILT, piece=number)
+            return False
+
+        numbers = range(len(manifest.digests))
+        for _ in range(_MAX_PASSES):
+            oldest_at = self._clock() - _REREAD_AGE_S
+            due = [n for n in numbers if read_at.get(n, -math.inf) < oldest_at]
+            if not due:
+                break
+            staged = await local_server.staged()
+            if not await self._run_for_each(due, stage_chunk):
+                return None
+        # A server that restarted meanwhile has lost the verified chunks.
+        if not set(numbers) <= await local_server.staged():
+            return None
+        first_read_at = min(read_at.values())
+        return Verification(
+            first_read_at,
+            reads,
+            expiry_lib.Expiry(first_read_at + _MAX_UNVERIFIED_S, self._clock),
+        )
+
+    def _may_match(
+        self, manifest: agent_interfaces.VersionManifest, number: int
+    ) -> bool:
+        """Returns whether a staged chunk is unknown or was last as wanted."""
+        wanted = manifest.digests[number]
+        return self._found.get(number, wanted) == wanted
+
+    async def _verify(
+        self,
+        local_server: agent_interfaces.LocalServer,
+        manifest: agent_interfaces.VersionManifest,
+        number: int,
+        read_at: dict[int, float],
+    ) -> bool:
+        """Returns whether a staged chunk is intact, and records the time."""
+        # Not the time of the answer: the server may have read the chunk long
+        # before.
+        sent_at = self._clock()
+        data = await local_server.read_staged(number)
+        if data is None or digest_of(data) != manifest.digests[number]:
+            self._found.pop(number, None)
+            return False
+        self._found[number] = manifest.digests[number]
+        read_at[number] = sent_at
+        return True
+
+    async def _run_for_each(
+        self,
+        numbers: Iterable[int],
+        step: Callable[[int], Coroutine[Any, Any, bool]],
+    ) -> bool:
+        """Runs a step for each number, several of them side by side.
+
+        Returns:
+          Whether all steps returned True; the others are cancelled if not.
+
+        Raises:
+          exceptions.BackendError: A step failed. Fewer calls are made side by
+            side from then on, as the server may refuse so many.
+        """
+        waiting = collections.deque(numbers)
+        running: set[asyncio.Task[bool]] = set()
+        began_at = grown_at = self._clock()
+        try:
+            while waiting or running:
+                while waiting and len(running) < self._calls:
+                    running.add(asyncio.create_task(step(waiting.popleft())))
+                done, _ = await asyncio.wait(
+                    running,
+                    timeout=_PASS_S,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if not all([await task for task in done]):
+                    return False
+                running -= done
+                now = self._clock()
+                if now - grown_at >= _PASS_S:
+                    self._calls = min(self._max_calls, 2 * self._calls)
+                    grown_at = now
+        except exceptions.BackendError:
+            self._max_calls = max(_MIN_CALLS, self._calls // 2)
+            self._calls = _MIN_CALLS
+            raise
+        finally:
+            for task in running:
+                task.cancel()
+            await asyncio.gather(*running, return_exceptions=True)
+        self._max_calls = min(_MAX_CALLS, self._max_calls + 1)
+        if self._clock() - began_at < _PASS_S:
+            self._calls = max(_MIN_CALLS, self._calls // 2)
+        return True
--- a/src/clementinegw/direct/updater.py
+++ b/src/clementinegw/direct/updater.py
@@ -18,6 +18,8 @@
 from clementinegw.telemetry import histograms as histograms_lib
 from clementinegw.telemetry import logs
 
+# The least time that a load order is given to be accepted, in seconds.
+_MIN_ORDER_S = 0.5
 # How long after a load order the server's state reflects it, in seconds.
 _ORDER_VISIBLE_S = 0.3
 # Servers swap weights in groups, so that most of them serve at any time.
@@ -280,7 +282,7 @@
             del self._manifests[old]
         staged = 0
         if self._context.local_server is not None:
-            staged = await self._fetcher.restore_staged(
+            staged = await self._fetcher.stager.restore(
                 self._context.local_server, new_manifest
             )
         self._log.write(
@@ -407,12 +409,12 @@
         assert self._context.local_server is not None
         observed = self._context.state
         former = await self._context.local_server.state()
-        verified_at = await self._fetcher.stage(
+        verification = await self._fetcher.stager.stage(
             self._context.local_server, manifest
         )
-        if verified_at is None:
+        if verification is None:
             return
-        checks_s = self._declared.now - verified_at
+        checks_s = self._declared.now - verification.read_at
         state = await self._context.local_server.state()
         # After a restart, the staged chunks and the state that led to this load
         # are gone.
@@ -426,7 +428,17 @@
             return
         # Running streams are aborted: they last for seconds, while resuming
         # them at another server takes a quarter of a second.
-        unverified_s = now - verified_at
+        unverified_s = now - verification.read_at
+        if verification.expiry.left_s < _MIN_ORDER_S:
+            self._counters.add("weights.unverified")
+            self._log.write(
+                _events.WEIGHTS_UNVERIFIED,
+                version=manifest.version,
+                reads=verification.reads,
+                checks_s=round(checks_s, 3),
+                unverified_s=round(unverified_s, 3),
+            )
+            return
         # The sequence is the one from before the chunks were staged: a server
         # that restarted since has accepted no order and refuses this one.
         begun = await self._context.local_server.load(
@@ -434,6 +446,7 @@
             manifest.version,
             former.sequence,
             abort_running=True,
+            expiry=verification.expiry,
         )
         self._counters.add("weights.orders")
         self._histograms.add(
@@ -447,6 +460,7 @@
             begun=begun,
             running=state.running,
             yielded_s=round(yielded_s, 3),
+            reads=verification.reads,
             checks_s=round(checks_s, 3),
             unverified_s=round(unverified_s, 3),
             order_s=round(self._declared.now - now, 3),
--- a/src/clementinegw/exceptions.py
+++ b/src/clementinegw/exceptions.py
@@ -67,6 +67,10 @@
     """There was no connection to the backend server; nothing was sent."""
 
 
+class CallExpired(BackendUnreachable):
+    """What the call relies on is no longer valid; nothing was sent."""
+
+
 class BackendLost(BackendError):
     """Connection or answer broke off; the call may have taken effect."""
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -65,10 +65,9 @@
         "return True",
     ),
     "digest_check": (
-        "src/clementinegw/direct/fetcher.py",
-        "if existing is not None and digest_of(existing) == digest:\n"
-        "                continue",
-        "if existing is not None:\n                continue",
+        "src/clementinegw/direct/staging.py",
+        "if data is None or digest_of(data) != manifest.digests[number]:",
+        "if data is None:",
     ),
     "server_limit": (
         "src/clementinegw/direct/balance.py",
--- a/tests/test_direct_agent.py
+++ b/tests/test_direct_agent.py
@@ -60,8 +60,17 @@
         self.restart_while_staging = False
         self.restart_when_staged = 0
         self.lose_answer = False
+        self.read_s = 0.0
+        self.readers = 0
+        self.max_readers = 0
+        self.on_read = lambda number: None
+        self.on_state = lambda: None
+
+    def corrupt(self, number):
+        self.staged_chunks[number] = b"rotten" + self.staged_chunks[number][6:]
 
     async def state(self):
+        self.on_state()
         now = asyncio.get_running_loop().time()
         busy = now < self.busy_until
         held = () if busy else self.held
@@ -80,7 +89,16 @@
         return staged
 
     async def read_staged(self, number):
-        return self.staged_chunks.get(number)
+        self.readers += 1
+        self.max_readers = max(self.max_readers, self.readers)
+        try:
+            data = self.staged_chunks.get(number)
+            self.on_read(number)
+            if self.read_s:
+                await asyncio.sleep(self.read_s)
+        finally:
+            self.readers -= 1
+        return data
 
     async def stage(self, number, data):
         if self.corrupt_one_chunk and number == 3:
@@ -91,7 +109,7 @@
             self.staged_chunks.clear()
         self.staged_chunks[number] = data
 
-    async def load(self, model, version, sequence, abort_running):
+    async def load(self, model, version, sequence, abort_running, expiry):
         if sequence != self.sequence:
             return False
         self.sequence += 1
--- a/tests/test_direct_starts.py
+++ b/tests/test_direct_starts.py
@@ -12,9 +12,11 @@
 from clementinegw.direct import channel
 from clementinegw.direct import client
 from clementinegw.direct import declarations
+from clementinegw.direct import expiry
 from clementinegw.direct import fleet
 from clementinegw.direct import instance as instances
 from clementinegw.direct import reports
+from clementinegw.direct import staging
 from clementinegw.direct import suspects
 from clementinegw.direct import topic_watch
 from clementinegw.direct import types
@@ -363,21 +365,26 @@
                 (), False, 0, 0, 0, 1.0, self.started_ms
             )
 
-        async def load(self, model, version, sequence, abort_running):
+        async def load(self, model, version, sequence, abort_running, expiry):
             self.loads += 1
             return True
 
+    class Stager:
+        async def stage(self, local_server, manifest):
+            local_server.started_ms = 2
+            clock = asyncio.get_running_loop().time
+            return staging.Verification(
+                clock(), 1, expiry.Expiry(clock() + 3.0, clock)
+            )
+
     class Fetcher:
         manifest = None
         missing_fraction = 0.0
+        stager = Stager()
 
         def holds_all(self, manifest):
             return True
 
-        async def stage(self, local_server, manifest):
-            local_server.started_ms = 2
-            return True
-
     async def play():
         known = new_context(new_server("a", 1), started_ms=1)
         known.engine = types.Engine(("m",), 16, 0.01, 0.0, 1e4, 6, 4, 1, 10)
