Do not send the rest of a call that was given up

Found while looking for further checks that are used too late. An agent gives up a load order or a staged chunk after its timeout, and goes on by new checks; but the connection was closed in order, so the kernel went on sending the rest, and the server carried the call out seconds later: a chunk of a former version behind the verification of a newer one, or an order whose verification has expired. The same holds for the calls to the platform's store.

Mend: such a connection is reset, as for attempts of callers' requests. What a server has received already, it may still read.

Red before: the new test receives all 60,050 bytes of a call that was given up. The test of cancelled requests shares its stand-in now, with the same checks.

--- a/src/clementinegw/direct/client.py
+++ b/src/clementinegw/direct/client.py
@@ -389,7 +389,7 @@
             if complete:
                 self.release(connection)
             else:
-                self._close(connection)
+                self.discard(connection)
 
     def release(self, connection: Connection) -> None:
         """Keeps a reusable connection for another call; closes any other."""
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -4,6 +4,7 @@
 import base64
 import contextlib
 import json
+import socket
 from urllib import parse
 
 from adapter import roles
@@ -229,6 +230,46 @@
     return shared_types.Address(host, port)
 
 
+class LateReader:
+    """A server with a small window that reads nothing before `read_all`.
+
+    Attributes:
+      address: Where it listens.
+    """
+
+    def __init__(self):
+        self._received = bytearray()
+        self._may_read = asyncio.Event()
+        self._ended = asyncio.Event()
+
+    async def start(self):
+        listener = socket.socket()
+        # Connections inherit the small window.
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+        listener.bind(("127.0.0.1", 0))
+        self._server = await asyncio.start_server(
+            self._serve, sock=listener, limit=1_024
+        )
+        self.address = shared_types.Address(*listener.getsockname())
+
+    async def read_all(self):
+        """Reads one connection to its end and returns the number of bytes."""
+        self._may_read.set()
+        await self._ended.wait()
+        self._server.close()
+        return len(self._received)
+
+    async def _serve(self, reader, writer):
+        await self._may_read.wait()
+        try:
+            while data := await reader.read(1 << 16):
+                self._received.extend(data)
+        except ConnectionError:
+            pass
+        writer.close()
+        self._ended.set()
+
+
 def slow_connections(monkeypatch, by_s):
     """Delays the opening of new connections by `by_s` seconds."""
     connect = client.connect
--- a/tests/test_direct_transit.py
+++ b/tests/test_direct_transit.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import socket
 
 import platform_site as sites
 import pytest
@@ -176,30 +175,11 @@
     """Guards against work for a caller that has left."""
 
     async def play():
-        received = bytearray()
-        ended = asyncio.Event()
-        may_read = asyncio.Event()
-
-        async def serve(reader, writer):
-            await may_read.wait()
-            try:
-                while data := await reader.read(1 << 16):
-                    received.extend(data)
-            except ConnectionError:
-                pass
-            writer.close()
-            ended.set()
-
-        listener = socket.socket()
-        # Connections inherit the small window.
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
-        listener.bind(("127.0.0.1", 0))
+        server = sites.LateReader()
+        await server.start()
         async with sites.Site("i-1") as site:
-            server = await asyncio.start_server(
-                serve, sock=listener, limit=1_024
-            )
-            host, port = listener.getsockname()
-            entry = site.servers[0].record(address=f"{host}:{port}", sequence=2)
+            address = str(server.address)
+            entry = site.servers[0].record(address=address, sequence=2)
             site.store.put("keyed.servers", "i-1", entry)
             await asyncio.sleep(1.5)
             body = b"x" * 60_000
@@ -207,10 +187,7 @@
                 caller.send("/safe/1", body=body)
                 await asyncio.sleep(0.1)
             await asyncio.sleep(0.1)
-            may_read.set()
-            await ended.wait()
-            server.close()
-            return len(received), len(body)
+            return await server.read_all(), len(body)
 
     received, sent = sites.run(play())
     assert received < sent
--- a/tests/test_platform_link.py
+++ b/tests/test_platform_link.py
@@ -180,3 +180,20 @@
     else:
         assert gave_up_after_s == pytest.approx(gives_up_s, abs=0.3)
         assert open_connections == 0
+
+
+def test_the_rest_of_a_call_that_was_given_up_is_not_sent():
+    """Guards against a chunk or an order that a server takes seconds later."""
+
+    async def play():
+        server = platform_site.LateReader()
+        await server.start()
+        pool = client.Pool(server.address, 1, 1.0, 1.0)
+        body = b"x" * 60_000
+        headers = [(b"host", b"h"), (b"content-length", b"%d" % len(body))]
+        with pytest.raises(TimeoutError):
+            await pool.call("PUT", "/", headers, body, 1 << 20, _TIMEOUTS)
+        return await server.read_all(), len(body)
+
+    received, sent = platform_site.run(play())
+    assert received < sent
