Compute the time that is left for a request when it is sent

The cause of the loads on old checks, found at requests: what a server is told of the caller's time was computed before the connection to it was opened, and the deadline itself was not looked at again at the send. A connection that takes half a second gave the server half a second too much, so that it worked for a caller that had left; behind a stop or a suspension of the machine in that moment, the request was sent although its time was out.

Mend: a request carries its deadline as an `Expiry`, in boot time. The codec asks it for the time that is left when it writes the headers, and a request whose time is out is withdrawn right before its send (`expired`); its caller gets 504.

--- a/src/clementinegw/direct/attempt.py
+++ b/src/clementinegw/direct/attempt.py
@@ -8,6 +8,7 @@
 from clementinegw.direct import buffer_budget
 from clementinegw.direct import catalog
 from clementinegw.direct import client
+from clementinegw.direct import expiry as expiry_lib
 from clementinegw.direct import header_codec
 from clementinegw.direct import outcomes
 from clementinegw.direct import queue
@@ -61,6 +62,7 @@
       service: The service that serves it.
       responder: Sends the answer to the caller.
       deadline: When the final answer is due, in monotonic seconds.
+      expiry: The same time; it also counts while the machine is suspended.
       spent_s: How long the caller has been trying before, in seconds.
       sends: How often it was sent to a server.
       runs: How often it may have begun to run.
@@ -99,6 +101,7 @@
     service: str
     responder: servers.Responder
     deadline: float
+    expiry: expiry_lib.Expiry
     spent_s: float = 0.0
     sends: int = 0
     runs: int = 0
@@ -319,6 +322,7 @@
                 outcomes.NotRunReason.LIMITED,
             ),
             (version_timeout.outdated, outcomes.NotRunReason.TOO_OLD),
+            (job.expiry.expired, outcomes.NotRunReason.EXPIRED),
         )
         return next(
             (reason for holds, reason in checks if holds),
--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -13,6 +13,7 @@
 from clementinegw.direct import buffer_budget
 from clementinegw.direct import channel
 from clementinegw.direct import crash_guard
+from clementinegw.direct import expiry as expiry_lib
 from clementinegw.direct import finisher
 from clementinegw.direct import header_codec
 from clementinegw.direct import outcomes
@@ -240,19 +241,32 @@
             self._rng,
             lambda s: self._balancer.is_barred(s, matched.regions),
         )
+        deadline = request.arrived_at + timeout_s
         job = attempts.Job(
             request,
             metadata,
             matched,
             service,
             responder,
-            request.arrived_at + timeout_s,
+            deadline,
+            self._expiry(deadline),
             spent_s,
             answer_memory=buffer_budget.AnswerMemory(self._buffers),
         )
         self._budget(service).record_request(self._clock(), job.customer_name)
         return job
 
+    def _expiry(self, deadline: float) -> expiry_lib.Expiry:
+        """Returns a deadline that also counts while the machine is suspended.
+
+        Args:
+          deadline: The deadline, in monotonic seconds.
+        """
+        left_s = deadline - self._clock()
+        return expiry_lib.Expiry(
+            self._versions.now + left_s, lambda: self._versions.now
+        )
+
     # Serving.
 
     async def _serve(self, job: attempts.Job) -> _Outcome:
@@ -385,7 +399,9 @@
         held = backend.held_version(self._placer.layers(job.service))
         forward_metadata = types.ForwardMetadata(
             backend.server.server_id,
-            max(0.001, job.deadline - now - _ANSWER_TRANSIT_S),
+            expiry_lib.Expiry(
+                job.expiry.at - _ANSWER_TRANSIT_S, job.expiry.clock
+            ),
             job.customer_name,
             self._versions.expected(model, held, self._versions.now),
             self._placer.server_priority(job),
@@ -493,6 +509,8 @@
         if not self._may_send_again(job):
             return False
         if isinstance(outcome, outcomes.NotRun):
+            if outcome.reason is outcomes.NotRunReason.EXPIRED:
+                return False
             job.withdrawals += outcome.reason in _WITHDRAWN_REASONS
             if job.responder.begun:
                 return True
@@ -527,6 +545,8 @@
     ) -> outcomes.Failed | outcomes.Refusal:
         if isinstance(outcome, outcomes.Failed):
             return outcome
+        if job.expiry.expired:
+            return outcomes.Refusal(_GATEWAY_TIMEOUT, Reason.TIMEOUT)
         if _is_unreachable(outcome):
             return self._placer.refuse_unreachable(job)
         if job.responder.begun and not self._is_resumable(job):
--- a/src/clementinegw/direct/outcomes.py
+++ b/src/clementinegw/direct/outcomes.py
@@ -19,6 +19,7 @@
     EVACUATED = "evacuated"
     NOT_ALLOWED = "not_allowed"
     SUSPECT = "suspect"
+    EXPIRED = "expired"
 
 
 class LostReason(enum.StrEnum):
--- a/src/clementinegw/direct/types.py
+++ b/src/clementinegw/direct/types.py
@@ -9,6 +9,7 @@
 import enum
 
 from clementinegw import types
+from clementinegw.direct import expiry as expiry_lib
 
 
 class RepeatPolicy(enum.StrEnum):
@@ -464,7 +465,7 @@
 
     Attributes:
       server_id: The only server that may run the request.
-      timeout_s: The time that is left, in seconds.
+      expiry: When the server's answer comes too late.
       customer: The customer's name; empty for a request without a key.
       version: The version that the weights must have; None for any.
       priority: 0 to 9, where 0 is the highest; None leaves it to the server.
@@ -473,7 +474,7 @@
     """
 
     server_id: str
-    timeout_s: float
+    expiry: expiry_lib.Expiry
     customer: str = ""
     version: int | None = None
     priority: int | None = None
--- a/tests/overload_site.py
+++ b/tests/overload_site.py
@@ -19,6 +19,7 @@
 from clementinegw.direct import attempt as attempts
 from clementinegw.direct import balance
 from clementinegw.direct import catalog
+from clementinegw.direct import expiry
 from clementinegw.direct import fleet as fleets
 from clementinegw.direct import placement
 from clementinegw.direct import queue
@@ -395,6 +396,7 @@
             SERVICE,
             builtin_types.SimpleNamespace(begun=False),
             now + left_s,
+            expiry.Expiry(now + left_s, self._clock),
             entry.caller_timeouts.spent_s(route.name, left_s),
         )
         try:
--- a/tests/test_direct_places.py
+++ b/tests/test_direct_places.py
@@ -18,6 +18,7 @@
 from clementinegw.direct import budget
 from clementinegw.direct import catalog
 from clementinegw.direct import client
+from clementinegw.direct import expiry
 from clementinegw.direct import fleet as fleets
 from clementinegw.direct import outcomes
 from clementinegw.direct import placement
@@ -131,6 +132,7 @@
             "plain",
             builtin_types.SimpleNamespace(begun=begun),
             now + 3.0,
+            expiry.Expiry(now + 3.0, self.balancer._clock),
         )
 
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -12,6 +12,7 @@
 import pytest
 
 from clementinegw.direct import client
+from clementinegw.direct import expiry
 from clementinegw.direct import instance as instances
 from clementinegw.direct import types
 
@@ -171,7 +172,7 @@
         (b"X-Kept", b"2"),
     ]
     sent = headers.Headers().to_server_headers(
-        raw, types.ForwardMetadata("i-1", 1.0)
+        raw, types.ForwardMetadata("i-1", expiry.Expiry(1.0, lambda: 0.0))
     )
     names = {name.lower() for name, _ in sent}
     assert b"x-kept" in names
