Read what is refused from the store at the first sign of a crash

What it holds matters only once servers crash.

Now an entry reads it once it sees a crash or is told of one, or if a server is cold or without weights when the entry becomes ready, as those are that crashed shortly before all processes ended. Nothing depends on how the store answers.

--- a/src/clementinegw/direct/crash_guard.py
+++ b/src/clementinegw/direct/crash_guard.py
@@ -73,6 +73,12 @@
         alone = self._clock() - self._ranked_at >= _RANK_TIMEOUT_S
         return self._is_first or alone
 
+    @property
+    def has_crashes(self) -> bool:
+        """Whether any server crashed, as far as is known."""
+        trackers = self._trackers
+        return trackers.parts.has_crashes or not trackers.requests.idle
+
     def add_job(self, job: attempts.Job) -> None:
         """Adds a request that is in progress."""
         self._jobs[id(job)] = job
--- a/src/clementinegw/direct/entry.py
+++ b/src/clementinegw/direct/entry.py
@@ -12,6 +12,7 @@
 from clementinegw import types as shared_types
 from clementinegw.direct import _events
 from clementinegw.direct import admit
+from clementinegw.direct import backend as backend_lib
 from clementinegw.direct import balance
 from clementinegw.direct import budget
 from clementinegw.direct import buffer_budget
@@ -193,6 +194,7 @@
         self._archive = refusal_archive.RefusalArchive(
             self._forwarder.guard,
             platform.refusals(),
+            self._has_new_servers,
             clock,
             wall_clock,
             log,
@@ -224,6 +226,7 @@
         self._leaving = False
         self._ready = False
         self._unknown_regions: frozenset[str] = frozenset()
+        self._new_servers: bool | None = None
 
     @property
     def ready(self) -> bool:
@@ -348,6 +351,23 @@
                 await self._archive.update()
             await asyncio.sleep(_ARCHIVE_INTERVAL_S)
 
+    def _has_new_servers(self) -> bool:
+        """Returns whether servers had just started when this entry was ready.
+
+        They may have crashed on a request that this process knows nothing of.
+        """
+        if self._new_servers is None and self.ready:
+            self._new_servers = any(map(self._is_new, self._fleet.all()))
+        return bool(self._new_servers)
+
+    def _is_new(self, backend: backend_lib.Backend) -> bool:
+        """Returns whether a server is cold or without whole weights."""
+        engine = self._config_view.engine(backend.server.service)
+        is_empty = engine is not None and not backend.held_version(
+            engine.layers
+        )
+        return is_empty or backend.cold_until > self._clock()
+
     def _on_report(self, host: str, report: reports.Report) -> None:
         if report.ages_s:
             changes = self._versions.merge_ages(report.model, report.ages_s)
--- a/src/clementinegw/direct/refusal_archive.py
+++ b/src/clementinegw/direct/refusal_archive.py
@@ -1,7 +1,8 @@
 """Keeps what entries refuse in the platform's store.
 
 Entries and agents tell each other what is refused, but all may end at the same
-moment. Each entry reads it when it starts; one entry writes for all.
+moment. An entry reads it once there is a sign that servers crashed; one entry
+writes for all.
 """
 
 from collections.abc import Callable
@@ -31,6 +32,7 @@
         self,
         guard: crash_guard.CrashGuard,
         values: raw.Values,
+        may_have_crashed: Callable[[], bool],
         clock: Callable[[], float],
         wall_clock: Callable[[], float],
         log: logs.Log,
@@ -41,6 +43,8 @@
         Args:
           guard: Knows what is refused.
           values: The values in the platform's store.
+          may_have_crashed: Returns whether servers may have crashed before this
+            process started.
           clock: Returns monotonic seconds.
           wall_clock: Returns Unix time, in seconds.
           log: Takes what was read, and failures.
@@ -48,6 +52,7 @@
         """
         self._guard = guard
         self._values = values
+        self._may_have_crashed = may_have_crashed
         self._clock = clock
         self._wall_clock = wall_clock
         self._log = log
@@ -57,9 +62,18 @@
         self._pause_s = 0.0
         self._due_at = clock()
 
+    @property
+    def _is_needed(self) -> bool:
+        return (
+            self._loaded or self._guard.has_crashes or self._may_have_crashed()
+        )
+
     async def update(self) -> None:
-        """Reads once, then writes what has changed; waits after failures."""
-        if self._clock() < self._due_at:
+        """Reads once, then writes what has changed; waits after failures.
+
+        Nothing is read while no server is known to have crashed.
+        """
+        if self._clock() < self._due_at or not self._is_needed:
             return
         try:
             if not self._loaded:
