Stop agents in the soak while they verify staged chunks

Subject `checks`: an agent is stopped for 0.5 to 5 s once it has read some chunks of a new version, and one that it has read turns corrupt; servers take 0.05 to 1.2 s for each reading at times, lose the answers to load orders, refuse orders or restart; agents are killed. The server's side checks each load: every chunk is intact or turned corrupt within the 3 s that the platform excuses, and the oldest reading is no older. The subject `weights` stays as it is, with its 0.5 s.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -5,10 +5,11 @@
 from the seed, and checks guarantees by what callers and servers observe.
 `--subject=signals` has servers that report limits, leave or ask for backoff;
 `--subject=streams` has many open streams beside ever new configurations;
-`--subject=weights` has agents beside model servers; `--subject=versions` has
-entries that restart while a version of weights is due; `--subject=prompts` has
-requests with a part in their prompts that crashes servers. `--guard=NAME`
-disables one guard in a copy of the code: the checks must then find violations.
+`--subject=weights` has agents beside model servers; `--subject=checks` stops
+them while they verify staged pieces; `--subject=versions` has entries that
+restart while a version of weights is due; `--subject=prompts` has requests with
+a part in their prompts that crashes servers. `--guard=NAME` disables one guard
+in a copy of the code: the checks must then find violations.
 """
 
 import argparse
@@ -26,6 +27,7 @@
     str(ROOT / "tests" / "soak"),
 ]
 
+import checks  # noqa: E402
 import entries  # noqa: E402
 import prompts  # noqa: E402
 import server_signals  # noqa: E402
@@ -34,6 +36,7 @@
 import weights  # noqa: E402
 
 SUBJECTS = {
+    "checks": checks.Soak,
     "prompts": prompts.Soak,
     "requests": entries.Soak,
     "signals": server_signals.Soak,
@@ -69,6 +72,11 @@
         "if data is None or digest_of(data) != manifest.digests[number]:",
         "if data is None:",
     ),
+    "check_age": (
+        "src/clementinegw/direct/staging.py",
+        "self._clock = boot_clock",
+        "self._clock = lambda: 0.0",
+    ),
     "server_limit": (
         "src/clementinegw/direct/balance.py",
         "and backend.accepts(now)",
--- a/tests/soak/weights.py
+++ b/tests/soak/weights.py
@@ -47,6 +47,8 @@
       staged: The staged pieces by number.
     """
 
+    max_undetected_s = MAX_UNDETECTED_S
+
     def __init__(self, name, violations):
         self.name = name
         self.start_count = 0
@@ -70,9 +72,12 @@
     def corrupt_staged(self, rng):
         """Corrupts a random staged piece, if there is one."""
         if self.staged:
-            number = rng.choice(sorted(self.staged))
-            self.staged[number] = b"r" * PIECE_BYTES
-            self._corrupted_at[number] = asyncio.get_running_loop().time()
+            self.corrupt(rng.choice(sorted(self.staged)))
+
+    def corrupt(self, number):
+        """Corrupts a staged piece."""
+        self.staged[number] = b"r" * PIECE_BYTES
+        self._corrupted_at[number] = asyncio.get_running_loop().time()
 
     async def start(self, host, port):
         await self._server.listen(shared_types.Address(host, port))
@@ -137,7 +142,7 @@
     def _check_staged(self, version):
         expected = [piece(version, number) for number in range(PIECES)]
         staged = [self.staged.get(number) for number in range(PIECES)]
-        cutoff = asyncio.get_running_loop().time() - MAX_UNDETECTED_S
+        cutoff = asyncio.get_running_loop().time() - self.max_undetected_s
         wrong = [
             number
             for number in range(PIECES)
@@ -191,6 +196,8 @@
       plan: The faults injected, as pairs of a time and a kind.
     """
 
+    server_type = ModelServer
+
     def __init__(self, seed, seconds, code, folder):
         self._rng = random.Random(seed)
         self._seconds = seconds
@@ -207,7 +214,7 @@
         self.store = sites.Store()
         self.origin = Origin(random.Random(seed + 1))
         self.servers = [
-            ModelServer(f"i-{number}", self.violations)
+            self.server_type(f"i-{number}", self.violations)
             for number in range(AGENTS)
         ]
         self.agents = [
@@ -266,8 +273,9 @@
 
     # Faults.
 
-    async def _run_faults(self):
-        actions = {
+    def _actions(self):
+        """Returns the faults by their names."""
+        return {
             "declare": self._fault_declare,
             "two_versions": self._fault_two_versions,
             "kill": self._fault_kill,
@@ -278,6 +286,9 @@
             "origin_link": lambda: self.origin_proxy.inject_fault(self._rng),
             "store_link": lambda: self.store_proxy.inject_fault(self._rng),
         }
+
+    async def _run_faults(self):
+        actions = self._actions()
         running = set()
         while self.now < self._seconds:
             kind = self._rng.choice(sorted(actions))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -39,6 +39,14 @@
     assert faults > 0
 
 
+def test_agents_that_are_stopped_while_they_check_load_intact_weights():
+    """Chunks were loaded that turned corrupt after they had been checked."""
+    violations, loads, faults = run.run_seed(4, seconds=10.0, subject="checks")
+    assert violations == []
+    assert loads > 0
+    assert faults > 0
+
+
 def test_entries_follow_server_signals_under_seeded_faults():
     violations, requests, faults = run.run_seed(
         3, seconds=6.0, subject="signals"
