Read staged chunks back once the load can be ordered

While a load waits for running requests, the agent read all staged chunks back ten times a second, up to a second long, though only the last pass counts. Now they are staged and verified once, and again when the requests have ended or the time for them is over, right before the order.

The time to the order stays: a pass lies between the last look and the order in both cases.

--- a/src/clementinegw/direct/updater.py
+++ b/src/clementinegw/direct/updater.py
@@ -160,6 +160,8 @@
         self._progress_at = 0.0
         self._yielding = False
         self._yielding_since = 0.0
+        # The version that was last staged completely; 0 for none.
+        self._staged_version = 0
 
     @property
     def yielding(self) -> bool:
@@ -409,23 +411,25 @@
         assert self._context.local_server is not None
         observed = self._context.state
         former = await self._context.local_server.state()
+        is_staged = manifest.version == self._staged_version
+        if is_staged and self._must_drain(former, manifest.version, times):
+            return
         verification = await self._fetcher.stager.stage(
             self._context.local_server, manifest
         )
         if verification is None:
             return
+        self._staged_version = manifest.version
         checks_s = self._declared.now - verification.read_at
         state = await self._context.local_server.state()
         # After a restart, the staged chunks and the state that led to this load
         # are gone.
         if state.busy or not _same_start(observed, former, state):
             return
+        if self._must_drain(state, manifest.version, times):
+            return
         now = self._declared.now
         yielded_s = now - self._yielding_since
-        if state.running and now < self._drain_deadline(
-            manifest.version, times
-        ):
-            return
         # Running streams are aborted: they last for seconds, while resuming
         # them at another server takes a quarter of a second.
         unverified_s = now - verification.read_at
@@ -498,6 +502,16 @@
             server_id, server_ids, version, complete_at, latest_at, _SWAP_POLICY
         )
 
+    def _must_drain(
+        self,
+        state: agent_interfaces.ServerState,
+        version: int,
+        times: swap_schedule.SwapTimes,
+    ) -> bool:
+        """Returns whether a load still waits for running requests."""
+        deadline = self._drain_deadline(version, times)
+        return state.running > 0 and self._declared.now < deadline
+
     def _drain_deadline(
         self, version: int, times: swap_schedule.SwapTimes
     ) -> float:
--- a/tests/test_direct_agent.py
+++ b/tests/test_direct_agent.py
@@ -60,6 +60,7 @@
         self.restart_while_staging = False
         self.restart_when_staged = 0
         self.lose_answer = False
+        self.running = 0
         self.read_s = 0.0
         self.readers = 0
         self.max_readers = 0
@@ -75,7 +76,7 @@
         busy = now < self.busy_until
         held = () if busy else self.held
         return agent_interfaces.ServerState(
-            held, busy, self.sequence, 0, 0, 1.0, self.started_ms
+            held, busy, self.sequence, self.running, 0, 1.0, self.started_ms
         )
 
     async def staged(self):
--- a/tests/test_direct_staging.py
+++ b/tests/test_direct_staging.py
@@ -151,6 +151,27 @@
     assert intact == [True, True]
 
 
+def test_staged_chunks_are_not_read_while_a_load_waits_for_requests():
+    """Guards against agents that read all chunks ten times a second."""
+
+    async def scenario():
+        # Of three servers, the last one drains for a second before its load.
+        async with agent_sites.Site() as site:
+            await site.until_all_hold(1)
+            reads = []
+            for server in site.local_servers:
+                server.running = 1
+                server.on_read = reads.append
+            site.declare(2)
+            await site.until_all_hold(2)
+            intact = [server.loads_intact for server in site.local_servers]
+            return len(reads), intact
+
+    reads, intact = agent_sites.run(scenario())
+    assert reads <= 3 * 2 * CHUNKS
+    assert intact == [[True, True]] * 3
+
+
 class Staged:
     """A stager and the server at which it stages one version."""
 
