Load a version in parts where its checks would expire

A server that answers one reading after the other, and needs more than 2.5 s for all chunks, never got a load order on recent checks, however many calls were made side by side: the version was never loaded there.

Now an order that had to wait because the readings took too long halves the share of the layers that the next order loads, or less if the readings took longer; a verification in time doubles it again. Only the chunks of these layers are staged and verified before it. Each order names all layers from the first one on, and the server loads those that it lacks. A verification takes two passes at most.

--- a/src/clementinegw/direct/agent_interfaces.py
+++ b/src/clementinegw/direct/agent_interfaces.py
@@ -78,6 +78,7 @@
         sequence: int,
         abort_running: bool,
         expiry: expiry_lib.Expiry,
+        layers: int | None = None,
     ) -> bool:
         """Orders the server to load the staged chunks.
 
@@ -89,6 +90,8 @@
           abort_running: Whether running requests are aborted; otherwise the
             load waits until they end.
           expiry: Until when the server may accept the order.
+          layers: How many layers the server is to hold, from the first one
+            on; None for all. It loads those of the version that it lacks.
 
         Returns:
           Whether the server has accepted the order or already carried it out.
--- a/src/clementinegw/direct/staging.py
+++ b/src/clementinegw/direct/staging.py
@@ -26,10 +26,10 @@
 _MAX_UNVERIFIED_S = 3.0
 # Chunks that were read back longer ago are read again, in seconds. The rest of
 # the time is left for the last look at the server's state and the order.
-_REREAD_AGE_S = 1.5
-# The most passes of one verification. In each further one, only the chunks that
+REREAD_AGE_S = 1.5
+# The most passes of one verification. In the second one, only the chunks that
 # were read too long ago are read again.
-_MAX_PASSES = 3
+_MAX_PASSES = 2
 # How long a pass over all chunks should take, in seconds. Twice as many calls
 # are made side by side each time that it takes longer, within these limits.
 _PASS_S = 0.3
@@ -42,9 +42,21 @@
     return hashlib.sha256(data).digest()
 
 
+def chunks_of(layers: range, layer_count: int, chunk_count: int) -> range:
+    """Returns the chunks that consecutive layers are loaded from.
+
+    Args:
+      layers: The layers.
+      layer_count: The number of layers of the model.
+      chunk_count: The number of chunks of a version.
+    """
+    first = layers.start * chunk_count // layer_count
+    return range(first, -(-layers.stop * chunk_count // layer_count))
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Verification:
-    """A successful verification of all staged chunks.
+    """A successful verification of staged chunks.
 
     Attributes:
       read_at: When the first of the readings that count was sent, in boot
@@ -122,8 +134,14 @@
         self,
         local_server: agent_interfaces.LocalServer,
         manifest: agent_interfaces.VersionManifest,
+        numbers: range,
     ) -> Verification | None:
-        """Stages every chunk at the server and verifies it by reading it back.
+        """Stages chunks at the server and verifies them by reading them back.
+
+        Args:
+          local_server: The server.
+          manifest: The version's manifest.
+          numbers: The numbers of the chunks.
 
         Returns:
           The verification; None if a chunk was missing or corrupt.
@@ -151,9 +169,8 @@
             self._log.write(_events.STAGED_SPOILT, piece=number)
             return False
 
-        numbers = range(len(manifest.digests))
         for _ in range(_MAX_PASSES):
-            oldest_at = self._clock() - _REREAD_AGE_S
+            oldest_at = self._clock() - REREAD_AGE_S
             due = [n for n in numbers if read_at.get(n, -math.inf) < oldest_at]
             if not due:
                 break
--- a/src/clementinegw/direct/updater.py
+++ b/src/clementinegw/direct/updater.py
@@ -12,6 +12,7 @@
 from clementinegw.direct import instance as instances
 from clementinegw.direct import plan
 from clementinegw.direct import prefetch
+from clementinegw.direct import staging
 from clementinegw.direct import swap_schedule
 from clementinegw.direct import types
 from clementinegw.telemetry import counters as counters_lib
@@ -160,8 +161,10 @@
         self._progress_at = 0.0
         self._yielding = False
         self._yielding_since = 0.0
-        # The version that was last staged completely; 0 for none.
+        # The version of which chunks were last staged; 0 for none.
         self._staged_version = 0
+        # The share of a version's layers that one order loads.
+        self._load_share = 1.0
 
     @property
     def yielding(self) -> bool:
@@ -414,8 +417,11 @@
         is_staged = manifest.version == self._staged_version
         if is_staged and self._must_drain(former, manifest.version, times):
             return
+        layers = self._next_layers(former, manifest.version)
         verification = await self._fetcher.stager.stage(
-            self._context.local_server, manifest
+            self._context.local_server,
+            manifest,
+            staging.chunks_of(layers, self._layer_count, len(manifest.digests)),
         )
         if verification is None:
             return
@@ -428,55 +434,97 @@
             return
         if self._must_drain(state, manifest.version, times):
             return
-        now = self._declared.now
-        yielded_s = now - self._yielding_since
-        # Running streams are aborted: they last for seconds, while resuming
-        # them at another server takes a quarter of a second.
-        unverified_s = now - verification.read_at
+        fields = {
+            "version": manifest.version,
+            "layers": len(layers),
+            "reads": verification.reads,
+            "checks_s": round(checks_s, 3),
+            "unverified_s": round(self._declared.now - verification.read_at, 3),
+        }
         if verification.expiry.left_s < _MIN_ORDER_S:
             self._counters.add("weights.unverified")
-            self._log.write(
-                _events.WEIGHTS_UNVERIFIED,
-                version=manifest.version,
-                reads=verification.reads,
-                checks_s=round(checks_s, 3),
-                unverified_s=round(unverified_s, 3),
-            )
+            self._log.write(_events.WEIGHTS_UNVERIFIED, **fields)
+            if checks_s > staging.REREAD_AGE_S:
+                self._load_share *= min(0.5, staging.REREAD_AGE_S / checks_s)
             return
-        # The sequence is the one from before the chunks were staged: a server
-        # that restarted since has accepted no order and refuses this one.
+        self._load_share = min(1.0, 2 * self._load_share)
+        await self._order(manifest.version, state, verification, layers, fields)
+
+    async def _order(
+        self,
+        version: int,
+        state: agent_interfaces.ServerState,
+        verification: staging.Verification,
+        layers: range,
+        fields: dict[str, float],
+    ) -> None:
+        """Orders a load and logs it.
+
+        Args:
+          version: The version.
+          state: The server's state, which is that from before the chunks were
+            staged: a server that restarted since refuses the order, as it has
+            accepted none.
+          verification: The verification of the chunks.
+          layers: The layers to load.
+          fields: What is logged besides.
+        """
+        assert self._context.local_server is not None
+        now = self._declared.now
+        # Running streams are aborted: they last for seconds, while resuming
+        # them at another server takes a quarter of a second.
         begun = await self._context.local_server.load(
             self._context.model,
-            manifest.version,
-            former.sequence,
+            version,
+            state.sequence,
             abort_running=True,
             expiry=verification.expiry,
+            layers=layers.stop if layers.stop < self._layer_count else None,
         )
         self._counters.add("weights.orders")
-        self._histograms.add(
-            "weights.declared_to_order",
-            self._declared.now - self._declared_at(manifest.version),
-        )
+        after_s = self._declared.now - self._declared_at(version)
+        self._histograms.add("weights.declared_to_order", after_s)
         self._log.write(
             _events.WEIGHTS_ORDERED,
-            version=manifest.version,
             sequence=state.sequence,
             begun=begun,
             running=state.running,
-            yielded_s=round(yielded_s, 3),
-            reads=verification.reads,
-            checks_s=round(checks_s, 3),
-            unverified_s=round(unverified_s, 3),
+            yielded_s=round(now - self._yielding_since, 3),
             order_s=round(self._declared.now - now, 3),
-            after_s=round(
-                self._declared.now - self._declared_at(manifest.version), 3
-            ),
+            after_s=round(after_s, 3),
             received_bytes=self._counters.value("weights.received_bytes"),
             from_afar_bytes=self._counters.value("weights.cross_domain_bytes"),
             drawn_bytes=self._counters.value("weights.drawn_bytes"),
+            **fields,
         )
         await asyncio.sleep(_ORDER_VISIBLE_S)
 
+    @property
+    def _layer_count(self) -> int:
+        """The number of layers of the model."""
+        engine = self._context.engine
+        return max(1, engine.layers if engine is not None else 1)
+
+    def _next_layers(
+        self, state: agent_interfaces.ServerState, version: int
+    ) -> range:
+        """Returns the layers that the next order loads.
+
+        These are all layers, unless the server reads its staged chunks too
+        slowly to verify all of them while the first readings are recent.
+        """
+        loaded = max(
+            (
+                h.layers
+                for h in state.held
+                if h.model == self._context.model and h.version == version
+            ),
+            default=0,
+        )
+        first = loaded if loaded < self._layer_count else 0
+        count = max(1, int(self._load_share * self._layer_count))
+        return range(first, min(first + count, self._layer_count))
+
     def _declared_at(self, version: int) -> float:
         """Returns when a version was declared; now if it never was."""
         for declared in self._declared.for_model(self._context.model):
