Name what a verification consists of

`Stager.stage` is split: a chunk's steps are methods of their own, and the readings of one verification are a value. Concurrent calls are called that. A request gets 504 for its time only if that is why it was withdrawn; other outcomes keep their answers, also behind the deadline. No other change of logic.

--- a/src/clementinegw/direct/attempt.py
+++ b/src/clementinegw/direct/attempt.py
@@ -62,7 +62,8 @@
       service: The service that serves it.
       responder: Sends the answer to the caller.
       deadline: When the final answer is due, in monotonic seconds.
-      expiry: The same time; it also counts while the machine is suspended.
+      expiry: The same in boot time, which also counts while the machine is
+        suspended.
       spent_s: How long the caller has been trying before, in seconds.
       sends: How often it was sent to a server.
       runs: How often it may have begun to run.
--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -509,7 +509,7 @@
         if not self._may_send_again(job):
             return False
         if isinstance(outcome, outcomes.NotRun):
-            if outcome.reason is outcomes.NotRunReason.EXPIRED:
+            if _is_expired(outcome):
                 return False
             job.withdrawals += outcome.reason in _WITHDRAWN_REASONS
             if job.responder.begun:
@@ -545,7 +545,7 @@
     ) -> outcomes.Failed | outcomes.Refusal:
         if isinstance(outcome, outcomes.Failed):
             return outcome
-        if job.expiry.expired:
+        if _is_expired(outcome):
             return outcomes.Refusal(_GATEWAY_TIMEOUT, Reason.TIMEOUT)
         if _is_unreachable(outcome):
             return self._placer.refuse_unreachable(job)
@@ -588,6 +588,14 @@
     )
 
 
+def _is_expired(outcome: outcomes.AttemptOutcome) -> bool:
+    """Returns whether a request's time was out before it could be sent."""
+    return (
+        isinstance(outcome, outcomes.NotRun)
+        and outcome.reason is outcomes.NotRunReason.EXPIRED
+    )
+
+
 async def _cancel(task: asyncio.Task[_Outcome]) -> _Outcome | None:
     """Cancels a task; returns its outcome if it had ended before."""
     task.cancel()
--- a/src/clementinegw/direct/staging.py
+++ b/src/clementinegw/direct/staging.py
@@ -10,6 +10,7 @@
 import collections
 from collections.abc import Callable, Coroutine, Iterable
 import dataclasses
+import functools
 import hashlib
 import math
 from typing import Any
@@ -30,11 +31,11 @@
 # The most passes of one verification. In the second one, only the chunks that
 # were read too long ago are read again.
 _MAX_PASSES = 2
-# How long a pass over all chunks should take, in seconds. Twice as many calls
-# are made side by side each time that it takes longer, within these limits.
+# How long a pass over all chunks should take, in seconds. The number of
+# concurrent calls doubles each time that it takes longer, within these limits.
 _PASS_S = 0.3
-_MIN_CALLS = 2
-_MAX_CALLS = 32
+_MIN_CONCURRENCY = 2
+_MAX_CONCURRENCY = 32
 
 
 def digest_of(data: bytes) -> bytes:
@@ -59,17 +60,32 @@
     """A successful verification of staged chunks.
 
     Attributes:
-      read_at: When the first of the readings that count was sent, in boot
-        seconds.
+      oldest_read_at: When the first of the readings that count was sent, in
+        boot seconds.
       reads: How many chunks were read back.
       expiry: Until when a load order may rely on it.
     """
 
-    read_at: float
+    oldest_read_at: float
     reads: int
     expiry: expiry_lib.Expiry
 
 
+@dataclasses.dataclass(slots=True)
+class _Readings:
+    """The readings of one verification.
+
+    Attributes:
+      staged: The numbers of the chunks that were staged before a pass.
+      count: How many chunks were read, intact or not.
+      sent_at: When each chunk was last read and found intact, in boot seconds.
+    """
+
+    staged: frozenset[int] = frozenset()
+    count: int = 0
+    sent_at: dict[int, float] = dataclasses.field(default_factory=dict)
+
+
 class Stager:
     """Stages versions at one server."""
 
@@ -93,10 +109,10 @@
         self._recheck = recheck
         self._clock = boot_clock
         self._log = log
-        self._calls = _MIN_CALLS
-        self._max_calls = _MAX_CALLS
-        # The digests of the staged chunks as they were last found, by number.
-        self._found: dict[int, bytes] = {}
+        self._concurrency = _MIN_CONCURRENCY
+        self._max_concurrency = _MAX_CONCURRENCY
+        # The digests with which staged chunks were last read, by number.
+        self._staged_digests: dict[int, bytes] = {}
 
     async def restore(
         self,
@@ -114,13 +130,13 @@
             nonlocal restored
             data = await local_server.read_staged(number)
             if data is not None:
-                self._found[number] = digest_of(data)
+                self._staged_digests[number] = digest_of(data)
                 wanted = manifest.digests[number]
                 restored += await self._chunks.put(wanted, data)
             return True
 
         staged = await local_server.staged()
-        await self._run_for_each(
+        await self._run_concurrently(
             [
                 number
                 for number in range(len(manifest.digests))
@@ -149,90 +165,108 @@
         Raises:
           exceptions.BackendError: The server did not answer.
         """
-        read_at: dict[int, float] = {}
-        reads = 0
-
-        async def stage_chunk(number: int) -> bool:
-            nonlocal reads
-            if number in staged and self._may_match(manifest, number):
-                reads += 1
-                if await self._verify(local_server, manifest, number, read_at):
-                    return True
-            data = await self._chunks.get(manifest.digests[number])
-            if data is None:
-                self._recheck()
-                return False
-            await local_server.stage(number, data)
-            reads += 1
-            if await self._verify(local_server, manifest, number, read_at):
-                return True
-            self._log.write(_events.STAGED_SPOILT, piece=number)
-            return False
-
+        readings = _Readings()
+        stage_chunk = functools.partial(
+            self._stage_chunk, local_server, manifest, readings
+        )
         for _ in range(_MAX_PASSES):
             oldest_at = self._clock() - REREAD_AGE_S
-            due = [n for n in numbers if read_at.get(n, -math.inf) < oldest_at]
+            due = [
+                number
+                for number in numbers
+                if readings.sent_at.get(number, -math.inf) < oldest_at
+            ]
             if not due:
                 break
-            staged = await local_server.staged()
-            if not await self._run_for_each(due, stage_chunk):
+            readings.staged = await local_server.staged()
+            if not await self._run_concurrently(due, stage_chunk):
                 return None
         # A server that restarted meanwhile has lost the verified chunks.
         if not set(numbers) <= await local_server.staged():
             return None
-        first_read_at = min(read_at.values())
+        oldest_read_at = min(readings.sent_at.values())
         return Verification(
-            first_read_at,
-            reads,
-            expiry_lib.Expiry(first_read_at + _MAX_UNVERIFIED_S, self._clock),
+            oldest_read_at,
+            readings.count,
+            expiry_lib.Expiry(oldest_read_at + _MAX_UNVERIFIED_S, self._clock),
         )
 
+    async def _stage_chunk(
+        self,
+        local_server: agent_interfaces.LocalServer,
+        manifest: agent_interfaces.VersionManifest,
+        readings: _Readings,
+        number: int,
+    ) -> bool:
+        """Stages a chunk unless it is staged; returns whether it is intact."""
+        if (
+            number in readings.staged
+            and self._may_match(manifest, number)
+            and await self._verify_chunk(
+                local_server, manifest, readings, number
+            )
+        ):
+            return True
+        data = await self._chunks.get(manifest.digests[number])
+        if data is None:
+            self._recheck()
+            return False
+        await local_server.stage(number, data)
+        if await self._verify_chunk(local_server, manifest, readings, number):
+            return True
+        self._log.write(_events.STAGED_SPOILT, piece=number)
+        return False
+
     def _may_match(
         self, manifest: agent_interfaces.VersionManifest, number: int
     ) -> bool:
-        """Returns whether a staged chunk is unknown or was last as wanted."""
+        """Returns whether a staged chunk may be the wanted one.
+
+        It is not if it was last read with another digest.
+        """
         wanted = manifest.digests[number]
-        return self._found.get(number, wanted) == wanted
+        return self._staged_digests.get(number, wanted) == wanted
 
-    async def _verify(
+    async def _verify_chunk(
         self,
         local_server: agent_interfaces.LocalServer,
         manifest: agent_interfaces.VersionManifest,
+        readings: _Readings,
         number: int,
-        read_at: dict[int, float],
     ) -> bool:
-        """Returns whether a staged chunk is intact, and records the time."""
+        """Returns whether a staged chunk is intact, and records the reading."""
         # Not the time of the answer: the server may have read the chunk long
         # before.
         sent_at = self._clock()
+        readings.count += 1
         data = await local_server.read_staged(number)
         if data is None or digest_of(data) != manifest.digests[number]:
-            self._found.pop(number, None)
+            self._staged_digests.pop(number, None)
             return False
-        self._found[number] = manifest.digests[number]
-        read_at[number] = sent_at
+        self._staged_digests[number] = manifest.digests[number]
+        readings.sent_at[number] = sent_at
         return True
 
-    async def _run_for_each(
+    async def _run_concurrently(
         self,
         numbers: Iterable[int],
         step: Callable[[int], Coroutine[Any, Any, bool]],
     ) -> bool:
-        """Runs a step for each number, several of them side by side.
+        """Runs a step for each number, several of them at a time.
 
         Returns:
           Whether all steps returned True; the others are cancelled if not.
 
         Raises:
-          exceptions.BackendError: A step failed. Fewer calls are made side by
-            side from then on, as the server may refuse so many.
+          exceptions.BackendError: A step failed. Fewer run at a time from then
+            on, as the server may refuse so many connections.
         """
         waiting = collections.deque(numbers)
         running: set[asyncio.Task[bool]] = set()
         began_at = grown_at = self._clock()
         try:
             while waiting or running:
-                while waiting and len(running) < self._calls:
+                while waiting and len(running) < self._concurrency:
                     running.add(asyncio.create_task(step(waiting.popleft())))
                 done, _ = await asyncio.wait(
                     running,
@@ -244,17 +278,21 @@
                 running -= done
                 now = self._clock()
                 if now - grown_at >= _PASS_S:
-                    self._calls = min(self._max_calls, 2 * self._calls)
+                    self._concurrency = min(
+                        self._max_concurrency, 2 * self._concurrency
+                    )
                     grown_at = now
         except exceptions.BackendError:
-            self._max_calls = max(_MIN_CALLS, self._calls // 2)
-            self._calls = _MIN_CALLS
+            self._max_concurrency = max(
+                _MIN_CONCURRENCY, self._concurrency // 2
+            )
+            self._concurrency = _MIN_CONCURRENCY
             raise
         finally:
             for task in running:
                 task.cancel()
             await asyncio.gather(*running, return_exceptions=True)
-        self._max_calls = min(_MAX_CALLS, self._max_calls + 1)
+        self._max_concurrency = min(_MAX_CONCURRENCY, self._max_concurrency + 1)
         if self._clock() - began_at < _PASS_S:
-            self._calls = max(_MIN_CALLS, self._calls // 2)
+            self._concurrency = max(_MIN_CONCURRENCY, self._concurrency // 2)
         return True
--- a/src/clementinegw/direct/types.py
+++ b/src/clementinegw/direct/types.py
@@ -465,7 +465,7 @@
 
     Attributes:
       server_id: The only server that may run the request.
-      expiry: When the server's answer comes too late.
+      expiry: Until when an answer of the server is of use.
       customer: The customer's name; empty for a request without a key.
       version: The version that the weights must have; None for any.
       priority: 0 to 9, where 0 is the highest; None leaves it to the server.
--- a/src/clementinegw/direct/updater.py
+++ b/src/clementinegw/direct/updater.py
@@ -426,7 +426,7 @@
         if verification is None:
             return
         self._staged_version = manifest.version
-        checks_s = self._declared.now - verification.read_at
+        checks_s = self._declared.now - verification.oldest_read_at
         state = await self._context.local_server.state()
         # After a restart, the staged chunks and the state that led to this load
         # are gone.
@@ -439,7 +439,9 @@
             "layers": len(layers),
             "reads": verification.reads,
             "checks_s": round(checks_s, 3),
-            "unverified_s": round(self._declared.now - verification.read_at, 3),
+            "unverified_s": round(
+                self._declared.now - verification.oldest_read_at, 3
+            ),
         }
         if verification.expiry.left_s < _MIN_ORDER_S:
             self._counters.add("weights.unverified")
