Load in parts only where more concurrent readings cannot help

Up to 64 readings are made at a time now, in place of 32, and only a verification that began with as many as the server allows, and was too slow all the same, makes the next order smaller. The share grows again only behind a verification that took less than half of the time.

--- a/src/clementinegw/direct/staging.py
+++ b/src/clementinegw/direct/staging.py
@@ -35,7 +35,7 @@
 # concurrent calls doubles each time that it takes longer, within these limits.
 _PASS_S = 0.3
 _MIN_CONCURRENCY = 2
-_MAX_CONCURRENCY = 32
+_MAX_CONCURRENCY = 64
 
 
 def digest_of(data: bytes) -> bytes:
@@ -63,11 +63,13 @@
       oldest_read_at: When the first of the readings that count was sent, in
         boot seconds.
       reads: How many chunks were read back.
+      limited: Whether as many were read at a time as the server allows.
       expiry: Until when a load order may rely on it.
     """
 
     oldest_read_at: float
     reads: int
+    limited: bool
     expiry: expiry_lib.Expiry
 
 
@@ -165,6 +167,7 @@
         Raises:
           exceptions.BackendError: The server did not answer.
         """
+        limited = self._concurrency >= min(len(numbers), self._max_concurrency)
         readings = _Readings()
         stage_chunk = functools.partial(
             self._stage_chunk, local_server, manifest, readings
@@ -188,6 +191,7 @@
         return Verification(
             oldest_read_at,
             readings.count,
+            limited,
             expiry_lib.Expiry(oldest_read_at + _MAX_UNVERIFIED_S, self._clock),
         )
 
--- a/src/clementinegw/direct/updater.py
+++ b/src/clementinegw/direct/updater.py
@@ -446,10 +446,11 @@
         if verification.expiry.left_s < _MIN_ORDER_S:
             self._counters.add("weights.unverified")
             self._log.write(_events.WEIGHTS_UNVERIFIED, **fields)
-            if checks_s > staging.REREAD_AGE_S:
+            if verification.limited and checks_s > staging.REREAD_AGE_S:
                 self._load_share *= min(0.5, staging.REREAD_AGE_S / checks_s)
             return
-        self._load_share = min(1.0, 2 * self._load_share)
+        if 2 * checks_s < staging.REREAD_AGE_S:
+            self._load_share = min(1.0, 2 * self._load_share)
         await self._order(manifest.version, state, verification, layers, fields)
 
     async def _order(
