--- a/tests/test_direct_staging.py
+++ b/tests/test_direct_staging.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+import json
 
 from adapter import weights
 import platform_site
@@ -303,7 +304,7 @@
     assert clocks.run(scenario()) == (None, 0)
 
 
-async def order(handler, valid_s):
+async def order(handler, valid_s, layers=None):
     """Sends a load order to a server.
 
     Returns:
@@ -320,13 +321,12 @@
     valid = expiry.Expiry(began_at + valid_s, clock)
     error = None
     try:
-        await local_server.load("m", 2, 0, True, valid)
+        await local_server.load("m", 2, 0, True, valid, layers)
     except exceptions.BackendError as raised:
         error = type(raised)
     took_s = clock() - began_at
-    calls = len(server.calls)
     await server.stop()
-    return error, calls, took_s
+    return error, server.calls, took_s
 
 
 def test_an_order_is_not_sent_after_a_stop_while_its_connection_opened(
@@ -346,7 +346,7 @@
         return await order(lambda call: call.answer(b"", 202), MAX_UNNOTICED_S)
 
     error, calls, _ = platform_site.run(play())
-    assert (error, calls) == (exceptions.CallExpired, 0)
+    assert (error, calls) == (exceptions.CallExpired, [])
 
 
 def test_an_order_is_given_up_once_its_checks_have_expired():
@@ -356,5 +356,19 @@
         return await order(lambda call: None, 0.7)
 
     error, calls, took_s = platform_site.run(play())
-    assert (error, calls) == (exceptions.BackendStalled, 1)
+    assert (error, len(calls)) == (exceptions.BackendStalled, 1)
     assert took_s == pytest.approx(0.7, abs=0.05)
+
+
+@pytest.mark.parametrize(
+    ("layers", "named"), [(None, {}), (4, {"from": 0, "target": 4})]
+)
+def test_an_order_of_some_layers_names_all_from_the_first_one_on(layers, named):
+    """Guards against a server that drops the layers loaded before."""
+
+    async def play():
+        return await order(lambda call: call.answer(b"", 202), 1.0, layers)
+
+    _, (call,), _ = platform_site.run(play())
+    body = json.loads(call.body)
+    assert {k: body[k] for k in ("from", "target") if k in body} == named
