--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -39,27 +39,31 @@
 
     async def _handle(self, request, responder):
         path, _, query = request.target.partition("?")
-        is_order = path.startswith("/order")
-        fault = ""
-        if is_order:
-            fault, self.order_fault = self.order_fault, ""
+        if path.startswith("/order"):
+            await self._handle_order(request, responder)
+        elif path.startswith("/stage-get") and query:
+            await self._handle_read(query, responder)
+        else:
+            await super()._handle(request, responder)
+
+    async def _handle_order(self, request, responder):
+        fault, self.order_fault = self.order_fault, ""
         if fault == "refused":
             await responder.answer(409, [], b"")
-            return
-        if path.startswith("/stage-get") and query:
-            number = int(query.partition("=")[2])
-            self._read_at[number] = asyncio.get_running_loop().time()
-            # The piece is as it was before the delay.
-            status, body = self._stage_get(query, request.body)
-            self.on_read(number)
-            await asyncio.sleep(self.read_s)
-            await responder.answer(status, [], body)
-            return
-        if fault == "lost":
-            self._order(query, request.body)
+        elif fault == "lost":
+            self._order("", request.body)
             responder.abort()
-            return
-        await super()._handle(request, responder)
+        else:
+            await super()._handle(request, responder)
+
+    async def _handle_read(self, query, responder):
+        number = int(query.partition("=")[2])
+        self._read_at[number] = asyncio.get_running_loop().time()
+        # The piece is as it was before the delay.
+        status, body = self._stage_get(query, b"")
+        self.on_read(number)
+        await asyncio.sleep(self.read_s)
+        await responder.answer(status, [], body)
 
     def _check_staged(self, version, numbers):
         super()._check_staged(version, numbers)
