--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -509,12 +509,12 @@
         if not self._may_send_again(job):
             return False
         if isinstance(outcome, outcomes.NotRun):
-            if _is_expired(outcome):
+            if _is_not_run(outcome, outcomes.NotRunReason.EXPIRED):
                 return False
             job.withdrawals += outcome.reason in _WITHDRAWN_REASONS
             if job.responder.begun:
                 return True
-            if _is_unreachable(outcome):
+            if _is_not_run(outcome, outcomes.NotRunReason.UNREACHABLE):
                 return self._placer.may_reconnect(job)
             return job.withdrawals < _MAX_SENDS
         if isinstance(outcome, outcomes.Failed) and outcome.head.status < 500:
@@ -545,9 +545,9 @@
     ) -> outcomes.Failed | outcomes.Refusal:
         if isinstance(outcome, outcomes.Failed):
             return outcome
-        if _is_expired(outcome):
+        if _is_not_run(outcome, outcomes.NotRunReason.EXPIRED):
             return outcomes.Refusal(_GATEWAY_TIMEOUT, Reason.TIMEOUT)
-        if _is_unreachable(outcome):
+        if _is_not_run(outcome, outcomes.NotRunReason.UNREACHABLE):
             return self._placer.refuse_unreachable(job)
         if job.responder.begun and not self._is_resumable(job):
             return self._placer.refuse(job, Reason.NOT_RESUMABLE)
@@ -580,20 +580,11 @@
     return outcome.reason is outcomes.LostReason.BROKEN and not expected
 
 
-def _is_unreachable(outcome: outcomes.AttemptOutcome) -> bool:
-    """Returns whether an attempt failed to connect: nothing was sent."""
-    return (
-        isinstance(outcome, outcomes.NotRun)
-        and outcome.reason is outcomes.NotRunReason.UNREACHABLE
-    )
-
-
-def _is_expired(outcome: outcomes.AttemptOutcome) -> bool:
-    """Returns whether a request's time was out before it could be sent."""
-    return (
-        isinstance(outcome, outcomes.NotRun)
-        and outcome.reason is outcomes.NotRunReason.EXPIRED
-    )
+def _is_not_run(
+    outcome: outcomes.AttemptOutcome, reason: outcomes.NotRunReason
+) -> bool:
+    """Returns whether nothing was sent in an attempt, for a given reason."""
+    return isinstance(outcome, outcomes.NotRun) and outcome.reason is reason
 
 
 async def _cancel(task: asyncio.Task[_Outcome]) -> _Outcome | None:
