Do not compute the digest of a foreign staged chunk twice

At an agent's start every staged chunk was hashed once to note its digest and once more by the store, which then rejected those of another version. They are left out now by the digest that was just noted. The same chunks are kept.

--- a/src/clementinegw/direct/staging.py
+++ b/src/clementinegw/direct/staging.py
@@ -133,8 +133,9 @@
             data = await local_server.read_staged(number)
             if data is not None:
                 self._staged_digests[number] = digest_of(data)
-                wanted = manifest.digests[number]
-                restored += await self._chunks.put(wanted, data)
+                if self._may_match(manifest, number):
+                    wanted = manifest.digests[number]
+                    restored += await self._chunks.put(wanted, data)
             return True
 
         staged = await local_server.staged()
