Log and count how the retry budget is used

retry_budget has the requests, the retries, the number of entries that the budget is divided by and the age of the process; direct.retry.granted, refused and returned count decisions. What Forwarder knew of budgets moves to RetryBudgets, without a change of behaviour. Two tests that read private windows read the counters.

--- a/src/clementinegw/direct/_events.py
+++ b/src/clementinegw/direct/_events.py
@@ -137,6 +137,15 @@
     " of the answer the caller was sent, `parts` which parts of its prompt"
     " other requests share.",
 )
+RETRY_BUDGET = events.define(
+    951,
+    "retry_budget",
+    _INFO,
+    "A retry was granted or refused; at most one line a second and service."
+    " `requests` and `retries` are this entry's in the window of the budget,"
+    " `entries` is the number of entries that it divides the budget by, and"
+    " `up_s` how long it has been running.",
+)
 REQUEST_REFUSED = events.define(
     912,
     "request_refused",
--- a/src/clementinegw/direct/budget.py
+++ b/src/clementinegw/direct/budget.py
@@ -106,6 +106,19 @@
         """Removes a customer's newest retry: it was not sent."""
         self._retries.remove_newest(customer)
 
+    def state(self, now: float) -> dict[str, float]:
+        """Returns the log fields of the budget.
+
+        Args:
+          now: Monotonic seconds.
+        """
+        self._expire(now)
+        return {
+            "requests": len(self._requests),
+            "retries": len(self._retries),
+            "entries": self.entries,
+        }
+
     def _customer_share(self, customer: str) -> float:
         """Returns the fraction of the budget that a customer may use."""
         if len(self._requests.by_customer) < 2:
--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -19,6 +19,7 @@
 from clementinegw.direct import outcomes
 from clementinegw.direct import placement
 from clementinegw.direct import queue
+from clementinegw.direct import retry_budgets
 from clementinegw.direct import server as servers
 from clementinegw.direct import types
 from clementinegw.direct import version_policy
@@ -104,7 +105,6 @@
         self._config_view = config_view
         self._balancer = balancer
         self._versions = versions
-        self._retry_limits = retry_limits
         self._rng = rng
         self._clock = clock
         self._log = log
@@ -131,7 +131,9 @@
         self._finisher = finisher.RequestFinisher(
             codec, config_view, clock, log, counters, histograms
         )
-        self._budgets: dict[str, budgets.RetryBudget] = {}
+        self._retry_budgets = retry_budgets.RetryBudgets(
+            retry_limits, lambda: balancer.entries, clock, log, counters
+        )
         self._caller_timeouts = admit.CallerTimeouts()
 
     async def handle(
@@ -253,7 +255,7 @@
             spent_s,
             answer_memory=buffer_budget.AnswerMemory(self._buffers),
         )
-        self._budget(service).record_request(self._clock(), job.customer_name)
+        self._retry_budgets.record_request(service, job.customer_name)
         return job
 
     def _expiry(self, deadline: float) -> expiry_lib.Expiry:
@@ -291,7 +293,7 @@
         finally:
             if job.takeover is not None:
                 job.takeover.release()
-                self._budget(job.service).refund(job.customer_name)
+                self._retry_budgets.refund(job.service, job.customer_name)
         if job.responder.begun:
             if isinstance(outcome, outcomes.Failed):
                 # Another server's events were sent: no second head can follow.
@@ -314,7 +316,7 @@
             reservation.release()
             if sends and job.sends == sends:
                 # Nothing reached the server.
-                self._budget(job.service).refund(job.customer_name)
+                self._retry_budgets.refund(job.service, job.customer_name)
 
     async def _reserve(
         self, job: attempts.Job
@@ -334,9 +336,7 @@
             reservation = await self._placer.reserve(job)
             if isinstance(reservation, outcomes.Refusal) or not job.sends:
                 return reservation
-            if self._budget(job.service).try_acquire(
-                self._clock(), job.customer_name
-            ):
+            if self._retry_budgets.try_acquire(job.service, job.customer_name):
                 return reservation
             reservation.release()
             if not begun:
@@ -348,9 +348,9 @@
         Returns:
           False if it does not before the request can be resumed no more.
         """
-        retry_budget = self._budget(job.service)
         latest = self._placer.latest_resumption(job)
-        while not retry_budget.allows(now := self._clock(), job.customer_name):
+        while not self._retry_budgets.allows(job.service, job.customer_name):
+            now = self._clock()
             if now >= latest:
                 return False
             await asyncio.sleep(min(_BUDGET_CHECK_S, latest - now))
@@ -367,17 +367,17 @@
         Returns:
           False if no other server may take the request over now.
         """
-        retry_budget = self._budget(job.service)
+        service, customer = job.service, job.customer_name
         if (
             not self._may_run_again(job, job.runs + 1)
             or self._guard.refuses(job)
-            or not retry_budget.allows(self._clock(), job.customer_name)
+            or not self._retry_budgets.allows(service, customer)
         ):
             return False
         reservation = self._placer.reserve_alternative(job, backend)
         if reservation is None:
             return False
-        if not retry_budget.try_acquire(self._clock(), job.customer_name):
+        if not self._retry_budgets.try_acquire(service, customer):
             reservation.release()
             return False
         job.takeover = reservation
@@ -459,9 +459,7 @@
 
     def set_retry_limits(self, retry_limits: budgets.Limits) -> None:
         """Applies changed limits to all retry budgets."""
-        self._retry_limits = retry_limits
-        for budget in self._budgets.values():
-            budget.limits = retry_limits
+        self._retry_budgets.set_limits(retry_limits)
 
     def _record_failure(
         self,
@@ -559,15 +557,6 @@
         """Returns whether another server may send the rest of an answer."""
         return job.match.route.idempotent and job.last_event_id is not None
 
-    def _budget(self, service: str) -> budgets.RetryBudget:
-        budget = self._budgets.get(service)
-        if budget is None:
-            budget = self._budgets[service] = budgets.RetryBudget(
-                self._retry_limits
-            )
-        budget.entries = self._balancer.entries
-        return budget
-
 
 def _is_crash(
     outcome: outcomes.AttemptOutcome, backend: backend_lib.Backend
--- /dev/null
+++ b/src/clementinegw/direct/retry_budgets.py
@@ -0,0 +1,90 @@
+"""Grants retries within the budget of each service; logs and counts them."""
+
+from collections.abc import Callable
+import math
+
+from clementinegw.direct import _events
+from clementinegw.direct import budget as budget_lib
+from clementinegw.telemetry import counters as counters_lib
+from clementinegw.telemetry import logs
+
+# The shortest time between two log lines on the budget of a service, in
+# seconds.
+_LOG_INTERVAL_S = 1.0
+
+
+class RetryBudgets:
+    """Grants retries to requests, within the budget of their service."""
+
+    def __init__(
+        self,
+        limits: budget_lib.Limits,
+        entries: Callable[[], int],
+        clock: Callable[[], float],
+        log: logs.Log,
+        counters: counters_lib.Counters,
+    ):
+        """Starts without any service.
+
+        Args:
+          limits: What the operators allow of retries.
+          entries: Returns how many entries share the budgets; 0 if unknown.
+          clock: Returns monotonic seconds.
+          log: Takes the state of a budget when it is used.
+          counters: Count granted, refused and returned retries.
+        """
+        self._limits = limits
+        self._entries = entries
+        self._clock = clock
+        self._log = log
+        self._counters = counters
+        self._budgets: dict[str, budget_lib.RetryBudget] = {}
+        self._logged_at: dict[str, float] = {}
+        self._started_at = clock()
+
+    def set_limits(self, limits: budget_lib.Limits) -> None:
+        """Applies changed limits to all budgets."""
+        self._limits = limits
+        for budget in self._budgets.values():
+            budget.limits = limits
+
+    def record_request(self, service: str, customer: str) -> None:
+        """Counts a request of a customer's caller."""
+        self._of(service).record_request(self._clock(), customer)
+
+    def allows(self, service: str, customer: str) -> bool:
+        """Returns whether a retry for a customer is within the budget."""
+        return self._of(service).allows(self._clock(), customer)
+
+    def try_acquire(self, service: str, customer: str) -> bool:
+        """Counts a retry if the budget allows it; returns whether it does."""
+        granted = self._of(service).try_acquire(self._clock(), customer)
+        result = "granted" if granted else "refused"
+        self._counters.add(f"direct.retry.{result}")
+        self._log_state(service)
+        return granted
+
+    def refund(self, service: str, customer: str) -> None:
+        """Returns a customer's newest retry to the budget: it was not sent."""
+        self._of(service).refund(customer)
+        self._counters.add("direct.retry.returned")
+
+    def _of(self, service: str) -> budget_lib.RetryBudget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = budget_lib.RetryBudget(self._limits)
+            self._budgets[service] = budget
+        budget.entries = self._entries()
+        return budget
+
+    def _log_state(self, service: str) -> None:
+        now = self._clock()
+        if now - self._logged_at.get(service, -math.inf) < _LOG_INTERVAL_S:
+            return
+        self._logged_at[service] = now
+        self._log.write(
+            _events.RETRY_BUDGET,
+            service=service,
+            **self._of(service).state(now),
+            up_s=round(now - self._started_at, 1),
+        )
--- a/tests/test_direct_reach.py
+++ b/tests/test_direct_reach.py
@@ -169,6 +169,12 @@
     assert sites.run(play()) == {200}
 
 
+def charged_retries(site):
+    counters = site.entry._counters
+    returned = counters.value("direct.retry.returned")
+    return counters.value("direct.retry.granted") - returned
+
+
 @pytest.mark.parametrize("path", ["/once/1", "/safe/1", "/stream/1"])
 def test_unreachable_server_uses_no_retry_budget(monkeypatch, path):
     """Without a connection nothing is sent that could count as a retry."""
@@ -179,7 +185,8 @@
             unreachable.cut(site)
             for number in range(30):
                 await site.ask(path, attempt_id=f"b{number}")
-            budget = site.entry._forwarder._budget("plain")
-            return len(budget._retries), sum(len(s.calls) for s in site.servers)
+            return charged_retries(site), sum(
+                len(s.calls) for s in site.servers
+            )
 
     assert sites.run(play()) == (0, 0)
--- a/tests/test_direct_resumption.py
+++ b/tests/test_direct_resumption.py
@@ -379,7 +379,7 @@
             forwarder = site.entry._forwarder
             forwarder.set_retry_limits(budget.Limits(slack=1e4))
             await site.ask("/stream/1")
-            return len(forwarder._budgets["plain"]._retries)
+            return site.entry._counters.value("direct.retry.granted")
 
     assert sites.run(play()) == 1
 
