--- /dev/null
+++ b/tests/test_direct_retry_fleet.py
@@ -0,0 +1,220 @@
+"""The retry budget over all entries, while these restart and callers move."""
+
+import bisect
+import collections
+import dataclasses
+import heapq
+import random
+
+import pytest
+
+from clementinegw.direct import budget
+
+LIMITS = budget.Limits(ratio=0.2, slack=104.0, window_s=10.0)
+ENTRIES = 8
+REQUESTS_PER_S = 110.0
+CUSTOMERS = 10
+LENGTH_S = 60.0
+# Requests that servers fail are sent this often in all.
+MAX_SENDS = 3
+
+
+@dataclasses.dataclass(order=True)
+class _Send:
+    at: float
+    entry: int
+    start: int
+    customer: str
+    number: int
+
+
+class Fleet:
+    """Entries that retry all that fails, as their own budgets allow.
+
+    Attributes:
+      requests: When callers sent requests, in seconds.
+      retries: When servers got a request again, in seconds.
+    """
+
+    def __init__(self, seed, failing, restarts=(), open_entries=None):
+        """Initializes the fleet.
+
+        Args:
+          seed: Draws requests, failures and delays.
+          failing: Returns the share of requests that servers fail at a time.
+          restarts: Pairs of a time and the entries that then restart.
+          open_entries: Returns the entries that callers connect to at a time.
+        """
+        self._rng = random.Random(seed)
+        self._failing = failing
+        self._restarts = collections.deque(sorted(restarts))
+        self._open_entries = open_entries or (lambda now: range(ENTRIES))
+        self._budgets = [self._new_budget() for _ in range(ENTRIES)]
+        self._starts = [0] * ENTRIES
+        self._sends = []
+        self.requests = []
+        self.retries = []
+
+    def _new_budget(self):
+        one = budget.RetryBudget(LIMITS)
+        one.entries = ENTRIES
+        return one
+
+    def run(self):
+        now = 0.0
+        while now < LENGTH_S:
+            now += self._rng.expovariate(REQUESTS_PER_S)
+            self._send_until(now)
+            entry = self._rng.choice(list(self._open_entries(now)))
+            customer = f"c{self._rng.randrange(CUSTOMERS)}"
+            self.requests.append(now)
+            self._budgets[entry].record_request(now, customer)
+            self._push(now, entry, customer, 1)
+        return self
+
+    def _push(self, now, entry, customer, number):
+        at = now + self._rng.uniform(0.005, 0.3)
+        start = self._starts[entry]
+        heapq.heappush(self._sends, _Send(at, entry, start, customer, number))
+
+    def _send_until(self, now):
+        while self._sends and self._sends[0].at <= now:
+            send = heapq.heappop(self._sends)
+            self._restart_until(send.at)
+            if self._starts[send.entry] != send.start:
+                continue
+            if send.number > 1:
+                self.retries.append(send.at)
+            if self._rng.random() >= self._failing(send.at):
+                continue
+            one = self._budgets[send.entry]
+            if send.number < MAX_SENDS and one.try_acquire(
+                send.at, send.customer
+            ):
+                self._push(send.at, send.entry, send.customer, send.number + 1)
+        self._restart_until(now)
+
+    def _restart_until(self, now):
+        while self._restarts and self._restarts[0][0] <= now:
+            for entry in self._restarts.popleft()[1]:
+                self._budgets[entry] = self._new_budget()
+                self._starts[entry] += 1
+
+    @property
+    def excess(self):
+        """By how much the retries of a window exceed what is allowed."""
+        window_s = LIMITS.window_s
+        worst = -LIMITS.slack
+        for index, begin in enumerate(self.retries):
+            end = bisect.bisect_left(self.retries, begin + window_s)
+            most = max(
+                self._requests_between(
+                    begin - before, begin - before + window_s
+                )
+                for before in (0.0, window_s / 2, window_s)
+            )
+            allowed = LIMITS.ratio * most + LIMITS.slack
+            worst = max(worst, end - index - allowed)
+        return worst
+
+    def _requests_between(self, begin, end):
+        first = bisect.bisect_left(self.requests, begin)
+        return bisect.bisect_left(self.requests, end) - first
+
+
+ALL = tuple(range(ENTRIES))
+
+
+def every(interval_s, entries=ALL):
+    count = int(LENGTH_S / interval_s)
+    return [(interval_s * n, entries) for n in range(1, count)]
+
+
+def one_by_one(interval_s):
+    count = int(LENGTH_S / interval_s)
+    return [(interval_s * n, (n % ENTRIES,)) for n in range(1, count)]
+
+
+@pytest.mark.parametrize("share", [0.1, 0.6, 1.0])
+def test_fleet_keeps_the_retry_budget(share):
+    """Guards the sum over all entries while servers fail."""
+    fleets = [Fleet(seed, lambda now: share).run() for seed in range(3)]
+    assert max(fleet.excess for fleet in fleets) <= 0
+
+
+def test_restarts_of_all_entries_do_not_renew_the_retry_budget():
+    """Servers got more retries than allowed after all entries restarted."""
+    fleets = [
+        Fleet(seed, lambda now: 1.0, every(interval_s)).run()
+        for seed in range(3)
+        for interval_s in (2.5, 6.0, 11.0)
+    ]
+    assert max(fleet.excess for fleet in fleets) <= 0
+
+
+def test_rolling_restarts_do_not_renew_the_retry_budget():
+    """Servers got more retries than allowed while entries were replaced."""
+    fleets = [
+        Fleet(seed, lambda now, share=share: share, one_by_one(1.1)).run()
+        for seed in range(3)
+        for share in (0.6, 1.0)
+    ]
+    assert max(fleet.excess for fleet in fleets) <= 0
+
+
+def test_a_restart_after_a_burst_does_not_renew_the_retry_budget():
+    """Servers failed all at once, and the entries restarted a second later."""
+    fleets = [
+        Fleet(seed, lambda now: float(now >= 30.0), [(31.0, ALL)]).run()
+        for seed in range(3)
+    ]
+    assert max(fleet.excess for fleet in fleets) <= 0
+
+
+def test_callers_that_move_do_not_renew_the_retry_budget():
+    """Other entries granted retries anew for the callers of ended ones."""
+    fleets = [
+        Fleet(
+            seed,
+            lambda now: float(now >= 30.0),
+            open_entries=lambda now: ALL if now < 31.0 else ALL[4:],
+        ).run()
+        for seed in range(3)
+    ]
+    assert max(fleet.excess for fleet in fleets) <= 0
+
+
+def draw_fleet(seed):
+    """Returns a fleet with restarts, failures and moves at drawn times."""
+    rng = random.Random(seed)
+    failures = [
+        (at, at + rng.uniform(1.0, 15.0), rng.choice((0.3, 0.6, 1.0)))
+        for at in (rng.uniform(10.0, 50.0) for _ in range(3))
+    ]
+    restarts = [
+        (at, tuple(rng.sample(ALL, rng.randint(1, ENTRIES))))
+        for at in (rng.uniform(10.0, 50.0) for _ in range(8))
+    ]
+    moves = [
+        (at, at + rng.uniform(1.0, 10.0), rng.sample(ALL, rng.randint(2, 6)))
+        for at in (rng.uniform(10.0, 50.0) for _ in range(2))
+    ]
+
+    def failing(now):
+        return max(
+            (share for begin, end, share in failures if begin <= now < end),
+            default=0.02,
+        )
+
+    def open_entries(now):
+        return next(
+            (some for begin, end, some in moves if begin <= now < end), ALL
+        )
+
+    return Fleet(seed, failing, restarts, open_entries)
+
+
+def test_drawn_restarts_and_failures_keep_the_retry_budget():
+    """Guards the budget where restarts, failures and moves coincide."""
+    fleets = [draw_fleet(seed).run() for seed in range(12)]
+    assert max(fleet.excess for fleet in fleets) <= 0
