Divide the slack of retries by entries behind a cut, too

Cause: an entry divides the slack by the entries that agents report. One that starts behind a cut hears only agents on its side, which know only the entries there: three entries in place of nine took three times their share. An entry that was there before the cut keeps the last reports of all and is not affected.

Red before: an entry that heard the agents of one of three failure domains, with three entries, granted 21 retries in ten seconds; nine such entries 189, and the slack is 100. With the mend a failure domain of which no agent was heard counts as having as many entries.

The entries are counted once a second, not at each request: the count takes a pass over all servers.

--- a/src/clementinegw/direct/balance.py
+++ b/src/clementinegw/direct/balance.py
@@ -111,6 +111,21 @@
         """Number of entries as reported by agents; 0 if none reports it."""
         return max((b.entries for b in self._servers.all()), default=0)
 
+    @property
+    def possible_entries(self) -> int:
+        """Number of entries that may be running; 0 if none is reported.
+
+        Agents report the entries that reach them. Failure domains of which no
+        agent has been heard may be cut off and have as many entries.
+        """
+        heard = {
+            b.server.failure_domain for b in self._servers.all() if b.entries
+        }
+        if not heard:
+            return 0
+        domains = heard.union(self._regions)
+        return math.ceil(self.entries * len(domains) / len(heard))
+
     def set_regions(self, regions: dict[str, str]) -> None:
         """Sets the region of each failure domain."""
         self._regions = regions
--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -132,7 +132,11 @@
             codec, config_view, clock, log, counters, histograms
         )
         self._retry_budgets = retry_budgets.RetryBudgets(
-            retry_limits, lambda: balancer.entries, clock, log, counters
+            retry_limits,
+            lambda: balancer.possible_entries,
+            clock,
+            log,
+            counters,
         )
         self._caller_timeouts = admit.CallerTimeouts()
 
--- a/src/clementinegw/direct/retry_budgets.py
+++ b/src/clementinegw/direct/retry_budgets.py
@@ -11,6 +11,9 @@
 # The shortest time between two log lines on the budget of a service, in
 # seconds.
 _LOG_INTERVAL_S = 1.0
+# How often the entries are counted, which takes a pass over all servers, in
+# seconds.
+_COUNT_INTERVAL_S = 1.0
 
 
 class RetryBudgets:
@@ -34,13 +37,15 @@
           counters: Count granted, refused and returned retries.
         """
         self._limits = limits
-        self._entries = entries
+        self._count_entries = entries
         self._clock = clock
         self._log = log
         self._counters = counters
         self._budgets: dict[str, budget_lib.RetryBudget] = {}
         self._logged_at: dict[str, float] = {}
         self._started_at = clock()
+        self._entries = 0
+        self._counted_at = -math.inf
 
     def set_limits(self, limits: budget_lib.Limits) -> None:
         """Applies changed limits to all budgets."""
@@ -74,7 +79,11 @@
         if budget is None:
             budget = budget_lib.RetryBudget(self._limits)
             self._budgets[service] = budget
-        budget.entries = self._entries()
+        now = self._clock()
+        if now - self._counted_at >= _COUNT_INTERVAL_S:
+            self._counted_at = now
+            self._entries = self._count_entries()
+        budget.entries = self._entries
         return budget
 
     def _log_state(self, service: str) -> None:
--- a/tests/test_direct_retry_fleet.py
+++ b/tests/test_direct_retry_fleet.py
@@ -1,14 +1,17 @@
 """The retry budget over all entries, while these restart and callers move."""
 
+import asyncio
 import bisect
 import collections
 import dataclasses
 import heapq
 import random
 
+import platform_site as sites
 import pytest
 
 from clementinegw.direct import budget
+from clementinegw.direct import reports
 
 LIMITS = budget.Limits(ratio=0.2, slack=104.0, window_s=10.0)
 ENTRIES = 8
@@ -218,3 +221,38 @@
     """Guards the budget where restarts, failures and moves coincide."""
     fleets = [draw_fleet(seed).run() for seed in range(12)]
     assert max(fleet.excess for fleet in fleets) <= 0
+
+
+class CutOffSite(sites.Site):
+    """An entry that started behind a cut, with a third of all entries."""
+
+    regions = {"d1": "r1", "d2": "r1", "d3": "r2"}
+
+    async def report_for(self, seconds):
+        """Reports ten times a second from the only reachable agent."""
+        for _ in range(round(10 * seconds)):
+            report = reports.Report("i-1", 0, 0, 8, entries=3)
+            self.entry._on_report("127.0.0.1", report)
+            await asyncio.sleep(0.1)
+
+    async def granted_in_a_window(self):
+        """Returns how many retries are granted in ten seconds."""
+        await self.ask("/safe/1")
+        await self.report_for(30.0)
+        granted = 0
+        for _ in range(100):
+            await self.report_for(0.1)
+            budgets = self.entry._forwarder._retry_budgets
+            while budgets.try_acquire("plain", ""):
+                granted += 1
+        return granted
+
+
+def test_an_entry_behind_a_cut_leaves_others_their_share_of_the_slack():
+    """Entries that started behind a cut divided the slack among themselves."""
+
+    async def play():
+        async with CutOffSite("i-1", "i-2", "i-3") as site:
+            return await site.granted_in_a_window()
+
+    assert 9 * sites.run(play()) <= budget.Limits().slack
