Show that entries miss changes after the store comes back from a copy

The stand-in of the store can be restored from a copy: offsets go back and are given out again, all answers carry Store-Era, and a read from an offset that it does not have gets 410.

--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -53,6 +53,7 @@
       generation: The generation of the groups.
       link_bytes_per_s: The rate of the link that all callers share; None for
         an unlimited one.
+      era: How often the store was restored from a copy, plus one.
     """
 
     def __init__(self, link_bytes_per_s=None):
@@ -71,6 +72,7 @@
         self.members = {}
         self.generation = 0
         self.link_bytes_per_s = link_bytes_per_s
+        self.era = 1
         self._link = asyncio.Lock()
         self._appended = asyncio.Event()
         self._cut = asyncio.Event()
@@ -101,6 +103,28 @@
         """Drops the history of a topic except each key's newest record."""
         self._first[topic] = len(self.topics[topic])
 
+    def copy(self):
+        """Returns a copy to restore the store from."""
+        return {
+            topic: (list(records), self._first[topic])
+            for topic, records in self.topics.items()
+        }
+
+    def restore(self, copy):
+        """Replaces all topics by a copy and gives offsets out again."""
+        self.topics = {topic: list(copy[topic][0]) for topic in copy}
+        self._first = {topic: copy[topic][1] for topic in copy}
+        self.members = {}
+        self.generation = 0
+        self.era += 1
+        self.cut()
+
+    def _has_offset(self, topic, offset):
+        return self._first[topic] <= offset <= len(self.topics[topic])
+
+    def _headers(self):
+        return [(b"Store-Era", str(self.era).encode())]
+
     async def _handle(self, request, responder):
         self.calls += 1
         self.sessions.add(responder._session)
@@ -109,7 +133,7 @@
             await responder.disconnected
             return
         if self.status != 200:
-            await responder.answer(self.status, [], b"")
+            await responder.answer(self.status, self._headers(), b"")
             return
         path, _, text = request.target.partition("?")
         query = dict(part.split("=") for part in text.split("&") if part)
@@ -123,8 +147,8 @@
         elif path == "/log-append":
             self._append(query["topic"], request.body)
             body = b"{}"
-        elif int(query["from"]) < self._first[query["topic"]]:
-            await responder.answer(410, [], b"{}")
+        elif not self._has_offset(query["topic"], int(query["from"])):
+            await responder.answer(410, self._headers(), b"{}")
             return
         else:
             self.reads += 1
@@ -134,13 +158,13 @@
             return
         self.bytes_out += len(body)
         if self.link_bytes_per_s is None:
-            await responder.answer(200, [], body)
+            await responder.answer(200, self._headers(), body)
         else:
             await self._send(responder, body)
 
     async def _send(self, responder, body):
         """Sends a body over the shared link, interleaved with others."""
-        await responder.begin(200, [])
+        await responder.begin(200, self._headers())
         for start in range(0, len(body), _LINK_TURN_BYTES):
             part = body[start : start + _LINK_TURN_BYTES]
             async with self._link:
--- /dev/null
+++ b/tests/test_platform_restored.py
@@ -0,0 +1,164 @@
+"""Tests for a store that is restored from a copy some seconds old."""
+
+import asyncio
+
+import platform_site
+import pytest
+import test_platform_relay as relays
+
+# The times within which a change must be in force and a leaving server get its
+# last request, in seconds.
+CHANGE_S = 2.0
+DRAIN_S = 2.0
+OTHER_KEY = "another-key"
+
+
+def put_config(store, version, **fields):
+    store.put("keyed.op", "config", platform_site.config(version, **fields))
+
+
+def put(site, server, **fields):
+    record = server.record(**fields)
+    site.store.put("keyed.servers", server.name, record)
+
+
+async def send_requests(site, until_s):
+    """Sends requests for `until_s` seconds and returns their statuses."""
+    end = asyncio.get_running_loop().time() + until_s
+    statuses = set()
+    while asyncio.get_running_loop().time() < end:
+        statuses.add((await site.ask()).status)
+        await asyncio.sleep(0.03)
+    return statuses
+
+
+async def be_down(store, seconds):
+    """Resets all calls for some time; the store is then back."""
+    store.status = 503
+    store.cut()
+    await asyncio.sleep(seconds)
+    store.status = 200
+
+
+async def restore_under_entries(count, down_s, rewritten):
+    """Returns how long all entries take to know the last change."""
+    async with relays.Domain(count) as domain:
+        put_config(domain.store, 1)
+        await domain.until(1, 5.0)
+        await asyncio.sleep(4.0)
+        copy = domain.store.copy()
+        put_config(domain.store, 2)
+        await domain.until(2, CHANGE_S)
+        await asyncio.sleep(2.0)
+        await be_down(domain.store, down_s)
+        domain.store.restore(copy)
+        for version in range(3, 3 + rewritten):
+            put_config(domain.store, version)
+        return await domain.until(2 + rewritten, 10.0)
+
+
+@pytest.mark.parametrize("count", [1, 4])
+def test_a_change_at_an_offset_given_out_again_reaches_all(count):
+    """Entries went on at their former offset and never read a change."""
+    for down_s in (0.0, 0.5):
+        for rewritten in (1, 3):
+            play = restore_under_entries(count, down_s, rewritten)
+            assert platform_site.run(play) < CHANGE_S
+
+
+def test_a_key_revoked_after_the_restoration_is_refused():
+    """Requests ran under a key that had been taken away."""
+
+    async def play():
+        async with platform_site.Site("a") as site:
+            keys = [platform_site.KEY, OTHER_KEY]
+            tenants = [{"name": "one", "api_keys": keys}]
+            copy = site.store.copy()
+            put_config(site.store, 2, tenants=tenants)
+            await asyncio.sleep(2.0)
+            site.store.restore(copy)
+            tenants = [{"name": "one", "api_keys": [OTHER_KEY]}]
+            put_config(site.store, 4, tenants=tenants)
+            await asyncio.sleep(CHANGE_S)
+            return (await site.ask()).status
+
+    assert platform_site.run(play()) == 401
+
+
+def test_a_server_that_leaves_after_the_restoration_gets_no_requests():
+    """Entries never read that a server was leaving."""
+
+    async def play():
+        async with platform_site.Site("a", "b") as site:
+            leaving, stays = site.servers
+            copy = site.store.copy()
+            put(site, stays, sequence=2)
+            await asyncio.sleep(1.0)
+            site.store.restore(copy)
+            put(site, leaving, state="draining", sequence=3)
+            left_at = asyncio.get_running_loop().time()
+            assert await send_requests(site, 5.0) == {200}
+            return leaving.last_call_at - left_at
+
+    assert platform_site.run(play()) < DRAIN_S
+
+
+@pytest.mark.parametrize("state", ["draining", None])
+def test_a_copy_does_not_list_a_server_again_that_left(state):
+    """A server that had left was listed as ready by the copy."""
+
+    async def play():
+        async with platform_site.Site("a", "b") as site:
+            leaving, stays = site.servers
+            put(site, leaving, sequence=2)
+            await asyncio.sleep(1.0)
+            copy = site.store.copy()
+            if state:
+                put(site, leaving, state=state, sequence=3)
+            else:
+                site.store.put("keyed.servers", leaving.name, None)
+            left_at = asyncio.get_running_loop().time()
+            await send_requests(site, 1.0)
+            site.store.restore(copy)
+            put(site, stays, sequence=4)
+            assert await send_requests(site, 4.0) == {200}
+            return leaving.last_call_at - left_at
+
+    assert platform_site.run(play()) < DRAIN_S
+
+
+def test_a_server_that_the_copy_lacks_serves_until_it_is_listed_again():
+    """The only server was dropped until its next write to the store."""
+
+    async def play():
+        async with platform_site.Site("a") as site:
+            (server,) = site.servers
+            site.store.put("keyed.servers", server.name, None)
+            copy = site.store.copy()
+            put(site, server, sequence=2)
+            await asyncio.sleep(1.0)
+            site.store.restore(copy)
+            before = await send_requests(site, 1.2)
+            put(site, server, sequence=3)
+            return before | await send_requests(site, 2.0)
+
+    assert platform_site.run(play()) == {200}
+
+
+def test_a_server_that_is_not_listed_again_is_dropped():
+    """Guards against requests to a server of which the copy knows nothing."""
+
+    async def play():
+        async with platform_site.Site("a", "b") as site:
+            gone, stays = site.servers
+            site.store.put("keyed.servers", gone.name, None)
+            copy = site.store.copy()
+            put(site, gone, sequence=2)
+            await asyncio.sleep(1.0)
+            site.store.restore(copy)
+            restored_at = asyncio.get_running_loop().time()
+            put(site, stays, sequence=2)
+            assert await send_requests(site, 5.0) == {200}
+            return gone.last_call_at - restored_at
+
+    assert platform_site.run(play()) < DRAIN_S + 0.5
