Give positions in the store's log the era of the store

Cause: processes tie what they know to an offset alone. After the return offsets are given out again. An entry that asks another one names its former offset, beyond the end of that one's new log; it is told that nothing has changed, counts as current, and reads on once the log has passed that offset. What was written before is lost to it. An entry that reads the store itself does the same where as much is written anew as was lost. The class: an identifier that is used again and has nothing in it to tell its uses apart.

Red before: four of the tests in test_platform_restored.py.

Mend: a position is an era and an offset in one ordered integer. The order holds over restorations, so that no place that compares positions needs to know of them: the compacted log, evacuations, the answers between processes. The era comes from Store-Era; the first call that sees a new one ends held polls, as one that was sent after the return may be held for its whole wait.

--- a/src/clementinegw/direct/_events.py
+++ b/src/clementinegw/direct/_events.py
@@ -89,6 +89,15 @@
     _INFO,
     "The time at which a version was declared was corrected.",
 )
+STORE_RESTORED = events.define(
+    952,
+    "store_restored",
+    _WARNING,
+    "The platform's store was restored from a copy: its era was `was` and is"
+    " `era` now. All topics are read anew; each process that asks another one"
+    " does so at its next answer.",
+    "What was written shortly before is gone until its writers write it again.",
+)
 SERVER_LISTED = events.define(
     907, "server_listed", _INFO, "A backend server appeared or changed."
 )
--- a/src/clementinegw/direct/client.py
+++ b/src/clementinegw/direct/client.py
@@ -339,8 +339,8 @@
         limit: int,
         timeouts: timeouts_lib.Timeouts,
         expiry: expiry_lib.Expiry | None = None,
-    ) -> tuple[int, bytes]:
-        """Makes one call and returns the status and the body.
+    ) -> tuple[Head, bytes]:
+        """Makes one call and returns the answer's head and body.
 
         Args:
           method: Such as GET.
@@ -371,7 +371,7 @@
         limit: int,
         watchdog: timeouts_lib.Watchdog,
         expiry: expiry_lib.Expiry | None,
-    ) -> tuple[int, bytes]:
+    ) -> tuple[Head, bytes]:
         connection, _ = await self.acquire()
         complete = False
         try:
@@ -383,7 +383,7 @@
             watchdog.head_received()
             data = await connection.body(limit, watchdog.body_progress)
             complete = True
-            return head.status, data
+            return head, data
         finally:
             # A connection whose answer was lost cannot be reused.
             if complete:
--- a/tests/test_direct_stalls.py
+++ b/tests/test_direct_stalls.py
@@ -99,7 +99,8 @@
             await asyncio.sleep(0)
         asyncio.get_running_loop().clock.advance(stall_s)
         try:
-            return await call
+            head, body = await call
+            return head.status, body
         finally:
             await server.stop()
 
--- a/tests/test_platform_drain.py
+++ b/tests/test_platform_drain.py
@@ -8,6 +8,8 @@
 
 from clementinegw import exceptions
 from clementinegw.direct import client
+from clementinegw.telemetry import counters as counters_lib
+from clementinegw.telemetry import logs
 
 DRAIN_S = 2.0
 # The time after a partition or outage until the bounds apply again, in seconds.
@@ -237,7 +239,9 @@
     async def play():
         store = platform_site.Store()
         await store.start()
-        caller = stores.Store(store.address)
+        caller = stores.Store(
+            store.address, logs.Log(), counters_lib.Counters()
+        )
         query = {"topic": "keyed.op", "part": 0}
 
         async def ask():
@@ -248,7 +252,7 @@
         with pytest.raises(exceptions.PlatformUnavailable):
             await ask()
         began = asyncio.get_running_loop().time()
-        assert (await ask())[0] == 200
+        assert (await ask()).status == 200
         assert asyncio.get_running_loop().time() < began + 0.1
         caller.close()
         await store.stop()
--- a/tests/test_platform_foreign.py
+++ b/tests/test_platform_foreign.py
@@ -185,13 +185,13 @@
         await store.start()
         log, counters = RecordingLog(), counters_lib.Counters()
         topic = stores.Topic(
-            stores.Store(store.address),
+            stores.Store(store.address, log, counters),
             TOPIC,
             records.decode_server_record,
             log,
             counters,
         )
-        offset = 0
+        offset = (await topic.snapshot()).next_offset
         for value in (b"{", b"[", changed(), b"[", None):
             for _ in range(3):
                 store.put_raw(TOPIC, b"i-1", value or b"")
@@ -268,7 +268,7 @@
         del path, wait_s
         self.queries.append(dict(query))
         status, body = self._answers.pop(0)
-        return status, json.dumps(body).encode()
+        return stores.Answer(status, json.dumps(body).encode(), 1)
 
 
 def _read_values(pages):
--- a/tests/test_platform_restored.py
+++ b/tests/test_platform_restored.py
@@ -1,11 +1,19 @@
 """Tests for a store that is restored from a copy some seconds old."""
 
 import asyncio
+import json
 
+from adapter import records
+from adapter import store as stores
 import platform_site
 import pytest
 import test_platform_relay as relays
 
+from clementinegw import exceptions
+from clementinegw.direct import topic_watch
+from clementinegw.telemetry import counters as counters_lib
+from clementinegw.telemetry import logs
+
 # The times within which a change must be in force and a leaving server get its
 # last request, in seconds.
 CHANGE_S = 2.0
@@ -162,3 +170,97 @@
             return gone.last_call_at - restored_at
 
     assert platform_site.run(play()) < DRAIN_S + 0.5
+
+
+class Reader:
+    """A topic of servers in a store, read without a process around it."""
+
+    def __init__(self):
+        self.store = platform_site.Store()
+
+    async def __aenter__(self):
+        await self.store.start()
+        log, counters = logs.Log(), counters_lib.Counters()
+        self.client = stores.Store(self.store.address, log, counters)
+        self.topic = stores.Topic(
+            self.client,
+            "keyed.servers",
+            records.decode_server_record,
+            log,
+            counters,
+        )
+        return self
+
+    async def __aexit__(self, *_):
+        self.client.close()
+        await self.store.stop()
+
+
+def test_a_held_poll_ends_once_another_call_shows_the_restoration():
+    """A poll sent after the restoration was held for its whole wait."""
+
+    async def play():
+        async with Reader() as reader:
+            reader.store.put("keyed.servers", "a", {})
+            position = (await reader.topic.snapshot()).next_offset
+            reader.store.era += 1
+            poll = asyncio.ensure_future(reader.topic.changes(position, 9.0))
+            await asyncio.sleep(0.1)
+            await reader.topic.snapshot()
+            await asyncio.sleep(0.1)
+            assert poll.done()
+            with pytest.raises(topic_watch.HistoryLost):
+                await poll
+
+    platform_site.run(play())
+
+
+def test_a_snapshot_of_two_eras_is_read_again():
+    """Pages from before and after the restoration were taken as one."""
+
+    async def play():
+        async with Reader() as reader:
+            newest = reader.store._newest
+
+            def page(topic):
+                body = json.loads(newest(topic))
+                body["has_more"] = reader.store.era == 1
+                body["items"] = [{"key": "a", "value": "e30=", "offset": 0}]
+                return json.dumps(body).encode()
+
+            reader.store._newest = page
+            answer = asyncio.ensure_future(reader.topic.snapshot())
+            while reader.store.reads < 1:
+                await asyncio.sleep(0)
+            reader.store.era += 1
+            with pytest.raises(topic_watch.HistoryLost):
+                await answer
+
+    platform_site.run(play())
+
+
+@pytest.mark.parametrize("era", ["-1", "x", "1.5", "9" * 20, ""])
+def test_a_malformed_era_is_an_error(era):
+    """Guards against positions that do not fit, or go back."""
+
+    async def play():
+        async with Reader() as reader:
+            reader.store.era = era
+            with pytest.raises(exceptions.PlatformUnavailable):
+                await reader.topic.snapshot()
+
+    platform_site.run(play())
+
+
+def test_an_answer_of_a_former_era_is_refused():
+    """Guards against a copy that goes back to before the restoration."""
+
+    async def play():
+        async with Reader() as reader:
+            reader.store.era = 3
+            await reader.topic.snapshot()
+            reader.store.era = 2
+            with pytest.raises(exceptions.PlatformUnavailable):
+                await reader.topic.snapshot()
+
+    platform_site.run(play())
