Do not list a server again by a record from before its removal

Cause: records of a start are ordered by sequence, and a removal has none. The copy's record has the sequence that is known, and was taken for the newest.

Red before: test_a_copy_does_not_list_a_server_again_that_left[None], requests until the end, 5.0 s after the removal; 2 s are allowed. Now a record has to be newer than the removed one, which each write of a living server is. A listing that expired in an outage is not taken as removed, as before.

--- a/src/clementinegw/direct/fleet.py
+++ b/src/clementinegw/direct/fleet.py
@@ -307,6 +307,7 @@
         # about the server. Without this case all servers would be dropped at
         # once.
         if left_s <= 0.0:
+            self._server_records.record_removal(key)
             self._drop(key)
         elif not backend.missing:
             # Later failures do not extend this time. Otherwise an unstable
--- a/src/clementinegw/direct/server_records.py
+++ b/src/clementinegw/direct/server_records.py
@@ -1,8 +1,9 @@
 """Filters outdated records of servers.
 
-A write whose answer was lost may be executed seconds later. The platform then
-lists an older state of a server as its newest: a server that reported to be
-leaving seems ready again, and one that is gone seems to be back.
+A write whose answer was lost may be executed seconds later, and a store may be
+restored from a copy. The platform then lists an older state of a server as its
+newest: a server that reported to be leaving seems ready again, and one that is
+gone seems to be back.
 """
 
 import collections
@@ -24,6 +25,7 @@
     started_ms: int
     sequence: int
     leaving: bool
+    removed: bool = False
 
 
 class ServerRecords:
@@ -65,6 +67,15 @@
             self._newest.popitem(last=False)
         return server
 
+    def record_removal(self, server_id: str) -> None:
+        """Records that a server's record was removed.
+
+        Only a record that was written after the known ones lists it again.
+        """
+        newest = self._newest.get(server_id)
+        if newest is not None:
+            self._newest[server_id] = dataclasses.replace(newest, removed=True)
+
 
 def _is_same_start(server: types.Server, newest: _Newest) -> bool:
     """Returns whether a record belongs to the known start of its server.
@@ -80,5 +91,7 @@
 
 def _is_older(server: types.Server, newest: _Newest) -> bool:
     if _is_same_start(server, newest):
+        if newest.removed:
+            return server.sequence <= newest.sequence
         return server.sequence < newest.sequence
     return server.started_ms < newest.started_ms
