Keep servers that a restored store does not list yet

One of a store that was restored is complete as of its copy; its servers are listed again at their next write.

Red before: test_a_server_that_the_copy_lacks_serves_until_it_is_listed_again, 503 in 1.2 s after the return. Now such servers are kept for as long as listings that expired in an outage, 1.8 s with a drain time of 2 s, from the moment at which any topic of the process shows the restoration.

--- a/src/clementinegw/direct/entry.py
+++ b/src/clementinegw/direct/entry.py
@@ -130,7 +130,7 @@
             counters,
             boot_clock,
         )
-        topics = topic_watch.TopicWatchers(
+        topics = self._topics = topic_watch.TopicWatchers(
             self._relay,
             _POLL_TIMINGS,
             self._on_operators,
@@ -513,6 +513,7 @@
             self._server_list.available_s,
             self._server_list.outage_s,
             self._clock(),
+            self._topics.restored_s,
         )
         self._subscriptions.subscribe_changed()
 
--- a/src/clementinegw/direct/fleet.py
+++ b/src/clementinegw/direct/fleet.py
@@ -142,6 +142,7 @@
         available_s: float,
         outage_s: float = math.inf,
         now: float = 0.0,
+        restored_s: float = math.inf,
     ) -> None:
         """Applies records of the platform's server list.
 
@@ -154,11 +155,14 @@
             seconds.
           outage_s: How long it did not answer before, in seconds.
           now: Monotonic seconds.
+          restored_s: How long ago the platform was restored from a copy, which
+            lacks servers that have been listed since, in seconds.
         """
         last = {record.key: record.value for record in batch.records}
         gone = {key for key, value in last.items() if value is None}
-        if is_snapshot:
-            gone |= set(self._backends) - set(last)
+        unlisted = set(self._backends) - set(last) if is_snapshot else set()
+        gone |= unlisted
+        restored_left_s = self.listing_expiry.times.relist_s - restored_s
         left_s = self.listing_expiry.times.relist_s - available_s
         if not self.listing_expiry.likely_expired(
             gone, set(self._backends), left_s, outage_s
@@ -171,7 +175,10 @@
                 # The record no longer lists a usable server.
                 self._drop(record.key)
         for key in gone & set(self._backends):
-            self._apply_unlisted(key, now, left_s)
+            key_left_s = left_s
+            if key in unlisted:
+                key_left_s = max(left_s, restored_left_s)
+            self._apply_unlisted(key, now, key_left_s)
         self._rebuild_index()
 
     def update_position(self) -> None:
--- a/src/clementinegw/direct/topic_watch.py
+++ b/src/clementinegw/direct/topic_watch.py
@@ -17,6 +17,7 @@
 from clementinegw import exceptions
 from clementinegw.direct import _events
 from clementinegw.direct import freshness as freshness_lib
+from clementinegw.direct import log_position
 from clementinegw.telemetry import counters as counters_lib
 from clementinegw.telemetry import errors
 from clementinegw.telemetry import events
@@ -160,6 +161,8 @@
         self._counters = counters
         self._clock = clock
         self._offset: int | None = None
+        self._era: int | None = None
+        self._restored_at = -math.inf
         self._current_at: float | None = None
         self._complete_until: float | None = None
         self._failing_since: float | None = None
@@ -193,10 +196,20 @@
 
     @property
     def available_s(self) -> float:
-        """How long reads have succeeded without a failure, in seconds."""
+        """How long reads of the same era have not failed, in seconds."""
         if self._failing_since is not None:
             return 0.0
-        return self._clock() - self._available_since
+        return min(self._clock() - self._available_since, self.restored_s)
+
+    @property
+    def era(self) -> int:
+        """The era of the store that the copy is of; 0 before any."""
+        return self._era or 0
+
+    @property
+    def restored_s(self) -> float:
+        """How long ago a restoration of the store was noticed, in seconds."""
+        return self._clock() - self._restored_at
 
     @property
     def outage_s(self) -> float:
@@ -254,6 +267,7 @@
             wait_s = 0.0 if self._poll_at_once else self._timing.wait_s
             batch = await self._source.changes(self._offset, wait_s)
         self._offset = batch.next_offset
+        self._record_era(log_position.era(batch.next_offset))
         self._had_records = bool(batch.records)
         freshness = batch.freshness or self._freshness(
             batch, is_snapshot, asked_at
@@ -273,6 +287,11 @@
         self._on_success(freshness)
         return bool(batch.records) and batch.billed
 
+    def _record_era(self, era: int) -> None:
+        if self._era is not None and era > self._era:
+            self._restored_at = self._clock()
+        self._era = era
+
     def _freshness(
         self, batch: Batch, is_snapshot: bool, asked_at: float
     ) -> freshness_lib.Freshness:
@@ -362,7 +381,12 @@
 
 
 class TopicWatchers:
-    """Holds one watcher for each topic of a platform."""
+    """Holds one watcher for each topic of a platform.
+
+    Attributes:
+      operators: Watches the operators' declarations.
+      servers: Watches the list of servers.
+    """
 
     def __init__(
         self,
@@ -404,3 +428,10 @@
             counters,
             clock,
         )
+
+    @property
+    def restored_s(self) -> float:
+        """How long ago any topic showed the last restoration, in seconds."""
+        watchers = (self.operators, self.servers)
+        era = max(watcher.era for watcher in watchers)
+        return max(w.restored_s for w in watchers if w.era == era)
