--- a/src/clementinegw/direct/topic_watch.py
+++ b/src/clementinegw/direct/topic_watch.py
@@ -227,6 +227,7 @@
     async def _run(self) -> None:
         pause_s = _MIN_BACKOFF_S
         empty_answers = 0
+        has_failed = False
         while not self.should_stop:
             asked_at = self._clock()
             try:
@@ -235,10 +236,14 @@
                 self._counters.add(f"platform.{self._name}.history_lost")
                 self._log.write(_events.HISTORY_LOST, topic=self._name)
                 self._offset = None
-                empty_answers += 1
+                # The platform answers again, so that failures before do not
+                # delay the snapshot.
+                empty_answers = 1 if has_failed else empty_answers + 1
+                has_failed = False
             except exceptions.ClementineError as error:
                 self._on_unavailable(error)
                 empty_answers = _MAX_EMPTY_ANSWERS
+                has_failed = True
             except Exception as error:
                 # One record that cannot be applied must not end the watching,
                 # and with it all other services of the process.
--- a/tests/test_direct_follow.py
+++ b/tests/test_direct_follow.py
@@ -133,6 +133,41 @@
     assert [record.key for record in batch.records] == ["c"]
 
 
+def test_a_snapshot_follows_history_that_was_lost_in_an_outage_at_once():
+    """The copy grew older by the pause that follows failed polls."""
+    lost_at, read_at = [], []
+
+    class RestoredTopic(Topic):
+        async def snapshot(self):
+            read_at.append(asyncio.get_running_loop().time())
+            return await super().snapshot()
+
+        async def changes(self, offset, wait_s):
+            try:
+                return await super().changes(offset, wait_s)
+            except topic_watch.HistoryLost:
+                lost_at.append(asyncio.get_running_loop().time())
+                raise
+
+    async def scenario():
+        topic = RestoredTopic()
+        topic.put("a")
+        watcher = await start_watcher(
+            topic, topic_watch.PollTiming(2.0, 0.0), []
+        )
+        await asyncio.sleep(1.0)
+        topic.down = True
+        await asyncio.sleep(4.0)
+        topic.down = False
+        topic.first_offset = 2
+        topic.put("b")
+        await asyncio.sleep(3.0)
+        await watcher.stop()
+        return read_at[1] - lost_at[0]
+
+    assert clocks.run(scenario()) < 0.05
+
+
 @pytest.mark.parametrize(
     ("fault", "outage_s"),
     [
