Write what is refused to a restored store again

After a restoration and a loss of power of all processes, requests that crash servers would crash them anew.

Cause: an entry remembers what it has written, and a restored store may have lost it; it is written anew after five minutes only.

Red before: test_what_is_refused_is_written_again_to_a_restored_store, nothing in the store 5 s after the return. Now a new era ends what was remembered; one entry writes each refusal once more.

--- a/src/clementinegw/direct/refusal_archive.py
+++ b/src/clementinegw/direct/refusal_archive.py
@@ -18,7 +18,8 @@
 from clementinegw.wire import codec
 from clementinegw.wire.gen.reports import ttypes
 
-# How often a value is written anew while it is refused, in seconds.
+# How often a value is written anew while it is refused and the store has not
+# been restored, in seconds.
 _REFRESH_S = 300.0
 # The pause after a call that failed, in seconds, and its maximum.
 _MIN_PAUSE_S = 1.0
@@ -59,6 +60,7 @@
         self._counters = counters
         self._loaded = False
         self._written_at: dict[str, float] = {}
+        self._written_era = 0
         self._pause_s = 0.0
         self._due_at = clock()
 
@@ -106,6 +108,9 @@
             self._log.write(_events.REFUSALS_READ, keys=sorted(values))
 
     async def _save(self) -> None:
+        if self._values.era != self._written_era:
+            self._written_era = self._values.era
+            self._written_at.clear()
         refused = {
             _key(suspicion): suspicion for suspicion in self._guard.refused()
         }
--- a/tests/test_direct_refusal_archive.py
+++ b/tests/test_direct_refusal_archive.py
@@ -115,6 +115,26 @@
     assert (status, late) == (503, 0)
 
 
+def test_what_is_refused_is_written_again_to_a_restored_store():
+    """It was missing from the store for five minutes after a restoration."""
+
+    async def play():
+        async with Site() as site:
+            copy = site.store.copy()
+            await site.find_part()
+            written = dict(site.store.topics[_TOPIC])
+            site.store.restore(copy)
+            await asyncio.sleep(5.0)
+            return written, dict(site.store.topics.get(_TOPIC, ()))
+
+    written, again = sites.run(play())
+    assert (
+        [*written]
+        == [*again]
+        == [part_records.digest_part("bad").hex().encode()]
+    )
+
+
 def test_the_store_is_not_asked_on_a_day_without_crashes():
     async def play():
         async with Site() as site:
