--- a/src/clementinegw/direct/agent.py
+++ b/src/clementinegw/direct/agent.py
@@ -346,8 +346,6 @@
 
     def _apply_server(self, record: topic_watch.Record) -> None:
         if not isinstance(record.value, types.Server):
-            if record.value is None:
-                self._server_records.record_removal(record.key)
             self._context.servers.pop(record.key, None)
             return
         server = self._server_records.accept(record.value)
--- a/src/clementinegw/direct/fleet.py
+++ b/src/clementinegw/direct/fleet.py
@@ -9,6 +9,7 @@
 from clementinegw.direct import backend as backend_lib
 from clementinegw.direct import buffer_budget
 from clementinegw.direct import client
+from clementinegw.direct import log_position
 from clementinegw.direct import outage
 from clementinegw.direct import rate_limit
 from clementinegw.direct import reports
@@ -168,9 +169,14 @@
             gone, set(self._backends), left_s, outage_s
         ):
             left_s = 0.0
+        era = log_position.era(batch.next_offset)
         for record in batch.records:
             if isinstance(record.value, types.Server):
-                self._apply_listed(record.key, record.value, now)
+                server = self._server_records.accept(
+                    record.value, era if is_snapshot else None
+                )
+                if server is not None:
+                    self._apply_listed(record.key, server, now)
             elif record.value is not None and record.key in self._backends:
                 # The record no longer lists a usable server.
                 self._drop(record.key)
@@ -178,6 +184,8 @@
             key_left_s = left_s
             if key in unlisted:
                 key_left_s = max(left_s, restored_left_s)
+            if key_left_s <= 0.0:
+                self._server_records.record_removal(key, era)
             self._apply_unlisted(key, now, key_left_s)
         self._rebuild_index()
 
@@ -247,10 +255,7 @@
         for backend in self._backends.values():
             backend.pool.prune()
 
-    def _apply_listed(self, key: str, listed: types.Server, now: float) -> None:
-        server = self._server_records.accept(listed)
-        if server is None:
-            return
+    def _apply_listed(self, key: str, server: types.Server, now: float) -> None:
         signals = self._signals.get(server.start)
         backend = self._backends.get(key)
         if backend is not None and not backend.server.start.matches(
@@ -314,7 +319,6 @@
         # about the server. Without this case all servers would be dropped at
         # once.
         if left_s <= 0.0:
-            self._server_records.record_removal(key)
             self._drop(key)
         elif not backend.missing:
             # Later failures do not extend this time. Otherwise an unstable
--- a/src/clementinegw/direct/server_records.py
+++ b/src/clementinegw/direct/server_records.py
@@ -20,12 +20,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Newest:
-    """Order and state of the newest record of a server."""
+    """Order and state of the newest record of a server.
+
+    Attributes:
+      started_ms: When its start began, in Unix milliseconds; 0 if unknown.
+      sequence: The sequence number of the record.
+      leaving: Whether the start is leaving.
+      removed_in: The era of the store in which the record was removed; None if
+        it was not.
+    """
 
     started_ms: int
     sequence: int
     leaving: bool
-    removed: bool = False
+    removed_in: int | None = None
 
 
 class ServerRecords:
@@ -36,15 +44,22 @@
         self._newest: collections.OrderedDict[str, _Newest]
         self._newest = collections.OrderedDict()
 
-    def accept(self, server: types.Server) -> types.Server | None:
+    def accept(
+        self, server: types.Server, snapshot_era: int | None = None
+    ) -> types.Server | None:
         """Accepts a record and returns its content; None if it is outdated.
 
         Starts of the same id are ordered by start time, records of the same
         start by sequence number. Once a start is reported as leaving, it stays
         leaving.
+
+        Args:
+          server: The record's content.
+          snapshot_era: The era of the snapshot that the record is from; None if
+            it is a change.
         """
         newest = self._newest.get(server.server_id)
-        if newest is not None and _is_older(server, newest):
+        if newest is not None and _is_older(server, newest, snapshot_era):
             self._log.write(
                 _events.SERVER_RECORD_OLD,
                 server=server.server_id,
@@ -67,14 +82,20 @@
             self._newest.popitem(last=False)
         return server
 
-    def record_removal(self, server_id: str) -> None:
+    def record_removal(self, server_id: str, era: int) -> None:
         """Records that a server's record was removed.
 
-        Only a record that was written after the known ones lists it again.
+        A store that was restored since may have the removed record again.
+
+        Args:
+          server_id: The server's id.
+          era: The era of the store; see `direct.log_position`.
         """
         newest = self._newest.get(server_id)
         if newest is not None:
-            self._newest[server_id] = dataclasses.replace(newest, removed=True)
+            self._newest[server_id] = dataclasses.replace(
+                newest, removed_in=era
+            )
 
 
 def _is_same_start(server: types.Server, newest: _Newest) -> bool:
@@ -89,9 +110,15 @@
     )
 
 
-def _is_older(server: types.Server, newest: _Newest) -> bool:
+def _is_older(
+    server: types.Server, newest: _Newest, snapshot_era: int | None
+) -> bool:
     if _is_same_start(server, newest):
-        if newest.removed:
-            return server.sequence <= newest.sequence
+        if server.sequence == newest.sequence:
+            return (
+                newest.removed_in is not None
+                and snapshot_era is not None
+                and newest.removed_in < snapshot_era
+            )
         return server.sequence < newest.sequence
     return server.started_ms < newest.started_ms
