Give up a stream whose event does not end

An entry relayed bytes that hold no end of an event for as long as the request had time, as fast as the server sent them.

Cause: an event over 256 KB is relayed in parts, and nothing bounded their number. Red before: the tests of endless bodies and chunks on /stream did not end within 20 s. An event is now bounded like an answer, 16 MB; beyond, the stream is broken off, or resumed elsewhere where events were complete before.

--- a/src/clementinegw/direct/attempt.py
+++ b/src/clementinegw/direct/attempt.py
@@ -22,7 +22,8 @@
 from clementinegw.scheduling import server_memory
 
 # Answers other than streams are buffered until they are complete, so that a
-# caller never receives a truncated one. Bytes.
+# caller never receives a truncated one. No event of a stream may be larger
+# either. Bytes.
 _MAX_BODY_BYTES = 16 << 20
 # A server that owes an answer to a repeatable request, and has sent nothing on
 # any connection for this long, counts as unreachable. The limit is a multiple
@@ -442,6 +443,8 @@
             if data is None:
                 break
             events = splitter.feed(data)
+            if splitter.unended_bytes > _MAX_BODY_BYTES:
+                raise client.AnswerBroken("an event without end")
             received += len(events)
             new_events = [e for e in events if _is_new(e, job.last_event_id)]
             if not new_events:
--- a/src/clementinegw/direct/sse.py
+++ b/src/clementinegw/direct/sse.py
@@ -27,6 +27,12 @@
 
     def __init__(self) -> None:
         self._remainder = b""
+        self._parted_bytes = 0
+
+    @property
+    def unended_bytes(self) -> int:
+        """The size of the event that has not ended, with its relayed parts."""
+        return self._parted_bytes + len(self._remainder)
 
     @property
     def remainder(self) -> bytes:
@@ -42,7 +48,10 @@
             events.append(_parse_event(text[start : end.end()]))
             start = end.end()
         self._remainder = text[start:]
+        if start:
+            self._parted_bytes = 0
         if len(self._remainder) > _MAX_EVENT_BYTES:
+            self._parted_bytes += len(self._remainder)
             events.append(Event(self._remainder, None))
             self._remainder = b""
         return events
--- a/tests/test_direct_endless.py
+++ b/tests/test_direct_endless.py
@@ -17,6 +17,8 @@
     "interim answers": (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 600),
     "chunk size": (HEAD + CHUNKED, b"0" * 16_000),
     "trailers": (HEAD + CHUNKED + b"0\r\n", b"X-A: b\r\n" * 2_000),
+    "body": (HEAD + b"\r\n", b"x" * 256_000),
+    "chunks": (HEAD + CHUNKED, b"fa00\r\n" + b"x" * 64_000 + b"\r\n"),
 }
 # No answer is larger; what is in buffers comes on top. Bytes.
 MOST_BYTES = 20 << 20
