--- a/src/clementinegw/direct/compacted_log.py
+++ b/src/clementinegw/direct/compacted_log.py
@@ -25,13 +25,13 @@
         # In log order: a key that changes moves to the end.
         self._log: dict[str, _LoggedItem] = {}
         self._tombstones = 0
-        self._first_offset = 0
-        self._next_offset: int | None = None
+        self._first_position = 0
+        self._next_position: int | None = None
 
     @property
-    def next_offset(self) -> int | None:
-        """The offset at which the next call starts; None before a snapshot."""
-        return self._next_offset
+    def next_position(self) -> int | None:
+        """Where the next call starts in the log; None before a snapshot."""
+        return self._next_position
 
     def replace(self, batch: raw.Batch, now: float) -> None:
         """Replaces the copy by a snapshot.
@@ -46,7 +46,7 @@
             if item.value
         }
         self._tombstones = 0
-        self._first_offset = self._next_offset = batch.next_offset
+        self._first_position = self._next_position = batch.next_position
 
     def add(self, batch: raw.Batch, added_after: float) -> None:
         """Applies changes.
@@ -60,7 +60,7 @@
             self._tombstones -= previous is not None and not previous.item.value
             self._tombstones += not item.value
             self._log[item.key] = _LoggedItem(item, added_after)
-        self._next_offset = batch.next_offset
+        self._next_position = batch.next_position
         if self._tombstones > _MAX_TOMBSTONES:
             self._drop_tombstones()
 
@@ -70,34 +70,34 @@
             logged.item for logged in self._log.values() if logged.item.value
         )
 
-    def since(self, offset: int) -> tuple[raw.Item, ...]:
-        """Returns the newest item of each key that changed since an offset.
+    def since(self, position: int) -> tuple[raw.Item, ...]:
+        """Returns the newest item of each key that changed since a position.
 
         Raises:
-          topic_watch.HistoryLost: Not all changes since the offset are known.
+          topic_watch.HistoryLost: Not all changes since the position are known.
         """
-        if offset < self._first_offset:
+        if position < self._first_position:
             raise topic_watch.HistoryLost("too far behind")
         return tuple(
-            logged.item for logged in reversed(self._changed_since(offset))
+            logged.item for logged in reversed(self._changed_since(position))
         )
 
-    def added_after(self, offset: int) -> float:
-        """Returns a time before which no item since an offset was added.
+    def added_after(self, position: int) -> float:
+        """Returns a time before which no item since a position was added.
 
         Returns:
           The time in seconds; infinite if nothing was added.
         """
         return min(
-            (logged.added_after for logged in self._changed_since(offset)),
+            (logged.added_after for logged in self._changed_since(position)),
             default=float("inf"),
         )
 
-    def _changed_since(self, offset: int) -> list[_LoggedItem]:
-        """Returns the items that changed since an offset, the newest first."""
+    def _changed_since(self, position: int) -> list[_LoggedItem]:
+        """Returns the items that changed since a position, the newest first."""
         changed = []
         for logged in reversed(self._log.values()):
-            if logged.item.offset < offset:
+            if logged.item.position < position:
                 break
             changed.append(logged)
         return changed
@@ -109,4 +109,4 @@
         for key in deleted[: _MAX_TOMBSTONES // 2]:
             logged = self._log.pop(key)
             self._tombstones -= 1
-            self._first_offset = logged.item.offset + 1
+            self._first_position = logged.item.position + 1
--- a/src/clementinegw/direct/evacuation_watch.py
+++ b/src/clementinegw/direct/evacuation_watch.py
@@ -50,7 +50,7 @@
                 for record in batch.records
             },
             is_snapshot,
-            batch.next_offset,
+            batch.next_position,
         )
 
     def update(self, reported: Collection[str] = ()) -> bool:
--- a/src/clementinegw/direct/fleet.py
+++ b/src/clementinegw/direct/fleet.py
@@ -169,7 +169,7 @@
             gone, set(self._backends), left_s, outage_s
         ):
             left_s = 0.0
-        era = log_position.era(batch.next_offset)
+        era = log_position.era(batch.next_position)
         for record in batch.records:
             if isinstance(record.value, types.Server):
                 server = self._server_records.accept(
--- a/src/clementinegw/direct/peer_queries.py
+++ b/src/clementinegw/direct/peer_queries.py
@@ -25,7 +25,7 @@
 
     Attributes:
       topic: The topic's name.
-      offset: The first offset to return; None to get a snapshot.
+      position: The first position to return; None to get a snapshot.
       freshness_id: The newest `freshness_id` that the receiver sent before, so
         that it also answers when its copy is fresher; None to get an answer
         without changes only at the end of the wait.
@@ -33,14 +33,14 @@
     """
 
     topic: str
-    offset: int | None
+    position: int | None
     freshness_id: int | None
     wait_s: float
 
     @property
     def grace_s(self) -> float:
         """How long the receiver may be silent after the wait, in seconds."""
-        if self.freshness_id is None or self.offset is None:
+        if self.freshness_id is None or self.position is None:
             return _GRACE_S
         return _FRESHNESS_GRACE_S
 
@@ -51,8 +51,8 @@
 
     Attributes:
       items: The newest item of each key that changed; of all keys if the query
-        had no offset.
-      next_offset: The offset at which the next query starts.
+        had no position.
+      next_position: The position at which the next query starts.
       freshness_id: A number of the sender that grows whenever its copy of the
         topic is shown to be current at a later time.
       age_s: The age of the sender's copy when it answered, in seconds.
@@ -66,7 +66,7 @@
     """
 
     items: tuple[raw.Item, ...]
-    next_offset: int
+    next_position: int
     freshness_id: int
     age_s: float
     held_s: float
@@ -94,6 +94,6 @@
 
         Raises:
           topic_watch.HistoryLost: The process does not know all changes since
-            the offset.
+            the position.
           exceptions.PlatformUnavailable: The process cannot answer or did not.
         """
--- a/src/clementinegw/direct/raw.py
+++ b/src/clementinegw/direct/raw.py
@@ -15,13 +15,13 @@
     Attributes:
       key: The key.
       value: The bytes in the store; empty if the key is deleted.
-      offset: The offset in the log. Items of a snapshot have the offset before
-        `next_offset` of the snapshot.
+      position: Where it is in the log; see `log_position`. Items of a snapshot
+        have the position before `next_position` of the snapshot.
     """
 
     key: str
     value: bytes
-    offset: int
+    position: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,13 +30,13 @@
 
     Attributes:
       items: The items in log order.
-      next_offset: The offset at which the next call starts.
+      next_position: The position at which the next call starts.
       has_more: Whether the log has more items than fit into one answer. The
         answer then does not show that the copy is current.
     """
 
     items: tuple[Item, ...]
-    next_offset: int
+    next_position: int
     has_more: bool = False
 
 
@@ -50,15 +50,15 @@
           exceptions.PlatformError: No complete answer arrived.
         """
 
-    async def changes(self, offset: int, wait_s: float) -> Batch:
-        """Returns the items that were added since an offset.
+    async def changes(self, position: int, wait_s: float) -> Batch:
+        """Returns the items that were added since a position.
 
         Args:
-          offset: The first offset to read.
+          position: The first position to read.
           wait_s: How long the platform may wait for a first record, in seconds.
 
         Raises:
-          topic_watch.HistoryLost: The records at this offset are deleted.
+          topic_watch.HistoryLost: The records at this position are deleted.
           exceptions.PlatformError: No complete answer arrived.
         """
 
--- a/src/clementinegw/direct/relay.py
+++ b/src/clementinegw/direct/relay.py
@@ -244,7 +244,7 @@
     ) -> ttypes.TopicNews:
         packed, items = self._compressed_items(query, update)
         return ttypes.TopicNews(
-            end=update.next_offset,
+            end=update.next_position,
             age_ms=_round_up_ms(update.age_s),
             held_ms=int(update.held_s * 1e3),
             lain_ms=None
@@ -268,7 +268,7 @@
         """
         if not update.items:
             return False, b""
-        key = (query.topic, query.offset, update.next_offset)
+        key = (query.topic, query.position, update.next_position)
         if key not in self._compressed:
             while len(self._compressed) >= _MAX_CACHED_ANSWERS:
                 self._compressed.pop(next(iter(self._compressed)))
@@ -328,7 +328,7 @@
     return codec.encode(
         ttypes.TopicAsk(
             topic=query.topic,
-            offset=query.offset,
+            offset=query.position,
             proof=query.freshness_id,
             wait_ms=int(query.wait_s * 1e3),
         )
@@ -348,7 +348,7 @@
         raise exceptions.DecodeError(f"TopicNews: {error}") from error
     return peer_queries.Update(
         items=_decompress(wire.packed, wire.items),
-        next_offset=wire.end,
+        next_position=wire.end,
         freshness_id=wire.proof,
         age_s=wire.age_ms / 1e3,
         held_s=wire.held_ms / 1e3,
@@ -365,7 +365,7 @@
             items=[
                 ttypes.TopicItem(
                     key=i.key.encode(errors=_KEY_ERRORS),
-                    offset=i.offset,
+                    offset=i.position,
                     value=i.value,
                 )
                 for i in items
--- a/src/clementinegw/direct/shared_topic.py
+++ b/src/clementinegw/direct/shared_topic.py
@@ -66,13 +66,13 @@
     """The parameters and times of a call that was answered.
 
     Attributes:
-      offset: The first requested offset; None for a snapshot.
+      position: The first requested position; None for a snapshot.
       wait_s: How long the answer may have been held, in seconds.
       asked_at: When the call was sent, in seconds.
       now: When its answer arrived, in seconds.
     """
 
-    offset: int | None
+    position: int | None
     wait_s: float
     asked_at: float
     now: float
@@ -161,14 +161,14 @@
         """See `topic_watch.Source`."""
         return await self._read(None, 0.0)
 
-    async def changes(self, offset: int, wait_s: float) -> topic_watch.Batch:
+    async def changes(self, position: int, wait_s: float) -> topic_watch.Batch:
         """See `topic_watch.Source`."""
-        return await self._read(offset, wait_s)
+        return await self._read(position, wait_s)
 
     async def _read(
-        self, offset: int | None, wait_s: float
+        self, position: int | None, wait_s: float
     ) -> topic_watch.Batch:
-        is_snapshot = offset is None
+        is_snapshot = position is None
         order = self._selector.order(self.serving, is_snapshot)
         if not order:
             raise peer_queries.Unable("the readers are starting", "starting")
@@ -176,8 +176,8 @@
         async def ask(reader: reader_selector.Reader) -> _Accept:
             try:
                 if reader is None:
-                    return await self._ask_store(offset, wait_s)
-                return await self._ask_peer(reader, offset, call.postpone)
+                    return await self._ask_store(position, wait_s)
+                return await self._ask_peer(reader, position, call.postpone)
             except exceptions.PlatformError:
                 raise
             except Exception as error:
@@ -187,7 +187,7 @@
         try:
             result = await call.run(
                 order,
-                self._hedge_timing(order[0], offset, wait_s),
+                self._hedge_timing(order[0], position, wait_s),
                 lambda: self._selector.usable_peers(is_snapshot),
             )
         finally:
@@ -198,14 +198,14 @@
         return result.answer()
 
     def _hedge_timing(
-        self, first: reader_selector.Reader, offset: int | None, wait_s: float
+        self, first: reader_selector.Reader, position: int | None, wait_s: float
     ) -> hedged_call.HedgeTiming:
         """Returns when further readers are queried besides the first one.
 
         Snapshots are not hedged: many processes may need one at the same time
         after a common start, and it should cross the link to the store once.
         """
-        if offset is None or not self._hedges:
+        if position is None or not self._hedges:
             return hedged_call.HedgeTiming(math.inf, math.inf)
         if first is None:
             overdue_s = self._store_wait_s(wait_s) + _OVERDUE_S
@@ -213,7 +213,7 @@
             margin_s = (
                 _FRESHNESS_OVERDUE_S if self._needs_freshness else _OVERDUE_S
             )
-            overdue_s = self._peer_wait_s(offset) + margin_s
+            overdue_s = self._peer_wait_s(position) + margin_s
         return hedged_call.HedgeTiming(overdue_s, _HEDGE_INTERVAL_S)
 
     def _store_wait_s(self, wait_s: float) -> float:
@@ -226,19 +226,19 @@
             return min(wait_s, self._serving_wait_s)
         return wait_s
 
-    async def _ask_store(self, offset: int | None, wait_s: float) -> _Accept:
+    async def _ask_store(self, position: int | None, wait_s: float) -> _Accept:
         asked_at = self._clock()
         wait_s = self._store_wait_s(wait_s)
         self._count("store", "asked")
         try:
-            if offset is None:
+            if position is None:
                 batch = await self._topic.snapshot()
             else:
-                batch = await self._topic.changes(offset, wait_s)
+                batch = await self._topic.changes(position, wait_s)
         except exceptions.PlatformError as error:
             self._store_failed(error, asked_at, wait_s)
             raise
-        call = _AnsweredCall(offset, wait_s, asked_at, self._clock())
+        call = _AnsweredCall(position, wait_s, asked_at, self._clock())
         return lambda: self._accept_from_store(call, batch)
 
     def _accept_from_store(
@@ -251,7 +251,7 @@
             self._outage_s = self._outages.outage_s
         self._failures = 0
         self._selector.record_success(None)
-        waited_s = 0.0 if call.offset is None else call.wait_s
+        waited_s = 0.0 if call.position is None else call.wait_s
         lag_s = freshness_lib.lag_s(
             asked_at, now, waited_s, self._complete_until
         )
@@ -264,7 +264,7 @@
             held_s = 0.0 if has_items else waited_s
             current_at = freshness_lib.current_at(asked_at, now, held_s)
         self._reads_store = True
-        self._store_batch(batch, call.offset is None, lag_s)
+        self._store_batch(batch, call.position is None, lag_s)
         return self._publish(batch, current_at, lag_s, billed=True)
 
     def _store_failed(
@@ -314,9 +314,9 @@
             self._count("peer", "overdue")
             self._selector.record_failure(reader)
 
-    def _peer_wait_s(self, offset: int | None) -> float:
+    def _peer_wait_s(self, position: int | None) -> float:
         """Returns how long a peer may hold a query, in seconds."""
-        if offset is None:
+        if position is None:
             return 0.0
         return (
             self._freshness_wait_s
@@ -327,7 +327,7 @@
     async def _ask_peer(
         self,
         reader: types.Address,
-        offset: int | None,
+        position: int | None,
         on_progress: Callable[[], None],
     ) -> _Accept:
         asked_at = self._clock()
@@ -336,8 +336,8 @@
             if self._needs_freshness
             else None
         )
-        wait_s = self._peer_wait_s(offset)
-        query = peer_queries.Query(self._name, offset, freshness_id, wait_s)
+        wait_s = self._peer_wait_s(position)
+        query = peer_queries.Query(self._name, position, freshness_id, wait_s)
         self._count("peer", "asked")
         try:
             update = await self._peers.ask(reader, query, on_progress)
@@ -351,7 +351,7 @@
             )
             self._seen_freshness.pop(reader, None)
             raise
-        call = _AnsweredCall(offset, wait_s, asked_at, self._clock())
+        call = _AnsweredCall(position, wait_s, asked_at, self._clock())
         return lambda: self._accept_from_peer(reader, call, update)
 
     def _accept_from_peer(
@@ -375,8 +375,8 @@
         current_at = asked_at + held_s - update.age_s
         lag_s = self._lag_s(update, now, now - asked_at - held_s)
         self._complete_until = now if update.items else asked_at + held_s
-        batch = raw.Batch(update.items, update.next_offset)
-        self._store_batch(batch, call.offset is None, lag_s)
+        batch = raw.Batch(update.items, update.next_position)
+        self._store_batch(batch, call.position is None, lag_s)
         return self._publish(batch, current_at, lag_s, billed=False)
 
     def _lag_s(
@@ -416,7 +416,7 @@
         available_s = self._clock() - self._available_since
         return topic_watch.Batch(
             self._topic.decoded(batch.items),
-            batch.next_offset,
+            batch.next_position,
             freshness_lib.Freshness(
                 self._current_at, lag_s, available_s, self._outage_s
             ),
@@ -457,7 +457,7 @@
             repeatedly after the end of the query's wait.
 
         Raises:
-          topic_watch.HistoryLost: Not all changes since the offset are known.
+          topic_watch.HistoryLost: Not all changes since the position are known.
           peer_queries.Unable: This process cannot reach the store.
         """
         received_at = self._clock()
@@ -490,10 +490,10 @@
     def _can_answer(
         self, query: peer_queries.Query, received_at: float
     ) -> bool:
-        next_offset = self._compacted.next_offset
-        if next_offset is None or self._current_at is None:
+        next_position = self._compacted.next_position
+        if next_position is None or self._current_at is None:
             return False
-        if query.offset is not None and query.offset < next_offset:
+        if query.position is not None and query.position < next_position:
             # Items that are here can be passed on even if they come from a
             # peer, as their age is passed on with them.
             return True
@@ -501,7 +501,7 @@
             return False
         now = self._clock()
         is_fresh = now - self._current_at < _MAX_AGE_S
-        if query.offset is None:
+        if query.position is None:
             # A process that was suspended has keys that were deleted since.
             return is_fresh
         if query.freshness_id is not None:
@@ -512,18 +512,18 @@
         self, query: peer_queries.Query, received_at: float
     ) -> peer_queries.Update:
         assert self._current_at is not None
-        assert self._compacted.next_offset is not None
+        assert self._compacted.next_position is not None
         now = self._clock()
-        offset = query.offset
+        position = query.position
         lag_s: float | None = None
-        if offset is None:
+        if position is None:
             items = self._compacted.all()
         else:
-            items = self._compacted.since(offset)
-            lag_s = max(0.0, now - self._compacted.added_after(offset))
+            items = self._compacted.since(position)
+            lag_s = max(0.0, now - self._compacted.added_after(position))
         return peer_queries.Update(
             items=items,
-            next_offset=max(self._compacted.next_offset, offset or 0),
+            next_position=max(self._compacted.next_position, position or 0),
             freshness_id=self._freshness_id,
             age_s=now - self._current_at,
             held_s=now - received_at,
--- a/src/clementinegw/direct/topic_watch.py
+++ b/src/clementinegw/direct/topic_watch.py
@@ -58,7 +58,7 @@
 
     Attributes:
       records: The records in log order.
-      next_offset: The offset at which the next call starts.
+      next_position: The position at which the next call starts.
       freshness: How fresh the answer is; None if it follows from the time of
         the call.
       billed: Whether the platform charges for the call, so that the next one
@@ -66,7 +66,7 @@
     """
 
     records: tuple[Record, ...]
-    next_offset: int
+    next_position: int
     freshness: freshness_lib.Freshness | None = None
     billed: bool = True
 
@@ -81,15 +81,15 @@
           exceptions.PlatformError: No complete answer arrived.
         """
 
-    async def changes(self, offset: int, wait_s: float) -> Batch:
-        """Returns the records that were added since an offset.
+    async def changes(self, position: int, wait_s: float) -> Batch:
+        """Returns the records that were added since a position.
 
         Args:
-          offset: The first offset to read.
+          position: The first position to read.
           wait_s: How long the platform may wait for a first record, in seconds.
 
         Raises:
-          HistoryLost: The records at this offset are deleted.
+          HistoryLost: The records at this position are deleted.
           exceptions.PlatformError: No complete answer arrived.
         """
 
@@ -160,7 +160,7 @@
         self._log = log
         self._counters = counters
         self._clock = clock
-        self._offset: int | None = None
+        self._position: int | None = None
         self._era: int | None = None
         self._restored_at = -math.inf
         self._current_at: float | None = None
@@ -235,7 +235,7 @@
             except HistoryLost:
                 self._counters.add(f"platform.{self._name}.history_lost")
                 self._log.write(_events.HISTORY_LOST, topic=self._name)
-                self._offset = None
+                self._position = None
                 # The platform answers again, so that failures before do not
                 # delay the snapshot.
                 empty_answers = 1 if has_failed else empty_answers + 1
@@ -264,15 +264,15 @@
     async def _read(self) -> bool:
         """Polls once and returns whether a billed answer had records."""
         asked_at = self._clock()
-        is_snapshot = self._offset is None
+        is_snapshot = self._position is None
         self._counters.add(f"platform.{self._name}.calls")
-        if self._offset is None:
+        if self._position is None:
             batch = await self._source.snapshot()
         else:
             wait_s = 0.0 if self._poll_at_once else self._timing.wait_s
-            batch = await self._source.changes(self._offset, wait_s)
-        self._offset = batch.next_offset
-        self._record_era(log_position.era(batch.next_offset))
+            batch = await self._source.changes(self._position, wait_s)
+        self._position = batch.next_position
+        self._record_era(log_position.era(batch.next_position))
         self._had_records = bool(batch.records)
         freshness = batch.freshness or self._freshness(
             batch, is_snapshot, asked_at
@@ -349,7 +349,7 @@
         """Records an error in reading or applying records."""
         self._counters.add(f"platform.{self._name}.unexpected")
         # Some records of the batch may have been applied and others not.
-        self._offset = None
+        self._position = None
         if self._unapplied_since is None:
             # The records were read after those that the copy has.
             self._unapplied_since = (
--- a/src/clementinegw/scheduling/evacuations.py
+++ b/src/clementinegw/scheduling/evacuations.py
@@ -16,7 +16,7 @@
 
     def __init__(self) -> None:
         self._domains: dict[str, str] = {}
-        self._next_offset = 0
+        self._next_position = 0
 
     @property
     def domains(self) -> frozenset[str]:
@@ -27,7 +27,7 @@
         self,
         changes: Mapping[str, str | None],
         is_snapshot: bool,
-        next_offset: int = 0,
+        next_position: int = 0,
     ) -> None:
         """Applies records.
 
@@ -38,11 +38,11 @@
           changes: The failure domain that a record evacuates, by key; None if
             the record is not an evacuation any more.
           is_snapshot: Whether evacuations that are missing have ended.
-          next_offset: The offset in the log up to which the records are known.
+          next_position: Up to where in the log the records are known.
         """
-        if is_snapshot and next_offset >= self._next_offset:
+        if is_snapshot and next_position >= self._next_position:
             self._domains = {}
-        self._next_offset = max(self._next_offset, next_offset)
+        self._next_position = max(self._next_position, next_position)
         for key, domain in changes.items():
             if domain is None:
                 self._domains.pop(key, None)
--- a/tests/test_direct_readers.py
+++ b/tests/test_direct_readers.py
@@ -24,7 +24,7 @@
     for number in range(1, 50):
         compacted.add(batch(number, ("c", b"%d" % number)), 1.0)
     compacted.add(batch(50, ("a", b"")), 2.0)
-    items = [(i.key, i.value, i.offset) for i in compacted.since(1)]
+    items = [(i.key, i.value, i.position) for i in compacted.since(1)]
     assert items == [("c", b"49", 49), ("a", b"", 50)]
     assert compacted.since(51) == ()
     assert [i.key for i in compacted.all()] == ["c"]
--- a/tests/test_platform_foreign.py
+++ b/tests/test_platform_foreign.py
@@ -191,13 +191,13 @@
             log,
             counters,
         )
-        offset = (await topic.snapshot()).next_offset
+        offset = (await topic.snapshot()).next_position
         for value in (b"{", b"[", changed(), b"[", None):
             for _ in range(3):
                 store.put_raw(TOPIC, b"i-1", value or b"")
                 batch = await topic.changes(offset, 0.0)
                 topic.decoded(batch.items)
-                offset = batch.next_offset
+                offset = batch.next_position
         for _ in range(3):
             store.put_raw(TOPIC, b"i-2", b"7")
             decoded = topic.decoded((await topic.snapshot()).items)
--- a/tests/test_platform_link.py
+++ b/tests/test_platform_link.py
@@ -59,13 +59,13 @@
     async def snapshot(self):
         batch = await self._topic.snapshot()
         return topic_watch.Batch(
-            self._topic.decoded(batch.items), batch.next_offset
+            self._topic.decoded(batch.items), batch.next_position
         )
 
     async def changes(self, offset, wait_s):
         batch = await self._topic.changes(offset, wait_s)
         return topic_watch.Batch(
-            self._topic.decoded(batch.items), batch.next_offset
+            self._topic.decoded(batch.items), batch.next_position
         )
 
 
--- a/tests/test_platform_relay.py
+++ b/tests/test_platform_relay.py
@@ -220,7 +220,7 @@
     )
     decoded = relay._update_from_wire(wire)
     assert decoded.items == update.items
-    assert (decoded.next_offset, decoded.freshness_id, decoded.readers) == (
+    assert (decoded.next_position, decoded.freshness_id, decoded.readers) == (
         9,
         7,
         ADDRESSES,
--- a/tests/test_platform_restored.py
+++ b/tests/test_platform_restored.py
@@ -202,7 +202,7 @@
     async def play():
         async with Reader() as reader:
             reader.store.put("keyed.servers", "a", {})
-            position = (await reader.topic.snapshot()).next_offset
+            position = (await reader.topic.snapshot()).next_position
             reader.store.era += 1
             poll = asyncio.ensure_future(reader.topic.changes(position, 9.0))
             await asyncio.sleep(0.1)
