--- a/src/clementinegw/direct/_events.py
+++ b/src/clementinegw/direct/_events.py
@@ -93,8 +93,8 @@
     952,
     "store_restored",
     _WARNING,
-    "The platform's store was restored from a copy: its era was `was` and is"
-    " `era` now. All topics are read anew; each process that asks another one"
+    "The platform's store was restored from a copy: its epoch was `was` and is"
+    " `epoch` now. All topics are read anew; each process that asks another one"
     " does so at its next answer.",
     "What was written shortly before is gone until its writers write it again.",
 )
--- a/src/clementinegw/direct/fleet.py
+++ b/src/clementinegw/direct/fleet.py
@@ -169,11 +169,11 @@
             gone, set(self._backends), left_s, outage_s
         ):
             left_s = 0.0
-        era = log_position.era(batch.next_position)
+        epoch = log_position.epoch(batch.next_position)
         for record in batch.records:
             if isinstance(record.value, types.Server):
                 server = self._server_records.accept(
-                    record.value, era if is_snapshot else None
+                    record.value, epoch if is_snapshot else None
                 )
                 if server is not None:
                     self._apply_listed(record.key, server, now)
@@ -185,7 +185,7 @@
             if key in unlisted:
                 key_left_s = max(left_s, restored_left_s)
             if key_left_s <= 0.0:
-                self._server_records.record_removal(key, era)
+                self._server_records.record_removal(key, epoch)
             self._apply_unlisted(key, now, key_left_s)
         self._rebuild_index()
 
--- a/src/clementinegw/direct/raw.py
+++ b/src/clementinegw/direct/raw.py
@@ -70,8 +70,8 @@
     """Values by key that last in the platform's store."""
 
     @property
-    def era(self) -> int:
-        """The newest known era of the store, which may have lost values."""
+    def epoch(self) -> int:
+        """The newest known epoch of the store, which may have lost values."""
 
     async def read(self) -> dict[str, bytes]:
         """Returns all values.
--- a/src/clementinegw/direct/refusal_archive.py
+++ b/src/clementinegw/direct/refusal_archive.py
@@ -60,7 +60,7 @@
         self._counters = counters
         self._loaded = False
         self._written_at: dict[str, float] = {}
-        self._written_era = 0
+        self._written_epoch = 0
         self._pause_s = 0.0
         self._due_at = clock()
 
@@ -108,8 +108,8 @@
             self._log.write(_events.REFUSALS_READ, keys=sorted(values))
 
     async def _save(self) -> None:
-        if self._values.era != self._written_era:
-            self._written_era = self._values.era
+        if self._values.epoch != self._written_epoch:
+            self._written_epoch = self._values.epoch
             self._written_at.clear()
         refused = {
             _key(suspicion): suspicion for suspicion in self._guard.refused()
--- a/src/clementinegw/direct/server_records.py
+++ b/src/clementinegw/direct/server_records.py
@@ -26,8 +26,8 @@
       started_ms: When its start began, in Unix milliseconds; 0 if unknown.
       sequence: The sequence number of the record.
       leaving: Whether the start is leaving.
-      removed_in: The era of the store in which the record was removed; None if
-        it was not.
+      removed_in: The epoch of the store in which the record was removed; None
+        if it was not.
     """
 
     started_ms: int
@@ -45,7 +45,7 @@
         self._newest = collections.OrderedDict()
 
     def accept(
-        self, server: types.Server, snapshot_era: int | None = None
+        self, server: types.Server, snapshot_epoch: int | None = None
     ) -> types.Server | None:
         """Accepts a record and returns its content; None if it is outdated.
 
@@ -55,11 +55,11 @@
 
         Args:
           server: The record's content.
-          snapshot_era: The era of the snapshot that the record is from; None if
-            it is a change.
+          snapshot_epoch: The epoch of the snapshot that the record is from;
+            None if it is a change.
         """
         newest = self._newest.get(server.server_id)
-        if newest is not None and _is_older(server, newest, snapshot_era):
+        if newest is not None and _is_older(server, newest, snapshot_epoch):
             self._log.write(
                 _events.SERVER_RECORD_OLD,
                 server=server.server_id,
@@ -82,19 +82,19 @@
             self._newest.popitem(last=False)
         return server
 
-    def record_removal(self, server_id: str, era: int) -> None:
+    def record_removal(self, server_id: str, epoch: int) -> None:
         """Records that a server's record was removed.
 
         A store that was restored since may have the removed record again.
 
         Args:
           server_id: The server's id.
-          era: The era of the store; see `direct.log_position`.
+          epoch: The epoch of the store; see `direct.log_position`.
         """
         newest = self._newest.get(server_id)
         if newest is not None:
             self._newest[server_id] = dataclasses.replace(
-                newest, removed_in=era
+                newest, removed_in=epoch
             )
 
 
@@ -111,14 +111,14 @@
 
 
 def _is_older(
-    server: types.Server, newest: _Newest, snapshot_era: int | None
+    server: types.Server, newest: _Newest, snapshot_epoch: int | None
 ) -> bool:
     if _is_same_start(server, newest):
         if server.sequence == newest.sequence:
             return (
                 newest.removed_in is not None
-                and snapshot_era is not None
-                and newest.removed_in < snapshot_era
+                and snapshot_epoch is not None
+                and newest.removed_in < snapshot_epoch
             )
         return server.sequence < newest.sequence
     return server.started_ms < newest.started_ms
--- a/src/clementinegw/direct/topic_watch.py
+++ b/src/clementinegw/direct/topic_watch.py
@@ -161,7 +161,7 @@
         self._counters = counters
         self._clock = clock
         self._position: int | None = None
-        self._era: int | None = None
+        self._epoch: int | None = None
         self._restored_at = -math.inf
         self._current_at: float | None = None
         self._complete_until: float | None = None
@@ -196,15 +196,15 @@
 
     @property
     def available_s(self) -> float:
-        """How long reads of the same era have not failed, in seconds."""
+        """How long reads of the same epoch have not failed, in seconds."""
         if self._failing_since is not None:
             return 0.0
         return min(self._clock() - self._available_since, self.restored_s)
 
     @property
-    def era(self) -> int:
-        """The era of the store that the copy is of; 0 before any."""
-        return self._era or 0
+    def epoch(self) -> int:
+        """The epoch of the store that the copy is of; 0 before any."""
+        return self._epoch or 0
 
     @property
     def restored_s(self) -> float:
@@ -272,7 +272,7 @@
             wait_s = 0.0 if self._poll_at_once else self._timing.wait_s
             batch = await self._source.changes(self._position, wait_s)
         self._position = batch.next_position
-        self._record_era(log_position.era(batch.next_position))
+        self._record_epoch(log_position.epoch(batch.next_position))
         self._had_records = bool(batch.records)
         freshness = batch.freshness or self._freshness(
             batch, is_snapshot, asked_at
@@ -292,10 +292,10 @@
         self._on_success(freshness)
         return bool(batch.records) and batch.billed
 
-    def _record_era(self, era: int) -> None:
-        if self._era is not None and era > self._era:
+    def _record_epoch(self, epoch: int) -> None:
+        if self._epoch is not None and epoch > self._epoch:
             self._restored_at = self._clock()
-        self._era = era
+        self._epoch = epoch
 
     def _freshness(
         self, batch: Batch, is_snapshot: bool, asked_at: float
@@ -438,5 +438,5 @@
     def restored_s(self) -> float:
         """How long ago any topic showed the last restoration, in seconds."""
         watchers = (self.operators, self.servers)
-        era = max(watcher.era for watcher in watchers)
-        return max(w.restored_s for w in watchers if w.era == era)
+        epoch = max(watcher.epoch for watcher in watchers)
+        return max(w.restored_s for w in watchers if w.epoch == epoch)
