--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -67,7 +67,7 @@
     ),
     "budget": (
         "src/clementinegw/direct/budget.py",
-        "if self._saved < 1.0:",
+        "if not self.allows(now, customer):",
         "if False:",
     ),
     "digest_check": (
