--- a/src/clementinegw/direct/fleet.py
+++ b/src/clementinegw/direct/fleet.py
@@ -181,12 +181,8 @@
                 # The record no longer lists a usable server.
                 self._drop(record.key)
         for key in gone & set(self._backends):
-            key_left_s = left_s
-            if key in unlisted:
-                key_left_s = max(left_s, restored_left_s)
-            if key_left_s <= 0.0:
-                self._server_records.record_removal(key, epoch)
-            self._apply_unlisted(key, now, key_left_s)
+            copy_left_s = restored_left_s if key in unlisted else 0.0
+            self._apply_unlisted(key, now, max(left_s, copy_left_s), epoch)
         self._rebuild_index()
 
     def update_position(self) -> None:
@@ -313,12 +309,15 @@
             self.buffers,
         )
 
-    def _apply_unlisted(self, key: str, now: float, left_s: float) -> None:
+    def _apply_unlisted(
+        self, key: str, now: float, left_s: float, epoch: int
+    ) -> None:
         backend = self._backends[key]
         # A listing that expired during an outage of the platform says nothing
         # about the server. Without this case all servers would be dropped at
         # once.
         if left_s <= 0.0:
+            self._server_records.record_removal(key, epoch)
             self._drop(key)
         elif not backend.missing:
             # Later failures do not extend this time. Otherwise an unstable
--- a/src/clementinegw/direct/log_position.py
+++ b/src/clementinegw/direct/log_position.py
@@ -24,4 +24,4 @@
 
 def epoch(position: int) -> int:
     """Returns the epoch of a position."""
-    return position >> _OFFSET_BITS
+    return split(position)[0]
