Share the slack of retries by the entries that settled agents know

What callers would see: servers that fail get more retries than the limit after a large fleet, or the agents, have started again. Cause: a number was assumed that fits a small fleet. While an entry does not know how many there are it divided the slack by 30, and each start brought a thirtieth of 0.3 of it; an agent that has just started reported the entries that it knew so far, one for the first. Change: the number comes from agents that have run for long enough to tell an entry its position, and the last known one is kept; until it is known the largest fleet is assumed, and a start brings one retry at most. Why it works: what all entries may save and earn adds up to the slack for any number of entries, known or not. LoadedSite reports a rank as agents do once they have run for two seconds.

--- a/src/clementinegw/direct/balance.py
+++ b/src/clementinegw/direct/balance.py
@@ -113,18 +113,23 @@
 
     @property
     def possible_entries(self) -> int:
-        """Number of entries that may be running; 0 if none is reported.
+        """Number of entries that may be running; 0 if it is not known.
 
-        Agents report the entries that reach them. Failure domains of which no
-        agent has been heard may be cut off and have as many entries.
+        Agents know the entries that reach them, once they have run for long
+        enough to tell an entry its position. Failure domains of which no agent
+        has been heard may be cut off and have as many entries.
         """
-        heard = {
-            b.server.failure_domain for b in self._servers.all() if b.entries
-        }
-        if not heard:
+        positions = [
+            (b.server.failure_domain, b.signals.entry_position.entries)
+            for b in self._servers.all()
+            if b.signals.entry_position is not None
+        ]
+        if not positions:
             return 0
+        heard = {domain for domain, _ in positions}
         domains = heard.union(self._regions)
-        return math.ceil(self.entries * len(domains) / len(heard))
+        entries = max(entries for _, entries in positions)
+        return math.ceil(entries * len(domains) / len(heard))
 
     def set_regions(self, regions: dict[str, str]) -> None:
         """Sets the region of each failure domain."""
--- a/src/clementinegw/direct/budget.py
+++ b/src/clementinegw/direct/budget.py
@@ -42,10 +42,12 @@
 _EARNED_SLACK_SHARE = 0.3
 _SAVED_SLACK_SHARE = 0.35
 _INITIAL_SLACK_SHARE = 0.3
-# Number of entries assumed until it is reported, and number of starts in a
-# window that may share the initial slack.
-_ASSUMED_ENTRIES = 30
+# Number of entries assumed until it is reported: the largest fleet.
+_ASSUMED_ENTRIES = 320
+# Number of starts in a window that may share the initial slack, and the most
+# retries that a start brings, which bounds them in a larger fleet.
 _ASSUMED_STARTS = 30
+_MAX_INITIAL_RETRIES = 1.0
 # Fraction of the saved retries that one of several customers may use, or the
 # fraction of the requests that are its own if that is more.
 _CUSTOMER_SHARE = 0.5
@@ -95,7 +97,7 @@
         self.entries = 0
         self._requests = _Window()
         self._retries = _Window()
-        self._saved = limits.slack * _INITIAL_SLACK_SHARE / _ASSUMED_STARTS
+        self._saved = self._initial
         self._updated_at: float | None = None
 
     @property
@@ -103,7 +105,14 @@
         """The most retries that may be saved."""
         requests = len(self._requests)
         saved = requests * self.limits.ratio * _SAVED_RATIO_SHARE
-        return saved + self._own_slack * _SAVED_SLACK_SHARE
+        saved += self._own_slack * _SAVED_SLACK_SHARE
+        return saved if self.entries else max(saved, self._initial)
+
+    @property
+    def _initial(self) -> float:
+        """Retries that a process has from its start."""
+        initial = self.limits.slack * _INITIAL_SLACK_SHARE / _ASSUMED_STARTS
+        return min(initial, _MAX_INITIAL_RETRIES)
 
     @property
     def _own_slack(self) -> float:
--- a/src/clementinegw/direct/retry_budgets.py
+++ b/src/clementinegw/direct/retry_budgets.py
@@ -82,7 +82,8 @@
         now = self._clock()
         if now - self._counted_at >= _COUNT_INTERVAL_S:
             self._counted_at = now
-            self._entries = self._count_entries()
+            # Agents that have just started do not report it for a while.
+            self._entries = self._count_entries() or self._entries
         budget.entries = self._entries
         return budget
 
--- a/tests/test_direct_stream_ends.py
+++ b/tests/test_direct_stream_ends.py
@@ -299,7 +299,7 @@
         """Reports the load of all servers: 8 of 8 slots, or none."""
         for server in self.servers:
             running = 8 if server.name in full else 0
-            load = reports.Report(server.name, running, 0, 8, entries=1)
+            load = reports.Report(server.name, running, 0, 8, entries=1, rank=0)
             self.entry._on_report("127.0.0.1", load)
 
     async def report_for(self, seconds, *full):
