Count retries that may still arrive against what may be saved

What callers would see: servers that fail get more retries than the limit right after a link, or a machine that stood still, is free again. Cause: a retry was counted when it was sent. Change: try_acquire returns the retry's charge, which is settled once: it was not sent, a server has answered, or it was given up. Until a server answers, and for 4 s after it was given up, it takes up room in the cap. A request that was given up at a server and arrives there after its retry elsewhere is the same arrival: its next charge counts for it. retry_budget lines say how many are unanswered. Why it works: what is unanswered and saved at the begin of a window never adds up to more than the cap, so that the sum of a window no longer depends on when what was sent arrives. Tests: direct callers of try_acquire confirm their retries, since the servers in them answer at once; the bounds are as they were.

--- a/src/clementinegw/direct/_events.py
+++ b/src/clementinegw/direct/_events.py
@@ -152,9 +152,9 @@
     _INFO,
     "A retry was granted or refused; at most one line a second and service."
     " `requests` and `retries` are this entry's in the window of the budget,"
-    " `saved` is how many more it could grant at once, `entries` is the number"
-    " of entries that it divides the slack by, and `up_s` how long it has been"
-    " running.",
+    " `saved` is how many more it could grant at once, `unanswered` how many"
+    " may still arrive at a server, `entries` is the number of entries that it"
+    " divides the slack by, and `up_s` how long it has been running.",
 )
 REQUEST_REFUSED = events.define(
     912,
--- a/src/clementinegw/direct/attempt.py
+++ b/src/clementinegw/direct/attempt.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 from clementinegw.direct import backend as backend_lib
+from clementinegw.direct import budget
 from clementinegw.direct import buffer_budget
 from clementinegw.direct import catalog
 from clementinegw.direct import client
@@ -52,6 +53,19 @@
     """The server sent nothing for too long and counts as unreachable."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Takeover:
+    """A retry that is certain to be possible.
+
+    Attributes:
+      reservation: The server that is reserved for it.
+      charge: Its charge to the retry budget.
+    """
+
+    reservation: queue.Reservation
+    charge: budget.Charge
+
+
 @dataclasses.dataclass(slots=True)
 class Job:
     """The state of one request from its admission to its final answer.
@@ -83,8 +97,11 @@
       sent_bytes: How many bytes were sent then, without the headers.
       utilization: The estimated share of the last server's slots in use.
       server_id: The last server that was chosen for it.
-      takeover: The server that is reserved to take it over from a silent one;
-        the retry budget is charged already.
+      takeover: What is reserved to take it over from a silent server.
+      charge: The charge of its current attempt; None for the first one.
+      reached: Whether a server has begun to answer its last send.
+      late_sends: How many of its sends were given up and may arrive later,
+        without a charge that counts as unanswered for it.
       tried: The server starts where it may have run without success.
       answer_memory: The memory of answers that are buffered for it.
       memory: The memory that it needs at its server; None if unknown.
@@ -120,7 +137,10 @@
     sent_bytes: int = 0
     utilization: float = 0.0
     server_id: str = ""
-    takeover: queue.Reservation | None = None
+    takeover: Takeover | None = None
+    charge: budget.Charge | None = None
+    reached: bool = False
+    late_sends: int = 0
     tried: set[types.ServerStart] = dataclasses.field(default_factory=set)
     answer_memory: buffer_budget.AnswerMemory = dataclasses.field(
         default_factory=lambda: buffer_budget.AnswerMemory(
@@ -152,6 +172,12 @@
             customer.priority if customer else None, self.match.route.priority
         )
 
+    def record_reached(self) -> None:
+        """Records that a server has begun to answer the last send."""
+        self.reached = True
+        if self.charge is not None and not self.late_sends:
+            self.charge.confirm()
+
     def send_fields(self, now: float) -> dict[str, int | None]:
         """Returns the log fields of its last send.
 
@@ -345,6 +371,7 @@
             request.headers, forward_metadata
         )
         job.sends += 1
+        job.reached = False
         sent_at = job.sent_at = self._clock()
         job.sent_bytes = len(request.body)
         await connection.send(
@@ -356,6 +383,7 @@
         )
         silence_limit_s = silence_s if route.idempotent else None
         head = await receiver.receive_head(connection, silence_limit_s)
+        job.record_reached()
         metadata = self._codec.answer_metadata(head)
         connection.keep_alive_s = metadata.keep_alive_s
         now = self._clock()
--- a/src/clementinegw/direct/budget.py
+++ b/src/clementinegw/direct/budget.py
@@ -10,6 +10,10 @@
 it takes over, has used in the same window. What can be used in a window is what
 was saved at its begin, what is earned in it, and what starts in it bring.
 
+A retry that no server has answered may arrive in a later window than the one
+that it was sent in. So it takes up room in the cap until it is known to have
+arrived, or for some seconds after it was given up.
+
 Requests of one customer that fail wherever they run must not use up the budget:
 others would then not be retried after the loss of a server.
 """
@@ -48,6 +52,9 @@
 # retries that a start brings, which bounds them in a larger fleet.
 _ASSUMED_STARTS = 30
 _MAX_INITIAL_RETRIES = 1.0
+# For how long a retry that was given up may be held by a link or by a server
+# that stands still, in seconds.
+_LATE_ARRIVAL_S = 4.0
 # Fraction of the saved retries that one of several customers may use, or the
 # fraction of the requests that are its own if that is more.
 _CUSTOMER_SHARE = 0.5
@@ -84,17 +91,49 @@
             del self.by_customer[customer]
 
 
+@dataclasses.dataclass(slots=True, eq=False)
+class Charge:
+    """A retry that was counted; it is settled once."""
+
+    _budget: "RetryBudget"
+    _customer: str
+    _settled: bool = False
+
+    def refund(self) -> None:
+        """Removes the retry: it was not sent."""
+        if self._settle():
+            self._budget.remove_retry(self._customer)
+
+    def confirm(self) -> None:
+        """Records that the retry has arrived at a server."""
+        if self._settle():
+            self._budget.unanswered -= 1
+
+    def abandon(self, now: float) -> None:
+        """Records that the retry was given up and may arrive later."""
+        if self._settle():
+            self._budget.expect_late_arrival(now)
+
+    def _settle(self) -> bool:
+        """Returns whether the charge was not settled yet."""
+        settled, self._settled = self._settled, True
+        return not settled
+
+
 class RetryBudget:
     """Limits the retries of one service.
 
     Attributes:
       limits: What the operators allow.
       entries: Number of entries that share the slack; 0 if unknown.
+      unanswered: Number of retries that may still arrive at a server.
     """
 
     def __init__(self, limits: Limits):
         self.limits = limits
         self.entries = 0
+        self.unanswered = 0
+        self._abandoned: collections.deque[float] = collections.deque()
         self._requests = _Window()
         self._retries = _Window()
         self._saved = self._initial
@@ -135,19 +174,25 @@
             return True
         return self._saved - 1.0 >= (1.0 - share) * self._capacity
 
-    def try_acquire(self, now: float, customer: str = "") -> bool:
-        """Counts a retry if the budget allows it; returns whether it does."""
+    def try_acquire(self, now: float, customer: str = "") -> Charge | None:
+        """Counts a retry if the budget allows it; returns its charge."""
         if not self.allows(now, customer):
-            return False
+            return None
         self._saved -= 1.0
         self._retries.add(now, customer)
-        return True
+        self.unanswered += 1
+        return Charge(self, customer)
 
-    def refund(self, customer: str = "") -> None:
-        """Removes a customer's newest retry: it was not sent."""
+    def remove_retry(self, customer: str) -> None:
+        """Removes a customer's newest retry."""
         self._saved += 1.0
+        self.unanswered -= 1
         self._retries.remove_newest(customer)
 
+    def expect_late_arrival(self, now: float) -> None:
+        """Counts a retry as unanswered for as long as it may arrive."""
+        self._abandoned.append(now)
+
     def state(self, now: float) -> dict[str, float]:
         """Returns the log fields of the budget.
 
@@ -159,6 +204,7 @@
             "requests": len(self._requests),
             "retries": len(self._retries),
             "saved": round(self._saved, 1),
+            "unanswered": self.unanswered,
             "entries": self.entries,
         }
 
@@ -174,8 +220,13 @@
         start = now - self.limits.window_s
         self._requests.expire(start)
         self._retries.expire(start)
+        while self._abandoned and self._abandoned[0] < now - _LATE_ARRIVAL_S:
+            self._abandoned.popleft()
+            self.unanswered -= 1
         if self._updated_at is not None:
             windows = (now - self._updated_at) / self.limits.window_s
             retries += windows * self._own_slack * _EARNED_SLACK_SHARE
         self._updated_at = now
-        self._saved = min(self._capacity, self._saved + retries)
+        capacity = self._capacity
+        room = max(0.0, capacity - self.unanswered)
+        self._saved = min(room, self._saved + retries)
--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -49,6 +49,10 @@
         outcomes.NotRunReason.SUSPECT,
     }
 )
+# Reasons for which an entry gives up an attempt that the server may get later.
+_GIVEN_UP_REASONS = frozenset(
+    {outcomes.LostReason.SILENT, outcomes.LostReason.OUTDATED}
+)
 # A server that rejected a request unrun is skipped for this long, in seconds.
 _FULL_BACKOFF_S = 0.15
 # A server whose start differs from the listed one is skipped for this long, in
@@ -296,8 +300,8 @@
             outcome = outcomes.Refusal(_GATEWAY_TIMEOUT, Reason.TIMEOUT)
         finally:
             if job.takeover is not None:
-                job.takeover.release()
-                self._retry_budgets.refund(job.service, job.customer_name)
+                job.takeover.reservation.release()
+                self._retry_budgets.refund(job.takeover.charge)
         if job.responder.begun:
             if isinstance(outcome, outcomes.Failed):
                 # Another server's events were sent: no second head can follow.
@@ -314,13 +318,39 @@
         if isinstance(reservation, outcomes.Refusal):
             return reservation
         sends = job.sends
+        outcome = None
         try:
-            return await self._send(job, reservation.backend)
+            outcome = await self._send(job, reservation.backend)
+            return outcome
         finally:
             reservation.release()
-            if sends and job.sends == sends:
-                # Nothing reached the server.
-                self._retry_budgets.refund(job.service, job.customer_name)
+            self._settle(job, job.sends > sends, outcome)
+
+    def _settle(
+        self,
+        job: attempts.Job,
+        sent: bool,
+        outcome: outcomes.AttemptOutcome | outcomes.Refusal | None,
+    ) -> None:
+        """Settles the charge of an attempt that has ended.
+
+        Args:
+          job: The request.
+          sent: Whether anything was sent to the server.
+          outcome: The attempt's outcome; None if it was cancelled.
+        """
+        charge, job.charge = job.charge, None
+        if sent and not job.reached and _is_given_up(outcome):
+            job.late_sends += 1
+        if charge is None:
+            return
+        if not sent:
+            self._retry_budgets.refund(charge)
+        elif job.late_sends:
+            job.late_sends -= 1
+            self._retry_budgets.abandon(charge)
+        else:
+            charge.confirm()
 
     async def _reserve(
         self, job: attempts.Job
@@ -328,7 +358,8 @@
         """Returns a reservation for the next attempt, or a refusal."""
         takeover, job.takeover = job.takeover, None
         if takeover is not None:
-            return takeover
+            job.charge = takeover.charge
+            return takeover.reservation
         if self._guard.refuses(job):
             return self._placer.refuse(job, Reason.CRASHES_SERVERS)
         begun = job.responder.begun
@@ -340,7 +371,10 @@
             reservation = await self._placer.reserve(job)
             if isinstance(reservation, outcomes.Refusal) or not job.sends:
                 return reservation
-            if self._retry_budgets.try_acquire(job.service, job.customer_name):
+            job.charge = self._retry_budgets.try_acquire(
+                job.service, job.customer_name
+            )
+            if job.charge is not None:
                 return reservation
             reservation.release()
             if not begun:
@@ -381,10 +415,11 @@
         reservation = self._placer.reserve_alternative(job, backend)
         if reservation is None:
             return False
-        if not self._retry_budgets.try_acquire(service, customer):
+        charge = self._retry_budgets.try_acquire(service, customer)
+        if charge is None:
             reservation.release()
             return False
-        job.takeover = reservation
+        job.takeover = attempts.Takeover(reservation, charge)
         return True
 
     def _withdrawal_reason(
@@ -580,6 +615,19 @@
     return isinstance(outcome, outcomes.NotRun) and outcome.reason is reason
 
 
+def _is_given_up(
+    outcome: outcomes.AttemptOutcome | outcomes.Refusal | None,
+) -> bool:
+    """Returns whether this entry ended an attempt before it was answered.
+
+    Args:
+      outcome: The attempt's outcome; None if it was cancelled.
+    """
+    if isinstance(outcome, outcomes.Lost):
+        return outcome.reason in _GIVEN_UP_REASONS
+    return outcome is None
+
+
 async def _cancel(task: asyncio.Task[_Outcome]) -> _Outcome | None:
     """Cancels a task; returns its outcome if it had ended before."""
     task.cancel()
--- a/src/clementinegw/direct/retry_budgets.py
+++ b/src/clementinegw/direct/retry_budgets.py
@@ -61,19 +61,25 @@
         """Returns whether a retry for a customer is within the budget."""
         return self._of(service).allows(self._clock(), customer)
 
-    def try_acquire(self, service: str, customer: str) -> bool:
-        """Counts a retry if the budget allows it; returns whether it does."""
-        granted = self._of(service).try_acquire(self._clock(), customer)
-        result = "granted" if granted else "refused"
+    def try_acquire(
+        self, service: str, customer: str
+    ) -> budget_lib.Charge | None:
+        """Counts a retry if the budget allows it; returns its charge."""
+        charge = self._of(service).try_acquire(self._clock(), customer)
+        result = "refused" if charge is None else "granted"
         self._counters.add(f"direct.retry.{result}")
         self._log_state(service)
-        return granted
+        return charge
 
-    def refund(self, service: str, customer: str) -> None:
-        """Returns a customer's newest retry to the budget: it was not sent."""
-        self._of(service).refund(customer)
+    def refund(self, charge: budget_lib.Charge) -> None:
+        """Returns a retry to its budget: it was not sent."""
+        charge.refund()
         self._counters.add("direct.retry.returned")
 
+    def abandon(self, charge: budget_lib.Charge) -> None:
+        """Records that a retry was given up and may arrive later."""
+        charge.abandon(self._clock())
+
     def _of(self, service: str) -> budget_lib.RetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
--- a/tests/test_direct_decisions.py
+++ b/tests/test_direct_decisions.py
@@ -514,6 +514,15 @@
 # The retry budget.
 
 
+def retry(one, now, customer=""):
+    """Returns whether a retry is granted; a server answers it at once."""
+    charge = one.try_acquire(now, customer)
+    if charge is None:
+        return False
+    charge.confirm()
+    return True
+
+
 def test_all_entries_together_keep_the_budget():
     """Guards against more retries of a failing service than allowed.
 
@@ -529,7 +538,7 @@
             now = number * 0.1
             one.record_request(now)
             requests += 1
-            while one.try_acquire(now):
+            while retry(one, now):
                 repeats += 1
     assert repeats <= 0.2 * requests + 104.0
     assert repeats > 0.15 * requests
@@ -540,7 +549,7 @@
     one = budget.RetryBudget(budget.Limits(0.0, 100.0, 10.0))
     one.entries = 10
     one.allows(0.0)
-    granted = [n / 10 for n in range(400, 900) if one.try_acquire(n / 10)]
+    granted = [n / 10 for n in range(400, 900) if retry(one, n / 10)]
     most = max(
         sum(begin <= at < begin + 10.0 for at in granted) for begin in granted
     )
@@ -560,16 +569,16 @@
         one.record_request(number * 0.05, "failing" if number % 4 else "b")
     one.record_request(5.0, "c")
     for _ in range(100):
-        one.try_acquire(5.0, "failing")
-    assert one.try_acquire(5.0, "b")
-    assert one.try_acquire(5.0, "c")
+        retry(one, 5.0, "failing")
+    assert retry(one, 5.0, "b")
+    assert retry(one, 5.0, "c")
 
 
 def test_only_customer_may_use_the_whole_budget():
     one = budget.RetryBudget(budget.Limits(0.2, 0.0, 10.0))
     for _ in range(100):
         one.record_request(0.0, "a")
-    assert sum(one.try_acquire(0.0, "a") for _ in range(100)) == 7
+    assert sum(retry(one, 0.0, "a") for _ in range(100)) == 7
 
 
 def test_refund_returns_the_retry_of_its_customer():
@@ -577,11 +586,25 @@
     for _ in range(50):
         one.record_request(0.0, "a")
         one.record_request(0.0, "b")
-    assert sum(one.try_acquire(0.0, "a") for _ in range(20)) == 3
-    assert one.try_acquire(0.0, "b")
-    one.refund("a")
-    assert one.try_acquire(0.0, "a")
-    assert not one.try_acquire(0.0, "a")
+    charges = [one.try_acquire(0.0, "a") for _ in range(20)]
+    assert sum(charge is not None for charge in charges) == 3
+    assert retry(one, 0.0, "b")
+    charges[0].refund()
+    assert retry(one, 0.0, "a")
+    assert not retry(one, 0.0, "a")
+
+
+def test_abandoned_retry_takes_up_room_for_some_seconds():
+    """A retry that was given up arrived in a window of others."""
+    one = budget.RetryBudget(budget.Limits(0.0, 30.0, 10.0))
+    one.entries = 1
+    one.allows(0.0)
+    before = one.state(30.0)["saved"]
+    one.try_acquire(30.0).abandon(31.0)
+    assert [
+        (one.state(now)["unanswered"], one.state(now)["saved"])
+        for now in (34.9, 60.0)
+    ] == [(1, before - 1.0), (0, before)]
 
 
 # Routes.
--- a/tests/test_direct_resumption.py
+++ b/tests/test_direct_resumption.py
@@ -218,6 +218,37 @@
     assert sites.run(play()) == [0, 0]
 
 
+@pytest.mark.parametrize(
+    ("answered", "unanswered"), [(False, [1, 0]), (True, [0, 0])]
+)
+def test_retries_that_may_still_arrive_count_as_unanswered(
+    answered, unanswered
+):
+    """Requests that links held arrived in a window of other retries."""
+
+    async def serve(call):
+        if not answered:
+            await asyncio.sleep(30.0)
+        call.reset()
+
+    async def play():
+        async with sites.Site("i-1", "i-2", on_call=serve) as site:
+            limits = budget.Limits(slack=1e4)
+            site.entry._forwarder.set_retry_limits(limits)
+            stream = asyncio.ensure_future(site.ask("/stream/1"))
+            await asyncio.sleep(1.0)
+            stream.cancel()
+            counts = []
+            for _ in range(2):
+                await asyncio.sleep(3.0)
+                one = site.entry._forwarder._retry_budgets._of("plain")
+                one.allows(asyncio.get_running_loop().time())
+                counts.append(one.unanswered)
+            return counts
+
+    assert sites.run(play()) == unanswered
+
+
 FINAL_EVENTS = frozenset(
     {
         "request_done",
--- a/tests/test_direct_retry_fleet.py
+++ b/tests/test_direct_retry_fleet.py
@@ -54,6 +54,9 @@
     start: int
     customer: str
     number: int
+    charge: budget.Charge | None = dataclasses.field(
+        default=None, compare=False
+    )
 
 
 class Fleet:
@@ -113,12 +116,13 @@
             self._push(now, entry, customer, 1)
         return self
 
-    def _push(self, now, entry, customer, number):
+    def _push(self, now, entry, customer, number, charge=None):
         at = now + self._rng.uniform(0.005, 0.3)
         if number > 1:
             at = self._load.arrival(at)
         start = self._starts[entry]
-        heapq.heappush(self._sends, _Send(at, entry, start, customer, number))
+        send = _Send(at, entry, start, customer, number, charge)
+        heapq.heappush(self._sends, send)
 
     def _send_until(self, now):
         while self._sends and self._sends[0].at <= now:
@@ -126,15 +130,18 @@
             self._restart_until(send.at)
             if self._starts[send.entry] != send.start:
                 continue
-            if send.number > 1:
+            if send.charge is not None:
                 self.retries.append(send.at)
+                send.charge.confirm()
             if self._rng.random() >= self._failing(send.at):
                 continue
+            if send.number == MAX_SENDS:
+                continue
             one = self._budget(send.entry, send.at)
-            if send.number < MAX_SENDS and one.try_acquire(
-                send.at, send.customer
-            ):
-                self._push(send.at, send.entry, send.customer, send.number + 1)
+            charge = one.try_acquire(send.at, send.customer)
+            if charge is not None:
+                number = send.number + 1
+                self._push(send.at, send.entry, send.customer, number, charge)
         self._restart_until(now)
 
     def _restart_until(self, now):
