Request a manifest again that its chunks contradict

Cause: what one answer of the origin said was kept without an end, and passed on. A digest that was corrupted on its way keeps its chunk from every agent that has the manifest, as a chunk that does not match was always taken for corrupt, never its digest. Change: a manifest is doubted when the origin has sent the same data twice for a chunk with another digest, or when chunks that no agent has do not arrive for a second. The agents that have that evidence, and the few that manifests of a large fleet come from, ask the origin once more; the others ask these few. Why it works: two equal answers are no corruption on the way; what is taken instead is doubted in the same way.

--- a/src/clementinegw/direct/_events.py
+++ b/src/clementinegw/direct/_events.py
@@ -265,6 +265,15 @@
     "If it repeats, find out why the server answers slowly (`checks_s`) or the"
     " agent stands still (`loop_stalled`).",
 )
+MANIFEST_RENEWED = events.define(
+    953,
+    "manifest_renewed",
+    _WARNING,
+    "A version's manifest was replaced: chunks from the origin contradicted the"
+    " former one, or one did not arrive that nobody has.",
+    "If it repeats, publish the version again: its manifest does not belong to"
+    " its chunks.",
+)
 STEP_FAILED = events.define(
     923,
     "step_failed",
--- a/src/clementinegw/direct/fetcher.py
+++ b/src/clementinegw/direct/fetcher.py
@@ -78,10 +78,20 @@
 
 
 class _OriginBlobStore:
-    """Adapts the origin to a blob store that returns a chunk by its digest."""
+    """Adapts the origin to a blob store that returns a chunk by its digest.
+
+    Attributes:
+      failing_since: When requests began to fail, in seconds; None if the last
+        one succeeded.
+      contradicts_manifest: Whether the origin has sent the same data twice for
+        a chunk, and its digest is not the one in the manifest.
+    """
 
     def __init__(self, counters: counters_lib.Counters, clock: clocks.Clock):
         self.failing_since: float | None = None
+        self.contradicts_manifest = False
+        # Digests of the last chunks that did not match, by their number.
+        self._mismatches: dict[int, bytes] = {}
         self._clock = clock
         self._counters = counters
         self._origin: agent_interfaces.Origin | None = None
@@ -96,6 +106,7 @@
         """Sets the version whose chunks are requested."""
         self._origin = origin
         self._manifest = manifest
+        self.forget_mismatches()
         self._numbers = {
             manifests.chunk_blob_name(digest): number
             for number, digest in enumerate(manifest.digests)
@@ -112,17 +123,37 @@
                 f"the origin has no chunk {name} of the target"
             )
         self._counters.add("weights.origin.calls")
+        manifest = self._manifest
         try:
             data = await self._origin.chunk(
-                self._manifest.model, self._manifest.version, number
+                manifest.model, manifest.version, number
             )
         except exceptions.PlatformError:
             if self.failing_since is None:
                 self.failing_since = self._clock.now()
             raise
         self.failing_since = None
+        self._compare(manifest, number, data)
         return data
 
+    def forget_mismatches(self) -> None:
+        """Forgets which chunks did not match the manifest."""
+        self.contradicts_manifest = False
+        self._mismatches.clear()
+
+    def _compare(
+        self,
+        manifest: agent_interfaces.VersionManifest,
+        number: int,
+        data: bytes,
+    ) -> None:
+        digest = staging.digest_of(data)
+        if manifest != self._manifest or digest == manifest.digests[number]:
+            return
+        if self._mismatches.get(number) == digest:
+            self.contradicts_manifest = True
+        self._mismatches[number] = digest
+
     async def put(self, name: str, data: bytes) -> None:
         """See `platform.blobs.BlobStore`; always refused."""
         raise exceptions.PlatformRefused("the origin is read-only")
@@ -219,6 +250,11 @@
         since = self._origin.failing_since
         return 0.0 if since is None else self._clock.now() - since
 
+    @property
+    def manifest_contradicted(self) -> bool:
+        """Whether chunks from the origin show that the manifest is wrong."""
+        return self._origin.contradicts_manifest
+
     async def fetch_manifest(
         self, origin: agent_interfaces.Origin, model: str, version: int
     ) -> agent_interfaces.VersionManifest:
@@ -240,12 +276,49 @@
             if from_agent is None:
                 raise
             manifest = from_agent
+        self._add_manifest(manifest, model, version)
+        return manifest
+
+    async def renew_manifest(
+        self, origin: agent_interfaces.Origin, model: str, version: int
+    ) -> agent_interfaces.VersionManifest | None:
+        """Requests the target's manifest once more, and caches the answer.
+
+        Agents that have evidence ask the origin, and so do a few others. The
+        rest ask these few.
+
+        Returns:
+          The manifest; None if no agent answered.
+
+        Raises:
+          exceptions.PlatformError: The origin did not answer.
+        """
+        askers = self._ranked_askers(model, version)
+        if self.manifest_contradicted or self._me.instance_id in askers:
+            # If the answer is the same, chunks have to contradict it anew.
+            self._origin.forget_mismatches()
+            manifest = await origin.manifest(model, version)
+        else:
+            from_agent = await self._manifest_cache.fetch(
+                model, version, askers
+            )
+            if from_agent is None:
+                return None
+            manifest = from_agent
+        self._add_manifest(manifest, model, version)
+        return manifest
+
+    def _add_manifest(
+        self,
+        manifest: agent_interfaces.VersionManifest,
+        model: str,
+        version: int,
+    ) -> None:
         if manifest.version != version or not manifest.digests:
             raise exceptions.PlatformUnavailable(
                 f"manifest of {model} is empty or not of version {version}"
             )
         self._manifest_cache.add(manifest)
-        return manifest
 
     async def _manifest_from_agents(
         self, model: str, version: int
@@ -270,11 +343,16 @@
         self, model: str, version: int
     ) -> tuple[str, ...]:
         """Returns the agents that ask the origin; empty if all of them do."""
-        fleet = self.transfer.fleet
-        if len(fleet) <= _MAX_FLEET_ASKING_ORIGIN:
+        if len(self.transfer.fleet) <= _MAX_FLEET_ASKING_ORIGIN:
             return ()
+        return self._ranked_askers(model, version)
+
+    def _ranked_askers(self, model: str, version: int) -> tuple[str, ...]:
+        """Returns the few agents that a large fleet's manifests come from."""
         name = f"{model}/{version}".encode()
-        return fleet.ranked(name, origin_fetchers.DrawPolicy.FLEET, "")
+        return self.transfer.fleet.ranked(
+            name, origin_fetchers.DrawPolicy.FLEET, ""
+        )
 
     def holds_all(self, manifest: agent_interfaces.VersionManifest) -> bool:
         """Returns whether this agent holds every chunk of a version."""
--- a/src/clementinegw/direct/updater.py
+++ b/src/clementinegw/direct/updater.py
@@ -48,6 +48,9 @@
 # stalled, in seconds. Chunks that have left the origin still arrive then, but
 # others are missing at every agent.
 _ORIGIN_FAILURE_TIMEOUT_S = 0.5
+# The shortest time between two requests for the manifest of a stalled version,
+# in seconds.
+_RENEWAL_INTERVAL_S = 1.0
 # How long a stalled version is excluded, in seconds.
 _STALL_COOLDOWN_S = 4.0
 
@@ -159,6 +162,7 @@
         self._abandoned_missing: dict[int, float] = {}
         self._last_missing = 1.0
         self._progress_at = 0.0
+        self._renewed_at = -math.inf
         self._yielding = False
         self._yielding_since = 0.0
         # The version of which chunks were last staged; 0 for none.
@@ -266,8 +270,10 @@
         if manifest is not None and self._must_finish_spreading(
             manifest.version, version
         ):
+            await self._renew_doubted_manifest(manifest)
             return
         if manifest is not None and manifest.version == version:
+            await self._renew_doubted_manifest(manifest)
             newest = self._versions()[-1].version
             if newest > version and not self._fetcher.unspread_fraction:
                 self._prefetcher.start(
@@ -313,6 +319,51 @@
         )
         self._fetcher.set_target(self._context.origin, new_manifest, is_new)
 
+    async def _renew_doubted_manifest(
+        self, former: agent_interfaces.VersionManifest
+    ) -> None:
+        """Requests the target's manifest once more if it may be wrong.
+
+        A digest that was corrupted on its way would keep its chunk, and so the
+        version, from this agent and from those that got the manifest from it.
+
+        Args:
+          former: The target's manifest.
+
+        Raises:
+          exceptions.PlatformError: The origin did not answer.
+        """
+        if not self._fetcher.manifest_contradicted and not self._is_stuck():
+            return
+        assert self._context.origin is not None
+        self._counters.add("weights.manifest.requested_again")
+        try:
+            manifest = await self._fetcher.renew_manifest(
+                self._context.origin, former.model, former.version
+            )
+        finally:
+            self._renewed_at = self._clock()
+        if manifest is None or manifest == former:
+            return
+        self._log.write(_events.MANIFEST_RENEWED, version=manifest.version)
+        self._manifests[manifest.version] = manifest
+        self._complete_at.pop(manifest.version, None)
+        self._progress_at = self._clock()
+        self._fetcher.set_target(self._context.origin, manifest)
+
+    def _is_stuck(self) -> bool:
+        """Returns whether chunks of the target that nobody has do not arrive.
+
+        Their digests may be wrong. False for a while after each renewal.
+        """
+        now = self._clock()
+        return (
+            self._fetcher.missing_fraction > 0
+            and self._fetcher.unspread_fraction > 0
+            and now - self._progress_at > _STALL_TIMEOUT_S
+            and now - self._renewed_at > _RENEWAL_INTERVAL_S
+        )
+
     def _must_finish_spreading(self, version: int, newer: int) -> bool:
         """Returns whether to finish a version's last chunks before a newer one.
 
--- a/tests/test_direct_agent.py
+++ b/tests/test_direct_agent.py
@@ -149,15 +149,30 @@
         self.asked = 0
         self.down = False
         self.corrupt_chunks = 0
+        # Manifests that the origin corrupts, how, and whether it fails behind
+        # one.
+        self.corrupt_manifests = 0
+        self.corrupted_field = "digests"
+        self.fails_after_manifest = False
 
     async def manifest(self, model, version):
         self.asked += 1
         if self.down:
             raise exceptions.PlatformUnavailable("down")
         digests = tuple(digest(chunk(version, n)) for n in range(CHUNKS))
-        return agent_interfaces.VersionManifest(
+        manifest = agent_interfaces.VersionManifest(
             model, version, CHUNK_BYTES, digests
         )
+        if not self.corrupt_manifests:
+            return manifest
+        self.corrupt_manifests -= 1
+        self.down = self.fails_after_manifest
+        corrupt = {
+            "digests": (digest(b"another chunk"), *digests[1:]),
+            "chunk_bytes": CHUNK_BYTES + 900,
+        }
+        field = self.corrupted_field
+        return dataclasses.replace(manifest, **{field: corrupt[field]})
 
     async def chunk(self, model, version, number):
         await asyncio.sleep(0.02)
@@ -464,6 +479,34 @@
     assert run(scenario()) == [True]
 
 
+@pytest.mark.parametrize(
+    ("count", "field"),
+    [(1, "digests"), (3, "digests"), (20, "digests"), (3, "chunk_bytes")],
+)
+def test_a_corrupt_manifest_is_not_kept(count, field):
+    """A digest that was corrupted once kept a version from all servers."""
+
+    async def scenario():
+        async with Site(count, link_bytes_per_s=200_000.0) as site:
+            await site.until_all_hold(1)
+            site.origin.corrupted_field = field
+            site.origin.corrupt_manifests = 1
+            site.origin.fails_after_manifest = True
+            site.declare(2)
+            while not site.origin.down:
+                await asyncio.sleep(0.05)
+            await asyncio.sleep(3.0)
+            site.origin.down = False
+            took = await site.until_all_hold(2)
+            return took, [
+                local_server.loads_intact for local_server in site.local_servers
+            ]
+
+    took, intact = run(scenario())
+    assert took < 8.0
+    assert all(all(loads) for loads in intact)
+
+
 def test_an_order_whose_answer_is_lost_is_not_repeated():
     """Guards against a server that loads twice and serves nothing meanwhile.
 
