Corrupt manifests in the soak of weights

Change: for a while the origin sends a share of its manifests with one wrong digit, cut off, or of another version, beside the other faults, and always for the last version that is declared.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -75,6 +75,11 @@
         "if data is None or digest_of(data) != manifest.digests[number]:",
         "if data is None:",
     ),
+    "doubted_manifest": (
+        "src/clementinegw/direct/updater.py",
+        "if not self._fetcher.manifest_contradicted and not self._is_stuck():",
+        "if True:",
+    ),
     "check_age": (
         "src/clementinegw/direct/staging.py",
         "self._clock = boot_clock",
--- a/tests/soak/weights.py
+++ b/tests/soak/weights.py
@@ -36,6 +36,20 @@
     return hashlib.sha256(seed).digest() * (PIECE_BYTES // 32)
 
 
+def manifest(version):
+    """Returns the manifest of a version as the origin sends it."""
+    digests = [
+        hashlib.sha256(piece(version, number)).hexdigest()
+        for number in range(PIECES)
+    ]
+    fields = {
+        "version": version,
+        "digests": digests,
+        "chunk_bytes": PIECE_BYTES,
+    }
+    return json.dumps(fields).encode()
+
+
 class ModelServer:
     """A model server that verifies nothing, like the real one.
 
@@ -164,11 +178,17 @@
 
 
 class Origin:
-    """The origin of weights; sends a share of its pieces corrupted."""
+    """The origin of weights; sends a share of its answers corrupted.
+
+    Attributes:
+      corrupt_share: The share of its pieces.
+      corrupt_manifest_share: The share of its manifests.
+    """
 
     def __init__(self, rng):
         self._rng = rng
         self.corrupt_share = 0.0
+        self.corrupt_manifest_share = 0.0
         self.server = servers.Server(self._handle)
 
     async def _handle(self, request, responder):
@@ -176,23 +196,29 @@
         query = dict(part.split("=") for part in text.split("&"))
         version = int(query["version"])
         if path.startswith("/manifest"):
-            digests = [
-                hashlib.sha256(piece(version, number)).hexdigest()
-                for number in range(PIECES)
-            ]
-            body = json.dumps(
-                {
-                    "version": version,
-                    "digests": digests,
-                    "chunk_bytes": PIECE_BYTES,
-                }
-            ).encode()
+            body = manifest(version)
+            if self._rng.random() < self.corrupt_manifest_share:
+                body = self._corrupt_manifest(version)
         elif self._rng.random() < self.corrupt_share:
             body = b"s" * PIECE_BYTES
         else:
             body = piece(version, int(query["num"]))
         await responder.answer(200, [], body)
 
+    def _corrupt_manifest(self, version):
+        """Returns a manifest with one wrong digit, a part, or another one."""
+        body = manifest(version)
+        digest = hashlib.sha256(piece(version, self._rng.randrange(PIECES)))
+        good = digest.hexdigest().encode()
+        digit = b"0" if good[:1] != b"0" else b"1"
+        return self._rng.choice(
+            (
+                body.replace(good, digit + good[1:]),
+                body[: self._rng.randrange(1, len(body))],
+                manifest(max(1, version - 1)),
+            )
+        )
+
 
 class Soak:
     """Runs one seed against agents beside model servers.
@@ -293,6 +319,7 @@
             "stop": self._fault_stop,
             "rot": self._fault_corrupt_staged,
             "spoil": self._fault_corrupt_origin,
+            "manifest": self._fault_corrupt_manifests,
             "server": self._fault_restart_server,
             "origin_link": lambda: self.origin_proxy.inject_fault(self._rng),
             "store_link": lambda: self.store_proxy.inject_fault(self._rng),
@@ -309,6 +336,8 @@
             for agent in self.agents:
                 agent.poll()
         await asyncio.gather(*running)
+        # A later version would replace the one with the corrupt manifest.
+        await self._fault_corrupt_manifests()
 
     async def _fault_declare(self):
         self._declared_version += 1
@@ -341,6 +370,13 @@
         await asyncio.sleep(self._rng.uniform(0.5, 3.0))
         self.origin.corrupt_share = 0.0
 
+    async def _fault_corrupt_manifests(self):
+        """A version is declared whose manifests are corrupt for a while."""
+        self.origin.corrupt_manifest_share = 0.6
+        await self._fault_declare()
+        await asyncio.sleep(self._rng.uniform(0.5, 3.0))
+        self.origin.corrupt_manifest_share = 0.0
+
     async def _fault_restart_server(self):
         """A model server restarts without any weights."""
         number = self._rng.randrange(AGENTS)
