Refuse unknown keys on routes that serve anonymous callers

What callers saw: a request whose key was revoked, or never existed, was served on a route with allow_anonymous, as one without a key. Cause: the exception for requests that carry no key was made for all whose key is unknown. Change: the exception is for requests without a key only. An unknown key gets 401, or 503 while the configuration is old, as on other routes.

--- a/src/clementinegw/direct/admit.py
+++ b/src/clementinegw/direct/admit.py
@@ -67,8 +67,6 @@
     if not catalog.keyed or (route.anonymous and not metadata.key):
         return catalogs.RouteMatch(route, None)
     customer = catalog.customer(metadata.key)
-    if customer is None and route.anonymous:
-        return catalogs.RouteMatch(route, None)
     if customer is None:
         if fresh:
             return outcomes.Refusal(401, Reason.NO_KEY)
