Apply changed limits on heads to open connections

What callers saw: after the operators raised max_header_bytes, requests on connections that were open before got 431 for good; a lowered limit did not bind there. Cause: the limit was given to the parser when a connection opened, and the limits for the next request were read before the connection went idle. Change: the reader asks for the limits in force whenever it needs them, and checks unread bytes itself; the parser keeps the largest limit that may be set.

--- a/src/clementinegw/direct/request_reader.py
+++ b/src/clementinegw/direct/request_reader.py
@@ -81,6 +81,7 @@
         self,
         channel: channels.Channel,
         http: h11.Connection,
+        limits: Callable[[], types.Limits],
         memory: BodyMemory,
         send: Callable[[h11.Event], Awaitable[None]],
     ):
@@ -89,11 +90,13 @@
         Args:
           channel: The connection.
           http: Its HTTP state, shared with the code that sends answers.
+          limits: Returns the limits in force, which change while it is open.
           memory: Bounds the bytes of all bodies.
           send: Sends an event to the caller.
         """
         self._channel = channel
         self._http = http
+        self._limits = limits
         self._memory = memory
         self._send = send
         self._reserved_bytes = 0
@@ -104,7 +107,7 @@
         self._memory.release(self._reserved_bytes)
         self._reserved_bytes = 0
 
-    async def head(self, limits: types.Limits) -> h11.Request | None:
+    async def head(self) -> h11.Request | None:
         """Returns the next request's head; None if nothing of one arrives.
 
         Raises:
@@ -114,10 +117,11 @@
         event = self._next_event()
         if event is h11.NEED_DATA and not self._http.trailing_data[0]:
             # Nothing of a head has arrived: the connection is idle until then.
-            if not await self._receive(limits.idle_timeout_s):
+            if not await self._receive(self._limits().idle_timeout_s):
                 return None
             event = self._next_event()
-        deadline = asyncio.get_running_loop().time() + limits.header_timeout_s
+        now = asyncio.get_running_loop().time()
+        deadline = now + self._limits().header_timeout_s
         while event is h11.NEED_DATA:
             if not await self._receive_until(deadline):
                 raise RequestRefused(_TIMEOUT, Reason.HEAD_TIMEOUT)
@@ -129,7 +133,7 @@
         self.target = event.target.decode("ascii")
         return event
 
-    async def body(self, limits: types.Limits) -> bytes:
+    async def body(self) -> bytes:
         """Returns the complete body; its memory stays reserved.
 
         `release_body` releases it.
@@ -154,7 +158,7 @@
                     raise RequestRefused(_TIMEOUT, Reason.BODY_TIMEOUT)
             elif isinstance(event, h11.Data):
                 body += event.data
-                if len(body) > limits.body_bytes:
+                if len(body) > self._limits().body_bytes:
                     raise RequestRefused(_BODY_TOO_LARGE, Reason.BODY_TOO_LARGE)
                 if not self._memory.reserve(len(event.data)):
                     raise RequestRefused(_UNAVAILABLE, Reason.NO_MEMORY)
@@ -168,10 +172,11 @@
         """Returns the next event of the received bytes.
 
         Raises:
-          RequestRefused: They are not valid HTTP, or end within a request.
+          RequestRefused: They are not valid HTTP, end within a request, or are
+            too many without an event.
         """
         try:
-            return self._http.next_event()
+            event = self._http.next_event()
         except h11.RemoteProtocolError as error:
             status = error.error_status_hint or _BAD_REQUEST
             reason = Reason.MALFORMED
@@ -180,6 +185,11 @@
             elif self._http.trailing_data[1]:
                 status, reason = _TIMEOUT, Reason.INCOMPLETE
             raise RequestRefused(status, reason) from error
+        if event is h11.NEED_DATA:
+            unread_bytes = len(self._http.trailing_data[0])
+            if unread_bytes > self._limits().header_bytes:
+                raise RequestRefused(_HEAD_TOO_LARGE, Reason.HEAD_TOO_LARGE)
+        return event
 
     async def _receive_until(self, deadline: float) -> bool:
         """Feeds received bytes to the HTTP state; see `_receive`."""
--- a/src/clementinegw/direct/server.py
+++ b/src/clementinegw/direct/server.py
@@ -34,6 +34,9 @@
 # The bound on the bodies of all requests together, in bytes: a share of the
 # memory that a small instance has for this process.
 _MAX_BODIES_BYTES = 48 << 20
+# The largest head of a request that a limit may allow, in bytes. The limit in
+# force, which changes while connections are open, applies within it.
+_MAX_HEAD_BYTES = 1 << 20
 # After a refused body its rest is read and discarded for this long, so that the
 # caller can read the answer before the connection closes. Seconds.
 _LINGER_S = 0.3
@@ -452,10 +455,10 @@
         self._server = server
         self._http = h11.Connection(
             h11.SERVER,
-            max_incomplete_event_size=server.limits.header_bytes,
+            max_incomplete_event_size=_MAX_HEAD_BYTES,
         )
         self._reader = request_reader.RequestReader(
-            channel, self._http, server, self.send
+            channel, self._http, lambda: server.limits, server, self.send
         )
         self.channel = channel
         self.busy = False
@@ -584,12 +587,11 @@
 
     async def _read(self) -> Request | None:
         """Returns the next request; None if the connection ended before it."""
-        limits = self._server.limits
         try:
-            head = await self._reader.head(limits)
+            head = await self._reader.head()
             if head is None:
                 return None
-            return _to_request(head, await self._reader.body(limits))
+            return _to_request(head, await self._reader.body())
         except channels.ChannelClosed as error:
             if self.idle:
                 raise
