--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -12,7 +12,6 @@
 import pathlib
 import random
 import shutil
-import signal
 import socket
 import struct
 import sys
