--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -233,10 +233,13 @@
 
     Attributes:
       acknowledged: When each key was last written, in monotonic seconds.
+      era: The value of the header Store-Era.
     """
 
     def __init__(self):
         super().__init__()
+        self.era = 1
+        self._away = False
         self._topics = {}
         self._members = {}
         self._generation = 0
@@ -255,6 +258,26 @@
         self._append(topic, key.encode(), data)
         self.acknowledged[key] = time.monotonic()
 
+    def copy(self):
+        """Returns a copy to come back from."""
+        return {topic: list(records) for topic, records in self._topics.items()}
+
+    async def come_back_from(self, copy, away_s):
+        """Is away for a while, then comes back from a copy.
+
+        Args:
+          copy: The copy.
+          away_s: How long it is away, in seconds.
+        """
+        self._away = True
+        for writer in list(self._writers):
+            writer.transport.abort()
+        await asyncio.sleep(away_s)
+        self._topics = {topic: list(copy[topic]) for topic in copy}
+        self._members = {}
+        self.era += 1
+        self._away = False
+
     def _append(self, topic, key, data):
         self._topics.setdefault(topic, []).append((key, data))
         self._added.set()
@@ -262,6 +285,9 @@
 
     async def handle(self, request, writer):
         """Serves one call."""
+        if self._away:
+            writer.transport.abort()
+            return
         path, _, text = request.start[1].partition("?")
         query = dict(parse.parse_qsl(text))
         kind, status = "application/json", 200
@@ -281,7 +307,8 @@
         else:
             status, body = 404, b"{}"
         await asyncio.sleep(0.004)
-        writer.write(answer_bytes(status, [("Content-Type", kind)], body))
+        headers = [("Content-Type", kind), ("Store-Era", self.era)]
+        writer.write(answer_bytes(status, headers, body))
         await writer.drain()
 
     def _newest(self, topic):
