--- a/review/6/case.py
+++ b/review/6/case.py
@@ -233,8 +233,8 @@
     }
     for name, (number, sent_s) in late.items():
         record.write(
-            f"CONFIG: {name} at front-{number + 1}, sent {sent_s:.3f} s after the"
-            f" acknowledgement, ran at {ran[name]}"
+            f"CONFIG: {name} at front-{number + 1}, sent {sent_s:.3f} s after"
+            f" the acknowledgement, ran at {ran[name]}"
         )
     served = sum(status == 200 for _, key, _, status in sent.values())
     record.write(f"{len(sent)} requests, {served} served, {len(late)} late")
