--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -12,6 +12,7 @@
 import pathlib
 import random
 import shutil
+import signal
 import socket
 import struct
 import sys
@@ -609,25 +610,29 @@
     return f"{random.getrandbits(64):016x}"
 
 
-def main(case, folder, limit_s=110.0):
+def main(case, record_path, limit_s=110.0):
     """Runs a case and ends the process with its result.
 
     Args:
       case: Called with a folder for files, a `Record`, and a list that takes
         the processes it starts; returns whether the rule held.
-      folder: The case's folder, for record.txt.
+      record_path: The file for what is sent, answered and run.
       limit_s: How long it may take, in seconds.
     """
 
     async def run():
-        record = Record(pathlib.Path(folder) / "record.txt")
+        record = Record(record_path)
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, task.cancel
+        )
         files = pathlib.Path(tempfile.mkdtemp())
         processes = []
         try:
             async with asyncio.timeout(limit_s):
                 held = await case(files, record, processes)
             return HELD if held else BROKEN
-        except (CannotRun, TimeoutError) as error:
+        except (CannotRun, TimeoutError, asyncio.CancelledError) as error:
             record.write(f"could not run: {error!r}")
             return NOT_RUN
         finally:
