Log the connection of each send and the proofs of each refusal

The lines of today cannot tell the hypotheses apart: a rejected send looks the same whichever answer was read.

attempt_ended names the connection of a send, how many calls and how many sends of the same request it had carried, the status of the answer, whether it names the attempt, and what was left unread. request_refused lists the proofs. No change of logic.

--- a/src/clementinegw/direct/_events.py
+++ b/src/clementinegw/direct/_events.py
@@ -144,7 +144,10 @@
     "An attempt at a backend server ended without an answer to forward. `crash`"
     " says whether it counts as a crash of the server, `events` how many events"
     " of the answer the caller was sent, `parts` which parts of its prompt"
-    " other requests share.",
+    " other requests share. `former_calls` is how many calls its `connection`"
+    " had made before, `former_sends` how many of these were the same request,"
+    " `status` and `answer_id` are of the answer, and `unread` bytes came after"
+    " its head.",
 )
 RETRY_BUDGET = events.define(
     951,
@@ -160,7 +163,8 @@
     912,
     "request_refused",
     _INFO,
-    "A request was refused; a status of 502 or 504 says that it may have run.",
+    "A request was refused; a status of 502 or 504 says that it may have run."
+    " `proofs` says for each send that a server rejected how it did.",
 )
 REQUEST_FAILED = events.define(
     925,
--- a/src/clementinegw/direct/attempt.py
+++ b/src/clementinegw/direct/attempt.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
+import enum
 
 from clementinegw.direct import backend as backend_lib
 from clementinegw.direct import budget
@@ -66,6 +67,46 @@
     charge: budget.Charge
 
 
+class AnswerIdentity(enum.StrEnum):
+    """Which attempt the head of an answer names."""
+
+    OWN = "own"
+    OTHER = "other"
+    NONE = "none"
+
+
+@dataclasses.dataclass(slots=True)
+class Exchange:
+    """What was observed of one send of a request, for the log.
+
+    Attributes:
+      connection: The number of the connection.
+      former_calls: How many calls the connection had made before.
+      former_sends: How often the same request had been sent on it before.
+      status: The status of the answer; None before its head.
+      identity: Which attempt the answer names; None before its head.
+      unread_bytes: The bytes that were received behind the head.
+    """
+
+    connection: int
+    former_calls: int
+    former_sends: int
+    status: int | None = None
+    identity: AnswerIdentity | None = None
+    unread_bytes: int = 0
+
+    def fields(self) -> dict[str, int | str | None]:
+        """Returns the log fields."""
+        return {
+            "connection": self.connection,
+            "former_calls": self.former_calls,
+            "former_sends": self.former_sends,
+            "status": self.status,
+            "answer_id": self.identity,
+            "unread": self.unread_bytes,
+        }
+
+
 @dataclasses.dataclass(slots=True)
 class Job:
     """The state of one request from its admission to its final answer.
@@ -95,6 +136,9 @@
         one that was open.
       sent_at: When it was last sent, in monotonic seconds.
       sent_bytes: How many bytes were sent then, without the headers.
+      connections: The numbers of the connections that it was sent on.
+      exchange: What was observed of its last send; None before the first.
+      proofs: Why each send that was rejected has certainly not run.
       utilization: The estimated share of the last server's slots in use.
       server_id: The last server that was chosen for it.
       takeover: What is reserved to take it over from a silent server.
@@ -135,6 +179,11 @@
     connect_s: float = 0.0
     sent_at: float | None = None
     sent_bytes: int = 0
+    connections: list[int] = dataclasses.field(default_factory=list)
+    exchange: Exchange | None = None
+    proofs: list[outcomes.NotRunReason] = dataclasses.field(
+        default_factory=list
+    )
     utilization: float = 0.0
     server_id: str = ""
     takeover: Takeover | None = None
@@ -178,7 +227,28 @@
         if self.charge is not None and not self.late_sends:
             self.charge.confirm()
 
-    def send_fields(self, now: float) -> dict[str, int | None]:
+    def record_send(
+        self, connection: client.Connection, now: float
+    ) -> Exchange:
+        """Records that the request is about to be sent.
+
+        Args:
+          connection: The connection that it is sent on.
+          now: Monotonic seconds.
+        """
+        self.exchange = Exchange(
+            connection.number,
+            connection.calls,
+            self.connections.count(connection.number),
+        )
+        self.connections.append(connection.number)
+        self.sends += 1
+        self.reached = False
+        self.sent_at = now
+        self.sent_bytes = len(self.request.body)
+        return self.exchange
+
+    def send_fields(self, now: float) -> dict[str, int | str | None]:
         """Returns the log fields of its last send.
 
         Args:
@@ -190,6 +260,7 @@
             "connect_ms": round(1e3 * self.connect_s),
             "sent_ms": round(1e3 * (now - self.sent_at)),
             "bytes": self.sent_bytes,
+            **(self.exchange.fields() if self.exchange else {}),
         }
 
     @property
@@ -370,10 +441,8 @@
         headers = self._codec.to_server_headers(
             request.headers, forward_metadata
         )
-        job.sends += 1
-        job.reached = False
-        sent_at = job.sent_at = self._clock()
-        job.sent_bytes = len(request.body)
+        sent_at = self._clock()
+        exchange = job.record_send(connection, sent_at)
         await connection.send(
             request.method, request.target, headers, request.body
         )
@@ -385,14 +454,14 @@
         head = await receiver.receive_head(connection, silence_limit_s)
         job.record_reached()
         metadata = self._codec.answer_metadata(head)
+        exchange.status = head.status
+        exchange.identity = _identity(metadata, job)
+        exchange.unread_bytes = connection.unread_bytes
         connection.keep_alive_s = metadata.keep_alive_s
         now = self._clock()
         if metadata.load is not None:
             backend.update_load(metadata.load, now)
-        if (
-            metadata.attempt_id
-            and metadata.attempt_id != job.metadata.attempt_id
-        ):
+        if exchange.identity is AnswerIdentity.OTHER:
             return outcomes.Lost(outcomes.LostReason.CROSSED)
         if head.status != _MISDIRECTED_REQUEST:
             # That status may come from another start of the server.
@@ -432,9 +501,11 @@
     ) -> outcomes.NotRun:
         await _read_body(job, connection)
         backend.heard_at = self._clock()
+        reason = outcomes.NotRunReason.SHED
         if head.status == _MISDIRECTED_REQUEST:
-            return outcomes.NotRun(outcomes.NotRunReason.WRONG_SERVER)
-        return outcomes.NotRun(outcomes.NotRunReason.SHED)
+            reason = outcomes.NotRunReason.WRONG_SERVER
+        job.proofs.append(reason)
+        return outcomes.NotRun(reason)
 
     async def _deliver_body(
         self,
@@ -507,6 +578,15 @@
             )
 
 
+def _identity(metadata: types.AnswerMetadata, job: Job) -> AnswerIdentity:
+    """Returns which attempt an answer names."""
+    if not metadata.attempt_id:
+        return AnswerIdentity.NONE
+    if metadata.attempt_id == job.metadata.attempt_id:
+        return AnswerIdentity.OWN
+    return AnswerIdentity.OTHER
+
+
 async def _read_body(job: Job, connection: client.Connection) -> bytes:
     """Returns a complete body, whose memory the request then holds.
 
--- a/src/clementinegw/direct/channel.py
+++ b/src/clementinegw/direct/channel.py
@@ -98,6 +98,11 @@
         """Whether bytes were received that have not been read."""
         return bool(self._buffer)
 
+    @property
+    def unread_bytes(self) -> int:
+        """The number of bytes that were received and have not been read."""
+        return len(self._buffer)
+
     @property
     def unsent_bytes(self) -> int:
         """The number of buffered bytes to send; 0 once the channel closes."""
--- a/src/clementinegw/direct/client.py
+++ b/src/clementinegw/direct/client.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import Callable, Iterable
 import dataclasses
+import itertools
 
 import h11
 
@@ -26,6 +27,8 @@
 # end.
 _MAX_INTERIM_ANSWERS = 100
 
+_connection_numbers = itertools.count(1)
+
 
 class ConnectFailed(exceptions.BackendUnreachable):
     """No connection could be opened: nothing was sent."""
@@ -70,6 +73,8 @@
     """An HTTP connection that makes one call at a time.
 
     Attributes:
+      number: Identifies it among all connections of the process.
+      calls: How many calls were sent on it.
       idle_since: When its last call ended, in the event loop's seconds.
       keep_alive_s: How long the server keeps it open when idle, in seconds;
         None if the server does not say.
@@ -81,6 +86,8 @@
             h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
         )
         self._keep_alive = True
+        self.number = next(_connection_numbers)
+        self.calls = 0
         self.idle_since = 0.0
         self.keep_alive_s: float | None = None
 
@@ -99,6 +106,11 @@
             and self._http.our_state is h11.IDLE
         )
 
+    @property
+    def unread_bytes(self) -> int:
+        """The number of bytes that were received and are not parsed yet."""
+        return self._channel.unread_bytes + len(self._http.trailing_data[0])
+
     def count_buffers(self, budget: buffer_budget.BufferBudget) -> None:
         """Counts the bytes that wait in the connection's buffers."""
         self._channel.budget = budget
@@ -119,6 +131,7 @@
         Raises:
           AnswerBroken: The connection ended; the request may have arrived.
         """
+        self.calls += 1
         try:
             data = self._http.send(
                 h11.Request(method=method, target=target, headers=headers)
--- a/src/clementinegw/direct/finisher.py
+++ b/src/clementinegw/direct/finisher.py
@@ -96,6 +96,7 @@
             cause=(refusal.cause or refusal.reason).value,
             sends=job.sends if job else 0,
             runs=job.runs if job else 0,
+            proofs=[proof.value for proof in job.proofs] if job else [],
             **_suspect_fields(job),
             spent_ms=round(job.spent_s * 1e3) if job else 0,
             rank=str(job.rank) if job else None,
