--- /dev/null
+++ b/tests/test_direct_second_answers.py
@@ -0,0 +1,292 @@
+"""Tests answers that a server sends a second time, late, or cut."""
+
+import asyncio
+import random
+
+import platform_site
+import pytest
+
+# Statuses that promise a caller that its request has not run.
+_NOT_RUN = (408, 421, 429, 503)
+_KINDS = ("once", "final")
+_REJECTION = (
+    b"HTTP/1.1 503 X\r\n"
+    b"X-Clementinegw-Not-Executed: 1\r\n"
+    b"Content-Length: 0\r\n\r\n"
+)
+
+
+class _Site(platform_site.Site):
+    """A site with a route whose streams may not be resumed besides."""
+
+    async def __aenter__(self):
+        config = platform_site.config()
+        route = {**config["routes"][-1], "stream_resume": False}
+        route |= {"name": "final", "path_prefix": "/final/"}
+        await super().__aenter__()
+        config = platform_site.config(2, routes=[*config["routes"], route])
+        self.store.put("keyed.op", "config", config)
+        await asyncio.sleep(0.1)
+        return self
+
+
+def _record(call):
+    """Returns a list that receives all bytes that a call sends."""
+    sent, send = [], call.send
+
+    def record(data):
+        sent.append(data)
+        send(data)
+
+    call.send = record
+    return sent
+
+
+def _serve(call):
+    """Answers a request that has run."""
+    if not call.head.target.startswith((b"/stream/", b"/final/")):
+        call.answer(f"answer to {call.attempt_id}".encode())
+        return
+    call.begin_stream()
+    for number in range(1, 4):
+        call.event(number)
+    call.end_stream()
+
+
+def _reject(call, status):
+    """Rejects a request; a wrong server names itself."""
+    headers = ["X-Clementinegw-Not-Executed: 1"]
+    if status == 421:
+        headers = [f"X-Clementinegw-Instance-Id: {call.expected}"]
+    call.answer(b"", status, extra_headers=headers)
+
+
+@pytest.mark.parametrize("kind", _KINDS)
+@pytest.mark.parametrize("status", [503, 429, 421])
+def test_a_second_rejection_is_not_taken_for_the_answer_to_the_next_send(
+    kind, status
+):
+    """Callers were told that requests had not run which had."""
+    copies, ran = {}, []
+
+    def on_call(call):
+        call.expected = call.headers["x-clementinegw-expect-instance"]
+        copy = copies.pop(call.writer, None)
+        if copy is not None:
+            call.send(copy)
+        if len(server.calls) == 1:
+            sent = _record(call)
+            _reject(call, status)
+            copies[call.writer] = b"".join(sent)
+            return
+        ran.append(call.attempt_id)
+        _serve(call)
+
+    async def play():
+        nonlocal server
+        async with _Site("i-1", on_call=on_call) as site:
+            (server,) = site.servers
+            answer = await site.ask(f"/{kind}/1")
+            return answer, len(server.calls)
+
+    server = None
+    answer, calls = platform_site.run(play())
+    assert calls == 2
+    assert ran == ["a1"]
+    assert (answer.status, answer.complete) == (200, True)
+
+
+@pytest.mark.parametrize("kind", _KINDS)
+@pytest.mark.parametrize(
+    "cut",
+    [
+        _REJECTION[:18],
+        _REJECTION.partition(b": 1")[0] + b": 1",
+        _REJECTION.partition(b": 0")[0] + b": 0",
+        b"HTTP/1.1 503 X\r\nX-Clementinegw-Not-Executed: 1\r\nServer: a",
+    ],
+    ids=["in_the_reason", "in_the_proof", "in_the_length", "behind_the_proof"],
+)
+def test_a_cut_rejection_before_an_answer_is_no_proof(kind, cut):
+    """A cut head that runs into the next one looks like a rejection."""
+
+    def on_call(call):
+        if len(server.calls) == 2:
+            call.send(cut)
+        _serve(call)
+
+    async def play():
+        nonlocal server
+        async with _Site("i-1", on_call=on_call) as site:
+            (server,) = site.servers
+            await site.ask("/once/1", attempt_id="b1")
+            answer = await site.ask(f"/{kind}/1", attempt_id="b2")
+            return answer.status, server.connections
+
+    server = None
+    status, connections = platform_site.run(play())
+    assert connections == 1
+    assert status == 502
+
+
+def test_a_cut_success_does_not_turn_a_failure_into_one():
+    """A cut head that runs into the next one changes its status."""
+
+    def on_call(call):
+        if len(server.calls) == 2:
+            call.send(b"HTTP/1.1 200 OK")
+            call.answer(b"failed", 500)
+            return
+        _serve(call)
+
+    async def play():
+        nonlocal server
+        async with _Site("i-1", on_call=on_call) as site:
+            (server,) = site.servers
+            await site.ask("/once/1", attempt_id="b1")
+            return (await site.ask("/once/1", attempt_id="b2")).status
+
+    server = None
+    assert platform_site.run(play()) == 502
+
+
+@pytest.mark.parametrize("kind", _KINDS)
+def test_a_rejection_without_an_id_on_a_kept_connection_is_no_proof(kind):
+    """It may be the second answer to any earlier call."""
+
+    def on_call(call):
+        if len(server.calls) == 2:
+            call.send(_REJECTION)
+        _serve(call)
+
+    async def play():
+        nonlocal server
+        async with _Site("i-1", on_call=on_call) as site:
+            (server,) = site.servers
+            await site.ask("/once/1", attempt_id="b1")
+            return (await site.ask(f"/{kind}/1", attempt_id="b2")).status
+
+    server = None
+    assert platform_site.run(play()) == 502
+
+
+class _FaultyServer(platform_site.Server):
+    """A server whose answers are rejected, lost, doubled and cut by chance.
+
+    Attributes:
+      rng: Draws what happens.
+      drawn: How often each event happened.
+    """
+
+    def __init__(self, name, rng, drawn):
+        super().__init__(name, self._handle)
+        self.rng = rng
+        self.drawn = drawn
+        self._late = {}
+
+    def _draw(self, *choices):
+        choice = self.rng.choice(choices)
+        self.drawn[choice] = self.drawn.get(choice, 0) + 1
+        return choice
+
+    async def _handle(self, call):
+        call.expected = self.name
+        late = self._late.pop(call.writer, b"")
+        if late:
+            call.send(late)
+        sent = _record(call)
+        event = self._draw(
+            "serve", "serve", "fail", "shed", "shed", "limit", "misdirect",
+            "reset", "run_reset", "run_cut",
+        )  # fmt: skip
+        if event in ("serve", "fail", "run_reset", "run_cut"):
+            self.ran.append(call.attempt_id)
+        await asyncio.sleep(self.rng.uniform(0.0, 0.03))
+        actions = {
+            "serve": lambda: _serve(call),
+            "fail": lambda: call.answer(b"failed", 500),
+            "shed": lambda: _reject(call, 503),
+            "limit": lambda: _reject(call, 429),
+            "misdirect": lambda: _reject(call, 421),
+            "reset": call.reset,
+            "run_reset": call.reset,
+            "run_cut": lambda: self._cut(call),
+        }
+        actions[event]()
+        if sent:
+            await self._send_second(call, b"".join(sent))
+
+    def _cut(self, call):
+        """Sends a part of an answer and closes the connection."""
+        call.send(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nwh")
+        call.writer.close()
+
+    async def _send_second(self, call, answer):
+        """Sends an answer again: at once, late, whole, cut, or without id."""
+        when = self._draw("never", "never", "at_once", "late", "late")
+        if when == "never":
+            return
+        form = self._draw("whole", "cut", "unidentified", "foreign")
+        if form == "cut":
+            answer = answer[: self.rng.randrange(1, len(answer))]
+        elif form == "unidentified":
+            answer = answer.replace(b"Attempt-Id", b"Other-Id")
+        elif form == "foreign":
+            answer = answer.replace(call.attempt_id.encode(), b"f1")
+        if when == "late":
+            self._late[call.writer] = answer
+            return
+        await asyncio.sleep(self.rng.uniform(0.0, 0.02))
+        call.send(answer)
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_final_statuses_agree_with_what_servers_ran(seed):
+    """Second, cut and foreign answers in series of sends."""
+    rng = random.Random(seed)
+    drawn, answers = {}, {}
+
+    async def call_in_turn(site, name):
+        for number in range(25):
+            attempt_id = f"{name}-{number}"
+            kind = rng.choice((*_KINDS, "once", "safe"))
+            answers[attempt_id] = (
+                kind,
+                await site.ask(f"/{kind}/1", attempt_id=attempt_id),
+            )
+
+    async def play():
+        async with _Site() as site:
+            for number in range(rng.choice((1, 1, 2, 3))):
+                server = _FaultyServer(f"i-{number}", rng, drawn)
+                await server.start()
+                site.servers.append(server)
+                site.store.put("keyed.servers", server.name, server.record())
+            await asyncio.sleep(0.2)
+            async with asyncio.TaskGroup() as group:
+                for number in range(4):
+                    group.create_task(call_in_turn(site, f"c{number}"))
+            return [name for server in site.servers for name in server.ran]
+
+    ran = platform_site.run(play())
+    refused = [
+        (name, answer.status)
+        for name, (kind, answer) in answers.items()
+        if kind in _KINDS and answer.status in _NOT_RUN and name in ran
+    ]
+    twice = [
+        name
+        for name, (kind, _) in answers.items()
+        if kind in _KINDS and ran.count(name) > 1
+    ]
+    mixed = [
+        name
+        for name, (kind, answer) in answers.items()
+        if kind in ("once", "safe")
+        and answer.status == 200
+        and answer.body != f"answer to {name}".encode()
+    ]
+    assert (refused, twice, mixed) == ([], [], [])
+    assert sum(answer.status == 200 for _, answer in answers.values()) > 10
+    assert drawn["late"] > 10
+    assert drawn["shed"] > 10
