Give the status in an attempt's log fields a name of its own

My own fault of: request_done of a caller that has left takes the log fields of the last send, whose status clashed with its own, so that the line was missing and an error was logged. With the name answer_status the tests of the direct path pass.

--- a/src/clementinegw/direct/_events.py
+++ b/src/clementinegw/direct/_events.py
@@ -146,8 +146,8 @@
     " of the answer the caller was sent, `parts` which parts of its prompt"
     " other requests share. `former_calls` is how many calls its `connection`"
     " had made before, `former_sends` how many of these were the same request,"
-    " `status` and `answer_id` are of the answer, and `unread` bytes came after"
-    " its head.",
+    " `answer_status` and `answer_id` are of the answer, and `unread` bytes"
+    " came after its head.",
 )
 RETRY_BUDGET = events.define(
     951,
--- a/src/clementinegw/direct/attempt.py
+++ b/src/clementinegw/direct/attempt.py
@@ -101,7 +101,7 @@
             "connection": self.connection,
             "former_calls": self.former_calls,
             "former_sends": self.former_sends,
-            "status": self.status,
+            "answer_status": self.status,
             "answer_id": self.identity,
             "unread": self.unread_bytes,
         }
