Send a request again on another connection than before

Cause: two sends of a request could share a connection, and the attempt id, which is the caller's, is the same in both. A late second copy of the first rejection was taken for the answer to the second send.

A request now takes no idle connection that it was sent on before. Others may still use that one: their ids differ, so a second answer there is recognized.

--- a/src/clementinegw/direct/attempt.py
+++ b/src/clementinegw/direct/attempt.py
@@ -227,6 +227,16 @@
         if self.charge is not None and not self.late_sends:
             self.charge.confirm()
 
+    def may_be_sent_on(self, connection: client.Connection) -> bool:
+        """Returns whether an idle connection will do for the next send.
+
+        A late second answer to one send would be taken for the answer to
+        another one on the same connection: both bear the same attempt id.
+        """
+        # What broke the former attempt may have broken idle connections too,
+        # and a request that is lost on one may have run.
+        return not self.runs and connection.number not in self.connections
+
     def record_send(
         self, connection: client.Connection, now: float
     ) -> Exchange:
@@ -358,9 +368,7 @@
         pool = backend.pool
         began = self._clock()
         try:
-            # What broke the former attempt may have broken idle connections
-            # too, and a request that is lost on one may have run.
-            connection, reused = await pool.acquire(reuse=not job.runs)
+            connection, reused = await pool.acquire(job.may_be_sent_on)
         except client.ConnectFailed:
             failed_after_s = self._clock() - began
             job.failed_connect_s += failed_after_s
--- a/src/clementinegw/direct/client.py
+++ b/src/clementinegw/direct/client.py
@@ -320,23 +320,22 @@
         """The number of connections in use or idle."""
         return self._open
 
-    async def acquire(self, reuse: bool = True) -> tuple[Connection, bool]:
+    async def acquire(
+        self, may_reuse: Callable[[Connection], bool] = lambda _: True
+    ) -> tuple[Connection, bool]:
         """Returns a connection, and whether it was used before.
 
         Args:
-          reuse: Whether a connection that was used before will do.
+          may_reuse: Returns whether a connection that was used before will do.
 
         Raises:
           ConnectFailed: A new connection failed or timed out.
         """
-        now = asyncio.get_running_loop().time()
-        if not reuse and self._idle and self._open >= self._max_open:
+        connection = self._take_idle(may_reuse)
+        if connection is not None:
+            return connection, True
+        if self._idle and self._open >= self._max_open:
             self._close(self._idle.pop(0))
-        while reuse and self._idle:
-            connection = self._idle.pop()
-            if connection.reusable and now < self._idle_deadline(connection):
-                return connection, True
-            self._close(connection)
         self._open += 1
         try:
             connection = await connect(self._address, self._connect_timeout_s)
@@ -427,7 +426,7 @@
         now = asyncio.get_running_loop().time()
         kept = []
         for connection in self._idle:
-            if connection.reusable and now < self._idle_deadline(connection):
+            if self._is_usable(connection, now):
                 kept.append(connection)
             else:
                 self._close(connection)
@@ -444,6 +443,23 @@
             self._close(connection)
         self._idle = []
 
+    def _take_idle(
+        self, may_reuse: Callable[[Connection], bool]
+    ) -> Connection | None:
+        """Returns the last used idle connection that will do, if any."""
+        now = asyncio.get_running_loop().time()
+        for connection in reversed(self._idle.copy()):
+            if not self._is_usable(connection, now):
+                self._idle.remove(connection)
+                self._close(connection)
+            elif may_reuse(connection):
+                self._idle.remove(connection)
+                return connection
+        return None
+
+    def _is_usable(self, connection: Connection, now: float) -> bool:
+        return connection.reusable and now < self._idle_deadline(connection)
+
     def _idle_deadline(self, connection: Connection) -> float:
         keep_alive_s = self._idle_s
         if connection.keep_alive_s is not None:
