Recognize a cut head that runs into the next answer

What callers saw: with a server that cuts a second answer, a request that had run was refused as not run, or a failure of the server's came as a success.

Cause: the head of the cut answer and that of the next one parse as one, which has the status and the proof of the first and the attempt id of the second.

A head with a status line inside its reason or a header's value is no answer. Seen in tests only: whether the users' servers cut answers on a connection that they keep is not known.

--- a/src/clementinegw/direct/client.py
+++ b/src/clementinegw/direct/client.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Iterable
 import dataclasses
 import itertools
+import re
 
 import h11
 
@@ -27,6 +28,10 @@
 # end.
 _MAX_INTERIM_ANSWERS = 100
 
+# Inside a header it is the begin of the next answer: the head was cut, and the
+# two look like one.
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] [0-9]{3}")
+
 _connection_numbers = itertools.count(1)
 
 
@@ -158,6 +163,8 @@
                 continue
             if not isinstance(event, h11.Response):
                 raise AnswerBroken("no head")
+            if _is_run_together(event):
+                raise AnswerBroken("a cut head before another one")
             return Head(event.status_code, tuple(event.headers))
         raise AnswerBroken("interim answers without end")
 
@@ -231,6 +238,12 @@
                 raise AnswerBroken(f"no HTTP: {error}") from error
 
 
+def _is_run_together(head: h11.Response) -> bool:
+    """Returns whether a head continues in the head of another answer."""
+    texts = (head.reason, *(value for _, value in head.headers))
+    return any(_STATUS_LINE.search(text) for text in texts)
+
+
 async def connect(address: types.Address, timeout_s: float) -> Connection:
     """Opens a connection and returns it.
 
