Take no answer without an id on a connection with former calls

What callers saw in a test: an answer without an attempt id was taken for that to the request which waited on the connection, so that one that had run was refused as not run, or got the body of another.

Cause: only an id of another attempt counted as foreign. Servers name the attempt in each answer; one without it is known to belong to a request only where no other call can be answered, on a new connection.

Such an answer ends the attempt ('unidentified'), and a connection whose server names no attempt is not kept. The load and the round trip are no longer taken from answers to another attempt.

--- a/src/clementinegw/direct/attempt.py
+++ b/src/clementinegw/direct/attempt.py
@@ -95,6 +95,16 @@
     identity: AnswerIdentity | None = None
     unread_bytes: int = 0
 
+    @property
+    def mismatch(self) -> outcomes.LostReason | None:
+        """Why the answer is not known to be for this send; None if it is."""
+        if self.identity is AnswerIdentity.OTHER:
+            return outcomes.LostReason.CROSSED
+        # On a new connection no other call can be answered.
+        if self.identity is AnswerIdentity.NONE and self.former_calls:
+            return outcomes.LostReason.UNIDENTIFIED
+        return None
+
     def fields(self) -> dict[str, int | str | None]:
         """Returns the log fields."""
         return {
@@ -227,6 +237,14 @@
         if self.charge is not None and not self.late_sends:
             self.charge.confirm()
 
+    @property
+    def is_answered_by_name(self) -> bool:
+        """Whether the answer to the last send names the request."""
+        exchange = self.exchange
+        return exchange is not None and (
+            exchange.identity is AnswerIdentity.OWN
+        )
+
     def may_be_sent_on(self, connection: client.Connection) -> bool:
         """Returns whether an idle connection will do for the next send.
 
@@ -388,7 +406,9 @@
             outcome = await self._call(
                 job, receiver, forward_metadata, connection, unread
             )
-            complete = not isinstance(outcome, outcomes.Lost)
+            complete = job.is_answered_by_name and not isinstance(
+                outcome, outcomes.Lost
+            )
             return outcome
         except client.AnswerBroken:
             if receiver.unread:
@@ -460,17 +480,17 @@
         )
         silence_limit_s = silence_s if route.idempotent else None
         head = await receiver.receive_head(connection, silence_limit_s)
-        job.record_reached()
         metadata = self._codec.answer_metadata(head)
         exchange.status = head.status
         exchange.identity = _identity(metadata, job)
         exchange.unread_bytes = connection.unread_bytes
+        if exchange.mismatch is not None:
+            return outcomes.Lost(exchange.mismatch)
+        job.record_reached()
         connection.keep_alive_s = metadata.keep_alive_s
         now = self._clock()
         if metadata.load is not None:
             backend.update_load(metadata.load, now)
-        if exchange.identity is AnswerIdentity.OTHER:
-            return outcomes.Lost(outcomes.LostReason.CROSSED)
         if head.status != _MISDIRECTED_REQUEST:
             # That status may come from another start of the server.
             backend.signals.apply(metadata, sent_at, now)
--- a/src/clementinegw/direct/outcomes.py
+++ b/src/clementinegw/direct/outcomes.py
@@ -28,6 +28,7 @@
     BROKEN = "broken"
     SILENT = "silent"
     CROSSED = "crossed"
+    UNIDENTIFIED = "unidentified"
     UNSEALED = "unsealed"
     FALSE_PROMISE = "false_promise"
     OUTDATED = "outdated"
