--- a/src/clementinegw/direct/client.py
+++ b/src/clementinegw/direct/client.py
@@ -368,9 +368,13 @@
         limit: int,
         timeouts: timeouts_lib.Timeouts,
         expiry: expiry_lib.Expiry | None = None,
+        reuse: bool = True,
     ) -> tuple[Head, bytes]:
         """Makes one call and returns the answer's head and body.
 
+        Answers have no id, so a late second answer to one call may be taken for
+        the answer to the next one on its connection.
+
         Args:
           method: Such as GET.
           target: The path and the query.
@@ -379,6 +383,7 @@
           limit: The largest body of an answer that is accepted, in bytes.
           timeouts: Limit the time to the answer's head and between its bytes.
           expiry: Until when the request may be sent; None for any time.
+          reuse: Whether a connection that was used before will do.
 
         Raises:
           ConnectFailed: No connection could be opened: nothing was sent.
@@ -388,7 +393,7 @@
         """
         async with timeouts_lib.Watchdog(timeouts) as watchdog:
             return await self._call(
-                method, target, headers, body, limit, watchdog, expiry
+                method, target, headers, body, limit, watchdog, expiry, reuse
             )
 
     async def _call(
@@ -400,8 +405,9 @@
         limit: int,
         watchdog: timeouts_lib.Watchdog,
         expiry: expiry_lib.Expiry | None,
+        reuse: bool,
     ) -> tuple[Head, bytes]:
-        connection, _ = await self.acquire()
+        connection, _ = await self.acquire(lambda _: reuse)
         complete = False
         try:
             # Opening a connection takes time.
--- a/tests/test_direct_second_answers.py
+++ b/tests/test_direct_second_answers.py
@@ -3,9 +3,13 @@
 import asyncio
 import random
 
+from adapter import weights
 import platform_site
 import pytest
 
+from clementinegw import types
+from clementinegw.direct import expiry as expiries
+
 # Statuses that promise a caller that its request has not run.
 _NOT_RUN = (408, 421, 429, 503)
 _KINDS = ("once", "final")
@@ -290,3 +294,32 @@
     assert sum(answer.status == 200 for _, answer in answers.values()) > 10
     assert drawn["late"] > 3
     assert drawn["shed"] > 3
+
+
+def test_a_second_answer_to_a_poll_does_not_accept_an_order():
+    """Agents logged load orders as begun that their servers had refused."""
+    reports = []
+
+    def on_call(call):
+        if call.head.target == b"/report":
+            sent = _record(call)
+            call.answer(b'{"models":[],"sequence":3}')
+            reports[:] = [(call.writer, b"".join(sent))]
+            return
+        for writer, report in reports:
+            if writer is call.writer:
+                call.send(report)
+        call.answer(b"", 409)
+
+    async def play():
+        server = platform_site.Server("a", on_call)
+        await server.start()
+        host, port = server.address.split(":")
+        local_server = weights.LocalServer(types.Address(host, int(port)), "m")
+        await local_server.state()
+        expiry = expiries.Expiry(1e9, asyncio.get_running_loop().time)
+        begun = await local_server.load("m", 2, 3, True, expiry)
+        await server.stop()
+        return begun
+
+    assert not platform_site.run(play())
