Expect when a request begins that cannot be withdrawn

Cause: every request was sent until 0.3 s before a version was due. What may be repeated is withdrawn after that; anything else stays, and a slow server begins it later.

Such a request now has to arrive earlier by what its server is expected to need: pace, unread and waiting prompts, its own prompt, slots that are taken, with room of a quarter. Up to 0.3 s nothing changes. Expected begins are counted (direct.begin.expected, .late), and late ones logged with both times (begun_late).

--- a/src/clementinegw/direct/_events.py
+++ b/src/clementinegw/direct/_events.py
@@ -373,3 +373,11 @@
     " `survived`, another part `explained` its crashes, or they are"
     " `forgotten`.",
 )
+BEGUN_LATE = events.define(
+    954,
+    "begun_late",
+    _INFO,
+    "A server began a request that cannot be withdrawn later than expected,"
+    " while a newer version of its weights is upcoming.",
+    "If there are many: compare `expected_ms` and `measured_ms` with its pace.",
+)
--- a/src/clementinegw/direct/attempt.py
+++ b/src/clementinegw/direct/attempt.py
@@ -147,7 +147,9 @@
       sent_at: When it was last sent, in monotonic seconds.
       sent_bytes: How many bytes were sent then, without the headers.
       connections: The numbers of the connections that it was sent on.
-      exchange: What was observed of its last send; None before the first.
+      exchange: What was observed of its last attempt; None before its send.
+      begins_in_s: When its last server was expected to begin it after it was
+        sent, in seconds; None if that does not matter.
       proofs: Why each send that was rejected has certainly not run.
       utilization: The estimated share of the last server's slots in use.
       server_id: The last server that was chosen for it.
@@ -191,6 +193,7 @@
     sent_bytes: int = 0
     connections: list[int] = dataclasses.field(default_factory=list)
     exchange: Exchange | None = None
+    begins_in_s: float | None = None
     proofs: list[outcomes.NotRunReason] = dataclasses.field(
         default_factory=list
     )
@@ -352,6 +355,7 @@
           channel.ChannelClosed: The caller has left.
         """
         sends = job.sends
+        job.exchange = None
         backend.unread_tokens += job.metadata.prompt_tokens
         unread = _UnreadTokens(
             backend, job.metadata.prompt_tokens, version_timeout
--- a/src/clementinegw/direct/backend.py
+++ b/src/clementinegw/direct/backend.py
@@ -369,6 +369,13 @@
             -age / _LOAD_DECAY_S
         )
 
+    def waiting(self, now: float) -> int:
+        """Returns the requests in its queue; 0 if its agent is silent."""
+        report = self._last_report
+        if report is None or now - self._last_report_at > _MAX_REPORT_AGE_S:
+            return 0
+        return report.waiting
+
     def record_identity(self, server_id: str) -> None:
         """Records which start answered at the server's address.
 
--- a/src/clementinegw/direct/balance.py
+++ b/src/clementinegw/direct/balance.py
@@ -7,6 +7,7 @@
 
 from clementinegw import types as shared_types
 from clementinegw.direct import backend as backend_lib
+from clementinegw.direct import begin_estimate
 from clementinegw.direct import cooldown
 from clementinegw.direct import fleet
 from clementinegw.direct import transit
@@ -57,6 +58,8 @@
       kept: Part of a server's slots that is kept for more urgent requests.
       upcoming_version: Minimum version from `upcoming_at` on.
       upcoming_at: When it is required, in monotonic seconds.
+      prompt: Its prompt if it cannot be withdrawn from a server; None if it can
+        be, or if no version is upcoming.
     """
 
     service: str
@@ -70,6 +73,7 @@
     kept: float = 0.0
     upcoming_version: int = 0
     upcoming_at: float = math.inf
+    prompt: begin_estimate.Prompt | None = None
 
     def min_version_at(self, arrival_at: float) -> int:
         """Returns the minimum version for a request that arrives at a time.
@@ -428,6 +432,11 @@
     # The way only matters shortly before a version is required.
     if requirements.upcoming_at <= now + transit.MAX_ESTIMATE_S:
         arrival_at += backend.transit.estimate_s(now)
+    if requirements.prompt is not None:
+        ahead = begin_estimate.Ahead(
+            backend.unread_tokens, backend.estimated_requests(now)
+        )
+        arrival_at += requirements.prompt.lead_s(backend, ahead, now)
     return requirements.min_version_at(arrival_at)
 
 
--- /dev/null
+++ b/src/clementinegw/direct/begin_estimate.py
@@ -0,0 +1,104 @@
+"""Estimates when a server begins a request that cannot be withdrawn.
+
+A request that may not be repeated and waits at its server while newer weights
+become due would begin on older ones. It is only sent where it is expected to
+begin before that.
+"""
+
+import dataclasses
+import math
+
+from clementinegw.direct import backend as backend_lib
+from clementinegw.direct import types
+from clementinegw.direct import version_policy
+
+# Passes of a full engine until the first event besides reading prompts.
+_FIRST_EVENT_PASSES = 3.0
+# The estimate is raised by this factor: other entries' prompts that a server
+# has begun to read are not reported, and a pace is known with a lag.
+_ROOM = 1.25
+# Prompts are rounded up to this many tokens, so that requests share
+# requirements.
+_TOKENS_STEP = 256
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ahead:
+    """What a server does before it begins a request.
+
+    Attributes:
+      unread_tokens: This entry's prompt tokens that it has yet to read.
+      requests: The estimated requests of all entries.
+    """
+
+    unread_tokens: float
+    requests: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Prompt:
+    """What is known of a request's begin before a server is chosen.
+
+    Attributes:
+      tokens: The tokens of its prompt.
+      first_event_s: The time until the first event besides reading prompts, at
+        the usual pace, in seconds.
+      tokens_per_s: The rate at which prompts are read at the usual pace.
+      typical_tokens: The tokens of a typical prompt.
+      answer_s: The time that a typical answer holds a slot, at the usual pace,
+        in seconds.
+      slots: The slots of a server.
+    """
+
+    tokens: int
+    first_event_s: float
+    tokens_per_s: float
+    typical_tokens: float
+    answer_s: float
+    slots: int
+
+    def begins_in_s(
+        self, backend: backend_lib.Backend, ahead: Ahead, now: float
+    ) -> float:
+        """Returns the estimated time from arrival to the first event.
+
+        Args:
+          backend: The server.
+          ahead: What the server does before it.
+          now: Monotonic seconds.
+        """
+        waiting_tokens = backend.waiting(now) * self.typical_tokens
+        tokens = self.tokens + max(ahead.unread_tokens, waiting_tokens)
+        usual_s = self.first_event_s + tokens / self.tokens_per_s
+        usual_s += int(ahead.requests) // max(1, self.slots) * self.answer_s
+        return usual_s * max(1.0, backend.estimated_pace(now))
+
+    def lead_s(
+        self, backend: backend_lib.Backend, ahead: Ahead, now: float
+    ) -> float:
+        """Returns how much earlier than others it must arrive, in seconds.
+
+        The time until a version is required allows for a begin that takes as
+        long as at a fast server.
+        """
+        begins_in_s = self.begins_in_s(backend, ahead, now)
+        if begins_in_s <= version_policy.DISPATCH_MARGIN_S:
+            return 0.0
+        return _ROOM * begins_in_s - version_policy.DISPATCH_MARGIN_S
+
+
+def prompt_of(tokens: int, engine: types.Engine) -> Prompt:
+    """Returns the prompt of a request with a number of tokens.
+
+    Args:
+      tokens: The tokens, as its caller says.
+      engine: The engine of its service.
+    """
+    return Prompt(
+        math.ceil(tokens / _TOKENS_STEP) * _TOKENS_STEP,
+        _FIRST_EVENT_PASSES * engine.pass_s,
+        engine.prefill_tokens_per_s,
+        engine.typical_prompt_tokens,
+        engine.typical_answer_tokens / engine.steps_per_pass * engine.pass_s,
+        engine.slots,
+    )
--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -125,7 +125,7 @@
         self._attempt_runner = attempts.AttemptRunner(
             codec,
             clock,
-            self._placer.record_first_event,
+            self._record_first_event,
             self._withdrawal_reason,
             self._guard.record_answering,
         )
@@ -446,6 +446,7 @@
             self._placer.server_priority(job),
             job.last_event_id,
         )
+        job.begins_in_s = self._placer.begins_in_s(job, backend)
         outcome = await self._attempt_runner.run(
             job,
             backend,
@@ -455,7 +456,10 @@
                 model,
                 held,
                 job.match.route.idempotent,
-                lambda: backend.transit.estimate_s(self._clock()),
+                lambda: (
+                    backend.transit.estimate_s(self._clock())
+                    + self._placer.lead_s(job, backend)
+                ),
             ),
         )
         if isinstance(outcome, outcomes.Delivered):
@@ -464,6 +468,23 @@
             self._record_failure(job, backend, outcome)
         return outcome
 
+    def _record_first_event(self, job: attempts.Job) -> None:
+        self._placer.record_first_event(job)
+        if job.begins_in_s is None or job.first_event_at is None:
+            return
+        self._counters.add("direct.begin.expected")
+        begun_in_s = job.first_event_at - (job.sent_at or 0.0)
+        if begun_in_s <= job.begins_in_s:
+            return
+        self._counters.add("direct.begin.late")
+        self._log.write(
+            _events.BEGUN_LATE,
+            request=job.metadata.attempt_id,
+            server=job.server_id,
+            expected_ms=round(1e3 * job.begins_in_s),
+            measured_ms=round(1e3 * begun_in_s),
+        )
+
     @property
     def kept(self) -> float:
         """Largest part of a server's slots that is kept from a request."""
--- a/src/clementinegw/direct/placement.py
+++ b/src/clementinegw/direct/placement.py
@@ -9,6 +9,7 @@
 from clementinegw.direct import attempt as attempts
 from clementinegw.direct import backend as backend_lib
 from clementinegw.direct import balance
+from clementinegw.direct import begin_estimate
 from clementinegw.direct import latency_estimator
 from clementinegw.direct import outcomes
 from clementinegw.direct import queue
@@ -451,8 +452,64 @@
             memory=job.memory,
             upcoming_version=upcoming_version,
             upcoming_at=upcoming_at,
+            prompt=self._bound_prompt(job),
         )
 
+    def begins_in_s(
+        self, job: attempts.Job, backend: backend_lib.Backend
+    ) -> float | None:
+        """Returns when its server is expected to begin a request, in seconds.
+
+        This is None if the request can be withdrawn, or if no newer version is
+        upcoming.
+
+        Args:
+          job: The request.
+          backend: The server, reserved for the request but not sent to yet.
+        """
+        prompt = self._bound_prompt(job)
+        if prompt is None:
+            return None
+        now = self._clock()
+        ahead = self._ahead(backend, backend.unread_tokens)
+        return prompt.begins_in_s(backend, ahead, now)
+
+    def lead_s(self, job: attempts.Job, backend: backend_lib.Backend) -> float:
+        """Returns how much earlier than others a request must arrive.
+
+        In seconds.
+
+        Args:
+          job: The request.
+          backend: Its server, whose unread tokens include the request's.
+        """
+        prompt = self._bound_prompt(job)
+        if prompt is None:
+            return 0.0
+        others = backend.unread_tokens - job.metadata.prompt_tokens
+        return prompt.lead_s(
+            backend, self._ahead(backend, others), self._clock()
+        )
+
+    def _ahead(
+        self, backend: backend_lib.Backend, unread_tokens: float
+    ) -> begin_estimate.Ahead:
+        """Returns what a server does before a request that reserved it."""
+        requests = backend.estimated_requests(self._clock()) - 1.0
+        return begin_estimate.Ahead(unread_tokens, max(0.0, requests))
+
+    def _bound_prompt(self, job: attempts.Job) -> begin_estimate.Prompt | None:
+        """Returns the prompt of a request that cannot be withdrawn.
+
+        This is None for any other, and while no version is upcoming.
+        """
+        engine = self._config_view.engine(job.service)
+        if engine is None or job.match.route.idempotent:
+            return None
+        if self._versions.upcoming(self.model(job), self._versions.now) is None:
+            return None
+        return begin_estimate.prompt_of(job.metadata.prompt_tokens, engine)
+
     def _memory_need(self, job: attempts.Job) -> server_memory.Need | None:
         """Returns the memory that a request needs; None if it is unknown."""
         engine = self._config_view.engine(job.service)
--- a/src/clementinegw/direct/version_policy.py
+++ b/src/clementinegw/direct/version_policy.py
@@ -10,7 +10,7 @@
 # How long before its due time a version is required, in seconds: the time from
 # sending a request until a server with free slots starts it. With a longer
 # margin, servers would be idle before each due time.
-_DISPATCH_MARGIN_S = 0.3
+DISPATCH_MARGIN_S = 0.3
 # How long before a version is required the servers that have it are preferred,
 # in seconds.
 _PREFER_LEAD_S = 0.3
@@ -106,7 +106,7 @@
 
     def required_at(self, declaration: declarations.Declaration) -> float:
         """Returns when former versions stop starting requests."""
-        return declaration.declared_at + self.due_s - _DISPATCH_MARGIN_S
+        return declaration.declared_at + self.due_s - DISPATCH_MARGIN_S
 
     def required(self, model: str, now: float) -> int | None:
         """Returns the lowest version that may start a request; None for any."""
@@ -176,7 +176,7 @@
             for declaration in self._declared.for_model(model)
             if declaration.version > held
         ]
-        grace_s = _DISPATCH_MARGIN_S - _WITHDRAW_LEAD_S
+        grace_s = DISPATCH_MARGIN_S - _WITHDRAW_LEAD_S
         return min(newer, default=math.inf) + grace_s
 
     def expected(self, model: str, held: int, now: float) -> int | None:
--- a/src/clementinegw/direct/version_timeouts.py
+++ b/src/clementinegw/direct/version_timeouts.py
@@ -96,7 +96,8 @@
           model: The model that the request asks for.
           held: The version of the weights that the server holds.
           idempotent: Whether the request may be repeated at another server.
-          transit_s: Returns how long it takes to reach the server, in seconds.
+          transit_s: Returns how much earlier it has to be sent than one that
+            arrives and begins at once, in seconds.
         """
         return VersionTimeout(self, model, held, idempotent, transit_s)
 
