Believe a store that came back only once it has settled

Cause: 'current in the store' was taken for current. After a return the store lacks what was written shortly before, until its writers write it again.

An epoch of the store counts as settled once an entry has seen it for 2.5 s. It then marks it in the store, so that later starts believe it at their first read. Until then a copy does not show that a key is still valid; routes without keys are served as before. A process whose poll was open until the store was lost goes on: it knows what the store has lost.

The stand-in of the store has the mark from the start, as one that was in use.

--- a/src/clementinegw/direct/_events.py
+++ b/src/clementinegw/direct/_events.py
@@ -98,6 +98,14 @@
     " does so at its next answer.",
     "What was written shortly before is gone until its writers write it again.",
 )
+EPOCH_SETTLED = events.define(
+    955,
+    "epoch_settled",
+    _INFO,
+    "The store's epoch has lasted for long enough: writers have written again"
+    " what it lost when it was restored. Processes that start later believe it"
+    " at once.",
+)
 SERVER_LISTED = events.define(
     907, "server_listed", _INFO, "A backend server appeared or changed."
 )
--- a/src/clementinegw/direct/admit.py
+++ b/src/clementinegw/direct/admit.py
@@ -30,12 +30,21 @@
         seconds.
       max_rejection_age_s: Unknown routes and keys are rejected permanently
         while the view is younger than this, in seconds.
+      settled_age_s: Returns the maximum age of the last view in which no
+        revocation can be missing, in seconds.
     """
 
     catalog: catalogs.Catalog | None
     age_s: Callable[[], float]
     max_key_age_s: float
     max_rejection_age_s: float
+    settled_age_s: Callable[[], float] = lambda: 0.0
+
+    @property
+    def accepts_keys(self) -> bool:
+        """Whether the view is recent enough to accept keys."""
+        age_s = max(self.age_s(), self.settled_age_s())
+        return age_s < self.max_key_age_s
 
     def service(self, name: str) -> types.Service | None:
         """Returns a service of the configuration; None if unknown."""
@@ -73,7 +82,7 @@
         return unavailable(Reason.STALE_KEYS, _RETRY_SOON_S)
     # The key may have been revoked since the platform last answered. A process
     # that is cut off notices nothing else, so only the age of the view decides.
-    if config_view.age_s() >= config_view.max_key_age_s:
+    if not config_view.accepts_keys:
         return unavailable(Reason.STALE_KEYS, _RETRY_SOON_S)
     return catalogs.RouteMatch(route, customer)
 
--- a/src/clementinegw/direct/entry.py
+++ b/src/clementinegw/direct/entry.py
@@ -18,6 +18,7 @@
 from clementinegw.direct import buffer_budget
 from clementinegw.direct import catalog as catalogs
 from clementinegw.direct import declarations
+from clementinegw.direct import epoch_proof
 from clementinegw.direct import evacuation_watch
 from clementinegw.direct import fleet as fleets
 from clementinegw.direct import forward
@@ -67,6 +68,8 @@
 # How often an entry looks whether there is something to write to the archive of
 # refusals, in seconds: all processes may end soon after.
 _ARCHIVE_INTERVAL_S = 0.25
+# How often an entry looks whether the store's epoch has settled, in seconds.
+_EPOCH_CHECK_S = 0.05
 # After SIGTERM the process still accepts connections, in seconds, until the
 # load balancer has checked its readiness twice.
 _ACCEPT_WHILE_LEAVING_S = 2.4
@@ -83,6 +86,9 @@
     def refusals(self) -> raw.Values:
         """Returns what entries refuse, as it lasts in the store."""
 
+    def epochs(self) -> raw.Values:
+        """Returns which epoch of the store has settled, as the store has it."""
+
 
 class Entry(mode.Service):
     """An entry: accepts callers' requests and forwards them to servers."""
@@ -130,6 +136,9 @@
             counters,
             boot_clock,
         )
+        self._epoch_proof = epoch_proof.EpochProof(
+            platform.epochs(), boot_clock, log, counters
+        )
         topics = self._topics = topic_watch.TopicWatchers(
             self._relay,
             _POLL_TIMINGS,
@@ -138,6 +147,7 @@
             log,
             counters,
             boot_clock,
+            self._epoch_proof,
         )
         self._operators, self._server_list = topics.operators, topics.servers
         self._config_view = admit.ConfigView(
@@ -145,6 +155,7 @@
             lambda: self._operators.age_s,
             bounds.keys_ms / 1e3 * _MAX_KEY_PROOF_SHARE,
             _ROUTES_FRESH_S,
+            lambda: self._operators.settled_age_s,
         )
         self._fleet = fleets.Fleet(
             log,
@@ -237,6 +248,7 @@
             and self._config_view.catalog is not None
             and self._server_list.has_snapshot
             and self._operators.age_s < keys_s * _MAX_READY_SHARE
+            and self._config_view.accepts_keys
         )
 
     async def on_start(self) -> None:
@@ -351,6 +363,13 @@
                 await self._archive.update()
             await asyncio.sleep(_ARCHIVE_INTERVAL_S)
 
+    @mode.Service.task
+    async def _prove_epoch(self) -> None:
+        while not self.should_stop:
+            with self._steps.guard("prove_epoch"):
+                await self._epoch_proof.update()
+            await asyncio.sleep(_EPOCH_CHECK_S)
+
     def _has_new_servers(self) -> bool:
         """Returns whether servers had just started when this entry was ready.
 
--- a/src/clementinegw/direct/topic_watch.py
+++ b/src/clementinegw/direct/topic_watch.py
@@ -31,6 +31,8 @@
 # which calls back off. A few are normal, such as a snapshot and the immediate
 # poll after a change; without a limit the watcher would poll in a busy loop.
 _MAX_EMPTY_ANSWERS = 4
+# A poll fails at most this long after the end of its wait, in seconds.
+_HELD_GRACE_S = 0.5
 # An answer that took less than this, in seconds, was not held by the platform.
 _IMMEDIATE_S = 0.05
 
@@ -94,6 +96,31 @@
         """
 
 
+class Epochs(Protocol):
+    """Knows in which epochs of the store a copy can be current."""
+
+    def observe(self, epoch: int) -> None:
+        """Records an epoch that an answer was of."""
+
+    def is_settled(self, epoch: int) -> bool:
+        """Returns whether all that was written before an epoch is there."""
+
+
+class AllEpochs:
+    """Epochs of a topic whose copies may lack what was written shortly before.
+
+    Implements `Epochs`.
+    """
+
+    def observe(self, epoch: int) -> None:
+        """See `Epochs`."""
+
+    def is_settled(self, epoch: int) -> bool:
+        """See `Epochs`."""
+        del epoch
+        return True
+
+
 class Platform(Protocol):
     """The topics that every process watches."""
 
@@ -139,6 +166,7 @@
         log: logs.Log,
         counters: counters_lib.Counters,
         clock: Callable[[], float] = boot_time,
+        epochs: Epochs | None = None,
     ):
         """Makes no calls before `start`.
 
@@ -151,8 +179,10 @@
           log: Receives events.
           counters: Counts calls and failures.
           clock: Returns seconds, including time while suspended.
+          epochs: The epochs in which a copy can be current; all by default.
         """
         super().__init__()
+        self._epochs = epochs or AllEpochs()
         self._name = name
         self._source = source
         self._timing = timing
@@ -164,6 +194,8 @@
         self._epoch: int | None = None
         self._restored_at = -math.inf
         self._current_at: float | None = None
+        self._settled_at = -math.inf
+        self._carried_epoch: int | None = None
         self._complete_until: float | None = None
         self._failing_since: float | None = None
         self._failure_reason = ""
@@ -186,6 +218,24 @@
             return float("inf")
         return self._clock() - self._current_at
 
+    @property
+    def settled_age_s(self) -> float:
+        """The maximum age of the last copy that shows all that was written.
+
+        In seconds; infinite before any. A copy of an epoch that has not settled
+        does not count: it may lack what was written before the epoch.
+        """
+        if self._current_at is not None and self._misses_nothing:
+            return self.age_s
+        return self._clock() - self._settled_at
+
+    @property
+    def _misses_nothing(self) -> bool:
+        """Whether the copy shows all that was written before its epoch."""
+        if self._carried_epoch == self._epoch:
+            return True
+        return self._epochs.is_settled(self.epoch)
+
     @property
     def lag_s(self) -> float:
         """The maximum time the last batch lay unread in the store, in seconds.
@@ -295,7 +345,23 @@
     def _record_epoch(self, epoch: int) -> None:
         if self._epoch is not None and epoch > self._epoch:
             self._restored_at = self._clock()
+            if self._was_in_touch:
+                self._carried_epoch = epoch
         self._epoch = epoch
+        self._epochs.observe(epoch)
+
+    @property
+    def _was_in_touch(self) -> bool:
+        """Whether a poll was open until reads of the epoch failed.
+
+        It would have told of any change, so that nothing is missing here which
+        a restored store has lost.
+        """
+        failed_s = 0.0
+        if self._failing_since is not None:
+            failed_s = self._clock() - self._failing_since
+        held_s = self._timing.wait_s + _HELD_GRACE_S
+        return self.settled_age_s - failed_s <= held_s
 
     def _freshness(
         self, batch: Batch, is_snapshot: bool, asked_at: float
@@ -324,6 +390,8 @@
         self._current_at = max(
             freshness.current_at, self._current_at or freshness.current_at
         )
+        if self._misses_nothing:
+            self._settled_at = self._current_at
         if self._failing_since is not None:
             lasted_s = self._clock() - self._failing_since
             self._failing_since = None
@@ -402,6 +470,7 @@
         log: logs.Log,
         counters: counters_lib.Counters,
         clock: Callable[[], float] = boot_time,
+        operator_epochs: Epochs | None = None,
     ):
         """Creates the watchers; the caller starts them.
 
@@ -414,6 +483,8 @@
           log: Receives events.
           counters: Counts calls and failures.
           clock: Returns seconds, including time while suspended.
+          operator_epochs: The epochs in which a copy of the operators'
+            declarations can be current; all by default.
         """
         self.operators = TopicWatcher(
             "operators",
@@ -423,6 +494,7 @@
             log,
             counters,
             clock,
+            operator_epochs,
         )
         self.servers = TopicWatcher(
             "servers",
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -58,7 +58,12 @@
     """
 
     def __init__(self, link_bytes_per_s=None):
-        self.topics = {"keyed.op": [], "keyed.servers": []}
+        self.topics = {
+            "keyed.op": [],
+            "keyed.servers": [],
+            # The epoch that entries found settled.
+            "keyed.epochs": [(b"settled", b"1")],
+        }
         self.status = 200
         self.silent = False
         self.muted = False
--- a/tests/test_platform_restored.py
+++ b/tests/test_platform_restored.py
@@ -93,6 +93,91 @@
     assert platform_site.run(play()) == 401
 
 
+REVOKE_S = 5.0
+
+
+async def _restart_at_restoration(site, starts_after_s, lost, rewritten_s):
+    """Restarts an entry when a store comes back without a revocation.
+
+    Returns:
+      The statuses of requests with the revoked key later than it may be used,
+      and whether the other key was served in the end.
+    """
+    loop = asyncio.get_running_loop()
+    tenants = [{"name": "one", "api_keys": [platform_site.KEY, OTHER_KEY]}]
+    put_config(site.store, 3, tenants=tenants)
+    await asyncio.sleep(3.0)
+    copy = site.store.copy()
+    revoked = [{"name": "one", "api_keys": [OTHER_KEY]}]
+    put_config(site.store, 5, tenants=revoked)
+    revoked_at = loop.time()
+    await asyncio.sleep(lost)
+    await site.entry.stop()
+    await be_down(site.store, 0.4)
+    site.store.restore(copy)
+    restored_at = loop.time()
+    await asyncio.sleep(starts_after_s)
+    start = asyncio.ensure_future(site.start_entry())
+    statuses = []
+    written = False
+    while loop.time() < restored_at + 8.0:
+        await asyncio.sleep(0.1)
+        if not written and loop.time() >= restored_at + rewritten_s:
+            put_config(site.store, 5, tenants=revoked)
+            written = True
+        if loop.time() > revoked_at + REVOKE_S and start.done():
+            statuses.append((await site.ask()).status)
+    return statuses, (await site.ask(key=OTHER_KEY)).status
+
+
+@pytest.mark.parametrize("starts_after_s", [0.0, 0.5, 1.5])
+@pytest.mark.parametrize("lost", [2.0, 4.0, 10.0])
+def test_a_start_at_a_restoration_does_not_serve_a_revoked_key(
+    starts_after_s, lost
+):
+    """An entry took the copy of a restored store for current."""
+
+    async def play():
+        async with platform_site.Site("a") as site:
+            return await _restart_at_restoration(
+                site, starts_after_s, lost, 2.0
+            )
+
+    statuses, other = platform_site.run(play())
+    assert 200 not in statuses
+    assert other == 200
+
+
+def test_a_start_in_a_settled_epoch_is_ready_at_once():
+    """Guards against starts that wait although the store is in order."""
+
+    async def play(restored):
+        async with platform_site.Site("a") as site:
+            if restored:
+                site.store.restore(site.store.copy())
+            await asyncio.sleep(4.0)
+            await site.entry.stop()
+            began_at = asyncio.get_running_loop().time()
+            await site.start_entry()
+            return asyncio.get_running_loop().time() - began_at
+
+    usual_s = platform_site.run(play(False))
+    assert platform_site.run(play(True)) <= usual_s + 0.05
+
+
+def test_a_start_while_the_mark_cannot_be_read_is_ready_in_time():
+    """An epoch that lasts is believed without its mark."""
+
+    async def play():
+        site = platform_site.Site("a")
+        site.store.topics["keyed.epochs"] = []
+        began_at = asyncio.get_running_loop().time()
+        async with site:
+            return asyncio.get_running_loop().time() - began_at
+
+    assert 2.5 <= platform_site.run(play()) < 3.5
+
+
 def test_a_server_that_leaves_after_the_restoration_gets_no_requests():
     """Entries never read that a server was leaving."""
 
