--- a/src/clementinegw/direct/crash_guard.py
+++ b/src/clementinegw/direct/crash_guard.py
@@ -4,9 +4,9 @@
 from typing import Protocol, TypeVar
 
 from clementinegw.direct import _events
-from clementinegw.direct import attempt as attempts
 from clementinegw.direct import backend as backend_lib
 from clementinegw.direct import crash_trackers
+from clementinegw.direct import job as jobs
 from clementinegw.direct import part_records
 from clementinegw.direct import prompt_suspects
 from clementinegw.direct import suspects
@@ -60,7 +60,7 @@
         self._clock = clock
         self._log = log
         self._counters = counters
-        self._jobs: dict[int, attempts.Job] = {}
+        self._jobs: dict[int, jobs.Job] = {}
         self._trackers = crash_trackers.Trackers(
             prompt_suspects.PartTracker(self._on_verdict, self._begun_parts)
         )
@@ -79,11 +79,11 @@
         trackers = self._trackers
         return trackers.parts.has_crashes or not trackers.requests.idle
 
-    def add_job(self, job: attempts.Job) -> None:
+    def add_job(self, job: jobs.Job) -> None:
         """Adds a request that is in progress."""
         self._jobs[id(job)] = job
 
-    def remove_job(self, job: attempts.Job) -> None:
+    def remove_job(self, job: jobs.Job) -> None:
         """Removes a request that has ended."""
         del self._jobs[id(job)]
 
@@ -95,9 +95,7 @@
 
     # Observations.
 
-    def record_crash(
-        self, job: attempts.Job, backend: backend_lib.Backend
-    ) -> None:
+    def record_crash(self, job: jobs.Job, backend: backend_lib.Backend) -> None:
         """Records a connection that broke while a request ran."""
         start, now = backend.server.start.text, self._clock()
         self._trackers.requests.record_crash(
@@ -108,7 +106,7 @@
         )
 
     def record_answering(
-        self, job: attempts.Job, backend: backend_lib.Backend
+        self, job: jobs.Job, backend: backend_lib.Backend
     ) -> None:
         """Records that a server answers a request."""
         now = self._clock()
@@ -119,7 +117,7 @@
         parts.record_answer(job.metadata.shared_parts, began_at, now)
 
     def record_completion(
-        self, job: attempts.Job, backend: backend_lib.Backend, sent_at: float
+        self, job: jobs.Job, backend: backend_lib.Backend, sent_at: float
     ) -> None:
         """Records a whole answer.
 
@@ -151,7 +149,7 @@
 
     # Verdicts.
 
-    def refuses(self, job: attempts.Job) -> bool:
+    def refuses(self, job: jobs.Job) -> bool:
         """Returns whether a request is refused, and records it.
 
         One that is let through as a probe may be sent once.
@@ -172,7 +170,7 @@
             return False
         return not self._is_probe(job, requests, job.fingerprint, now)
 
-    def refuses_waiting(self, job: attempts.Job) -> bool:
+    def refuses_waiting(self, job: jobs.Job) -> bool:
         """Returns the same for a request in a queue, which asks often."""
         now = self._clock()
         if now < job.suspect_check_at:
@@ -182,7 +180,7 @@
 
     def _is_probe(
         self,
-        job: attempts.Job,
+        job: jobs.Job,
         tracker: _Tracker[_Subject],
         subject: _Subject,
         now: float,
--- a/src/clementinegw/direct/finisher.py
+++ b/src/clementinegw/direct/finisher.py
@@ -5,10 +5,10 @@
 
 from clementinegw.direct import _events
 from clementinegw.direct import admit
-from clementinegw.direct import attempt as attempts
 from clementinegw.direct import channel
 from clementinegw.direct import client
 from clementinegw.direct import header_codec
+from clementinegw.direct import job as jobs
 from clementinegw.direct import outcomes
 from clementinegw.direct import part_records
 from clementinegw.direct import server as servers
@@ -71,7 +71,7 @@
         request: servers.Request,
         responder: servers.Responder,
         refusal: outcomes.Refusal,
-        job: attempts.Job | None,
+        job: jobs.Job | None,
     ) -> None:
         """Refuses a request and records the refusal.
 
@@ -125,7 +125,7 @@
         request: servers.Request,
         responder: servers.Responder,
         reason: outcomes.RefusalReason,
-        job: attempts.Job | None,
+        job: jobs.Job | None,
     ) -> None:
         """Refuses a request whose handling ended early.
 
@@ -144,7 +144,7 @@
         request: servers.Request,
         responder: servers.Responder,
         error: Exception,
-        job: attempts.Job | None,
+        job: jobs.Job | None,
     ) -> None:
         """Ends a request after an unexpected error and records the error.
 
@@ -170,7 +170,7 @@
                 request, responder, Reason.INTERNAL_ERROR, job
             )
 
-    def _break_off(self, job: attempts.Job, refusal: outcomes.Refusal) -> None:
+    def _break_off(self, job: jobs.Job, refusal: outcomes.Refusal) -> None:
         """Ends an answer that has begun, so that it counts as incomplete."""
         cause = refusal.cause or refusal.reason
         self._counters.add(f"direct.broken_off.{cause}")
@@ -192,7 +192,7 @@
         )
         job.responder.abort()
 
-    def _id_of(self, request: servers.Request, job: attempts.Job | None) -> str:
+    def _id_of(self, request: servers.Request, job: jobs.Job | None) -> str:
         return job.metadata.attempt_id if job else self._attempt_id(request)
 
     def _attempt_id(self, request: servers.Request) -> str:
@@ -203,7 +203,7 @@
             return ""
 
     def record_done(
-        self, job: attempts.Job, outcome: str, status: int, cause: str = ""
+        self, job: jobs.Job, outcome: str, status: int, cause: str = ""
     ) -> None:
         """Records how an admitted request ended.
 
@@ -242,7 +242,7 @@
         )
 
 
-def _suspect_fields(job: attempts.Job | None) -> dict[str, str]:
+def _suspect_fields(job: jobs.Job | None) -> dict[str, str]:
     """Returns the log fields of a request that is refused for its prompt."""
     if job is None or not job.suspect:
         return {}
@@ -250,7 +250,7 @@
     return {"suspect": job.suspect, "part": digest.hex()}
 
 
-def _place_fields(job: attempts.Job | None) -> dict[str, list[str]]:
+def _place_fields(job: jobs.Job | None) -> dict[str, list[str]]:
     """Returns the log field of a request that few regions may serve."""
     if job is None or job.regions is None:
         return {}
--- a/src/clementinegw/direct/forward.py
+++ b/src/clementinegw/direct/forward.py
@@ -16,6 +16,7 @@
 from clementinegw.direct import expiry as expiry_lib
 from clementinegw.direct import finisher
 from clementinegw.direct import header_codec
+from clementinegw.direct import job as jobs
 from clementinegw.direct import outcomes
 from clementinegw.direct import placement
 from clementinegw.direct import queue
@@ -148,7 +149,7 @@
         self, request: servers.Request, responder: servers.Responder
     ) -> None:
         """Forwards one request and answers its caller."""
-        job: attempts.Job | None = None
+        job: jobs.Job | None = None
         try:
             admitted = self._admit(request, responder)
             if isinstance(admitted, outcomes.Refusal):
@@ -159,7 +160,7 @@
         except Exception as error:
             await self._finisher.fail(request, responder, error, job)
 
-    async def _handle_admitted(self, job: attempts.Job) -> None:
+    async def _handle_admitted(self, job: jobs.Job) -> None:
         self._guard.add_job(job)
         try:
             await self._answer(job)
@@ -167,7 +168,7 @@
             self._guard.remove_job(job)
             job.answer_memory.release()
 
-    async def _answer(self, job: attempts.Job) -> None:
+    async def _answer(self, job: jobs.Job) -> None:
         responder = job.responder
         task = asyncio.ensure_future(self._serve(job))
         try:
@@ -185,7 +186,7 @@
             await self._stop(job, await _cancel(task))
             raise
 
-    async def _stop(self, job: attempts.Job, outcome: _Outcome | None) -> None:
+    async def _stop(self, job: jobs.Job, outcome: _Outcome | None) -> None:
         """Ends a request because the process ends.
 
         Args:
@@ -202,14 +203,14 @@
         except channel.ChannelClosed:
             self._record_departure(job)
 
-    def _record_departure(self, job: attempts.Job) -> None:
+    def _record_departure(self, job: jobs.Job) -> None:
         """Ends a request whose caller's connection has ended."""
         job.responder.abort()
         self._finisher.record_done(
             job, "caller_left", 0, job.responder.departure
         )
 
-    async def _finish(self, job: attempts.Job, outcome: _Outcome) -> None:
+    async def _finish(self, job: jobs.Job, outcome: _Outcome) -> None:
         """Answers the caller, unless a server's answer was relayed already.
 
         Raises:
@@ -231,7 +232,7 @@
 
     def _admit(
         self, request: servers.Request, responder: servers.Responder
-    ) -> attempts.Job | outcomes.Refusal:
+    ) -> jobs.Job | outcomes.Refusal:
         try:
             metadata = self._codec.request_metadata(request.headers)
         except ValueError:
@@ -252,7 +253,7 @@
             lambda s: self._balancer.is_barred(s, matched.regions),
         )
         deadline = request.arrived_at + timeout_s
-        job = attempts.Job(
+        job = jobs.Job(
             request,
             metadata,
             matched,
@@ -279,7 +280,7 @@
 
     # Serving.
 
-    async def _serve(self, job: attempts.Job) -> _Outcome:
+    async def _serve(self, job: jobs.Job) -> _Outcome:
         failed: outcomes.Failed | None = None
         try:
             async with asyncio.timeout_at(job.deadline):
@@ -312,7 +313,7 @@
         return outcome
 
     async def _attempt_once(
-        self, job: attempts.Job
+        self, job: jobs.Job
     ) -> outcomes.AttemptOutcome | outcomes.Refusal:
         reservation = await self._reserve(job)
         if isinstance(reservation, outcomes.Refusal):
@@ -328,7 +329,7 @@
 
     def _settle(
         self,
-        job: attempts.Job,
+        job: jobs.Job,
         sent: bool,
         outcome: outcomes.AttemptOutcome | outcomes.Refusal | None,
     ) -> None:
@@ -353,7 +354,7 @@
             charge.confirm()
 
     async def _reserve(
-        self, job: attempts.Job
+        self, job: jobs.Job
     ) -> queue.Reservation | outcomes.Refusal:
         """Returns a reservation for the next attempt, or a refusal."""
         takeover, job.takeover = job.takeover, None
@@ -380,7 +381,7 @@
             if not begun:
                 return self._placer.refuse(job, Reason.NO_BUDGET)
 
-    async def _wait_for_budget(self, job: attempts.Job) -> bool:
+    async def _wait_for_budget(self, job: jobs.Job) -> bool:
         """Waits until the retry budget allows another attempt.
 
         Returns:
@@ -394,9 +395,7 @@
             await asyncio.sleep(min(_BUDGET_CHECK_S, latest - now))
         return True
 
-    def _take_over(
-        self, job: attempts.Job, backend: backend_lib.Backend
-    ) -> bool:
+    def _take_over(self, job: jobs.Job, backend: backend_lib.Backend) -> bool:
         """Reserves another server for a request at a silent one.
 
         A request is only given up at one server once another one is certain to
@@ -419,11 +418,11 @@
         if charge is None:
             reservation.release()
             return False
-        job.takeover = attempts.Takeover(reservation, charge)
+        job.takeover = jobs.Takeover(reservation, charge)
         return True
 
     def _withdrawal_reason(
-        self, job: attempts.Job, backend: backend_lib.Backend
+        self, job: jobs.Job, backend: backend_lib.Backend
     ) -> outcomes.NotRunReason | None:
         """Returns why a request may not be sent after all; None if it may."""
         if self._guard.refuses(job):
@@ -431,7 +430,7 @@
         return self._placer.withdrawal_reason(job, backend)
 
     async def _send(
-        self, job: attempts.Job, backend: backend_lib.Backend
+        self, job: jobs.Job, backend: backend_lib.Backend
     ) -> outcomes.AttemptOutcome | outcomes.Refusal:
         now = self._clock()
         model = self._placer.model(job)
@@ -468,7 +467,7 @@
             self._record_failure(job, backend, outcome)
         return outcome
 
-    def _record_first_event(self, job: attempts.Job) -> None:
+    def _record_first_event(self, job: jobs.Job) -> None:
         self._placer.record_first_event(job)
         if job.begins_in_s is None or job.first_event_at is None:
             return
@@ -523,7 +522,7 @@
 
     def _record_failure(
         self,
-        job: attempts.Job,
+        job: jobs.Job,
         backend: backend_lib.Backend,
         outcome: outcomes.AttemptOutcome,
     ) -> None:
@@ -561,7 +560,7 @@
         )
 
     def _may_retry(
-        self, job: attempts.Job, outcome: outcomes.AttemptOutcome
+        self, job: jobs.Job, outcome: outcomes.AttemptOutcome
     ) -> bool:
         """Returns whether another attempt may be made; counts withdrawals."""
         if not self._may_send_again(job):
@@ -579,7 +578,7 @@
             return False
         return self._may_run_again(job, job.runs)
 
-    def _may_send_again(self, job: attempts.Job) -> bool:
+    def _may_send_again(self, job: jobs.Job) -> bool:
         """Returns whether a request may be sent to another server.
 
         One that has begun can only be broken off, so that the retry budget and
@@ -589,7 +588,7 @@
             return self._is_resumable(job)
         return job.sends < _MAX_SENDS
 
-    def _may_run_again(self, job: attempts.Job, runs: int) -> bool:
+    def _may_run_again(self, job: jobs.Job, runs: int) -> bool:
         """Returns whether a request may run again after that many runs."""
         route = job.match.route
         return (
@@ -599,7 +598,7 @@
         )
 
     def _give_up(
-        self, job: attempts.Job, outcome: outcomes.AttemptOutcome
+        self, job: jobs.Job, outcome: outcomes.AttemptOutcome
     ) -> outcomes.Failed | outcomes.Refusal:
         if isinstance(outcome, outcomes.Failed):
             return outcome
@@ -613,7 +612,7 @@
             return self._placer.refuse(job, Reason.NOT_REPEATABLE)
         return self._placer.refuse(job, Reason.ATTEMPTS_USED)
 
-    def _is_resumable(self, job: attempts.Job) -> bool:
+    def _is_resumable(self, job: jobs.Job) -> bool:
         """Returns whether another server may send the rest of an answer."""
         return job.match.route.idempotent and job.last_event_id is not None
 
--- a/src/clementinegw/direct/placement.py
+++ b/src/clementinegw/direct/placement.py
@@ -6,10 +6,10 @@
 import random
 
 from clementinegw.direct import admit
-from clementinegw.direct import attempt as attempts
 from clementinegw.direct import backend as backend_lib
 from clementinegw.direct import balance
 from clementinegw.direct import begin_estimate
+from clementinegw.direct import job as jobs
 from clementinegw.direct import latency_estimator
 from clementinegw.direct import outcomes
 from clementinegw.direct import queue
@@ -98,7 +98,7 @@
         rng: random.Random,
         clock: Callable[[], float],
         engine_policy: queue.Policy = _ENGINE_POLICY,
-        is_suspect: Callable[[attempts.Job], bool] = lambda job: False,
+        is_suspect: Callable[[jobs.Job], bool] = lambda job: False,
     ):
         """Initializes the placer without any queue.
 
@@ -128,7 +128,7 @@
         return max((q.kept for q in self._queues.values()), default=0.0)
 
     async def reserve(
-        self, job: attempts.Job
+        self, job: jobs.Job
     ) -> queue.Reservation | outcomes.Refusal:
         """Returns a reservation of a server, or a refusal."""
         self.arrivals.record(job.service)
@@ -204,7 +204,7 @@
             self._queue(backend.server.service).dispatch()
 
     def reserve_alternative(
-        self, job: attempts.Job, backend: backend_lib.Backend
+        self, job: jobs.Job, backend: backend_lib.Backend
     ) -> queue.Reservation | None:
         """Returns a reservation of another server; None if none is free now.
 
@@ -225,7 +225,7 @@
         self._assign(job, reservation)
         return reservation
 
-    def record_first_event(self, job: attempts.Job) -> None:
+    def record_first_event(self, job: jobs.Job) -> None:
         """Updates the latency estimate from the first event of an answer.
 
         Args:
@@ -243,7 +243,7 @@
         engine = self._config_view.engine(service)
         return engine.layers if engine else 0
 
-    def model(self, job: attempts.Job) -> str:
+    def model(self, job: jobs.Job) -> str:
         """Returns the model whose version requirements apply to a request.
 
         This is empty for a plain service, which holds no model versions: a
@@ -256,7 +256,7 @@
         return job.metadata.model or engine.models[0]
 
     def withdrawal_reason(
-        self, job: attempts.Job, backend: backend_lib.Backend
+        self, job: jobs.Job, backend: backend_lib.Backend
     ) -> outcomes.NotRunReason | None:
         """Returns why a request may not be sent to its server; None if it may.
 
@@ -269,7 +269,7 @@
         return None
 
     def _refuse_unplaced(
-        self, job: attempts.Job, queue_reason: Reason
+        self, job: jobs.Job, queue_reason: Reason
     ) -> outcomes.Refusal:
         """Returns the refusal of a request that found no server in its time.
 
@@ -301,7 +301,7 @@
         applying = (reason for applies, reason in reasons if applies)
         return self.refuse(job, next(applying, Reason.BUSY))
 
-    def _barred_reason(self, job: attempts.Job) -> Reason | None:
+    def _barred_reason(self, job: jobs.Job) -> Reason | None:
         """Returns why no listed server may get a request; None if one may.
 
         Waiting does not help: only the operators' next record changes it.
@@ -312,20 +312,20 @@
             return Reason.NO_ALLOWED_SERVER
         return Reason.EVACUATED
 
-    def server_priority(self, job: attempts.Job) -> int | None:
+    def server_priority(self, job: jobs.Job) -> int | None:
         """Returns the priority of a request at its server, if it has one."""
         catalog = self._config_view.catalog
         if catalog is None:
             return None
         return catalog.server_priority(job.service, job.rank)
 
-    def refuse(self, job: attempts.Job, reason: Reason) -> outcomes.Refusal:
+    def refuse(self, job: jobs.Job, reason: Reason) -> outcomes.Refusal:
         """Returns the refusal of a request that gets no server."""
         return self._refusal(
             job, reason, self._draw_share(_RETRY_SHARES[reason])
         )
 
-    def refuse_unreachable(self, job: attempts.Job) -> outcomes.Refusal:
+    def refuse_unreachable(self, job: jobs.Job) -> outcomes.Refusal:
         """Returns the refusal of a request when no server can be connected."""
         cooldown_ends_in_s = self._balancer.cooldown_ends_in_s(
             self._requirements(job)
@@ -334,7 +334,7 @@
             job, Reason.OUT_OF_REACH, cooldown_ends_in_s
         )
 
-    def may_reconnect(self, job: attempts.Job) -> bool:
+    def may_reconnect(self, job: jobs.Job) -> bool:
         """Returns whether another connection may be attempted for a request.
 
         A refused connection takes no time, and its server enters cooldown. But
@@ -344,9 +344,7 @@
         timeout_s = job.deadline - job.request.arrived_at
         return job.failed_connect_s < _RETRIED_WAIT_SHARE * timeout_s
 
-    def _assign(
-        self, job: attempts.Job, reservation: queue.Reservation
-    ) -> None:
+    def _assign(self, job: jobs.Job, reservation: queue.Reservation) -> None:
         """Records in a request which server was reserved for it."""
         backend, now = reservation.backend, self._clock()
         job.placed_at = now
@@ -355,7 +353,7 @@
         job.server_id = backend.server.server_id
 
     def _refuse_until_ready(
-        self, job: attempts.Job, reason: Reason, ready_in_s: float
+        self, job: jobs.Job, reason: Reason, ready_in_s: float
     ) -> outcomes.Refusal:
         """Returns a refusal that asks to retry when a server is ready."""
         left_s = max(0.001, job.deadline - self._clock())
@@ -364,26 +362,26 @@
         return self._refusal(job, reason, share)
 
     def _refusal(
-        self, job: attempts.Job, reason: Reason, share: float
+        self, job: jobs.Job, reason: Reason, share: float
     ) -> outcomes.Refusal:
         """Returns a refusal.
 
-        Only a request that cannot have been started by a server is reported as
-        not run.
+        Only a request with a proof for each of its sends is reported as not
+        run.
 
         Args:
           job: The request.
           reason: Reason of the refusal.
           share: When to retry, as a fraction of the remaining time.
         """
-        if job.runs:
+        if job.may_have_run:
             return outcomes.Refusal(
                 _BAD_GATEWAY, Reason.MAY_HAVE_RUN, cause=reason
             )
         left_s = max(0.0, job.deadline - self._clock())
         return admit.unavailable(reason, share * left_s)
 
-    def _latest_start(self, job: attempts.Job) -> float:
+    def _latest_start(self, job: jobs.Job) -> float:
         """Returns the latest time at which a request can start and be on time.
 
         In monotonic seconds.
@@ -399,7 +397,7 @@
         min_start_s = _MIN_START_SHARE * job.match.route.objective_s
         return max(at, job.request.arrived_at + min_start_s)
 
-    def latest_resumption(self, job: attempts.Job) -> float:
+    def latest_resumption(self, job: jobs.Job) -> float:
         """Returns the latest time at which a begun stream may be resumed.
 
         In monotonic seconds. A server that starts it later reads the prompt in
@@ -411,7 +409,7 @@
         needed_s = min(needed_s, _MAX_RESUMPTION_SHARE * timeout_s)
         return job.deadline - max(_GIVE_UP_MARGIN_S, needed_s)
 
-    def _first_event_s(self, job: attempts.Job, engine: types.Engine) -> float:
+    def _first_event_s(self, job: jobs.Job, engine: types.Engine) -> float:
         """Returns the estimated time to the first event, in seconds."""
         return (
             self._estimator(job.service, engine).estimate_s
@@ -430,7 +428,7 @@
             self._estimators[service] = estimator
         return estimator
 
-    def _requirements(self, job: attempts.Job) -> balance.Requirements:
+    def _requirements(self, job: jobs.Job) -> balance.Requirements:
         """Returns the current requirements of a request on its server."""
         now = self._versions.now
         model = self.model(job)
@@ -456,7 +454,7 @@
         )
 
     def begins_in_s(
-        self, job: attempts.Job, backend: backend_lib.Backend
+        self, job: jobs.Job, backend: backend_lib.Backend
     ) -> float | None:
         """Returns when its server is expected to begin a request, in seconds.
 
@@ -474,7 +472,7 @@
         ahead = self._ahead(backend, backend.unread_tokens)
         return prompt.begins_in_s(backend, ahead, now)
 
-    def lead_s(self, job: attempts.Job, backend: backend_lib.Backend) -> float:
+    def lead_s(self, job: jobs.Job, backend: backend_lib.Backend) -> float:
         """Returns how much earlier than others a request must arrive.
 
         In seconds.
@@ -498,7 +496,7 @@
         requests = backend.estimated_requests(self._clock()) - 1.0
         return begin_estimate.Ahead(unread_tokens, max(0.0, requests))
 
-    def _bound_prompt(self, job: attempts.Job) -> begin_estimate.Prompt | None:
+    def _bound_prompt(self, job: jobs.Job) -> begin_estimate.Prompt | None:
         """Returns the prompt of a request that cannot be withdrawn.
 
         This is None for any other, and while no version is upcoming.
@@ -510,7 +508,7 @@
             return None
         return begin_estimate.prompt_of(job.metadata.prompt_tokens, engine)
 
-    def _memory_need(self, job: attempts.Job) -> server_memory.Need | None:
+    def _memory_need(self, job: jobs.Job) -> server_memory.Need | None:
         """Returns the memory that a request needs; None if it is unknown."""
         engine = self._config_view.engine(job.service)
         if engine is None:
--- a/tests/overload_site.py
+++ b/tests/overload_site.py
@@ -16,11 +16,11 @@
 
 from clementinegw import types as shared_types
 from clementinegw.direct import admit
-from clementinegw.direct import attempt as attempts
 from clementinegw.direct import balance
 from clementinegw.direct import catalog
 from clementinegw.direct import expiry
 from clementinegw.direct import fleet as fleets
+from clementinegw.direct import job as jobs
 from clementinegw.direct import placement
 from clementinegw.direct import queue
 from clementinegw.direct import reports
@@ -386,7 +386,7 @@
             output_tokens=caller.events,
         )
         route = _route(caller.kind)
-        job = attempts.Job(
+        job = jobs.Job(
             builtin_types.SimpleNamespace(arrived_at=now),
             metadata,
             catalog.RouteMatch(
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -149,7 +149,7 @@
         "dict(",
     ),
     "resend_connection": (
-        "src/clementinegw/direct/attempt.py",
+        "src/clementinegw/direct/job.py",
         " and connection.number not in self.connections",
         "",
     ),
@@ -159,13 +159,13 @@
         "if False:",
     ),
     "answer_identity": (
-        "src/clementinegw/direct/attempt.py",
+        "src/clementinegw/direct/job.py",
         "if self.identity is AnswerIdentity.NONE and self.former_calls:",
         "if False:",
     ),
     "true_refusal": (
         "src/clementinegw/direct/placement.py",
-        "if job.runs:\n            return outcomes.Refusal(",
+        "if job.may_have_run:\n            return outcomes.Refusal(",
         "if False:\n            return outcomes.Refusal(",
     ),
 }
--- a/tests/test_direct_places.py
+++ b/tests/test_direct_places.py
@@ -13,13 +13,13 @@
 
 from clementinegw import types as shared_types
 from clementinegw.direct import admit
-from clementinegw.direct import attempt as attempts
 from clementinegw.direct import balance
 from clementinegw.direct import budget
 from clementinegw.direct import catalog
 from clementinegw.direct import client
 from clementinegw.direct import expiry
 from clementinegw.direct import fleet as fleets
+from clementinegw.direct import job as jobs
 from clementinegw.direct import outcomes
 from clementinegw.direct import placement
 from clementinegw.direct import reports
@@ -125,7 +125,7 @@
         )
         customer = types.Customer("one", regions=customer_regions)
         now = self.balancer._clock()
-        return attempts.Job(
+        return jobs.Job(
             builtin_types.SimpleNamespace(arrived_at=now),
             types.RequestMetadata(),
             catalog.RouteMatch(route, customer),
--- a/tests/test_direct_second_answers.py
+++ b/tests/test_direct_second_answers.py
@@ -9,6 +9,8 @@
 
 from clementinegw import types
 from clementinegw.direct import expiry as expiries
+from clementinegw.direct import job as jobs
+from clementinegw.direct import outcomes
 
 # Statuses that promise a caller that its request has not run.
 _NOT_RUN = (408, 421, 429, 503)
@@ -309,3 +311,17 @@
         return begun
 
     assert not platform_site.run(play())
+
+
+@pytest.mark.parametrize(
+    ("sends", "proofs", "may_have_run"),
+    [(0, 0, False), (1, 1, False), (1, 0, True), (2, 1, True), (2, 2, False)],
+)
+def test_a_request_may_have_run_unless_each_send_has_a_proof(
+    sends, proofs, may_have_run
+):
+    """A proof of one send says nothing about another one."""
+    job = jobs.Job(*[None] * 7)
+    job.sends = sends
+    job.proofs = [outcomes.NotRunReason.SHED] * proofs
+    assert job.may_have_run is may_have_run
