Expect no free slot at a server that is nearly full

Cause: slots were counted as free that other entries took since the server had reported its load, which is 0.2 s old in a report and 0.1 s older in between. A server that answers as fast as it can gets some five requests in that time.

The other bounds of the file are as they were.

--- a/src/clementinegw/direct/begin_estimate.py
+++ b/src/clementinegw/direct/begin_estimate.py
@@ -17,6 +17,8 @@
 # The estimate is raised by this factor: other entries' prompts that a server
 # has begun to read are not reported, and a pace is known with a lag.
 _ROOM = 1.25
+# The usual interval between an agent's reports, in seconds.
+_REPORT_INTERVAL_S = 0.1
 # Prompts are rounded up to this many tokens, so that requests share
 # requirements.
 _TOKENS_STEP = 256
@@ -48,6 +50,8 @@
       answer_s: The time that a typical answer holds a slot, at the usual pace,
         in seconds.
       slots: The slots of a server.
+      unseen: How many requests of other entries a busy server may have got
+        since it reported its load.
     """
 
     tokens: int
@@ -56,6 +60,7 @@
     typical_tokens: float
     answer_s: float
     slots: int
+    unseen: float
 
     def begins_in_s(
         self, backend: backend_lib.Backend, ahead: Ahead, now: float
@@ -70,9 +75,22 @@
         waiting_tokens = backend.waiting(now) * self.typical_tokens
         tokens = self.tokens + max(ahead.unread_tokens, waiting_tokens)
         usual_s = self.first_event_s + tokens / self.tokens_per_s
-        usual_s += int(ahead.requests) // max(1, self.slots) * self.answer_s
+        usual_s += self._slot_wait_s(ahead.requests)
         return usual_s * max(1.0, backend.estimated_pace(now))
 
+    def _slot_wait_s(self, requests: float) -> float:
+        """Returns the wait for a slot at the usual pace, in seconds.
+
+        Slots that are taken for certain may all be freed at the end of an
+        answer. Those that others may have taken are freed one by one.
+        """
+        slots = max(1, self.slots)
+        rounds = int(requests) // slots
+        if rounds:
+            return rounds * self.answer_s
+        excess = requests + self.unseen + 1.0 - slots
+        return max(0.0, excess) / slots * self.answer_s
+
     def lead_s(
         self, backend: backend_lib.Backend, ahead: Ahead, now: float
     ) -> float:
@@ -94,11 +112,16 @@
       tokens: The tokens, as its caller says.
       engine: The engine of its service.
     """
+    first_event_s = _FIRST_EVENT_PASSES * engine.pass_s
+    passes = engine.typical_answer_tokens / engine.steps_per_pass
+    answer_s = passes * engine.pass_s
+    busiest_per_s = engine.slots / (first_event_s + answer_s)
     return Prompt(
         math.ceil(tokens / _TOKENS_STEP) * _TOKENS_STEP,
-        _FIRST_EVENT_PASSES * engine.pass_s,
+        first_event_s,
         engine.prefill_tokens_per_s,
         engine.typical_prompt_tokens,
-        engine.typical_answer_tokens / engine.steps_per_pass * engine.pass_s,
+        answer_s,
         engine.slots,
+        busiest_per_s * (engine.report_lag_s + _REPORT_INTERVAL_S),
     )
