--- a/tests/test_direct_second_answers.py
+++ b/tests/test_direct_second_answers.py
@@ -55,6 +55,24 @@
     call.answer(b"", status, extra_headers=headers)
 
 
+async def _ask_twice(on_call, kind):
+    """Sends two requests in turn; returns the second answer and the server.
+
+    Args:
+      on_call: Handles a call, given the server and the call.
+      kind: The kind of the second request's route.
+    """
+
+    def handle(call):
+        on_call(server, call)
+
+    async with _Site("i-1", on_call=handle) as site:
+        (server,) = site.servers
+        await site.ask("/once/1", attempt_id="b1")
+        answer = await site.ask(f"/{kind}/1", attempt_id="b2")
+        return answer, server
+
+
 @pytest.mark.parametrize("kind", _KINDS)
 @pytest.mark.parametrize("status", [503, 429, 421])
 def test_a_second_rejection_is_not_taken_for_the_answer_to_the_next_send(
@@ -103,64 +121,41 @@
 def test_a_cut_rejection_before_an_answer_is_no_proof(kind, cut):
     """A cut head that runs into the next one looks like a rejection."""
 
-    def on_call(call):
+    def on_call(server, call):
         if len(server.calls) == 2:
             call.send(cut)
         _serve(call)
 
-    async def play():
-        nonlocal server
-        async with _Site("i-1", on_call=on_call) as site:
-            (server,) = site.servers
-            await site.ask("/once/1", attempt_id="b1")
-            answer = await site.ask(f"/{kind}/1", attempt_id="b2")
-            return answer.status, server.connections
-
-    server = None
-    status, connections = platform_site.run(play())
-    assert connections == 1
-    assert status == 502
+    answer, server = platform_site.run(_ask_twice(on_call, kind))
+    assert server.connections == 1
+    assert answer.status == 502
 
 
 def test_a_cut_success_does_not_turn_a_failure_into_one():
     """A cut head that runs into the next one changes its status."""
 
-    def on_call(call):
+    def on_call(server, call):
         if len(server.calls) == 2:
             call.send(b"HTTP/1.1 200 OK")
             call.answer(b"failed", 500)
             return
         _serve(call)
 
-    async def play():
-        nonlocal server
-        async with _Site("i-1", on_call=on_call) as site:
-            (server,) = site.servers
-            await site.ask("/once/1", attempt_id="b1")
-            return (await site.ask("/once/1", attempt_id="b2")).status
-
-    server = None
-    assert platform_site.run(play()) == 502
+    answer, _ = platform_site.run(_ask_twice(on_call, "once"))
+    assert answer.status == 502
 
 
 @pytest.mark.parametrize("kind", _KINDS)
 def test_a_rejection_without_an_id_on_a_kept_connection_is_no_proof(kind):
     """It may be the second answer to any earlier call."""
 
-    def on_call(call):
+    def on_call(server, call):
         if len(server.calls) == 2:
             call.send(_REJECTION)
         _serve(call)
 
-    async def play():
-        nonlocal server
-        async with _Site("i-1", on_call=on_call) as site:
-            (server,) = site.servers
-            await site.ask("/once/1", attempt_id="b1")
-            return (await site.ask(f"/{kind}/1", attempt_id="b2")).status
-
-    server = None
-    assert platform_site.run(play()) == 502
+    answer, _ = platform_site.run(_ask_twice(on_call, kind))
+    assert answer.status == 502
 
 
 class _FaultyServer(platform_site.Server):
