Start an entry in the soak while the store lacks a revocation

A fault of the subject restored ends an entry, brings the store back without a revocation, starts the entry and writes again after 1 to 2 s. A revocation counts from its first acknowledgement.

--- a/tests/soak/restored.py
+++ b/tests/soak/restored.py
@@ -156,6 +156,9 @@
         return {
             "restore": self._fault_restore,
             "restore_again": self._fault_restore,
+            "restore_at_start": lambda: self._fault_restore_at_start(
+                store_port
+            ),
             "revoke": self._fault_revoke,
             "give": self._fault_give,
             "config": self._fault_config,
@@ -195,13 +198,39 @@
                 self.changes.append(change)
                 await asyncio.sleep(QUIET_S)
 
+    async def _fault_restore_at_start(self, store_port):
+        """An entry starts while the store lacks that a key was taken away."""
+        if self._operator.locked():
+            return
+        async with self._operator:
+            copied_at, copy = self.now, self.store.copy()
+            self._revoke()
+            await asyncio.sleep(self._rng.uniform(3.0, 4.5))
+            entry = self._rng.choice(self.entries)
+            if entry.exit_expected:
+                return
+            await entry.end(signal.SIGKILL)
+            self._back_at = math.inf
+            self.store.status = 503
+            self.store.cut()
+            await asyncio.sleep(self._rng.uniform(0.05, 0.5))
+            self.store.restore(copy)
+            self.store.status = 200
+            await entry.start(store_port)
+            await asyncio.sleep(self._rng.uniform(1.0, 2.0))
+            self._write_again(copied_at)
+            self._back_at = self.now
+
     def _write_again(self, copied_at):
-        """Writes what the store has lost; it counts from then on."""
+        """Writes what the store has lost; it counts from then on.
+
+        A key that was taken away counts from its first acknowledgement.
+        """
         self._put_version(self._config_version)
         self._put_servers()
         for name in self._removed:
             self.store.put("keyed.servers", name, None)
-        for changes in (self.checker.revoked_at, self._given_at, self._left_at):
+        for changes in (self._given_at, self._left_at):
             for name, at in changes.items():
                 if at >= copied_at:
                     changes[name] = self.now
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -167,6 +167,11 @@
         "if self.identity is AnswerIdentity.NONE and self.former_calls:",
         "if False:",
     ),
+    "settled_epoch": (
+        "src/clementinegw/direct/epoch_proof.py",
+        "return self._marked == epoch or self._has_lasted",
+        "return True",
+    ),
     "true_refusal": (
         "src/clementinegw/direct/placement.py",
         "if job.may_have_run:\n            return outcomes.Refusal(",
