Estimate begins of engines without times

A configuration may give no times of steps. Found when the change was read as a whole; test_an_engine_without_times_holds_nothing_back failed.

--- a/src/clementinegw/direct/begin_estimate.py
+++ b/src/clementinegw/direct/begin_estimate.py
@@ -148,7 +148,9 @@
     first_event_s = _FIRST_EVENT_PASSES * engine.pass_s
     passes = engine.typical_answer_tokens / engine.steps_per_pass
     answer_s = passes * engine.pass_s
-    busiest_per_s = engine.slots / (first_event_s + answer_s)
+    busy_s = first_event_s + answer_s
+    # Operators need not say how long a step takes.
+    busiest_per_s = engine.slots / busy_s if busy_s else 0.0
     return Prompt(
         math.ceil(tokens / _TOKENS_STEP) * _TOKENS_STEP,
         first_event_s,
--- a/tests/test_direct_begins.py
+++ b/tests/test_direct_begins.py
@@ -81,6 +81,19 @@
     assert lead_s == 0.0
 
 
+def test_an_engine_without_times_holds_nothing_back():
+    """Operators need not say how long a step takes."""
+    engine = dataclasses.replace(
+        _engine(),
+        step_s=0.0,
+        step_per_request_s=0.0,
+        prefill_tokens_per_s=float("inf"),
+    )
+    prompt = begin_estimate.prompt_of(973, engine)
+    known = begin_estimate.Ahead(1e4, 40.0)
+    assert prompt.lead_s(_Server(9, 8.0), known, 0.0) == 0.0
+
+
 @pytest.mark.parametrize("running", [14, 15])
 def test_a_nearly_full_server_is_expected_to_have_no_slot(running):
     """A request sent 0.376 s before a version was due began too late."""
