Share how the rigs spoil second answers; give random requests bodies

The soak and the random test of second answers spoiled answers by two copies of the same code; platform_site.spoil serves both. A constant of epoch_proof is private.

--- a/src/clementinegw/direct/epoch_proof.py
+++ b/src/clementinegw/direct/epoch_proof.py
@@ -17,7 +17,7 @@
 
 # After this time writers have written again what a restored store lost, in
 # seconds: two for them, and a rest for the way.
-SETTLE_S = 2.5
+_SETTLE_S = 2.5
 # The pause after a call that failed, in seconds.
 _RETRY_PAUSE_S = 0.5
 _KEY = "settled"
@@ -71,7 +71,7 @@
 
     @property
     def _has_lasted(self) -> bool:
-        return self._clock() - self._seen_at >= SETTLE_S
+        return self._clock() - self._seen_at >= _SETTLE_S
 
     async def update(self) -> None:
         """Reads the mark in each epoch; writes it once the epoch has lasted."""
--- a/tests/platform_site.py
+++ b/tests/platform_site.py
@@ -379,6 +379,24 @@
         self.writer.transport.abort()
 
 
+def spoil(call, form, rng):
+    """Returns what a call has sent, as a faulty server may send it again.
+
+    Args:
+      call: The call, which was answered.
+      form: How it is spoiled: cut, unidentified or foreign; else it is whole.
+      rng: Draws where it is cut.
+    """
+    answer = call.sent_bytes
+    if form == "cut":
+        return answer[: rng.randrange(1, len(answer))]
+    if form == "unidentified":
+        return answer.replace(b"Attempt-Id", b"Other-Id")
+    if form == "foreign":
+        return answer.replace(call.attempt_id.encode(), b"f1")
+    return answer
+
+
 class Server:
     """A backend server that handles each call with a test's function.
 
--- a/tests/soak/second_answers.py
+++ b/tests/soak/second_answers.py
@@ -3,6 +3,8 @@
 import asyncio
 import collections
 
+import platform_site
+
 MAX_BYTES = 4_096
 FORMS = ("whole", "whole", "cut", "cut_rejection", "unidentified", "foreign")
 _REJECTION = (
@@ -39,11 +41,11 @@
             call.send(data)
             call.sent_bytes = b""
         await serve
-        answer = call.sent_bytes
-        if not 0 < len(answer) <= MAX_BYTES or self._rng.random() > self.share:
+        size = len(call.sent_bytes)
+        if not 0 < size <= MAX_BYTES or self._rng.random() > self.share:
             return
         form = self._rng.choice(FORMS)
-        second = self._spoil(call, answer, form)
+        second = self._second(call, form)
         if self._rng.random() < 0.7:
             # Where the answer to the next call is expected.
             self._due[call.writer] = form, second
@@ -52,13 +54,7 @@
         self.drawn[form] += 1
         call.send(second)
 
-    def _spoil(self, call, answer, form):
-        if form == "cut":
-            return answer[: self._rng.randrange(1, len(answer))]
+    def _second(self, call, form):
         if form == "cut_rejection":
             return _REJECTION[: self._rng.randrange(1, len(_REJECTION))]
-        if form == "unidentified":
-            return answer.replace(b"Attempt-Id", b"Other-Id")
-        if form == "foreign":
-            return answer.replace(call.attempt_id.encode(), b"f1")
-        return answer
+        return platform_site.spoil(call, form, self._rng)
--- a/tests/test_direct_second_answers.py
+++ b/tests/test_direct_second_answers.py
@@ -202,25 +202,20 @@
         }
         actions[event]()
         if call.sent_bytes:
-            await self._send_second(call, call.sent_bytes)
+            await self._send_second(call)
 
     def _cut(self, call):
         """Sends a part of an answer and closes the connection."""
         call.send(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nwh")
         call.writer.close()
 
-    async def _send_second(self, call, answer):
+    async def _send_second(self, call):
         """Sends an answer again: at once, late, whole, cut, or without id."""
         when = self._draw("never", "never", "at_once", "late", "late")
         if when == "never":
             return
         form = self._draw("whole", "cut", "unidentified", "foreign")
-        if form == "cut":
-            answer = answer[: self.rng.randrange(1, len(answer))]
-        elif form == "unidentified":
-            answer = answer.replace(b"Attempt-Id", b"Other-Id")
-        elif form == "foreign":
-            answer = answer.replace(call.attempt_id.encode(), b"f1")
+        answer = platform_site.spoil(call, form, self.rng)
         if when == "late":
             self._late[call.writer] = answer
             return
@@ -240,7 +235,11 @@
             kind = rng.choice((*_KINDS, "once", "safe"))
             answers[attempt_id] = (
                 kind,
-                await site.ask(f"/{kind}/1", attempt_id=attempt_id),
+                await site.ask(
+                    f"/{kind}/1",
+                    attempt_id=attempt_id,
+                    body=attempt_id.encode(),
+                ),
             )
 
     async def play():
